--- /dev/null
+++ b/schema/peer.thrift
@@ -0,0 +1,149 @@
+/**
+ * Calls and datagrams between the routers of one fleet.
+ *
+ * Datagrams (`Datagram`) travel over UDP in the compact protocol; the `Peer` service runs over TCP
+ * with framed transport and the compact protocol.
+ */
+namespace py sequoiadrum._gen.peer
+
+enum MemberState { ALIVE = 1, SUSPECT = 2, LEAVING = 3, DEAD = 4 }
+
+/** A router as its peers see it. */
+struct Member {
+  1: string id,
+  2: string host,
+  3: i32 peer_port,
+  4: i32 http_port,
+  5: string failure_domain,
+  6: string region,
+  7: i64 process_id,
+  8: i64 incarnation,
+  9: MemberState state,
+}
+
+/** A small fact spread to all routers together with membership changes. */
+struct Rumor {
+  1: string kind,
+  2: string key,
+  3: i64 version,
+  4: binary payload,
+  5: i32 ttl_ms,
+}
+
+enum DatagramKind { PING = 1, ACK = 2, PING_REQ = 3, NOTICE = 4 }
+
+struct Datagram {
+  1: DatagramKind kind,
+  2: i64 sequence,
+  3: string sender_id,
+  4: i64 config_revision,
+  5: optional string target_id,
+  6: optional list<Member> members,
+  7: optional list<Rumor> rumors,
+  8: optional i64 sender_process_id,
+}
+
+/** One member with the last configuration revision that it reported. */
+struct MemberReport {
+  1: Member member,
+  2: i64 config_revision,
+}
+
+enum AcquireStatus { GRANTED = 1, REFUSED = 2, NOT_OWNER = 3 }
+
+struct AcquireRequest {
+  1: string pool,
+  2: string request_id,
+  3: string chat_id,
+  4: string account,
+  5: i32 priority,
+  6: double cost,
+  7: i32 deadline_ms,
+  8: string fingerprint,
+  9: string router_id,
+  10: i64 router_process_id,
+  11: list<string> excluded_endpoints,
+  12: bool forced,
+}
+
+struct AcquireReply {
+  1: AcquireStatus status,
+  2: optional string grant_id,
+  3: optional string endpoint_id,
+  4: optional string host,
+  5: optional i32 port,
+  6: optional string kv_source,
+  7: optional string reason,
+  8: optional i32 retry_after_ms,
+  9: optional string owner_id,
+}
+
+enum ReleaseOutcome { OK = 1, FAILED = 2, CRASHED = 3, CANCELLED = 4, REFUSED = 5 }
+
+struct Release {
+  1: string grant_id,
+  2: ReleaseOutcome outcome,
+}
+
+/** A grant that a router still holds, told to a new pool owner. */
+struct HeldGrant {
+  1: string grant_id,
+  2: string endpoint_id,
+  3: string chat_id,
+  4: string account,
+  5: double cost,
+  6: string fingerprint,
+}
+
+enum KeyedState { DONE = 1, NOT_RUN = 2, UNKNOWN = 3, RUNNING = 4, NOT_OWNER = 5 }
+
+struct KeyedRequest {
+  1: string service_name,
+  2: string account,
+  3: string key,
+  4: i64 issued_at_ms,
+  5: string method,
+  6: string path,
+  7: string content_type,
+  8: binary body,
+  9: i32 deadline_ms,
+  10: string attempt_id,
+  11: bool forwarded,
+}
+
+struct KeyedReply {
+  1: KeyedState state,
+  2: optional i32 status,
+  3: optional string content_type,
+  4: optional binary body,
+  5: optional string reason,
+  6: optional i32 retry_after_ms,
+  7: optional string owner_id,
+}
+
+struct ConfigUpdate {
+  1: i64 revision,
+  2: bool snapshot,
+  3: binary payload,
+}
+
+struct LimitLease {
+  1: i32 granted,
+  2: i32 ttl_ms,
+  3: i32 retry_after_ms,
+  4: optional string owner_id,
+}
+
+service Peer {
+  /** Push-pull of the whole member list. */
+  list<MemberReport> sync_members(1: list<MemberReport> members),
+  AcquireReply acquire(1: AcquireRequest request),
+  void release(1: string pool, 2: string router_id, 3: list<Release> releases),
+  void report_grants(1: string pool, 2: string router_id, 3: i64 router_process_id, 4: list<HeldGrant> grants),
+  /** Changes above a revision, or a snapshot when they are no longer kept. */
+  ConfigUpdate fetch_config(1: i64 since_revision),
+  KeyedReply submit_keyed(1: KeyedRequest request),
+  KeyedReply keyed_status(1: string service_name, 2: string account, 3: string key, 4: i64 issued_at_ms, 5: bool cancel, 6: string attempt_id),
+  void record_outcome(1: string service_name, 2: string account, 3: string key, 4: string attempt_id, 5: KeyedReply outcome),
+  LimitLease lease_tokens(1: string account, 2: i32 wanted, 3: string router_id),
+}
--- /dev/null
+++ b/src/sequoiadrum/_gen/operator/__init__.py
@@ -0,0 +1,1 @@
+__all__ = ['ttypes', 'constants', 'Operator']
--- /dev/null
+++ b/src/sequoiadrum/_http_pool.py
@@ -0,0 +1,93 @@
+"""Keep-alive connections of `http.client`, one pool for each address."""
+
+from __future__ import annotations
+
+import socket
+import threading
+from collections import defaultdict
+from http.client import HTTPConnection
+from typing import TYPE_CHECKING, Final
+
+if TYPE_CHECKING:
+    from http.client import HTTPResponse
+
+    from sequoiadrum.messages import Address
+
+_IDLE_PER_ADDRESS: Final = 32
+
+
+class HttpPool:
+    """Lends connections; safe to use from any thread.
+
+    A connection comes back only after its response was read to the end, so a late answer can
+    never reach the next request.
+    """
+
+    def __init__(self, timeout_s: float) -> None:
+        self._timeout_s = timeout_s
+        self._lock = threading.Lock()
+        self._idle_by_address: dict[Address, list[HTTPConnection]] = defaultdict(list)
+
+    def connect(self, address: Address, timeout_s: float | None = None) -> HTTPConnection:
+        """Opens a new connection.
+
+        Raises:
+            OSError: The address refuses or does not answer in time.
+        """
+        connection = HTTPConnection(
+            address.host, address.port, timeout=timeout_s or self._timeout_s
+        )
+        connection.connect()
+        connection.sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        return connection
+
+    def borrow(self, address: Address, timeout_s: float | None = None) -> HTTPConnection:
+        """Gives an idle connection that is still open, or opens one.
+
+        Raises:
+            OSError: As `connect`.
+        """
+        while True:
+            with self._lock:
+                idle = self._idle_by_address[address]
+                connection = idle.pop() if idle else None
+            if connection is None:
+                return self.connect(address, timeout_s)
+            if _is_open(connection):
+                connection.sock.settimeout(timeout_s or self._timeout_s)
+                return connection
+            connection.close()
+
+    def give_back(
+        self, address: Address, connection: HTTPConnection, response: HTTPResponse
+    ) -> None:
+        """Keeps the connection if its response is complete and allows it, else closes it."""
+        if response.isclosed() and not response.will_close and connection.sock is not None:
+            with self._lock:
+                idle = self._idle_by_address[address]
+                if len(idle) < _IDLE_PER_ADDRESS:
+                    idle.append(connection)
+                    return
+        connection.close()
+
+    def close(self) -> None:
+        """Closes all idle connections."""
+        with self._lock:
+            for idle in self._idle_by_address.values():
+                for connection in idle:
+                    connection.close()
+            self._idle_by_address.clear()
+
+
+def _is_open(connection: HTTPConnection) -> bool:
+    # An idle connection with readable data was closed by the server or has stray bytes.
+    if connection.sock is None:
+        return False
+    connection.sock.setblocking(False)
+    try:
+        connection.sock.recv(1, socket.MSG_PEEK)
+    except BlockingIOError:
+        return True
+    except OSError:
+        return False
+    return False
--- /dev/null
+++ b/src/sequoiadrum/_platform_http.py
@@ -0,0 +1,137 @@
+"""HTTP wire form of the platform's object service.
+
+`GET /objects/NAME` gives the value with its version in `ETag`; `PUT` and `DELETE` carry the
+expected version in `If-Match`; `GET /watch/NAME?version=V&timeout_ms=T` waits for another version
+(204: none came); `GET /list?prefix=P` and `GET /instances` give JSON.
+"""
+
+from __future__ import annotations
+
+import json
+from http.client import HTTPException
+from typing import TYPE_CHECKING, Final
+from urllib.parse import quote
+
+from returns.result import Failure, Result, Success
+
+from sequoiadrum._http_pool import HttpPool
+from sequoiadrum.platform_client import (
+    ListedInstance,
+    PlatformClient,
+    PlatformFailure,
+    StoredObject,
+)
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+    from sequoiadrum.messages import Address
+    from sequoiadrum.metrics import Metrics
+
+_FAILURES_BY_STATUS: Final = {
+    404: PlatformFailure.NOT_FOUND,
+    412: PlatformFailure.CONFLICT,
+    413: PlatformFailure.TOO_LARGE,
+    429: PlatformFailure.RATE_LIMITED,
+    503: PlatformFailure.UNREACHABLE,
+}
+
+
+class HttpPlatformClient(PlatformClient):
+    """Talks to the platform over keep-alive HTTP; counts each call."""
+
+    def __init__(self, address: Address, metrics: Metrics, timeout_s: float) -> None:
+        self._address = address
+        self._metrics = metrics
+        self._timeout_s = timeout_s
+        self._pool = HttpPool(timeout_s)
+
+    def close(self) -> None:
+        """Closes the idle connections."""
+        self._pool.close()
+
+    def get(self, name: str) -> Result[StoredObject, PlatformFailure]:
+        """See `PlatformClient.get`."""
+        return self._object("GET", f"/objects/{quote(name)}", name)
+
+    def put(
+        self, name: str, value: bytes, expected_version: int
+    ) -> Result[StoredObject, PlatformFailure]:
+        """See `PlatformClient.put`."""
+        return self._object("PUT", f"/objects/{quote(name)}", name, value, expected_version)
+
+    def delete(self, name: str, expected_version: int) -> Result[None, PlatformFailure]:
+        """See `PlatformClient.delete`."""
+        result = self._call("DELETE", f"/objects/{quote(name)}", None, expected_version)
+        return result.map(lambda _: None)
+
+    def list_names(self, prefix: str) -> Result[Sequence[tuple[str, int]], PlatformFailure]:
+        """See `PlatformClient.list_names`."""
+        result = self._call("GET", f"/list?prefix={quote(prefix)}")
+        return result.map(lambda r: [(e["name"], e["version"]) for e in json.loads(r[2])])
+
+    def watch(
+        self, name: str, known_version: int, timeout_s: float
+    ) -> Result[StoredObject | None, PlatformFailure]:
+        """See `PlatformClient.watch`."""
+        path = f"/watch/{quote(name)}?version={known_version}&timeout_ms={int(timeout_s * 1e3)}"
+        result = self._call("GET", path, timeout_s=timeout_s + self._timeout_s)
+        return result.map(lambda r: None if r[0] == 204 else StoredObject(name, r[1], r[2]))
+
+    def list_instances(self) -> Result[Sequence[ListedInstance], PlatformFailure]:
+        """See `PlatformClient.list_instances`."""
+        result = self._call("GET", "/instances")
+        return result.map(lambda r: [ListedInstance(**entry) for entry in json.loads(r[2])])
+
+    def _object(
+        self,
+        method: str,
+        path: str,
+        name: str,
+        value: bytes | None = None,
+        expected_version: int | None = None,
+    ) -> Result[StoredObject, PlatformFailure]:
+        result = self._call(method, path, value, expected_version)
+        return result.map(lambda r: StoredObject(name, r[1], r[2] if value is None else value))
+
+    def _call(
+        self,
+        method: str,
+        path: str,
+        value: bytes | None = None,
+        expected_version: int | None = None,
+        timeout_s: float | None = None,
+    ) -> Result[tuple[int, int, bytes], PlatformFailure]:
+        """Sends one request; gives status, version and body of a 2xx answer."""
+        verb = path.split("/", 2)[1].split("?")[0]
+        self._metrics.count("platform_calls_total", call=f"{method.lower()}_{verb}")
+        result = self._exchange(method, path, value, expected_version, timeout_s)
+        if isinstance(result, Failure):
+            self._metrics.count("platform_failures_total", reason=result.failure().value)
+        return result
+
+    def _exchange(
+        self,
+        method: str,
+        path: str,
+        value: bytes | None,
+        expected_version: int | None,
+        timeout_s: float | None,
+    ) -> Result[tuple[int, int, bytes], PlatformFailure]:
+        headers = {} if expected_version is None else {"If-Match": f'"{expected_version}"'}
+        try:
+            connection = self._pool.borrow(self._address, timeout_s)
+        except OSError:
+            return Failure(PlatformFailure.UNREACHABLE)
+        try:
+            connection.request(method, path, body=value, headers=headers)
+            response = connection.getresponse()
+            body = response.read()
+        except (OSError, HTTPException):
+            connection.close()
+            return Failure(PlatformFailure.UNKNOWN)
+        self._pool.give_back(self._address, connection, response)
+        if response.status >= 300:
+            return Failure(_FAILURES_BY_STATUS.get(response.status, PlatformFailure.UNKNOWN))
+        version = int((response.getheader("ETag") or '"0"').strip('"'))
+        return Success((response.status, version, body))
--- /dev/null
+++ b/src/sequoiadrum/_thrift_transport.py
@@ -0,0 +1,74 @@
+"""Thrift sockets that count their bytes, and codecs of single structures."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Any, Final, TypeVar
+
+from thrift.protocol.TCompactProtocol import TCompactProtocolAcceleratedFactory
+from thrift.transport.TSocket import TSocket
+from thrift.TSerialization import deserialize, serialize
+
+if TYPE_CHECKING:
+    import socket
+
+    from sequoiadrum.metrics import Metrics
+
+S = TypeVar("S")
+
+COMPACT: Final = TCompactProtocolAcceleratedFactory()
+"""Protocol between routers."""
+MAX_FRAME_BYTES: Final = 16_000_000
+"""Larger frames are refused before they are read."""
+
+
+class CountingSocket(TSocket):
+    """A TCP socket whose traffic shows in `control_bytes_total`."""
+
+    def __init__(
+        self,
+        metrics: Metrics,
+        channel: str,
+        host: str = "",
+        port: int = 0,
+        accepted: socket.socket | None = None,
+    ) -> None:
+        super().__init__(host, port)
+        if accepted is not None:
+            self.setHandle(accepted)
+        self._metrics = metrics
+        self._channel = channel
+
+    def read(self, sz: int) -> bytes:
+        """Reads and counts."""
+        data: bytes = super().read(sz)
+        self._metrics.count(
+            "control_bytes_total", len(data), channel=self._channel, direction="received"
+        )
+        return data
+
+    def write(self, buff: bytes) -> None:
+        """Writes and counts."""
+        super().write(buff)
+        self._metrics.count(
+            "control_bytes_total", len(buff), channel=self._channel, direction="sent"
+        )
+
+
+def encode(structure: Any) -> bytes:
+    """Encodes one thrift structure in the compact protocol."""
+    return bytes(serialize(structure, COMPACT))
+
+
+def decode(empty: S, data: bytes) -> S | None:
+    """Fills an empty structure; gives None when the bytes are not one.
+
+    Args:
+        empty: A new instance of the expected structure.
+        data: Bytes from outside; they may be anything.
+    """
+    try:
+        deserialize(empty, data, COMPACT)
+    # The generated readers raise whatever the malformed bytes lead to.
+    except Exception:
+        return None
+    return empty
--- /dev/null
+++ b/src/sequoiadrum/cli.py
@@ -0,0 +1,145 @@
+"""The command line."""
+
+from __future__ import annotations
+
+import logging
+import sys
+from typing import TYPE_CHECKING, Annotated, Final
+
+import cappa
+import structlog
+from attrs import define
+
+from sequoiadrum import __version__, standin_engine, standin_platform, standin_service
+from sequoiadrum.app import Router
+from sequoiadrum.settings import Settings
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+EXIT_OK: Final = 0
+EXIT_USAGE: Final = 2
+
+
+@cappa.command(name="serve", help="Run a router until SIGTERM.")
+@define
+class Serve(Settings):
+    """Runs a router."""
+
+    def __call__(self) -> int:
+        """Checks the settings, then serves."""
+        problems = self.problems()
+        for problem in problems:
+            sys.stderr.write(f"sequoiadrum: {problem}\n")
+        if problems:
+            return EXIT_USAGE
+        if self.check:
+            sys.stdout.write("settings are valid\n")
+            return EXIT_OK
+        configure_logs(self.log_format)
+        return Router(self).run()
+
+
+@cappa.command(name="platform", help="Run the platform stand-in.")
+@define
+class StandInPlatform:
+    """Runs the platform stand-in."""
+
+    host: Annotated[str, cappa.Arg(long=True, help="IP address")] = "127.0.0.1"
+    port: Annotated[int, cappa.Arg(long=True, default=0, help="TCP port, 0 for any")] = 0
+
+    def __call__(self) -> int:
+        """Serves until the process ends."""
+        standin_platform.serve(self.host, self.port, _announce)
+        return EXIT_OK
+
+
+@cappa.command(name="engine", help="Run a model engine stand-in.")
+@define
+class StandInEngine:
+    """Runs an engine stand-in."""
+
+    host: Annotated[str, cappa.Arg(long=True, help="IP address")] = "127.0.0.1"
+    port: Annotated[int, cappa.Arg(long=True, default=0, help="TCP port, 0 for any")] = 0
+    token_ms: Annotated[float, cappa.Arg(long=True, help="Time between tokens")] = 5.0
+    prefill_ms: Annotated[float, cappa.Arg(long=True, help="Time to an uncached first token")] = 20
+    cache_chats: Annotated[int, cappa.Arg(long=True, help="Chats that fit the cache")] = 1000
+    ignore_fencing: Annotated[bool, cappa.Arg(long=True, help="Obey orders with old numbers")] = (
+        False
+    )
+
+    def __call__(self) -> int:
+        """Serves until the process ends."""
+        options = standin_engine.EngineOptions(
+            token_ms=self.token_ms,
+            prefill_ms=self.prefill_ms,
+            cache_chats=self.cache_chats,
+            checks_fencing=not self.ignore_fencing,
+        )
+        standin_engine.serve(self.host, self.port, options, _announce)
+        return EXIT_OK
+
+
+@cappa.command(name="service", help="Run a plain service stand-in.")
+@define
+class StandInService:
+    """Runs a plain service stand-in."""
+
+    host: Annotated[str, cappa.Arg(long=True, help="IP address")] = "127.0.0.1"
+    port: Annotated[int, cappa.Arg(long=True, default=0, help="TCP port, 0 for any")] = 0
+
+    def __call__(self) -> int:
+        """Serves until the process ends."""
+        standin_service.serve(self.host, self.port, _announce)
+        return EXIT_OK
+
+
+@cappa.command(name="stand-in", help="Run a stand-in of an outside system, for trials and tests.")
+@define
+class StandIn:
+    """Groups the stand-ins."""
+
+    command: cappa.Subcommands[StandInPlatform | StandInEngine | StandInService]
+
+
+@cappa.command(name="sequoiadrum", help="A router fleet for chats that return.")
+@define
+class Program:
+    """The whole program."""
+
+    command: cappa.Subcommands[Serve | StandIn]
+
+
+def run(arguments: Sequence[str]) -> int:
+    """Runs one command; gives the exit status."""
+    try:
+        result = cappa.invoke(Program, argv=list(arguments), version=__version__)
+    except cappa.Exit as error:
+        return int(error.code or 0)
+    return int(result or 0)
+
+
+def configure_logs(log_format: str) -> None:
+    """Sets up structlog: one event a line on standard error."""
+    renderer: structlog.types.Processor = (
+        structlog.processors.JSONRenderer()
+        if log_format == "json"
+        else structlog.dev.ConsoleRenderer()
+    )
+    structlog.configure(
+        processors=[
+            structlog.processors.add_log_level,
+            structlog.processors.TimeStamper(fmt="iso", utc=True),
+            structlog.processors.format_exc_info,
+            renderer,
+        ],
+        wrapper_class=structlog.make_filtering_bound_logger(logging.INFO),
+        logger_factory=structlog.PrintLoggerFactory(sys.stderr),
+        cache_logger_on_first_use=True,
+    )
+    logging.getLogger("waitress").setLevel(logging.ERROR)
+
+
+def _announce(text: str) -> None:
+    sys.stdout.write(text + "\n")
+    sys.stdout.flush()
--- /dev/null
+++ b/src/sequoiadrum/interfaces.py
@@ -0,0 +1,213 @@
+"""What the request path needs from the tasks behind it."""
+
+from __future__ import annotations
+
+from abc import ABC, abstractmethod
+from enum import Enum
+from typing import TYPE_CHECKING
+
+from attrs import frozen
+
+if TYPE_CHECKING:
+    from collections.abc import Collection, Mapping
+
+    from returns.result import Result
+
+    from sequoiadrum.configuration import (
+        Change,
+        ChangeConflict,
+        ChangeRequest,
+        ConfigState,
+        InvalidChange,
+    )
+    from sequoiadrum.errors import Refusal
+    from sequoiadrum.messages import Address, Member
+    from sequoiadrum.service_client import ServiceRequest
+    from sequoiadrum.tasks import Task
+
+
+@frozen
+class AdmissionRequest:
+    """Asks for an endpoint of a pool."""
+
+    pool: str
+    request_id: str
+    chat_id: str
+    account: str
+    priority: int
+    cost: float
+    deadline: float
+    """Monotonic seconds."""
+    fingerprint: str
+
+
+@frozen
+class Grant:
+    """The right to send one request to an endpoint."""
+
+    grant_id: str
+    pool: str
+    endpoint_id: str
+    address: Address
+    owner_id: str
+    """Router that counts the grant."""
+    kv_source: Address | None = None
+    """Engine that holds the context of the chat, when it is another one."""
+
+
+class GrantOutcome(Enum):
+    """How the granted request ended."""
+
+    OK = "ok"
+    FAILED = "failed"
+    """The endpoint did not answer or broke off."""
+    CRASHED = "crashed"
+    """The endpoint broke off and does not accept connections any more."""
+    CANCELLED = "cancelled"
+    """The caller went away."""
+    REFUSED = "refused"
+    """The endpoint refused it before running it."""
+
+
+class Admission(ABC):
+    """Grants endpoints under the load bound."""
+
+    @abstractmethod
+    def acquire(
+        self, request: AdmissionRequest, excluded: Collection[str]
+    ) -> Result[Grant, Refusal]:
+        """Waits for a grant until the deadline.
+
+        Args:
+            request: What is asked for.
+            excluded: Endpoints that have failed this request already.
+        """
+
+    @abstractmethod
+    def release(self, grant: Grant, outcome: GrantOutcome) -> None:
+        """Ends a grant; never blocks."""
+
+
+class AccountLimits(ABC):
+    """Account limits that hold over the whole fleet."""
+
+    @abstractmethod
+    def admit(self, account: str) -> Refusal | None:
+        """Takes one request from the account's limit, or gives the refusal."""
+
+
+@frozen
+class KeyedCall:
+    """A non-idempotent call with its caller's idempotency key."""
+
+    service: str
+    """Name of the route."""
+    account: str
+    key: str
+    issued_at_ms: int
+    """When the caller made the key, Unix time in milliseconds."""
+    request: ServiceRequest
+    deadline: float
+    """Monotonic seconds."""
+
+
+class KeyedState(Enum):
+    """What is known of a keyed call."""
+
+    DONE = "done"
+    NOT_RUN = "not_run"
+    UNKNOWN = "unknown"
+    RUNNING = "running"
+
+
+@frozen
+class KeyedOutcome:
+    """Outcome of a keyed call."""
+
+    state: KeyedState
+    status: int = 0
+    """HTTP status of the service's answer, when done."""
+    content_type: str = ""
+    body: bytes = b""
+    refusal: Refusal | None = None
+    """Why it was not run, or why the outcome is unknown."""
+
+
+class KeyedCalls(ABC):
+    """Runs non-idempotent calls at most once."""
+
+    @abstractmethod
+    def submit(self, call: KeyedCall) -> KeyedOutcome:
+        """Runs the call, or gives the outcome of the run that its key had before."""
+
+    @abstractmethod
+    def status(self, service: str, account: str, key: str, issued_at_ms: int) -> KeyedOutcome:
+        """Tells what is known of a key."""
+
+
+class ConfigSource(ABC):
+    """The configuration in force on this router."""
+
+    @abstractmethod
+    def current(self) -> ConfigState:
+        """Gives the newest applied state; cheap."""
+
+    @abstractmethod
+    def refusal(self) -> Refusal | None:
+        """Why this router must not serve now (`not_ready`, `isolated`), or None."""
+
+
+class Directory(ABC):
+    """Routers that callers may use."""
+
+    @abstractmethod
+    def address_for(self, key: str) -> tuple[Address, ...]:
+        """Gives callers' addresses for a chat or an idempotency key, the preferred one first."""
+
+
+class MembershipSource(ABC):
+    """The routers of the fleet, as this router sees them."""
+
+    @abstractmethod
+    def self_id(self) -> str:
+        """Gives the id of this router."""
+
+    @abstractmethod
+    def members(self) -> Mapping[str, Member]:
+        """Gives all known members by id, this router included; cheap, an immutable snapshot."""
+
+    @abstractmethod
+    def subscribe(self, task: Task) -> None:
+        """Posts `MembersChanged` and `RumorHeard` messages to a task from now on."""
+
+    @abstractmethod
+    def spread(self, kind: str, key: str, version: int, payload: bytes, ttl_s: float) -> None:
+        """Spreads a rumour to all routers; a higher version of a key replaces a lower one."""
+
+
+@frozen
+class ConfigUnavailable:
+    """A change was not accepted because the platform is out of reach or overloaded."""
+
+    detail: str
+    retry_after_ms: int = 1_000
+
+
+@frozen
+class ConfigOutcomeUnknown:
+    """The platform's answer was lost; the change may have been accepted."""
+
+    change_id: str
+
+
+class ConfigWriter(ABC):
+    """Accepts changes of the configuration."""
+
+    @abstractmethod
+    def submit(
+        self, request: ChangeRequest
+    ) -> Result[Change, ChangeConflict | InvalidChange | ConfigUnavailable | ConfigOutcomeUnknown]:
+        """Stores a change; blocks. An accepted change carries its revision.
+
+        Repeating a request with the same `change_id` is safe.
+        """
--- /dev/null
+++ b/src/sequoiadrum/metrics.py
@@ -0,0 +1,80 @@
+"""Counters, gauges and latency histograms, with the Prometheus text exposition."""
+
+from __future__ import annotations
+
+import threading
+from collections import defaultdict
+from typing import TYPE_CHECKING, Final
+
+from hdrh.histogram import HdrHistogram
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+_MAX_US: Final = 600_000_000
+"""Longest recorded latency, ten minutes in microseconds."""
+_DIGITS: Final = 2
+"""Significant decimal digits kept by the histograms."""
+_QUANTILES: Final = (50.0, 90.0, 95.0, 99.0)
+
+_Key = tuple[str, tuple[tuple[str, str], ...]]
+
+
+class Metrics:
+    """All figures of one process; safe to use from any thread."""
+
+    def __init__(self) -> None:
+        self._lock = threading.Lock()
+        self._values_by_key: dict[_Key, float] = defaultdict(float)
+        self._histograms_by_name: dict[str, HdrHistogram] = {}
+        self._gauges_by_name: dict[str, Callable[[], float]] = {}
+
+    def count(self, name: str, amount: float = 1, **labels: str) -> None:
+        """Adds to a counter."""
+        key = (name, tuple(sorted(labels.items())))
+        with self._lock:
+            self._values_by_key[key] += amount
+
+    def gauge(self, name: str, read: Callable[[], float]) -> None:
+        """Registers a value that is read at each exposition."""
+        with self._lock:
+            self._gauges_by_name[name] = read
+
+    def record_seconds(self, name: str, seconds: float) -> None:
+        """Records a latency; values over ten minutes count as ten minutes."""
+        value = max(1, min(_MAX_US, int(seconds * 1e6)))
+        with self._lock:
+            histogram = self._histograms_by_name.get(name)
+            if histogram is None:
+                histogram = self._histograms_by_name[name] = HdrHistogram(1, _MAX_US, _DIGITS)
+            histogram.record_value(value)
+
+    def value(self, name: str, **labels: str) -> float:
+        """Reads one counter; 0 when it was never counted."""
+        with self._lock:
+            return self._values_by_key.get((name, tuple(sorted(labels.items()))), 0.0)
+
+    def snapshot(self) -> dict[str, float]:
+        """Gives every counter, gauge and quantile, keyed by its exposition name."""
+        with self._lock:
+            values = {_series(name, labels): v for (name, labels), v in self._values_by_key.items()}
+            for name, histogram in self._histograms_by_name.items():
+                for quantile in _QUANTILES:
+                    series = _series(name, (("quantile", f"{quantile / 100:g}"),))
+                    values[series] = histogram.get_value_at_percentile(quantile) / 1e6
+                values[f"{name}_count"] = float(histogram.get_total_count())
+            gauges = dict(self._gauges_by_name)
+        values.update({name: read() for name, read in gauges.items()})
+        return values
+
+    def exposition(self) -> str:
+        """Writes the Prometheus text format, version 0.0.4."""
+        lines = [f"{series} {value:g}" for series, value in sorted(self.snapshot().items())]
+        return "\n".join(lines) + "\n"
+
+
+def _series(name: str, labels: tuple[tuple[str, str], ...]) -> str:
+    full = f"sequoiadrum_{name}"
+    if not labels:
+        return full
+    return full + "{" + ",".join(f'{key}="{value}"' for key, value in labels) + "}"
--- /dev/null
+++ b/src/sequoiadrum/peer_client.py
@@ -0,0 +1,133 @@
+"""Calls to other routers."""
+
+from __future__ import annotations
+
+import socket
+import threading
+from abc import ABC, abstractmethod
+from collections import defaultdict
+from enum import Enum
+from typing import TYPE_CHECKING, Any, Final, TypeVar
+
+from returns.result import Failure, Result, Success
+from thrift.Thrift import TApplicationException, TException
+from thrift.transport.TTransport import TFramedTransport, TTransportException
+
+from sequoiadrum._gen.peer import Peer
+from sequoiadrum._thrift_transport import COMPACT, MAX_FRAME_BYTES, CountingSocket
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from sequoiadrum.messages import Address
+    from sequoiadrum.metrics import Metrics
+
+T = TypeVar("T")
+
+_IDLE_PER_ADDRESS: Final = 8
+
+
+class PeerFailure(Enum):
+    """Why a call to a peer has no answer."""
+
+    UNREACHABLE = "unreachable"
+    """No connection; the call was not made."""
+    BROKEN = "broken"
+    """The connection broke or timed out; the peer may have carried out the call."""
+    REFUSED = "refused"
+    """The peer failed to carry out the call and said so."""
+
+
+class PeerClient(ABC):
+    """Makes calls of `schema/peer.thrift`."""
+
+    @abstractmethod
+    def call(
+        self, address: Address, make: Callable[[Any], T], timeout_s: float
+    ) -> Result[T, PeerFailure]:
+        """Makes one call without any retry; blocks up to the timeout.
+
+        Args:
+            address: Peer port of the other router.
+            make: Gets a generated client (`Peer.Client`) and makes exactly one call with it.
+            timeout_s: Time for connecting, and again for the answer.
+        """
+
+
+class ThriftPeerClient(PeerClient):
+    """Keeps connections open for reuse; safe to use from any thread."""
+
+    def __init__(self, metrics: Metrics) -> None:
+        self._metrics = metrics
+        self._lock = threading.Lock()
+        self._idle_by_address: dict[Address, list[tuple[CountingSocket, Peer.Client]]] = (
+            defaultdict(list)
+        )
+
+    def call(
+        self, address: Address, make: Callable[[Any], T], timeout_s: float
+    ) -> Result[T, PeerFailure]:
+        """See `PeerClient.call`."""
+        connection = self._borrow(address) or self._connect(address, timeout_s)
+        if connection is None:
+            return self._failed(PeerFailure.UNREACHABLE)
+        transport, client = connection
+        transport.setTimeout(timeout_s * 1e3)
+        try:
+            value = make(client)
+        except TTransportException:
+            transport.close()
+            return self._failed(PeerFailure.BROKEN)
+        except (TApplicationException, TException):
+            transport.close()
+            return self._failed(PeerFailure.REFUSED)
+        except OSError:
+            transport.close()
+            return self._failed(PeerFailure.BROKEN)
+        self._give_back(address, connection)
+        return Success(value)
+
+    def close(self) -> None:
+        """Closes the idle connections."""
+        with self._lock:
+            idle = [entry for entries in self._idle_by_address.values() for entry in entries]
+            self._idle_by_address.clear()
+        for transport, _ in idle:
+            transport.close()
+
+    def _failed(self, failure: PeerFailure) -> Failure[PeerFailure]:
+        self._metrics.count("peer_failures_total", reason=failure.value)
+        return Failure(failure)
+
+    def _borrow(self, address: Address) -> tuple[CountingSocket, Peer.Client] | None:
+        while True:
+            with self._lock:
+                idle = self._idle_by_address[address]
+                if not idle:
+                    return None
+                connection = idle.pop()
+            # `isOpen` sees a connection that the peer has closed meanwhile.
+            if connection[0].isOpen():
+                return connection
+            connection[0].close()
+
+    def _connect(
+        self, address: Address, timeout_s: float
+    ) -> tuple[CountingSocket, Peer.Client] | None:
+        transport = CountingSocket(self._metrics, "peer", address.host, address.port)
+        transport.setTimeout(timeout_s * 1e3)
+        try:
+            transport.open()
+        except (TTransportException, OSError):
+            return None
+        transport.handle.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        protocol = COMPACT.getProtocol(TFramedTransport(transport, MAX_FRAME_BYTES))
+        return transport, Peer.Client(protocol)
+
+    def _give_back(self, address: Address, connection: tuple[CountingSocket, Peer.Client]) -> None:
+        with self._lock:
+            idle = self._idle_by_address[address]
+            if len(idle) < _IDLE_PER_ADDRESS:
+                idle.append(connection)
+                return
+        connection[0].close()
--- /dev/null
+++ b/src/sequoiadrum/peer_server.py
@@ -0,0 +1,103 @@
+"""The calls that a router answers to its peers."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Any, Final
+
+from attrs import frozen
+
+from sequoiadrum._gen.peer import Peer
+from sequoiadrum._thrift_transport import COMPACT
+from sequoiadrum.thrift_server import ThriftServer
+
+if TYPE_CHECKING:
+    from sequoiadrum._gen.peer.ttypes import (
+        AcquireReply,
+        AcquireRequest,
+        ConfigUpdate,
+        HeldGrant,
+        KeyedReply,
+        KeyedRequest,
+        LimitLease,
+        MemberReport,
+        Release,
+    )
+    from sequoiadrum.messages import Address
+    from sequoiadrum.metrics import Metrics
+
+MAX_PEER_CONNECTIONS: Final = 256
+
+
+@frozen
+class PeerHandler:
+    """Hands each call of `schema/peer.thrift` to the part that answers it."""
+
+    membership: Any
+    """Answers `sync_members`."""
+    admission: Any
+    """Answers `acquire`, `release` and `report_grants`."""
+    config: Any
+    """Answers `fetch_config`."""
+    keyed: Any
+    """Answers `submit_keyed`, `keyed_status` and `record_outcome`."""
+    limits: Any
+    """Answers `lease_tokens`."""
+
+    def sync_members(self, members: list[MemberReport]) -> list[MemberReport]:
+        """Exchanges the whole member list."""
+        return self.membership.sync_members(members)
+
+    def acquire(self, request: AcquireRequest) -> AcquireReply:
+        """Asks for a grant."""
+        return self.admission.acquire_for_peer(request)
+
+    def release(self, pool: str, router_id: str, releases: list[Release]) -> None:
+        """Ends grants."""
+        self.admission.release_for_peer(pool, router_id, releases)
+
+    def report_grants(
+        self, pool: str, router_id: str, router_process_id: int, grants: list[HeldGrant]
+    ) -> None:
+        """Tells a new owner which grants a router still holds."""
+        self.admission.report_grants(pool, router_id, router_process_id, grants)
+
+    def fetch_config(self, since_revision: int) -> ConfigUpdate:
+        """Gives configuration changes above a revision."""
+        return self.config.fetch_config(since_revision)
+
+    def submit_keyed(self, request: KeyedRequest) -> KeyedReply:
+        """Runs a keyed call whose ledger shard is held here."""
+        return self.keyed.submit_keyed(request)
+
+    def keyed_status(
+        self,
+        service_name: str,
+        account: str,
+        key: str,
+        issued_at_ms: int,
+        cancel: bool,
+        attempt_id: str,
+    ) -> KeyedReply:
+        """Tells what is known of a key; with `cancel`, keeps it from being dispatched."""
+        return self.keyed.keyed_status(service_name, account, key, issued_at_ms, cancel, attempt_id)
+
+    def record_outcome(
+        self, service_name: str, account: str, key: str, attempt_id: str, outcome: KeyedReply
+    ) -> None:
+        """Takes the late outcome of an attempt of a former shard owner."""
+        self.keyed.record_outcome(service_name, account, key, attempt_id, outcome)
+
+    def lease_tokens(self, account: str, wanted: int, router_id: str) -> LimitLease:
+        """Leases a part of an account's limit."""
+        return self.limits.lease_tokens(account, wanted, router_id)
+
+
+def create_peer_server(address: Address, handler: PeerHandler, metrics: Metrics) -> ThriftServer:
+    """Binds the peer port.
+
+    Raises:
+        OSError: The address is in use or not local.
+    """
+    return ThriftServer(
+        "peer", address, Peer.Processor(handler), COMPACT, metrics, MAX_PEER_CONNECTIONS
+    )
--- /dev/null
+++ b/src/sequoiadrum/standin_engine.py
@@ -0,0 +1,434 @@
+"""A small stand-in for a model engine.
+
+It speaks the wire form of `_engine_http`. Tokens become available by the clock, so a stream goes
+on while nobody is attached and can be resumed. Besides that: `GET /kv/export?chat=ID`,
+`GET /cache_events?since=N`, `GET /_stats`, and `POST /_faults` with `leaving`, `hang`,
+`cut_after` (break each stream after that many tokens, once for each stream) or `refuse`.
+A request body with the word `crash-endpoint` makes the engine crash.
+"""
+
+from __future__ import annotations
+
+import json
+import os
+import threading
+import time
+from collections import OrderedDict, deque
+from hashlib import blake2b
+from http.client import HTTPConnection
+from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
+from typing import TYPE_CHECKING, Any, Final
+from urllib.parse import parse_qs, quote, unquote, urlsplit
+
+from attrs import define, field, frozen
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+CRASH_MARK: Final = b"crash-endpoint"
+_DEFAULT_TOKENS: Final = 32
+_KEEP_FINISHED_S: Final = 30.0
+_POLL_S: Final = 0.01
+
+
+@frozen
+class EngineOptions:
+    """How the stand-in behaves."""
+
+    token_ms: float = 5.0
+    """Time between tokens."""
+    prefill_ms: float = 20.0
+    """Time to the first token when no prefix is cached; a cached prefix takes a fifth."""
+    cache_chats: int = 1000
+    """Chats whose prefix fits the cache; the least recently used goes first."""
+    load_lag_s: float = 0.3
+    """Age of the reported load."""
+    event_gap: int = 7
+    """Every n-th cache event is lost; 0 loses none."""
+    checks_fencing: bool = True
+    """Whether orders with an old fencing number are refused."""
+    stream_grace_s: float = 3.0
+    """An unattached stream is cancelled after this time."""
+
+
+@define(eq=False)
+class _Stream:
+    request_id: str
+    chat_id: str
+    text_seed: str
+    started: float
+    first_token_s: float
+    tokens: int
+    cached_tokens: int
+    prompt_tokens: int
+    readers: int = 0
+    detached_at: float = 0.0
+    cancelled: bool = False
+    cut: bool = False
+
+    def available(self, now: float, token_s: float) -> int:
+        """How many tokens exist at a time."""
+        since_first = now - self.started - self.first_token_s
+        if since_first < 0:
+            return 0
+        return min(self.tokens, 1 + int(since_first / token_s) if token_s else self.tokens)
+
+
+@define
+class EngineState:
+    """Streams, cache and counters of one engine."""
+
+    options: EngineOptions
+    crash: Callable[[], None]
+    lock: threading.Lock = field(factory=threading.Lock)
+    streams_by_id: dict[str, _Stream] = field(factory=dict)
+    cache: OrderedDict[str, int] = field(factory=OrderedDict)
+    loads: deque[tuple[float, int]] = field(factory=lambda: deque([(0.0, 0)], 10_000))
+    events: list[dict[str, Any]] = field(factory=list)
+    event_count: int = 0
+    faults: dict[str, Any] = field(factory=dict)
+    stats: dict[str, int] = field(factory=dict)
+    models: list[str] = field(factory=list)
+    role: str = "serve"
+    highest_fence: int = 0
+    peak_in_flight: int = 0
+
+    def count(self, name: str, amount: int = 1) -> None:
+        """Adds to a counter; the caller holds the lock."""
+        self.stats[name] = self.stats.get(name, 0) + amount
+
+    def in_flight(self, now: float) -> int:
+        """Streams that still produce tokens; also drops old ones. The caller holds the lock."""
+        token_s = self.options.token_ms / 1e3
+        live = 0
+        for stream in list(self.streams_by_id.values()):
+            finished = stream.available(now, token_s) >= stream.tokens
+            idle_s = now - stream.detached_at if not stream.readers else 0.0
+            if not finished and not stream.cancelled and idle_s > self.options.stream_grace_s:
+                stream.cancelled = True
+                self.count("abandoned")
+            if finished or stream.cancelled:
+                if now - stream.started > _KEEP_FINISHED_S and not stream.readers:
+                    del self.streams_by_id[stream.request_id]
+            else:
+                live += 1
+        return live
+
+    def start(self, request_id: str, chat_id: str, body: dict[str, Any]) -> _Stream:
+        """Registers a stream, or gives the one that the request id names already."""
+        with self.lock:
+            known = self.streams_by_id.get(request_id)
+            if known is not None:
+                self.count("repeated_requests")
+                known.readers += 1
+                return known
+            prompt_tokens = sum(len(str(m.get("content", "")).split()) for m in body["messages"])
+            cached = min(self.cache.get(chat_id, 0), prompt_tokens)
+            self.count("requests")
+            self.count("cache_hits" if cached else "cache_misses")
+            seed = json.dumps(body.get("messages")) if body.get("seed") is not None else request_id
+            tokens = int(body.get("max_tokens") or _DEFAULT_TOKENS)
+            prefill_s = self.options.prefill_ms / 1e3 * (0.2 if cached else 1.0)
+            now = time.monotonic()
+            stream = _Stream(
+                request_id, chat_id, seed, now, prefill_s, tokens, cached, prompt_tokens, 1
+            )
+            self.streams_by_id[request_id] = stream
+            self.remember(chat_id, prompt_tokens + tokens)
+            self.note_load(now)
+            return stream
+
+    def note_load(self, now: float) -> None:
+        """Records the load at a time for lagged reports; the caller holds the lock."""
+        live = self.in_flight(now)
+        self.peak_in_flight = max(self.peak_in_flight, live)
+        self.loads.append((now, live))
+
+    def remember(self, chat_id: str, tokens: int) -> None:
+        """Puts a prefix into the cache and evicts old ones; the caller holds the lock."""
+        self.cache[chat_id] = max(tokens, self.cache.get(chat_id, 0))
+        self.cache.move_to_end(chat_id)
+        self._publish("stored", chat_id)
+        while len(self.cache) > self.options.cache_chats:
+            self._publish("evicted", self.cache.popitem(last=False)[0])
+
+    def _publish(self, kind: str, chat_id: str) -> None:
+        self.event_count += 1
+        gap = self.options.event_gap
+        if not gap or self.event_count % gap:
+            self.events.append({"seq": self.event_count, "kind": kind, "chat": chat_id})
+            del self.events[:-1000]
+
+
+class EngineServer:
+    """The HTTP server of the stand-in."""
+
+    def __init__(
+        self,
+        host: str,
+        port: int,
+        options: EngineOptions,
+        crash: Callable[[], None] | None = None,
+    ) -> None:
+        self.state = EngineState(options, crash or self._crash)
+        handler = type("Handler", (_Handler,), {"state": self.state})
+        self._server = _Server((host, port), handler)
+        self.port: Final[int] = self._server.server_address[1]
+        self._thread = threading.Thread(target=self._server.serve_forever, daemon=True)
+
+    def start(self) -> None:
+        """Serves in a thread of its own."""
+        self._thread.start()
+
+    def stop(self) -> None:
+        """Closes the listening socket."""
+        self._server.shutdown()
+        self._server.server_close()
+
+    def _crash(self) -> None:
+        """Breaks all streams and forgets everything, as a process that was restarted."""
+        with self.state.lock:
+            self.state.count("crashes")
+            for stream in self.state.streams_by_id.values():
+                stream.cut = True
+            self.state.streams_by_id.clear()
+            self.state.cache.clear()
+
+
+class _Server(ThreadingHTTPServer):
+    daemon_threads = True
+    request_queue_size = 512
+
+    def handle_error(self, request: object, client_address: object) -> None:
+        """Keeps the console quiet when a reader goes away."""
+
+
+class _Handler(BaseHTTPRequestHandler):
+    state: EngineState
+    protocol_version = "HTTP/1.1"
+    disable_nagle_algorithm = True
+
+    def log_message(self, format: str, *args: object) -> None:
+        """Keeps the console quiet."""
+
+    def do_GET(self) -> None:
+        """Load, resume, cache events, KV export and counters."""
+        url = urlsplit(self.path)
+        query = {key: values[0] for key, values in parse_qs(url.query).items()}
+        if self._faulty():
+            return
+        if url.path == "/load":
+            self._load()
+        elif url.path.startswith("/v1/streams/"):
+            self._resume(unquote(url.path.removeprefix("/v1/streams/")), int(query["offset"]))
+        elif url.path == "/kv/export":
+            with self.state.lock:
+                self._json(200, {"tokens": self.state.cache.get(query["chat"], 0)})
+        elif url.path == "/cache_events":
+            with self.state.lock:
+                events = [e for e in self.state.events if e["seq"] > int(query["since"])]
+            self._json(200, {"events": events})
+        elif url.path == "/_stats":
+            self._stats()
+        else:
+            self._json(404, {})
+
+    def do_POST(self) -> None:
+        """Chat completions, cancel, KV import, orders and faults."""
+        body = self.rfile.read(int(self.headers.get("Content-Length") or 0))
+        if self.path == "/_faults":
+            self.state.faults.update(json.loads(body))
+            self._json(200, {})
+        elif self._faulty():
+            return
+        elif self.path == "/v1/chat/completions":
+            self._chat(body)
+        elif self.path.endswith("/cancel"):
+            self._cancel(unquote(self.path.split("/")[3]), json.loads(body))
+        elif self.path == "/kv/import":
+            self._import_kv(json.loads(body))
+        elif self.path == "/orders":
+            self._order(json.loads(body))
+        else:
+            self._json(404, {})
+
+    def _faulty(self) -> bool:
+        if self.state.faults.get("hang"):
+            time.sleep(float(self.state.faults["hang"]))
+        if self.state.faults.get("refuse"):
+            self._json(503, {})
+            return True
+        return False
+
+    def _chat(self, body: bytes) -> None:
+        if CRASH_MARK in body:
+            self.state.crash()
+            self.close_connection = True
+            return
+        request_id = self.headers["X-Request-Id"]
+        stream = self.state.start(request_id, self.headers["X-Chat-Id"], json.loads(body))
+        self._send_stream(stream, 0)
+
+    def _resume(self, request_id: str, offset: int) -> None:
+        with self.state.lock:
+            stream = self.state.streams_by_id.get(request_id)
+            if stream is None or stream.cancelled:
+                self._json(404, {})
+                return
+            stream.readers += 1
+            self.state.count("resumed")
+        self._send_stream(stream, offset)
+
+    def _send_stream(self, stream: _Stream, offset: int) -> None:
+        self.send_response(200)
+        self.send_header("Content-Type", "text/event-stream")
+        self.send_header("Transfer-Encoding", "chunked")
+        self.end_headers()
+        try:
+            self._send_tokens(stream, offset)
+        except OSError:
+            self.close_connection = True
+        finally:
+            with self.state.lock:
+                stream.readers -= 1
+                stream.detached_at = time.monotonic()
+                self.state.note_load(stream.detached_at)
+
+    def _send_tokens(self, stream: _Stream, offset: int) -> None:
+        token_s = self.state.options.token_ms / 1e3
+        cut_after = self.state.faults.get("cut_after")
+        while offset < stream.tokens:
+            ready = stream.available(time.monotonic(), token_s)
+            if stream.cancelled or stream.cut:
+                self.close_connection = True
+                return
+            if offset >= ready:
+                due = stream.started + stream.first_token_s + offset * token_s
+                time.sleep(max(0.0005, min(_POLL_S, due - time.monotonic())))
+                continue
+            events = b"".join(_event(stream, i) for i in range(offset, ready))
+            offset = ready
+            if cut_after is not None and offset >= int(cut_after) and not self._was_cut(stream):
+                self.connection.close()
+                raise BrokenPipeError
+            self._chunk(events)
+        self._chunk(b"data: [DONE]\n\n")
+        self._chunk(b"")
+
+    def _was_cut(self, stream: _Stream) -> bool:
+        with self.state.lock:
+            key = f"cut:{stream.request_id}"
+            self.state.count(key)
+            return self.state.stats[key] > 1
+
+    def _chunk(self, data: bytes) -> None:
+        self.wfile.write(b"%x\r\n%s\r\n" % (len(data), data))
+
+    def _cancel(self, request_id: str, document: dict[str, Any]) -> None:
+        with self.state.lock:
+            stream = self.state.streams_by_id.get(request_id)
+            if stream is not None and not (document.get("if_unattached") and stream.readers):
+                stream.cancelled = True
+                self.state.count("cancelled")
+        self._json(200, {})
+
+    def _load(self) -> None:
+        now = time.monotonic()
+        with self.state.lock:
+            self.state.note_load(now)
+            horizon = now - self.state.options.load_lag_s
+            reported = next((live for at, live in reversed(self.state.loads) if at <= horizon), 0)
+        self._json(
+            200,
+            {
+                "in_flight": reported,
+                "leaving": bool(self.state.faults.get("leaving")),
+                "models": self.state.models,
+            },
+        )
+
+    def _stats(self) -> None:
+        with self.state.lock:
+            stats = {k: v for k, v in self.state.stats.items() if not k.startswith("cut:")}
+            stats["in_flight"] = self.state.in_flight(time.monotonic())
+            stats["peak_in_flight"] = self.state.peak_in_flight
+        self._json(200, stats)
+
+    def _import_kv(self, document: dict[str, Any]) -> None:
+        chat_id = document["chat_id"]
+        try:
+            source = HTTPConnection(document["host"], document["port"], timeout=1)
+            source.request("GET", f"/kv/export?chat={quote(chat_id, safe='')}")
+            tokens = json.loads(source.getresponse().read())["tokens"]
+            source.close()
+        except OSError:
+            self._json(404, {})
+            return
+        with self.state.lock:
+            if tokens:
+                self.state.remember(chat_id, tokens)
+                self.state.count("kv_imports")
+        self._json(200, {"tokens": tokens})
+
+    def _order(self, document: dict[str, Any]) -> None:
+        state = self.state
+        with state.lock:
+            fence = int(document["fencing_number"])
+            if state.options.checks_fencing and fence < state.highest_fence:
+                state.count("stale_orders_refused")
+                self._json(409, {})
+                return
+            if fence < state.highest_fence:
+                state.count("stale_orders_obeyed")
+            state.highest_fence = max(state.highest_fence, fence)
+            state.count(f"orders_{document['action']}")
+            if document["action"] == "load" and document["argument"] not in state.models:
+                state.models.append(document["argument"])
+            elif document["action"] == "unload" and document["argument"] in state.models:
+                state.models.remove(document["argument"])
+            elif document["action"] == "set_role":
+                state.role = document["argument"]
+        self._json(200, {})
+
+    def _json(self, status: int, document: object) -> None:
+        body = json.dumps(document).encode()
+        self.send_response(status)
+        self.send_header("Content-Type", "application/json")
+        self.send_header("Content-Length", str(len(body)))
+        self.end_headers()
+        self.wfile.write(body)
+
+
+def token_text(seed: str, index: int) -> str:
+    """Gives the text of one token of an answer."""
+    return blake2b(f"{seed}:{index}".encode(), digest_size=3).hexdigest() + " "
+
+
+def _event(stream: _Stream, index: int) -> bytes:
+    last = index == stream.tokens - 1
+    document: dict[str, Any] = {
+        "id": stream.request_id,
+        "object": "chat.completion.chunk",
+        "choices": [
+            {
+                "index": 0,
+                "delta": {"content": token_text(stream.text_seed, index)},
+                "finish_reason": "stop" if last else None,
+            }
+        ],
+    }
+    if last:
+        document["usage"] = {
+            "prompt_tokens": stream.prompt_tokens,
+            "completion_tokens": stream.tokens,
+            "prompt_tokens_details": {"cached_tokens": stream.cached_tokens},
+        }
+    return b"id: %d\ndata: %s\n\n" % (index, json.dumps(document).encode())
+
+
+def serve(host: str, port: int, options: EngineOptions, announce: Callable[[str], None]) -> None:
+    """Runs the stand-in until the process ends; a crash request ends it with status 70."""
+    server = EngineServer(host, port, options, crash=lambda: os._exit(70))
+    server.start()
+    announce(f"engine stand-in on {host}:{server.port}")
+    threading.Event().wait()
--- /dev/null
+++ b/src/sequoiadrum/standin_service.py
@@ -0,0 +1,140 @@
+"""A small stand-in for a plain service that counts executions by idempotency key.
+
+It deliberately does not deduplicate: a call that is sent twice runs twice and shows in
+`GET /_stats`. `POST /_faults` takes `delay_ms`, `lose_answers` (run, then close without an
+answer), `cut_answers` (send half of the body), `refuse` and `leaving`.
+"""
+
+from __future__ import annotations
+
+import json
+import threading
+import time
+from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
+from typing import TYPE_CHECKING, Any, Final
+
+from attrs import define, field
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+
+@define
+class ServiceState:
+    """Executions and faults."""
+
+    lock: threading.Lock = field(factory=threading.Lock)
+    executions_by_key: dict[str, int] = field(factory=dict)
+    in_flight: int = 0
+    calls: int = 0
+    faults: dict[str, Any] = field(factory=dict)
+
+    def take_fault(self, name: str) -> bool:
+        """Uses up one of a counted fault."""
+        with self.lock:
+            left = int(self.faults.get(name, 0))
+            if left:
+                self.faults[name] = left - 1
+            return left > 0
+
+
+class ServiceServer:
+    """The HTTP server of the stand-in."""
+
+    def __init__(self, host: str, port: int) -> None:
+        self.state = ServiceState()
+        handler = type("Handler", (_Handler,), {"state": self.state})
+        self._server = _Server((host, port), handler)
+        self.port: Final[int] = self._server.server_address[1]
+        self._thread = threading.Thread(target=self._server.serve_forever, daemon=True)
+
+    def start(self) -> None:
+        """Serves in a thread of its own."""
+        self._thread.start()
+
+    def stop(self) -> None:
+        """Closes the listening socket."""
+        self._server.shutdown()
+        self._server.server_close()
+
+
+class _Server(ThreadingHTTPServer):
+    daemon_threads = True
+    request_queue_size = 256
+
+    def handle_error(self, request: object, client_address: object) -> None:
+        """Keeps the console quiet when a caller goes away."""
+
+
+class _Handler(BaseHTTPRequestHandler):
+    state: ServiceState
+    protocol_version = "HTTP/1.1"
+    disable_nagle_algorithm = True
+
+    def log_message(self, format: str, *args: object) -> None:
+        """Keeps the console quiet."""
+
+    def do_GET(self) -> None:
+        """Load, counters and plain reads."""
+        state = self.state
+        if self.path == "/load":
+            with state.lock:
+                leaving = bool(state.faults.get("leaving"))
+                self._json(200, {"in_flight": state.in_flight, "leaving": leaving})
+        elif self.path == "/_stats":
+            with state.lock:
+                executions = dict(state.executions_by_key)
+            doubles = sum(1 for n in executions.values() if n > 1)
+            self._json(200, {"executions": executions, "doubles": doubles, "calls": state.calls})
+        else:
+            with state.lock:
+                state.calls += 1
+            self._json(200, {"path": self.path})
+
+    def do_POST(self) -> None:
+        """Executes a call, or sets faults."""
+        body = self.rfile.read(int(self.headers.get("Content-Length") or 0))
+        if self.path == "/_faults":
+            with self.state.lock:
+                self.state.faults.update(json.loads(body))
+            self._json(200, {})
+        elif self.state.faults.get("refuse"):
+            self._json(503, {})
+        else:
+            self._execute(body)
+
+    def _execute(self, body: bytes) -> None:
+        state = self.state
+        key = self.headers.get("Idempotency-Key", "")
+        with state.lock:
+            state.in_flight += 1
+            state.calls += 1
+            if key:
+                state.executions_by_key[key] = state.executions_by_key.get(key, 0) + 1
+            number = len(state.executions_by_key)
+        time.sleep(float(state.faults.get("delay_ms", 0)) / 1e3)
+        with state.lock:
+            state.in_flight -= 1
+        if state.take_fault("lose_answers"):
+            self.close_connection = True
+            return
+        answer = {"confirmation": number, "key": key, "bytes": len(body)}
+        self._json(201, answer, cut=state.take_fault("cut_answers"))
+
+    def _json(self, status: int, document: object, cut: bool = False) -> None:
+        body = json.dumps(document).encode()
+        self.send_response(status)
+        self.send_header("Content-Type", "application/json")
+        self.send_header("Content-Length", str(len(body)))
+        self.end_headers()
+        self.wfile.write(body[: len(body) // 2] if cut else body)
+        if cut:
+            self.close_connection = True
+
+
+def serve(host: str, port: int, announce: Callable[[str], None]) -> None:
+    """Runs the stand-in until the process ends."""
+    server = ServiceServer(host, port)
+    server.start()
+    announce(f"service stand-in on {host}:{server.port}")
+    threading.Event().wait()
--- /dev/null
+++ b/src/sequoiadrum/tasks.py
@@ -0,0 +1,121 @@
+"""Tasks: threads that own their state and talk by messages."""
+
+from __future__ import annotations
+
+import queue
+import threading
+from abc import ABC, abstractmethod
+from concurrent.futures import Future
+from typing import TYPE_CHECKING, Any, Final, Generic, TypeVar
+
+import structlog
+from attrs import define, field
+
+from sequoiadrum.errors import InvariantError
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from sequoiadrum.metrics import Metrics
+
+T = TypeVar("T")
+
+MAILBOX_LIMIT: Final = 10_000
+"""Messages a mailbox holds before new ones are refused."""
+
+_log = structlog.get_logger(__name__)
+
+
+class MailboxFullError(Exception):
+    """A request could not be queued because the mailbox of its task is full."""
+
+
+@define(eq=False)
+class Ask(Generic[T]):
+    """Base of messages that expect an answer."""
+
+    reply: Future[T] = field(factory=Future, kw_only=True, repr=False)
+    """Completed by the task that handles the message."""
+
+    def answer(self, value: T) -> None:
+        """Completes the reply unless the asker has given up."""
+        if not self.reply.done():
+            self.reply.set_result(value)
+
+
+@define
+class _Stop:
+    """Ends the loop of a task."""
+
+
+class Task(ABC):
+    """One thread with a bounded mailbox.
+
+    Subclasses register a handler for each message type in `handlers`. State is touched by
+    handlers only, so it needs no locks.
+    """
+
+    def __init__(self, name: str, metrics: Metrics, on_invariant: Callable[[], None]) -> None:
+        self.name: Final = name
+        self.metrics: Final = metrics
+        self._on_invariant = on_invariant
+        self._mailbox: queue.Queue[object] = queue.Queue(MAILBOX_LIMIT)
+        self._thread = threading.Thread(target=self._run, name=name, daemon=True)
+        self._handlers = self.handlers()
+
+    @abstractmethod
+    def handlers(self) -> dict[type, Callable[[Any], None]]:
+        """Gives the handler of each message type that the task accepts."""
+
+    def start(self) -> None:
+        """Starts the thread."""
+        self._thread.start()
+
+    def stop(self, timeout_s: float = 5.0) -> None:
+        """Handles what is queued, then ends the thread.
+
+        Raises:
+            queue.Full: The mailbox stayed full for the whole timeout.
+        """
+        self._mailbox.put(_Stop(), timeout=timeout_s)
+        self._thread.join(timeout_s)
+
+    def post(self, message: object) -> bool:
+        """Queues a message; False (and a counter) when the mailbox is full."""
+        try:
+            self._mailbox.put_nowait(message)
+        except queue.Full:
+            self.metrics.count("mailbox_full_total", task=self.name)
+            return False
+        return True
+
+    def ask(self, message: Ask[T]) -> Future[T]:
+        """Queues a request and gives the future of its answer.
+
+        The future fails with `MailboxFullError` when the mailbox is full.
+        """
+        if not self.post(message):
+            message.reply.set_exception(MailboxFullError(self.name))
+        return message.reply
+
+    def _run(self) -> None:
+        while True:
+            message = self._mailbox.get()
+            if isinstance(message, _Stop):
+                return
+            self._handle(message)
+
+    def _handle(self, message: object) -> None:
+        handler = self._handlers.get(type(message))
+        try:
+            if handler is None:
+                raise InvariantError(f"{self.name}: no handler for {type(message).__name__}")
+            handler(message)
+        except InvariantError:
+            _log.exception("invariant_broken", task=self.name)
+            self._on_invariant()
+        except Exception as error:  # A failed message must not end the task.
+            _log.exception("message_failed", task=self.name, message=type(message).__name__)
+            self.metrics.count("message_failures_total", task=self.name)
+            if isinstance(message, Ask) and not message.reply.done():
+                message.reply.set_exception(error)
--- /dev/null
+++ b/src/sequoiadrum/thrift_server.py
@@ -0,0 +1,116 @@
+"""A thrift server with a bounded number of connections."""
+
+from __future__ import annotations
+
+import socket
+import threading
+from concurrent.futures import ThreadPoolExecutor
+from typing import TYPE_CHECKING, Any, Final
+
+import structlog
+from thrift.transport.TTransport import TFramedTransport, TTransportException
+
+from sequoiadrum._thrift_transport import MAX_FRAME_BYTES, CountingSocket
+
+if TYPE_CHECKING:
+    from sequoiadrum.messages import Address
+    from sequoiadrum.metrics import Metrics
+
+_IDLE_TIMEOUT_MS: Final = 60_000
+_BACKLOG: Final = 512
+_MALFORMED_TYPES: Final = (TTransportException.NEGATIVE_SIZE, TTransportException.SIZE_LIMIT)
+
+_log = structlog.get_logger(__name__)
+
+
+class ThriftServer:
+    """Serves one thrift service over framed TCP, one thread for each open connection."""
+
+    def __init__(
+        self,
+        channel: str,
+        address: Address,
+        processor: Any,
+        protocol_factory: Any,
+        metrics: Metrics,
+        max_connections: int,
+    ) -> None:
+        """Binds the socket.
+
+        Raises:
+            OSError: The address is in use or not local.
+        """
+        self._channel = channel
+        self._processor = processor
+        self._protocol_factory = protocol_factory
+        self._metrics = metrics
+        self._max_connections = max_connections
+        self._listener = socket.create_server((address.host, address.port), backlog=_BACKLOG)
+        self.port: Final[int] = self._listener.getsockname()[1]
+        self._pool = ThreadPoolExecutor(max_connections, thread_name_prefix=channel)
+        self._lock = threading.Lock()
+        self._open: set[socket.socket] = set()
+        self._stopped = False
+        self._thread = threading.Thread(target=self._accept, name=channel, daemon=True)
+
+    def start(self) -> None:
+        """Begins to accept."""
+        self._thread.start()
+
+    def stop(self) -> None:
+        """Closes the listening socket and all connections."""
+        self._stopped = True
+        self._listener.close()
+        with self._lock:
+            connections = list(self._open)
+        for connection in connections:
+            _shut(connection)
+        self._pool.shutdown(wait=False, cancel_futures=True)
+
+    def _accept(self) -> None:
+        while not self._stopped:
+            try:
+                connection, _ = self._listener.accept()
+            except OSError:
+                if self._stopped:
+                    return
+                continue
+            with self._lock:
+                full = len(self._open) >= self._max_connections
+                if not full:
+                    self._open.add(connection)
+            if full:
+                self._metrics.count("connections_refused_total", channel=self._channel)
+                connection.close()
+            else:
+                self._pool.submit(self._serve, connection)
+
+    def _serve(self, connection: socket.socket) -> None:
+        connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        counting = CountingSocket(self._metrics, self._channel, accepted=connection)
+        counting.setTimeout(_IDLE_TIMEOUT_MS)
+        protocol = self._protocol_factory.getProtocol(TFramedTransport(counting, MAX_FRAME_BYTES))
+        try:
+            while True:
+                self._processor.process(protocol, protocol)
+        except (TTransportException, OSError) as error:
+            if getattr(error, "type", None) in _MALFORMED_TYPES:
+                self._count_malformed(error)
+        # The generated code raises whatever malformed bytes lead to.
+        except Exception as error:
+            self._count_malformed(error)
+        finally:
+            with self._lock:
+                self._open.discard(connection)
+            counting.close()
+
+    def _count_malformed(self, error: Exception) -> None:
+        self._metrics.count("malformed_calls_total", channel=self._channel)
+        _log.warning("malformed_call", channel=self._channel, error=repr(error)[:200])
+
+
+def _shut(connection: socket.socket) -> None:
+    try:
+        connection.shutdown(socket.SHUT_RDWR)
+    except OSError:
+        return
--- /dev/null
+++ b/tests/test_whole_path.py
@@ -0,0 +1,54 @@
+"""The whole path through separate processes."""
+
+from __future__ import annotations
+
+import time
+import unittest
+
+from tests.builders import a_chat_body
+from tools.fleet import Fleet, call_json
+
+
+class WholePathTest(unittest.TestCase):
+    """A request is served end to end by real processes."""
+
+    @classmethod
+    def setUpClass(cls) -> None:
+        cls.fleet = cls.enterClassContext(Fleet(["--address-ttl-s=0.2"]))
+        cls.fleet.start_platform()
+        for engine_id in ("e1", "e2"):
+            cls.fleet.start_engine(engine_id, "--token-ms=1")
+        cls.fleet.start_service("s1")
+        cls.fleet.write_config(cls.fleet.default_config(accounts=1))
+        for router_id in ("r1", "r2"):
+            cls.fleet.start_router(router_id)
+        cls.fleet.wait_ready()
+
+    def test_chat_returns_whole_answer(self) -> None:
+        """Guards against an answer that loses tokens on its way through the router."""
+        router = self.fleet.routers_by_id["r1"].address
+        headers = {"X-Account": "account-0", "X-Chat-Id": "c1"}
+        status, answer = call_json(
+            router, "POST", "/v1/chat/completions", a_chat_body(max_tokens=20), headers
+        )
+        self.assertEqual(status, 200, answer)
+        words = answer["choices"][0]["message"]["content"].split()
+        self.assertEqual(len(words), 20)
+        self.assertEqual(answer["choices"][0]["finish_reason"], "stop")
+
+    def test_repeated_key_runs_once(self) -> None:
+        """Guards against a second execution when a key comes again at another router."""
+        headers = {
+            "X-Account": "account-0",
+            "Idempotency-Key": "k1",
+            "Idempotency-Issued-At": str(int(time.time() * 1000)),
+        }
+        answers = [
+            call_json(router.address, "POST", "/v1/services/orders/confirm", {"n": 2}, headers)
+            for router in self.fleet.routers_by_id.values()
+        ]
+        self.assertEqual([status for status, _ in answers], [201, 201], answers)
+        self.assertEqual(answers[0][1], answers[1][1])
+        service = self.fleet.services_by_id["s1"].address
+        executions = call_json(service, "GET", "/_stats")[1]["executions"]
+        self.assertEqual(executions["account-0:k1"], 1)
--- /dev/null
+++ b/tools/fleet.py
@@ -0,0 +1,226 @@
+"""Starts a small fleet of real processes on the loopback interface."""
+
+from __future__ import annotations
+
+import contextlib
+import json
+import signal
+import socket
+import subprocess
+import sys
+import time
+from http.client import HTTPConnection, HTTPException
+from typing import TYPE_CHECKING, Any, Final
+
+from attrs import define, field
+
+from sequoiadrum._platform_http import HttpPlatformClient
+from sequoiadrum.configuration import Change, ConfigLog, ObjectKind
+from sequoiadrum.messages import Address
+from sequoiadrum.metrics import Metrics
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable, Mapping, Sequence
+
+_HOST: Final = "127.0.0.1"
+_PROGRAM: Final = (sys.executable, "-m", "sequoiadrum")
+_START_TIMEOUT_S: Final = 30.0
+
+
+@define(eq=False)
+class Process:
+    """One process of the fleet."""
+
+    name: str
+    popen: subprocess.Popen[str]
+    address: Address
+
+    def kill(self) -> None:
+        """Ends the process at once (SIGKILL)."""
+        self.popen.kill()
+        self.popen.wait()
+
+    def freeze(self) -> None:
+        """Pauses the process (SIGSTOP)."""
+        self.popen.send_signal(signal.SIGSTOP)
+
+    def resume(self) -> None:
+        """Continues a paused process (SIGCONT)."""
+        self.popen.send_signal(signal.SIGCONT)
+
+    def terminate(self) -> None:
+        """Asks for a planned stop (SIGTERM)."""
+        self.popen.terminate()
+
+
+@define(eq=False)
+class Fleet:
+    """Platform stand-in, engines, services and routers as separate processes."""
+
+    router_flags: Sequence[str] = ()
+    """Flags given to every router."""
+    platform: Process | None = None
+    engines_by_id: dict[str, Process] = field(factory=dict)
+    services_by_id: dict[str, Process] = field(factory=dict)
+    routers_by_id: dict[str, Process] = field(factory=dict)
+
+    def __enter__(self) -> Fleet:
+        return self
+
+    def __exit__(self, *exc: object) -> None:
+        self.stop()
+
+    def start_platform(self) -> None:
+        """Starts the platform stand-in."""
+        self.platform = self._stand_in("platform", "platform")
+
+    def start_engine(self, engine_id: str, *flags: str) -> Process:
+        """Starts an engine stand-in."""
+        process = self.engines_by_id[engine_id] = self._stand_in("engine", engine_id, *flags)
+        return process
+
+    def start_service(self, service_id: str) -> Process:
+        """Starts a plain service stand-in."""
+        process = self.services_by_id[service_id] = self._stand_in("service", service_id)
+        return process
+
+    def start_router(self, router_id: str, failure_domain: str = "d1", *flags: str) -> Process:
+        """Starts a router without waiting until it is ready."""
+        assert self.platform is not None
+        http_port, peer_port, operator_port = free_ports(3)
+        arguments = [
+            *_PROGRAM,
+            "serve",
+            f"--instance-id={router_id}",
+            f"--host={_HOST}",
+            f"--failure-domain={failure_domain}",
+            f"--platform={self.platform.address}",
+            f"--http-port={http_port}",
+            f"--peer-port={peer_port}",
+            f"--operator-port={operator_port}",
+            *self.router_flags,
+            *flags,
+        ]
+        popen = subprocess.Popen(arguments, stderr=subprocess.DEVNULL, text=True)
+        process = Process(router_id, popen, Address(_HOST, http_port))
+        self.routers_by_id[router_id] = process
+        return process
+
+    def wait_ready(self) -> None:
+        """Waits until every router serves.
+
+        Raises:
+            TimeoutError: A router did not become ready in time.
+        """
+        deadline = time.monotonic() + _START_TIMEOUT_S
+        for router in self.routers_by_id.values():
+            while not is_ready(router.address):
+                if time.monotonic() > deadline or router.popen.poll() is not None:
+                    raise TimeoutError(f"{router.name} is not ready")
+                time.sleep(0.05)
+
+    def write_config(self, objects: Iterable[tuple[ObjectKind, str, Mapping[str, Any]]]) -> None:
+        """Stores the first configuration on the platform."""
+        assert self.platform is not None
+        changes = tuple(
+            Change(number, f"initial-{number}", kind, name, value)
+            for number, (kind, name, value) in enumerate(objects, 1)
+        )
+        client = HttpPlatformClient(self.platform.address, Metrics(), 5.0)
+        client.put("config/log", ConfigLog(changes).encode(), 0).unwrap()
+        client.close()
+
+    def default_config(self, accounts: int = 10) -> list[tuple[ObjectKind, str, Mapping[str, Any]]]:
+        """Describes the running endpoints, routes to them and some accounts."""
+        objects: list[tuple[ObjectKind, str, Mapping[str, Any]]] = [
+            (ObjectKind.ROUTE, "assistant", {"pool": "assistant"}),
+            (ObjectKind.ROUTE, "orders", {"pool": "orders", "idempotent": False}),
+            (ObjectKind.ROUTE, "catalog", {"pool": "orders"}),
+        ]
+        for number in range(accounts):
+            limits = {"requests_per_s": 10_000, "burst": 10_000}
+            objects.append((ObjectKind.ACCOUNT, f"account-{number}", limits))
+        for pool, kind, by_id in (
+            ("assistant", "engine", self.engines_by_id),
+            ("orders", "service", self.services_by_id),
+        ):
+            for number, (endpoint_id, process) in enumerate(by_id.items()):
+                objects.append(
+                    (
+                        ObjectKind.ENDPOINT,
+                        endpoint_id,
+                        {
+                            "pool": pool,
+                            "kind": kind,
+                            "host": process.address.host,
+                            "port": process.address.port,
+                            "failure_domain": f"d{number % 3 + 1}",
+                        },
+                    )
+                )
+        return objects
+
+    def stop(self) -> None:
+        """Ends all processes that this fleet started."""
+        processes = [
+            *self.routers_by_id.values(),
+            *self.engines_by_id.values(),
+            *self.services_by_id.values(),
+            *([self.platform] if self.platform else []),
+        ]
+        for process in processes:
+            with contextlib.suppress(OSError):
+                process.kill()
+            if process.popen.stdout is not None:
+                process.popen.stdout.close()
+
+    def _stand_in(self, kind: str, name: str, *flags: str) -> Process:
+        popen = subprocess.Popen(
+            [*_PROGRAM, "stand-in", kind, *flags], stdout=subprocess.PIPE, text=True
+        )
+        assert popen.stdout is not None
+        line = popen.stdout.readline()
+        return Process(name, popen, Address(_HOST, int(line.rsplit(":", 1)[1])))
+
+
+def free_ports(count: int) -> list[int]:
+    """Finds TCP ports that are free now."""
+    sockets = [socket.create_server((_HOST, 0)) for _ in range(count)]
+    ports = [int(s.getsockname()[1]) for s in sockets]
+    for s in sockets:
+        s.close()
+    return ports
+
+
+def is_ready(address: Address) -> bool:
+    """Asks a router whether it serves."""
+    try:
+        return call_json(address, "GET", "/readyz")[0] == 200
+    except (OSError, HTTPException):
+        return False
+
+
+def call_json(
+    address: Address,
+    method: str,
+    path: str,
+    document: object = None,
+    headers: Mapping[str, str] | None = None,
+    timeout_s: float = 30.0,
+) -> tuple[int, Any]:
+    """Makes one call on a connection of its own; gives status and decoded answer.
+
+    Raises:
+        OSError, HTTPException: No answer.
+    """
+    connection = HTTPConnection(address.host, address.port, timeout=timeout_s)
+    try:
+        body = None if document is None else json.dumps(document)
+        connection.request(
+            method, path, body, {"Content-Type": "application/json", **(headers or {})}
+        )
+        response = connection.getresponse()
+        raw = response.read()
+        return response.status, json.loads(raw) if raw else None
+    finally:
+        connection.close()
