--- a/Makefile
+++ b/Makefile
@@ -16,7 +16,7 @@
 	$(BIN)/python -m unittest discover -s tests -t .
 
 demo: install
-	$(BIN)/python tools/demo.py
+	$(BIN)/python -m tools.demo
 
 check: install
 	$(BIN)/black --check --quiet src tests tools
@@ -28,7 +28,7 @@
 	$(BIN)/ruff check --fix src tests tools
 
 dist: install
-	$(BIN)/python tools/build_dist.py
+	$(BIN)/python -m tools.build_dist
 
 # Needs the thrift compiler (Debian package thrift-compiler); its output is committed.
 gen:
--- a/tools/fleet.py
+++ b/tools/fleet.py
@@ -34,6 +34,9 @@
     name: str
     popen: subprocess.Popen[str]
     address: Address
+    """Where it answers callers."""
+    operator_address: Address | None = None
+    """Where a router answers operators."""
 
     def kill(self) -> None:
         """Ends the process at once (SIGKILL)."""
@@ -101,7 +104,9 @@
             *flags,
         ]
         popen = subprocess.Popen(arguments, stderr=subprocess.DEVNULL, text=True)
-        process = Process(router_id, popen, Address(_HOST, http_port))
+        process = Process(
+            router_id, popen, Address(_HOST, http_port), Address(_HOST, operator_port)
+        )
         self.routers_by_id[router_id] = process
         return process
 
@@ -191,6 +196,21 @@
     return ports
 
 
+def parse_metrics(address: Address) -> dict[str, float]:
+    """Reads the text exposition of a router.
+
+    Raises:
+        OSError, HTTPException: No answer.
+    """
+    connection = HTTPConnection(address.host, address.port, timeout=5)
+    try:
+        connection.request("GET", "/metrics")
+        lines = connection.getresponse().read().decode().splitlines()
+    finally:
+        connection.close()
+    return {name: float(value) for name, _, value in (line.rpartition(" ") for line in lines)}
+
+
 def wait_until_ready(host: str, port: int, popen: subprocess.Popen[Any]) -> None:
     """Waits until a router serves.
 
--- /dev/null
+++ b/tools/load.py
@@ -0,0 +1,237 @@
+"""Callers that behave as docs/callers.md asks: returning chats and keyed calls."""
+
+from __future__ import annotations
+
+import json
+import threading
+import time
+from collections import Counter
+from http.client import HTTPConnection, HTTPException
+from typing import TYPE_CHECKING, Any, Final
+
+from attrs import define, field
+
+from sequoiadrum.settings import parse_address
+from sequoiadrum.standin_engine import token_text
+from tools.fleet import call_json
+
+if TYPE_CHECKING:
+    import random
+    from collections.abc import Callable, Sequence
+
+    from sequoiadrum.messages import Address
+
+_ATTEMPTS: Final = 12
+_TIMEOUT_S: Final = 20.0
+_REFUSED_PAUSE_S: Final = 0.2
+
+
+@define
+class LoadReport:
+    """What the callers saw; shared by their threads under its lock."""
+
+    lock: threading.Lock = field(factory=threading.Lock)
+    whole_answers: int = 0
+    resumed_answers: int = 0
+    failed_chats: int = 0
+    wrong_answers: int = 0
+    """Answers with tokens missing, repeated or of another request; must stay 0."""
+    refusals_by_reason: Counter[str] = field(factory=Counter)
+    outcomes_by_key: dict[str, str] = field(factory=dict)
+    """Last outcome that the caller of each idempotency key was told."""
+    first_token_s: list[float] = field(factory=list)
+
+    def count(self, name: str) -> None:
+        """Adds one to a figure."""
+        with self.lock:
+            setattr(self, name, getattr(self, name) + 1)
+
+    def refused(self, reason: str) -> None:
+        """Counts a refusal."""
+        with self.lock:
+            self.refusals_by_reason[reason] += 1
+
+
+@define(eq=False)
+class Caller:
+    """One caller; asks the fleet for addresses and keeps each answer for its time to live."""
+
+    entry: Sequence[Address]
+    """Routers that it knows from the start."""
+    account: str
+    report: LoadReport
+    rng: random.Random
+    _kept_by_key: dict[str, tuple[float, list[Address]]] = field(factory=dict)
+
+    def addresses(self, operation: str, key: str) -> list[Address]:
+        """Gives the routers to use for a chat or a key, the preferred one first."""
+        name = "chat" if operation == "chat" else "key"
+        kept = self._kept_by_key.get(f"{operation}:{key}")
+        if kept is not None and time.monotonic() < kept[0]:
+            return kept[1]
+        for router in self.rng.sample(list(self.entry), len(self.entry)):
+            try:
+                path = f"/v1/address?operation={operation}&{name}={key}&account={self.account}"
+                status, answer = call_json(router, "GET", path, timeout_s=2.0)
+            except (OSError, HTTPException):
+                continue
+            if status == 200:
+                found = [answer["address"], *answer["alternates"]]
+                addresses = [parse_address(text) for text in found]
+                until = time.monotonic() + answer["ttl_ms"] / 1e3
+                self._kept_by_key[f"{operation}:{key}"] = (until, addresses)
+                return addresses
+        return list(self.entry)
+
+    def forget(self, operation: str, key: str) -> None:
+        """Drops a kept address that did not answer."""
+        self._kept_by_key.pop(f"{operation}:{key}", None)
+
+    def chat(self, chat_id: str, prompt: str, tokens: int) -> bool:
+        """Sends one turn of a chat and reads its stream to the end, across routers if needed."""
+        request_id = f"{self.rng.getrandbits(64):016x}"
+        reader = _StreamReader(request_id, tokens, self.report)
+        body = {
+            "model": "assistant",
+            "messages": [{"role": "user", "content": prompt}],
+            "max_tokens": tokens,
+            "stream": True,
+        }
+        headers = {"X-Account": self.account, "X-Chat-Id": chat_id, "X-Request-Id": request_id}
+        for attempt in range(_ATTEMPTS):
+            addresses = self.addresses("chat", chat_id)
+            router = addresses[min(attempt, len(addresses) - 1)]
+            try:
+                if reader.read_from(router, body, headers):
+                    self.report.count("resumed_answers" if reader.resumed else "whole_answers")
+                    return True
+                time.sleep(_REFUSED_PAUSE_S)
+            except (OSError, HTTPException):
+                self.forget("chat", chat_id)
+        self.report.count("failed_chats")
+        return False
+
+    def keyed(self, key: str, document: dict[str, Any], also_at_another: bool = False) -> str:
+        """Sends a keyed call until its outcome is known; gives what the caller was told last.
+
+        Args:
+            key: The idempotency key.
+            document: The body.
+            also_at_another: Send the same key at once to a second router.
+        """
+        headers = {
+            "X-Account": self.account,
+            "Idempotency-Key": key,
+            "Idempotency-Issued-At": str(int(time.time() * 1000)),
+        }
+        if also_at_another:
+            second = threading.Thread(
+                target=self._submit, args=(self.rng.choice(list(self.entry)), document, headers)
+            )
+            second.start()
+        outcome = "unknown"
+        for attempt in range(_ATTEMPTS):
+            addresses = self.addresses("orders", key)
+            outcome = self._submit(addresses[min(attempt, len(addresses) - 1)], document, headers)
+            if outcome in ("done", "unknown"):
+                break
+            if outcome == "lost":
+                self.forget("orders", key)
+            time.sleep(_REFUSED_PAUSE_S)
+        if also_at_another:
+            second.join()
+        with self.report.lock:
+            self.report.outcomes_by_key[f"{self.account}:{key}"] = outcome
+        return outcome
+
+    def _submit(self, router: Address, document: object, headers: dict[str, str]) -> str:
+        try:
+            status, answer = call_json(
+                router, "POST", "/v1/services/orders/confirm", document, headers, _TIMEOUT_S
+            )
+        except (OSError, HTTPException):
+            return "lost"
+        if status < 300:
+            return "done"
+        error = answer.get("error", {}) if isinstance(answer, dict) else {}
+        self.report.refused(str(error.get("type")))
+        return {"no": "not_run", "yes": "done"}.get(str(error.get("ran")), "unknown")
+
+
+class _StreamReader:
+    """Reads the answer of one request and checks that each token is the expected one."""
+
+    def __init__(self, request_id: str, tokens: int, report: LoadReport) -> None:
+        self._request_id = request_id
+        self._tokens = tokens
+        self._report = report
+        self._last_event_id = ""
+        self._next = 0
+        self.resumed = False
+
+    def read_from(self, router: Address, body: object, headers: dict[str, str]) -> bool:
+        """Starts or continues the answer at a router.
+
+        Returns:
+            True when the answer is whole, False when it was refused.
+
+        Raises:
+            OSError, HTTPException: The router broke off.
+        """
+        started = time.monotonic()
+        connection = HTTPConnection(router.host, router.port, timeout=_TIMEOUT_S)
+        try:
+            if self._last_event_id:
+                self.resumed = True
+                path = f"/v1/streams/{self._request_id}"
+                resume = {**headers, "Last-Event-ID": self._last_event_id}
+                connection.request("GET", path, headers=resume)
+            else:
+                connection.request("POST", "/v1/chat/completions", json.dumps(body), headers)
+            response = connection.getresponse()
+            if response.status != 200:
+                error = json.loads(response.read())["error"]
+                self._report.refused(error["type"])
+                if error["type"] == "stream_lost":
+                    self._last_event_id, self._next = "", 0
+                return False
+            if not self._next:
+                with self._report.lock:
+                    self._report.first_token_s.append(time.monotonic() - started)
+            return self._read_events(response)
+        finally:
+            connection.close()
+
+    def _read_events(self, response: Any) -> bool:
+        event_id = ""
+        for raw in response:
+            line = raw.rstrip(b"\n")
+            if line.startswith(b"id: "):
+                event_id = line[4:].decode()
+            elif line == b"event: error":
+                self._last_event_id, self._next = "", 0
+                return False
+            elif line == b"data: [DONE]":
+                if self._next != self._tokens:
+                    self._report.count("wrong_answers")
+                return True
+            elif line.startswith(b"data: "):
+                self._check(event_id, json.loads(line[6:]))
+        raise ConnectionError("the stream ended early")
+
+    def _check(self, event_id: str, document: dict[str, Any]) -> None:
+        offset = int(event_id.rsplit(".", 1)[1])
+        text = document["choices"][0]["delta"]["content"]
+        if offset != self._next or text != token_text(self._request_id, offset):
+            self._report.count("wrong_answers")
+        self._next = offset + 1
+        self._last_event_id = event_id
+
+
+def run_threads(count: int, work: Callable[[int], None]) -> None:
+    """Runs `work(0)` to `work(count - 1)` on a thread each and waits for all."""
+    threads = [threading.Thread(target=work, args=(number,)) for number in range(count)]
+    for thread in threads:
+        thread.start()
+    for thread in threads:
+        thread.join()
