--- a/tools/demo.py
+++ b/tools/demo.py
@@ -8,7 +8,6 @@
 from __future__ import annotations
 
 import random
-import subprocess
 import sys
 import threading
 import time
@@ -19,6 +18,7 @@
 
 from tools.fleet import Fleet, call_json, parse_metrics
 from tools.load import Caller, LoadReport, run_threads
+from tools.operator_cli import run_operator_command
 
 SEED: Final = 7
 ROUTERS: Final = 6
@@ -72,25 +72,10 @@
             caller.keyed(f"order-{number}-{turn}", {"pallets": 2}, also_at_another=turn % 8 == 0)
 
 
-def run_command(fleet: Fleet, *arguments: str) -> str:
-    """Runs an operator command of the program against the first router that lives."""
-    routers = ",".join(str(router.operator_address) for router in fleet.routers_by_id.values())
-    result = subprocess.run(
-        [sys.executable, "-m", "sequoiadrum", *arguments, "--router", routers],
-        capture_output=True,
-        text=True,
-        timeout=60,
-        check=False,
-    )
-    if result.returncode:
-        raise RuntimeError(f"{arguments}: status {result.returncode}: {result.stderr}")
-    return result.stdout
-
-
 def disturb(fleet: Fleet, started: float, drained: set[str]) -> None:
     """Drains an engine, kills a router and stops another as planned, each at its time."""
     time.sleep(max(0.0, started + DRAIN_AT_S - time.monotonic()))
-    run_command(fleet, "plan", "drain", "e5", "--id", "drain-e5")
+    run_operator_command(fleet, "plan", "drain", "e5", "--id", "drain-e5")
     drained.add("e5")
     time.sleep(max(0.0, started + KILL_AT_S - time.monotonic()))
     fleet.routers_by_id["r6"].kill()
