--- /dev/null
+++ b/tests/test_membership.py
@@ -0,0 +1,184 @@
+"""SWIM membership on virtual time."""
+
+from __future__ import annotations
+
+import random
+import unittest
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from sequoiadrum.membership import MAX_DATAGRAM_BYTES, Membership
+from sequoiadrum.messages import Address, MemberState
+from tests.virtual_bus import Bus, a_member
+
+FLEET = 14
+
+
+def _grown(seed: int = 1, **values: float) -> Bus:
+    bus = Bus(seed=seed, **values)
+    bus.start(FLEET, seed_count=1)
+    assert bus.run(30, bus.agree)
+    bus.run(5)
+    return bus
+
+
+class ConvergenceTest(unittest.TestCase):
+    """All members agree again after each kind of fault."""
+
+    def test_fleet_start(self) -> None:
+        """Guards against a fleet that stays in parts when all start at once from one seed."""
+        for seed in range(3):
+            self.assertTrue(_grown(seed).agree())
+
+    def test_kill(self) -> None:
+        """Guards against a dead member that goes on counting as alive."""
+        bus = _grown()
+        bus.kill("router-5")
+        self.assertTrue(bus.run(10, bus.agree))
+
+    def test_freeze_and_resume(self) -> None:
+        """Guards against a resumed member that stays dead or declares the others dead."""
+        bus = _grown()
+        bus.frozen = {"router-3"}
+        others = set(bus.nodes) - bus.frozen
+        self.assertTrue(bus.run(10, lambda: bus.agree(alive=others)))
+        bus.frozen = set()
+        bus.dead_seen.clear()
+        self.assertTrue(bus.run(20, bus.agree))
+        self.assertEqual([seen for seen in bus.dead_seen if seen[1] == "router-3"], [])
+
+    def test_one_way_cut(self) -> None:
+        """Guards against a member that hears nobody and gets the healthy ones declared dead."""
+        bus = _grown()
+        bus.cut = lambda _, target: target == "router-3"
+        bus.run(30)
+        healthy = {s for _, observer, s in bus.dead_seen if observer != "router-3"} - {"router-3"}
+        self.assertEqual(healthy, set())
+        bus.cut = lambda _source, _target: False
+        self.assertTrue(bus.run(30, bus.agree))
+
+    def test_one_way_cut_between_domains(self) -> None:
+        """Guards against deaths where a third domain still reaches both sides."""
+        bus = _grown()
+        bus.cut = lambda s, t: int(s[7:]) % 3 == 0 and int(t[7:] or 1) % 3 == 1
+        bus.run(30)
+        self.assertEqual(bus.dead_seen, [])
+
+    def test_split_and_heal(self) -> None:
+        """Guards against two halves that never look for each other again."""
+        bus = _grown()
+        bus.cut = lambda s, t: (int(s[7:]) % 3 == 0) != (int(t[7:] or 0) % 3 == 0)
+        left = {name for name in bus.nodes if int(name[7:]) % 3 == 0}
+        self.assertTrue(
+            bus.run(30, lambda: bus.agree(alive=left) and bus.agree(alive=set(bus.nodes) - left))
+        )
+        bus.run(60)
+        bus.cut = lambda _source, _target: False
+        self.assertTrue(bus.run(60, bus.agree))
+
+    def test_restart(self) -> None:
+        """Guards against taking a new process for its predecessor, or the other way round."""
+        bus = _grown()
+        bus.kill("router-5")
+        bus.run(1)
+        seed = (bus.nodes["router-0"].me.peer_address,)
+        bus.join(a_member(5, process_id=2), seed)
+        replaced = lambda: bus.agree() and all(  # noqa: E731
+            n.members_by_id["router-5"].process_id == 2 for n in bus.nodes.values()
+        )
+        self.assertTrue(bus.run(20, replaced))
+        for node in bus.nodes.values():
+            old = Membership(a_member(5), (), random.Random(1), bus.now)
+            old.members_by_id[node.me.id] = node.me
+            old.leave(bus.now)
+            for _, data in old.take_outbox():
+                node.receive(data, Address("10.0.0.6", 7400), bus.now)
+            self.assertIs(node.members_by_id["router-5"].state, MemberState.ALIVE)
+
+    def test_whole_fleet_restart(self) -> None:
+        """Guards against records of former processes that keep the new ones out."""
+        bus = _grown()
+        for number in range(FLEET):
+            bus.kill(f"router-{number}")
+        seeds = (a_member(0).peer_address,)
+        for number in range(FLEET):
+            bus.join(a_member(number, process_id=9), seeds)
+        self.assertTrue(bus.run(30, bus.agree))
+
+    def test_planned_stop(self) -> None:
+        """Guards against a leaving router that others still count as alive."""
+        bus = _grown()
+        bus.nodes["router-2"].leave(bus.now)
+        bus.flush("router-2")
+
+        def states() -> set[MemberState]:
+            return {n.members_by_id["router-2"].state for n in bus.nodes.values()}
+
+        self.assertTrue(bus.run(3, lambda: states() == {MemberState.LEAVING}))
+        bus.nodes["router-2"].depart(bus.now)
+        bus.flush("router-2")
+        bus.kill("router-2")
+        self.assertTrue(bus.run(3, lambda: states() == {MemberState.DEAD}))
+
+
+class NewsTest(unittest.TestCase):
+    """Revisions, rumours and sizes."""
+
+    def test_revision_and_rumor_reach_all(self) -> None:
+        """Guards against news that misses a member in spite of loss."""
+        bus = _grown(loss=0.05)
+        bus.nodes["router-1"].set_revision(7, bus.now)
+        bus.nodes["router-2"].spread("leaving", "e1", 3, b"x", 60.0, bus.now)
+        bus.flush("router-1")
+        bus.flush("router-2")
+        reached = lambda: all(  # noqa: E731
+            n.me.config_revision == 7 and not n.spread("leaving", "e1", 3, b"", 1.0, bus.now)
+            for n in bus.nodes.values()
+        )
+        self.assertTrue(bus.run(4, reached))
+
+    def test_late_joiner_hears_rumor(self) -> None:
+        """Guards against a crash rumour that a router started later never learns."""
+        bus = _grown()
+        bus.nodes["router-2"].spread("crash", "f1", 1, b"2", 600.0, bus.now)
+        bus.run(30)
+        late = bus.join(a_member(20), (a_member(0).peer_address,))
+        known = lambda: ("crash", "f1") in late._rumors._held_by_key  # noqa: E731
+        self.assertTrue(bus.run(20, known))
+
+    def test_datagrams_stay_small(self) -> None:
+        """Guards against fragmented datagrams while a large fleet starts."""
+        bus = Bus()
+        bus.start(60)
+        bus.run(10)
+        self.assertLessEqual(bus.largest, MAX_DATAGRAM_BYTES)
+
+    @settings(derandomize=True, deadline=None, max_examples=200)
+    @given(st.binary(max_size=200))
+    def test_garbage(self, data: bytes) -> None:
+        """Guards against bytes from outside that break the task or become members."""
+        node = Membership(a_member(1), (), random.Random(1), 0.0)
+        self.assertFalse(node.receive(data, Address("10.0.0.9", 1), 0.0))
+        self.assertEqual(list(node.members_by_id), ["router-1"])
+
+    @settings(derandomize=True, deadline=None, max_examples=100)
+    @given(st.permutations(list(range(6))))
+    def test_order_of_news(self, order: list[int]) -> None:
+        """Guards against old news that overrides newer news of a member."""
+        sender = Membership(a_member(2), (), random.Random(1), 0.0)
+        sender.members_by_id["router-1"] = a_member(1)
+        datagrams = []
+        for step in range(6):
+            sender.take_outbox()
+            sender.leave(float(step)) if step == 5 else sender._announce(MemberState.ALIVE, step)
+            datagrams.append(sender.take_outbox()[0][1])
+        node = Membership(a_member(1), (), random.Random(1), 0.0)
+        for step in order:
+            node.receive(datagrams[step], a_member(2).peer_address, 9.0)
+        self.assertEqual(node.members_by_id["router-2"].incarnation, 6)
+        self.assertIs(node.members_by_id["router-2"].state, MemberState.LEAVING)
+
+
+if __name__ == "__main__":
+    unittest.main()
