Wire gossip, directory and configuration into the router

Routers knew only themselves, and each held its own platform watch: the platform's calls grew with the fleet, and a router that started during an outage never became ready. Now three watchers hold a watch, the others hear of revisions by gossip and pull from peers; a starting router asks up to three peers when the platform does not answer.

The log is compacted into 256 buckets above 64 KB.

--- a/src/sequoiadrum/app.py
+++ b/src/sequoiadrum/app.py
@@ -5,6 +5,7 @@
 import signal
 import threading
 import time
+from concurrent.futures import ThreadPoolExecutor
 from typing import TYPE_CHECKING, Final
 
 import structlog
@@ -15,11 +16,16 @@
 from sequoiadrum.admission_task import AdmissionTask
 from sequoiadrum.chat_relay import ChatRelay
 from sequoiadrum.config_task import ConfigTask
+from sequoiadrum.config_writer import PlatformConfigWriter
+from sequoiadrum.directory import MemberDirectory
+from sequoiadrum.gossip_task import GossipTask
 from sequoiadrum.http_front import FrontParts, HttpFront
-from sequoiadrum.interfaces import AccountLimits, Directory
+from sequoiadrum.interfaces import AccountLimits
 from sequoiadrum.ledger import ObjectLedger
 from sequoiadrum.messages import Address
 from sequoiadrum.metrics import Metrics
+from sequoiadrum.peer_client import ThriftPeerClient
+from sequoiadrum.peer_server import PeerHandler, create_peer_server
 from sequoiadrum.service_relay import ServiceRelay
 from sequoiadrum.timers import TimerService
 
@@ -41,14 +47,8 @@
         return None
 
 
-class _OwnAddress(Directory):
-    """Names this router only."""
-
-    def __init__(self, address: Address) -> None:
-        self.address = address
-
-    def address_for(self, key: str) -> tuple[Address, ...]:
-        return (self.address,)
+class _Unwired:
+    """Stands for a part that does not answer peers yet; every call of it fails."""
 
 
 class Router:
@@ -65,12 +65,21 @@
         )
         engines = HttpEngineClient(_ENGINE_TIMEOUT_S, _STREAM_TIMEOUT_S)
         services = HttpServiceClient()
-        self.config: Final = ConfigTask(platform, self.metrics)
+        self.peers: Final = ThriftPeerClient(self.metrics)
+        self.gossip: Final = GossipTask(
+            settings, platform, self.peers, self.metrics, self._invariant_broken
+        )
+        self.config: Final = ConfigTask(
+            platform, self.gossip, self.peers, self.metrics, self._invariant_broken
+        )
+        self.background: Final = ThreadPoolExecutor(1, thread_name_prefix="background")
+        self.config_writer: Final = PlatformConfigWriter(
+            platform, self.config.current, self.config.accept, self.metrics, self.background
+        )
         self.admission: Final = AdmissionTask(
             settings, self.config, self.metrics, self._invariant_broken
         )
         keyed = ObjectLedger(platform, self.config, self.admission, services, self.metrics)
-        directory = _OwnAddress(Address(settings.host, settings.http_port))
         self.front: Final = HttpFront(
             settings,
             FrontParts(
@@ -79,17 +88,30 @@
                 relay=ChatRelay(self.config, self.admission, engines, self.metrics),
                 services=ServiceRelay(self.admission, services, self.metrics),
                 keyed=keyed,
-                directory=directory,
+                directory=MemberDirectory(self.gossip),
                 metrics=self.metrics,
             ),
         )
-        directory.address = Address(settings.host, self.front.port)
+        self.gossip.set_http_port(self.front.port)
+        self.peer_server: Final = create_peer_server(
+            Address(settings.host, self.gossip.peer_port),
+            PeerHandler(
+                membership=self.gossip,
+                admission=_Unwired(),
+                config=self.config,
+                keyed=_Unwired(),
+                limits=_Unwired(),
+            ),
+            self.metrics,
+        )
         self.metrics.gauge("requests_in_flight", lambda: float(self.front.active()))
 
     def start(self) -> None:
         """Starts all parts."""
         self.timers.start()
-        self.config.start()
+        self.peer_server.start()
+        self.gossip.run_on(self.timers)
+        self.config.run_on(self.timers)
         self.admission.start()
         self.front.start()
         _log.info("started", instance=self.settings.instance_id, http_port=self.front.port)
@@ -106,6 +128,7 @@
     def stop(self) -> None:
         """Planned stop: serves kept addresses out, finishes what is in flight, then ends."""
         _log.info("stopping", in_flight=self.front.active())
+        self.gossip.leave()
         time.sleep(self.settings.address_ttl_s)
         self.front.refuse_new()
         deadline = time.monotonic() + self.settings.request_timeout_s
@@ -114,6 +137,10 @@
         self.front.stop()
         self.admission.stop()
         self.config.stop()
+        self.gossip.stop()
+        self.peer_server.stop()
+        self.peers.close()
+        self.background.shutdown(wait=False, cancel_futures=True)
         self.timers.stop()
         _log.info("stopped")
 
--- /dev/null
+++ b/src/sequoiadrum/config_compactor.py
@@ -0,0 +1,117 @@
+"""Moves the changes of a long configuration log into buckets."""
+
+from __future__ import annotations
+
+from collections import defaultdict
+from typing import TYPE_CHECKING, Final
+from uuid import uuid4
+
+from attrs import evolve
+from returns.result import Failure
+
+from sequoiadrum._config_codec import bucket_name, bucket_of, encode_changes
+from sequoiadrum.config_loader import load
+from sequoiadrum.configuration import ConfigLog
+from sequoiadrum.platform_client import PlatformFailure
+
+if TYPE_CHECKING:
+    from sequoiadrum.configuration import Change, ConfigState
+    from sequoiadrum.platform_client import PlatformClient
+
+LOG_LIMIT_BYTES: Final = 65_536
+"""A longer log is compacted; each watcher reads the whole log at each change."""
+CONFIG_LOG_NAME: Final = "config/log"
+_ATTEMPTS: Final = 5
+
+
+def compact(platform: PlatformClient, state: ConfigState) -> bool:
+    """Compacts the log if it is too long; safe on several routers at once and when cut off.
+
+    A bucket's name carries the revision, and its content follows from the revision alone, so two
+    compactions write the same bytes. The conditional write of the log decides.
+
+    Returns:
+        Whether the log was replaced.
+    """
+    read = platform.get(CONFIG_LOG_NAME)
+    if isinstance(read, Failure) or len(read.unwrap().value) <= LOG_LIMIT_BYTES:
+        return False
+    try:
+        log = ConfigLog.decode(read.unwrap().value)
+    except ValueError:
+        return False
+    loaded = load(platform, state, log)
+    if isinstance(loaded, Failure) or loaded.unwrap().revision != log.revision:
+        return False
+    buckets = _write_buckets(platform, loaded.unwrap(), log)
+    if buckets is None:
+        return False
+    return _replace_log(platform, log, {**log.bucket_revisions, **buckets})
+
+
+def _write_buckets(
+    platform: PlatformClient, state: ConfigState, log: ConfigLog
+) -> dict[str, int] | None:
+    changed = {bucket_of(change.kind, change.name) for change in log.changes}
+    changes_by_bucket: dict[int, list[Change]] = defaultdict(list)
+    for change in state.changes_by_key.values():
+        bucket = bucket_of(change.kind, change.name)
+        if bucket in changed and change.value is not None:
+            changes_by_bucket[bucket].append(change)
+    for bucket in changed:
+        value = encode_changes(changes_by_bucket[bucket])
+        written = platform.put(bucket_name(bucket, log.revision), value, 0)
+        if isinstance(written, Failure) and not _exists(platform, bucket, log.revision, written):
+            return None
+    return {str(bucket): log.revision for bucket in changed}
+
+
+def _exists(
+    platform: PlatformClient, bucket: int, revision: int, written: Failure[PlatformFailure]
+) -> bool:
+    if written.failure() is PlatformFailure.CONFLICT:
+        return True
+    if written.failure() is not PlatformFailure.UNKNOWN:
+        return False
+    return not isinstance(platform.get(bucket_name(bucket, revision)), Failure)
+
+
+def _replace_log(platform: PlatformClient, old: ConfigLog, buckets: dict[str, int]) -> bool:
+    for _ in range(_ATTEMPTS):
+        read = platform.get(CONFIG_LOG_NAME)
+        if isinstance(read, Failure):
+            return False
+        try:
+            found = ConfigLog.decode(read.unwrap().value)
+        except ValueError:
+            return False
+        if found.base_revision != old.base_revision:
+            return False
+        later = tuple(c for c in found.changes if c.revision > old.revision)
+        log = evolve(
+            found,
+            changes=later,
+            base_revision=old.revision,
+            bucket_revisions=buckets,
+            write_id=uuid4().hex,
+        )
+        written = platform.put(CONFIG_LOG_NAME, log.encode(), read.unwrap().version)
+        if not isinstance(written, Failure):
+            _delete_replaced(platform, old, buckets)
+            return True
+        if written.failure() is not PlatformFailure.CONFLICT:
+            return False
+    return False
+
+
+def _delete_replaced(platform: PlatformClient, old: ConfigLog, buckets: dict[str, int]) -> None:
+    for bucket, revision in old.bucket_revisions.items():
+        if buckets[bucket] != revision:
+            platform.delete(
+                bucket_name(int(bucket), revision), _version_of(platform, bucket, revision)
+            )
+
+
+def _version_of(platform: PlatformClient, bucket: str, revision: int) -> int:
+    read = platform.get(bucket_name(int(bucket), revision))
+    return 0 if isinstance(read, Failure) else read.unwrap().version
--- /dev/null
+++ b/src/sequoiadrum/config_writer.py
@@ -0,0 +1,191 @@
+"""Accepts changes of the configuration by conditional writes of the log."""
+
+from __future__ import annotations
+
+import random
+import threading
+import time
+from typing import TYPE_CHECKING, Final
+from uuid import uuid4
+
+import structlog
+from attrs import define, evolve
+from returns.result import Failure, Result, Success
+
+from sequoiadrum.config_compactor import CONFIG_LOG_NAME, LOG_LIMIT_BYTES, compact
+from sequoiadrum.config_loader import load
+from sequoiadrum.configuration import (
+    Change,
+    ChangeConflict,
+    ChangeRequest,
+    ConfigLog,
+    ConfigState,
+    InvalidChange,
+)
+from sequoiadrum.interfaces import ConfigOutcomeUnknown, ConfigUnavailable, ConfigWriter
+from sequoiadrum.platform_client import PlatformFailure
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+    from concurrent.futures import Executor
+
+    from sequoiadrum.metrics import Metrics
+    from sequoiadrum.platform_client import PlatformClient
+
+Outcome = Result[Change, ChangeConflict | InvalidChange | ConfigUnavailable | ConfigOutcomeUnknown]
+
+_ATTEMPTS: Final = 12
+"""Writes of one change; each lost race means that another change was accepted."""
+_REREADS: Final = 4
+_PAUSE_S: Final = 0.05
+
+_log = structlog.get_logger(__name__)
+
+
+@define(eq=False)
+class _Attempt:
+    """What is known of the writes of one request."""
+
+    request: ChangeRequest
+    uncertain_version: int | None = None
+    """Version that a write with a lost answer may still replace."""
+    uncertain_revision: int = 0
+    """Revision that the change has if that write took effect."""
+
+
+class PlatformConfigWriter(ConfigWriter):
+    """Appends changes to the log; one write of this router at a time."""
+
+    def __init__(
+        self,
+        platform: PlatformClient,
+        current: Callable[[], ConfigState],
+        accepted: Callable[[ConfigLog, int], None],
+        metrics: Metrics,
+        compactions: Executor,
+    ) -> None:
+        """Wires the writer.
+
+        Args:
+            platform: Holds the log.
+            current: Gives the newest applied state.
+            accepted: Called with the log and its version after each accepted change.
+            metrics: Counts outcomes.
+            compactions: Runs compactions of the log.
+        """
+        self._platform = platform
+        self._current = current
+        self._accepted = accepted
+        self._metrics = metrics
+        self._compactions = compactions
+        self._lock = threading.Lock()
+
+    def submit(self, request: ChangeRequest) -> Outcome:
+        """See `ConfigWriter.submit`."""
+        # Writes of this router would only conflict with each other.
+        with self._lock:
+            outcome = self._run(_Attempt(request))
+        value = "accepted" if isinstance(outcome, Success) else type(outcome.failure()).__name__
+        self._metrics.count("config_changes_total", outcome=value)
+        return outcome
+
+    def _run(self, attempt: _Attempt) -> Outcome:
+        for number in range(_ATTEMPTS):
+            if number:
+                time.sleep(_PAUSE_S * random.random() * min(number, 4))
+            outcome = self._try(attempt)
+            if outcome is not None:
+                return outcome
+        return self._gave_up(attempt, "too many concurrent changes")
+
+    def _try(self, attempt: _Attempt) -> Outcome | None:
+        """Makes one attempt; None asks for another."""
+        read = self._read(attempt)
+        if isinstance(read, Failure):
+            return self._gave_up(attempt, read.failure().value)
+        log, version = read.unwrap()
+        request = attempt.request
+        done = next((c for c in log.changes if c.change_id == request.change_id), None)
+        if done is not None:
+            self._accepted(log, version)
+            return Success(done)
+        loaded = load(self._platform, self._current(), log)
+        if isinstance(loaded, Failure):
+            missing = loaded.failure() is PlatformFailure.NOT_FOUND
+            return None if missing else self._gave_up(attempt, loaded.failure().value)
+        state = loaded.unwrap()
+        if state.revision != log.revision:
+            # The state went past the log that was read; read again.
+            return None
+        if attempt.uncertain_version not in (None, version):
+            if log.base_revision >= attempt.uncertain_revision:
+                return self._settle_compacted(attempt, state)
+            # Another write took the version, so the lost one had no effect.
+            attempt.uncertain_version = None
+        decided = state.decide(request)
+        if isinstance(decided, Failure):
+            return Failure(decided.failure())
+        change = decided.unwrap()
+        if change.revision <= state.revision:
+            return Success(change)
+        return self._append(attempt, log, version, change)
+
+    def _append(
+        self, attempt: _Attempt, log: ConfigLog, version: int, change: Change
+    ) -> Outcome | None:
+        updated = evolve(log, changes=(*log.changes, change), write_id=uuid4().hex)
+        value = updated.encode()
+        written = self._platform.put(CONFIG_LOG_NAME, value, version)
+        if isinstance(written, Success):
+            self._accepted(updated, written.unwrap().version)
+            if len(value) > LOG_LIMIT_BYTES:
+                self._compactions.submit(self._compact)
+            return Success(change)
+        failure = written.failure()
+        if failure is PlatformFailure.UNKNOWN:
+            attempt.uncertain_version = version
+            attempt.uncertain_revision = change.revision
+            return None
+        if failure is PlatformFailure.CONFLICT:
+            return None
+        if failure is PlatformFailure.TOO_LARGE:
+            self._compact()
+            return None
+        return self._gave_up(attempt, failure.value)
+
+    def _read(self, attempt: _Attempt) -> Result[tuple[ConfigLog, int], PlatformFailure]:
+        """Reads the log; tries longer when the outcome of a write hangs on it."""
+        rereads = _REREADS if attempt.uncertain_version is not None else 1
+        failure = PlatformFailure.UNKNOWN
+        for number in range(rereads):
+            if number:
+                time.sleep(_PAUSE_S * 2**number)
+            read = self._platform.get(CONFIG_LOG_NAME)
+            if isinstance(read, Success):
+                stored = read.unwrap()
+                try:
+                    return Success((ConfigLog.decode(stored.value), stored.version))
+                except ValueError:
+                    _log.error("config_log_unreadable", version=stored.version)
+                    return Failure(PlatformFailure.UNKNOWN)
+            failure = read.failure()
+            if failure is PlatformFailure.NOT_FOUND:
+                return Success((ConfigLog(), 0))
+        return Failure(failure)
+
+    def _settle_compacted(self, attempt: _Attempt, state: ConfigState) -> Outcome:
+        """Looks for the change among the objects when the log no longer shows it."""
+        request = attempt.request
+        found = state.changes_by_key.get((request.kind, request.name))
+        if found is not None and found.change_id == request.change_id:
+            return Success(found)
+        return Failure(ConfigOutcomeUnknown(request.change_id))
+
+    def _gave_up(self, attempt: _Attempt, detail: str) -> Outcome:
+        if attempt.uncertain_version is not None:
+            return Failure(ConfigOutcomeUnknown(attempt.request.change_id))
+        return Failure(ConfigUnavailable(detail))
+
+    def _compact(self) -> None:
+        if compact(self._platform, self._current()):
+            self._metrics.count("config_compactions_total")
--- a/src/sequoiadrum/configuration.py
+++ b/src/sequoiadrum/configuration.py
@@ -6,7 +6,7 @@
 from enum import Enum
 from typing import TYPE_CHECKING, Any, Final
 
-from attrs import field, frozen
+from attrs import evolve, field, frozen
 from returns.result import Failure, Result, Success
 
 from sequoiadrum.messages import Account, Address, Endpoint, EndpointKind, EndpointState, Route
@@ -97,6 +97,12 @@
     """Revision of the object's last change; 0: must not exist; None: any."""
 
 
+_VIEW_NAMES: Final = {
+    ObjectKind.ACCOUNT: "accounts_by_name",
+    ObjectKind.ROUTE: "routes_by_name",
+    ObjectKind.ENDPOINT: "endpoints_by_id",
+    ObjectKind.SETTING: "settings_by_name",
+}
 _SETTING_NAMES: Final = frozenset({"admit_multiple", "bound_multiple", "kv_import"})
 
 
@@ -121,23 +127,19 @@
         if not fresh:
             return self
         by_key = dict(self.changes_by_key)
-        views: dict[ObjectKind, dict[str, Any]] = {
-            ObjectKind.ACCOUNT: dict(self.accounts_by_name),
-            ObjectKind.ROUTE: dict(self.routes_by_name),
-            ObjectKind.ENDPOINT: dict(self.endpoints_by_id),
-            ObjectKind.SETTING: dict(self.settings_by_name),
-        }
+        views: dict[ObjectKind, dict[str, Any]] = {}
         for change in fresh:
             by_key[change.key] = change
+            if change.kind not in views:
+                views[change.kind] = dict(getattr(self, _VIEW_NAMES[change.kind]))
             _update_view(views[change.kind], change)
-        return ConfigState(
-            revision=fresh[-1].revision,
-            changes_by_key=by_key,
-            accounts_by_name=views[ObjectKind.ACCOUNT],
-            routes_by_name=views[ObjectKind.ROUTE],
-            endpoints_by_id=views[ObjectKind.ENDPOINT],
-            settings_by_name=views[ObjectKind.SETTING],
-        )
+        updated = {_VIEW_NAMES[kind]: view for kind, view in views.items()}
+        return evolve(self, revision=fresh[-1].revision, changes_by_key=by_key, **updated)
+
+    @classmethod
+    def from_snapshot(cls, changes: Iterable[Change], revision: int) -> ConfigState:
+        """Builds the state at a revision from the newest change of each object."""
+        return evolve(cls().apply(changes), revision=revision)
 
     def decide(self, request: ChangeRequest) -> Result[Change, ChangeConflict | InvalidChange]:
         """Checks a request against this state.
--- /dev/null
+++ b/src/sequoiadrum/directory.py
@@ -0,0 +1,44 @@
+"""Callers' addresses of the routers, by rendezvous of the key."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Final
+
+from sequoiadrum.hashing import rank
+from sequoiadrum.interfaces import Directory
+from sequoiadrum.messages import MemberState
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+
+    from sequoiadrum.interfaces import MembershipSource
+    from sequoiadrum.messages import Address, Member
+
+ADDRESSES: Final = 3
+"""Addresses in one answer: the preferred one and alternates."""
+
+
+class MemberDirectory(Directory):
+    """Ranks the alive members; suspects are named only when nobody is alive."""
+
+    def __init__(self, membership: MembershipSource) -> None:
+        self._membership = membership
+        self._cached: tuple[object, dict[str, Address]] = (None, {})
+
+    def address_for(self, key: str) -> tuple[Address, ...]:
+        """See `Directory.address_for`."""
+        members = self._membership.members()
+        snapshot, candidates = self._cached
+        if snapshot is not members:
+            candidates = _candidates(members)
+            # One assignment, so that a concurrent reader sees a consistent pair.
+            self._cached = (members, candidates)
+        return tuple(candidates[name] for name in rank(key, candidates)[:ADDRESSES])
+
+
+def _candidates(members: Mapping[str, Member]) -> dict[str, Address]:
+    for state in (MemberState.ALIVE, MemberState.SUSPECT):
+        found = {m.id: m.http_address for m in members.values() if m.state is state}
+        if found:
+            return found
+    return {}
--- a/src/sequoiadrum/http_front.py
+++ b/src/sequoiadrum/http_front.py
@@ -91,7 +91,7 @@
             clear_untrusted_proxy_headers=True,
             ident="sequoiadrum",
         )
-        self.port: Final[int] = self._server.effective_port
+        self.port: Final[int] = int(self._server.effective_port)
         self._thread = threading.Thread(target=self._serve, name="http-front", daemon=True)
 
     def start(self) -> None:
--- a/src/sequoiadrum/interfaces.py
+++ b/src/sequoiadrum/interfaces.py
@@ -211,3 +211,19 @@
 
         Repeating a request with the same `change_id` is safe.
         """
+
+
+class FleetLink(MembershipSource):
+    """Membership together with what keeps the configuration up to date."""
+
+    @abstractmethod
+    def heard_at(self) -> float | None:
+        """Gives when a peer was last heard (monotonic seconds), None when never."""
+
+    @abstractmethod
+    def subscribe_revisions(self, task: Task) -> None:
+        """Posts `RevisionHeard` messages to a task from now on."""
+
+    @abstractmethod
+    def announce_revision(self, revision: int) -> None:
+        """Tells the peers which configuration revision is in force here; never blocks."""
--- a/src/sequoiadrum/membership.py
+++ b/src/sequoiadrum/membership.py
@@ -59,6 +59,8 @@
     """All known members; do not change."""
     version: int = 0
     """Raised when a member's state, process or address changes."""
+    report_version: int = 0
+    """Raised when a member's known configuration revision changes."""
     last_heard: float | None = None
     """When the last valid datagram of another member arrived."""
     stale_datagrams: int = 0
@@ -154,6 +156,7 @@
         if revision > self.me.config_revision:
             self.me = evolve(self.me, config_revision=revision)
             self.members_by_id[self.me.id] = self.me
+            self.report_version += 1
             self._push_soon(now)
 
     def leave(self, now: float) -> None:
@@ -344,6 +347,7 @@
         known = self.members_by_id.get(member_id)
         if known is not None and member_id != self.me.id and revision > known.config_revision:
             self.members_by_id[member_id] = evolve(known, config_revision=revision)
+            self.report_version += 1
 
     # Sending
 
--- a/src/sequoiadrum/messages.py
+++ b/src/sequoiadrum/messages.py
@@ -176,3 +176,12 @@
     key: str
     version: int
     payload: bytes
+
+
+@frozen
+class RevisionHeard:
+    """Posted when a peer has a higher configuration revision in force."""
+
+    revision: int
+    address: Address
+    """Peer port of the router that has it."""
--- a/tools/fleet.py
+++ b/tools/fleet.py
@@ -63,6 +63,8 @@
     engines_by_id: dict[str, Process] = field(factory=dict)
     services_by_id: dict[str, Process] = field(factory=dict)
     routers_by_id: dict[str, Process] = field(factory=dict)
+    seed: str = ""
+    """Peer address of the first router, by which the others join."""
 
     def __enter__(self) -> Fleet:
         return self
@@ -98,10 +100,12 @@
             f"--http-port={http_port}",
             f"--peer-port={peer_port}",
             f"--operator-port={operator_port}",
+            *([f"--seeds={self.seed}"] if self.seed else []),
             *self.router_flags,
             *flags,
         ]
         popen = subprocess.Popen(arguments, stderr=subprocess.DEVNULL, text=True)
+        self.seed = self.seed or f"{_HOST}:{peer_port}"
         process = Process(router_id, popen, Address(_HOST, http_port))
         self.routers_by_id[router_id] = process
         return process
