--- a/schema/operator.thrift
+++ b/schema/operator.thrift
@@ -14,6 +14,8 @@
   2: string name,
   3: i64 version,
   4: string value_json,
+  /** Change that gave the object this value. */
+  5: string change_id,
 }
 
 struct ChangeResult {
@@ -103,18 +105,25 @@
   6: i64 fencing_number,
   7: list<PlanStep> steps,
   8: optional string target_id,
+  9: string detail,
 }
 
 service Operator {
+  /** An `expected_version` of 0 creates, -1 replaces any version. */
   ChangeResult put_object(1: ConfigObject object, 2: i64 expected_version, 3: string change_id)
     throws (1: Conflict conflict, 2: Refused refused, 3: Unavailable unavailable, 4: UnknownOutcome unknown),
   ChangeResult delete_object(1: ObjectKind kind, 2: string name, 3: i64 expected_version, 4: string change_id)
     throws (1: Conflict conflict, 2: Refused refused, 3: Unavailable unavailable, 4: UnknownOutcome unknown),
-  ConfigObject get_object(1: ObjectKind kind, 2: string name) throws (1: Refused refused),
-  list<ConfigObject> list_objects(1: ObjectKind kind, 2: string name_prefix, 3: i32 limit),
+  ConfigObject get_object(1: ObjectKind kind, 2: string name)
+    throws (1: Refused refused, 2: Unavailable unavailable),
+  list<ConfigObject> list_objects(1: ObjectKind kind, 2: string name_prefix, 3: i32 limit)
+    throws (1: Refused refused, 2: Unavailable unavailable),
+  /** Tells whether a change is the newest one of its object here; refused as `not_found` if not. */
+  ChangeResult find_change(1: ObjectKind kind, 2: string name, 3: string change_id)
+    throws (1: Refused refused, 2: Unavailable unavailable),
   /** Revision in force here, and on how many routers `revision` (0: the newest) is in force. */
-  ConfigStatus config_status(1: i64 revision),
-  list<MemberStatus> fleet_status(),
+  ConfigStatus config_status(1: i64 revision) throws (1: Refused refused, 2: Unavailable unavailable),
+  list<MemberStatus> fleet_status() throws (1: Unavailable unavailable),
   PoolStatus pool_status(1: string pool) throws (1: Refused refused, 2: Unavailable unavailable),
   /** Creates a drain plan (`kind` "drain") or a move plan ("move", with `target_id`). */
   PlanStatus create_plan(1: string id, 2: string kind, 3: string endpoint_id, 4: string target_id)
@@ -122,7 +131,7 @@
   PlanStatus abort_plan(1: string id)
     throws (1: Conflict conflict, 2: Refused refused, 3: Unavailable unavailable, 4: UnknownOutcome unknown),
   PlanStatus get_plan(1: string id) throws (1: Refused refused, 2: Unavailable unavailable),
-  list<PlanStatus> list_plans() throws (1: Unavailable unavailable),
+  list<PlanStatus> list_plans() throws (1: Refused refused, 2: Unavailable unavailable),
   /** Counters and histogram summaries of the router that answers. */
-  map<string, double> counters(),
+  map<string, double> counters() throws (1: Unavailable unavailable),
 }
--- a/src/sequoiadrum/_gen/operator/Operator.py
+++ b/src/sequoiadrum/_gen/operator/Operator.py
@@ -21,6 +21,8 @@
 class Iface(object):
     def put_object(self, object, expected_version, change_id):
         """
+        An `expected_version` of 0 creates, -1 replaces any version.
+
         Parameters:
          - object
          - expected_version
@@ -59,6 +61,18 @@
         """
         pass
 
+    def find_change(self, kind, name, change_id):
+        """
+        Tells whether a change is the newest one of its object here; refused as `not_found` if not.
+
+        Parameters:
+         - kind
+         - name
+         - change_id
+
+        """
+        pass
+
     def config_status(self, revision):
         """
         Revision in force here, and on how many routers `revision` (0: the newest) is in force.
@@ -129,6 +143,8 @@
 
     def put_object(self, object, expected_version, change_id):
         """
+        An `expected_version` of 0 creates, -1 replaces any version.
+
         Parameters:
          - object
          - expected_version
@@ -251,6 +267,8 @@
             return result.success
         if result.refused is not None:
             raise result.refused
+        if result.unavailable is not None:
+            raise result.unavailable
         raise TApplicationException(TApplicationException.MISSING_RESULT, "get_object failed: unknown result")
 
     def list_objects(self, kind, name_prefix, limit):
@@ -287,8 +305,54 @@
         iprot.readMessageEnd()
         if result.success is not None:
             return result.success
+        if result.refused is not None:
+            raise result.refused
+        if result.unavailable is not None:
+            raise result.unavailable
         raise TApplicationException(TApplicationException.MISSING_RESULT, "list_objects failed: unknown result")
 
+    def find_change(self, kind, name, change_id):
+        """
+        Tells whether a change is the newest one of its object here; refused as `not_found` if not.
+
+        Parameters:
+         - kind
+         - name
+         - change_id
+
+        """
+        self.send_find_change(kind, name, change_id)
+        return self.recv_find_change()
+
+    def send_find_change(self, kind, name, change_id):
+        self._oprot.writeMessageBegin('find_change', TMessageType.CALL, self._seqid)
+        args = find_change_args()
+        args.kind = kind
+        args.name = name
+        args.change_id = change_id
+        args.write(self._oprot)
+        self._oprot.writeMessageEnd()
+        self._oprot.trans.flush()
+
+    def recv_find_change(self):
+        iprot = self._iprot
+        (fname, mtype, rseqid) = iprot.readMessageBegin()
+        if mtype == TMessageType.EXCEPTION:
+            x = TApplicationException()
+            x.read(iprot)
+            iprot.readMessageEnd()
+            raise x
+        result = find_change_result()
+        result.read(iprot)
+        iprot.readMessageEnd()
+        if result.success is not None:
+            return result.success
+        if result.refused is not None:
+            raise result.refused
+        if result.unavailable is not None:
+            raise result.unavailable
+        raise TApplicationException(TApplicationException.MISSING_RESULT, "find_change failed: unknown result")
+
     def config_status(self, revision):
         """
         Revision in force here, and on how many routers `revision` (0: the newest) is in force.
@@ -321,6 +385,10 @@
         iprot.readMessageEnd()
         if result.success is not None:
             return result.success
+        if result.refused is not None:
+            raise result.refused
+        if result.unavailable is not None:
+            raise result.unavailable
         raise TApplicationException(TApplicationException.MISSING_RESULT, "config_status failed: unknown result")
 
     def fleet_status(self):
@@ -347,6 +415,8 @@
         iprot.readMessageEnd()
         if result.success is not None:
             return result.success
+        if result.unavailable is not None:
+            raise result.unavailable
         raise TApplicationException(TApplicationException.MISSING_RESULT, "fleet_status failed: unknown result")
 
     def pool_status(self, pool):
@@ -533,6 +603,8 @@
         iprot.readMessageEnd()
         if result.success is not None:
             return result.success
+        if result.refused is not None:
+            raise result.refused
         if result.unavailable is not None:
             raise result.unavailable
         raise TApplicationException(TApplicationException.MISSING_RESULT, "list_plans failed: unknown result")
@@ -565,6 +637,8 @@
         iprot.readMessageEnd()
         if result.success is not None:
             return result.success
+        if result.unavailable is not None:
+            raise result.unavailable
         raise TApplicationException(TApplicationException.MISSING_RESULT, "counters failed: unknown result")
 
 
@@ -576,6 +650,7 @@
         self._processMap["delete_object"] = Processor.process_delete_object
         self._processMap["get_object"] = Processor.process_get_object
         self._processMap["list_objects"] = Processor.process_list_objects
+        self._processMap["find_change"] = Processor.process_find_change
         self._processMap["config_status"] = Processor.process_config_status
         self._processMap["fleet_status"] = Processor.process_fleet_status
         self._processMap["pool_status"] = Processor.process_pool_status
@@ -689,6 +764,9 @@
         except Refused as refused:
             msg_type = TMessageType.REPLY
             result.refused = refused
+        except Unavailable as unavailable:
+            msg_type = TMessageType.REPLY
+            result.unavailable = unavailable
         except TApplicationException as ex:
             logging.exception('TApplication exception in handler')
             msg_type = TMessageType.EXCEPTION
@@ -712,6 +790,12 @@
             msg_type = TMessageType.REPLY
         except TTransport.TTransportException:
             raise
+        except Refused as refused:
+            msg_type = TMessageType.REPLY
+            result.refused = refused
+        except Unavailable as unavailable:
+            msg_type = TMessageType.REPLY
+            result.unavailable = unavailable
         except TApplicationException as ex:
             logging.exception('TApplication exception in handler')
             msg_type = TMessageType.EXCEPTION
@@ -725,6 +809,35 @@
         oprot.writeMessageEnd()
         oprot.trans.flush()
 
+    def process_find_change(self, seqid, iprot, oprot):
+        args = find_change_args()
+        args.read(iprot)
+        iprot.readMessageEnd()
+        result = find_change_result()
+        try:
+            result.success = self._handler.find_change(args.kind, args.name, args.change_id)
+            msg_type = TMessageType.REPLY
+        except TTransport.TTransportException:
+            raise
+        except Refused as refused:
+            msg_type = TMessageType.REPLY
+            result.refused = refused
+        except Unavailable as unavailable:
+            msg_type = TMessageType.REPLY
+            result.unavailable = unavailable
+        except TApplicationException as ex:
+            logging.exception('TApplication exception in handler')
+            msg_type = TMessageType.EXCEPTION
+            result = ex
+        except Exception:
+            logging.exception('Unexpected exception in handler')
+            msg_type = TMessageType.EXCEPTION
+            result = TApplicationException(TApplicationException.INTERNAL_ERROR, 'Internal error')
+        oprot.writeMessageBegin("find_change", msg_type, seqid)
+        result.write(oprot)
+        oprot.writeMessageEnd()
+        oprot.trans.flush()
+
     def process_config_status(self, seqid, iprot, oprot):
         args = config_status_args()
         args.read(iprot)
@@ -735,6 +848,12 @@
             msg_type = TMessageType.REPLY
         except TTransport.TTransportException:
             raise
+        except Refused as refused:
+            msg_type = TMessageType.REPLY
+            result.refused = refused
+        except Unavailable as unavailable:
+            msg_type = TMessageType.REPLY
+            result.unavailable = unavailable
         except TApplicationException as ex:
             logging.exception('TApplication exception in handler')
             msg_type = TMessageType.EXCEPTION
@@ -758,6 +877,9 @@
             msg_type = TMessageType.REPLY
         except TTransport.TTransportException:
             raise
+        except Unavailable as unavailable:
+            msg_type = TMessageType.REPLY
+            result.unavailable = unavailable
         except TApplicationException as ex:
             logging.exception('TApplication exception in handler')
             msg_type = TMessageType.EXCEPTION
@@ -909,6 +1031,9 @@
             msg_type = TMessageType.REPLY
         except TTransport.TTransportException:
             raise
+        except Refused as refused:
+            msg_type = TMessageType.REPLY
+            result.refused = refused
         except Unavailable as unavailable:
             msg_type = TMessageType.REPLY
             result.unavailable = unavailable
@@ -935,6 +1060,9 @@
             msg_type = TMessageType.REPLY
         except TTransport.TTransportException:
             raise
+        except Unavailable as unavailable:
+            msg_type = TMessageType.REPLY
+            result.unavailable = unavailable
         except TApplicationException as ex:
             logging.exception('TApplication exception in handler')
             msg_type = TMessageType.EXCEPTION
@@ -1504,18 +1632,21 @@
     Attributes:
      - success
      - refused
+     - unavailable
 
     """
 
     __slots__ = (
         'success',
         'refused',
+        'unavailable',
     )
 
 
-    def __init__(self, success=None, refused=None,):
+    def __init__(self, success=None, refused=None, unavailable=None,):
         self.success = success
         self.refused = refused
+        self.unavailable = unavailable
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1537,6 +1668,11 @@
                     self.refused = Refused.read(iprot)
                 else:
                     iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRUCT:
+                    self.unavailable = Unavailable.read(iprot)
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1555,6 +1691,10 @@
             oprot.writeFieldBegin('refused', TType.STRUCT, 1)
             self.refused.write(oprot)
             oprot.writeFieldEnd()
+        if self.unavailable is not None:
+            oprot.writeFieldBegin('unavailable', TType.STRUCT, 2)
+            self.unavailable.write(oprot)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1582,6 +1722,7 @@
 get_object_result.thrift_spec = (
     (0, TType.STRUCT, 'success', [ConfigObject, None], None, ),  # 0
     (1, TType.STRUCT, 'refused', [Refused, None], None, ),  # 1
+    (2, TType.STRUCT, 'unavailable', [Unavailable, None], None, ),  # 2
 )
 
 
@@ -1688,16 +1829,22 @@
     """
     Attributes:
      - success
+     - refused
+     - unavailable
 
     """
 
     __slots__ = (
         'success',
+        'refused',
+        'unavailable',
     )
 
 
-    def __init__(self, success=None,):
+    def __init__(self, success=None, refused=None, unavailable=None,):
         self.success = success
+        self.refused = refused
+        self.unavailable = unavailable
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1719,6 +1866,16 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 1:
+                if ftype == TType.STRUCT:
+                    self.refused = Refused.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRUCT:
+                    self.unavailable = Unavailable.read(iprot)
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1736,6 +1893,14 @@
                 iter27.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
+        if self.refused is not None:
+            oprot.writeFieldBegin('refused', TType.STRUCT, 1)
+            self.refused.write(oprot)
+            oprot.writeFieldEnd()
+        if self.unavailable is not None:
+            oprot.writeFieldBegin('unavailable', TType.STRUCT, 2)
+            self.unavailable.write(oprot)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1762,6 +1927,206 @@
 all_structs.append(list_objects_result)
 list_objects_result.thrift_spec = (
     (0, TType.LIST, 'success', (TType.STRUCT, [ConfigObject, None], False), None, ),  # 0
+    (1, TType.STRUCT, 'refused', [Refused, None], None, ),  # 1
+    (2, TType.STRUCT, 'unavailable', [Unavailable, None], None, ),  # 2
+)
+
+
+class find_change_args(object):
+    """
+    Attributes:
+     - kind
+     - name
+     - change_id
+
+    """
+
+    __slots__ = (
+        'kind',
+        'name',
+        'change_id',
+    )
+
+
+    def __init__(self, kind=None, name=None, change_id=None,):
+        self.kind = kind
+        self.name = name
+        self.change_id = change_id
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I32:
+                    self.kind = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.name = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.STRING:
+                    self.change_id = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('find_change_args')
+        if self.kind is not None:
+            oprot.writeFieldBegin('kind', TType.I32, 1)
+            oprot.writeI32(self.kind)
+            oprot.writeFieldEnd()
+        if self.name is not None:
+            oprot.writeFieldBegin('name', TType.STRING, 2)
+            oprot.writeString(self.name.encode('utf-8') if sys.version_info[0] == 2 else self.name)
+            oprot.writeFieldEnd()
+        if self.change_id is not None:
+            oprot.writeFieldBegin('change_id', TType.STRING, 3)
+            oprot.writeString(self.change_id.encode('utf-8') if sys.version_info[0] == 2 else self.change_id)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+all_structs.append(find_change_args)
+find_change_args.thrift_spec = (
+    None,  # 0
+    (1, TType.I32, 'kind', None, None, ),  # 1
+    (2, TType.STRING, 'name', 'UTF8', None, ),  # 2
+    (3, TType.STRING, 'change_id', 'UTF8', None, ),  # 3
+)
+
+
+class find_change_result(object):
+    """
+    Attributes:
+     - success
+     - refused
+     - unavailable
+
+    """
+
+    __slots__ = (
+        'success',
+        'refused',
+        'unavailable',
+    )
+
+
+    def __init__(self, success=None, refused=None, unavailable=None,):
+        self.success = success
+        self.refused = refused
+        self.unavailable = unavailable
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 0:
+                if ftype == TType.STRUCT:
+                    self.success = ChangeResult()
+                    self.success.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 1:
+                if ftype == TType.STRUCT:
+                    self.refused = Refused.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRUCT:
+                    self.unavailable = Unavailable.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('find_change_result')
+        if self.success is not None:
+            oprot.writeFieldBegin('success', TType.STRUCT, 0)
+            self.success.write(oprot)
+            oprot.writeFieldEnd()
+        if self.refused is not None:
+            oprot.writeFieldBegin('refused', TType.STRUCT, 1)
+            self.refused.write(oprot)
+            oprot.writeFieldEnd()
+        if self.unavailable is not None:
+            oprot.writeFieldBegin('unavailable', TType.STRUCT, 2)
+            self.unavailable.write(oprot)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+all_structs.append(find_change_result)
+find_change_result.thrift_spec = (
+    (0, TType.STRUCT, 'success', [ChangeResult, None], None, ),  # 0
+    (1, TType.STRUCT, 'refused', [Refused, None], None, ),  # 1
+    (2, TType.STRUCT, 'unavailable', [Unavailable, None], None, ),  # 2
 )
 
 
@@ -1842,16 +2207,22 @@
     """
     Attributes:
      - success
+     - refused
+     - unavailable
 
     """
 
     __slots__ = (
         'success',
+        'refused',
+        'unavailable',
     )
 
 
-    def __init__(self, success=None,):
+    def __init__(self, success=None, refused=None, unavailable=None,):
         self.success = success
+        self.refused = refused
+        self.unavailable = unavailable
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1868,6 +2239,16 @@
                     self.success.read(iprot)
                 else:
                     iprot.skip(ftype)
+            elif fid == 1:
+                if ftype == TType.STRUCT:
+                    self.refused = Refused.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRUCT:
+                    self.unavailable = Unavailable.read(iprot)
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1882,6 +2263,14 @@
             oprot.writeFieldBegin('success', TType.STRUCT, 0)
             self.success.write(oprot)
             oprot.writeFieldEnd()
+        if self.refused is not None:
+            oprot.writeFieldBegin('refused', TType.STRUCT, 1)
+            self.refused.write(oprot)
+            oprot.writeFieldEnd()
+        if self.unavailable is not None:
+            oprot.writeFieldBegin('unavailable', TType.STRUCT, 2)
+            self.unavailable.write(oprot)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1908,6 +2297,8 @@
 all_structs.append(config_status_result)
 config_status_result.thrift_spec = (
     (0, TType.STRUCT, 'success', [ConfigStatus, None], None, ),  # 0
+    (1, TType.STRUCT, 'refused', [Refused, None], None, ),  # 1
+    (2, TType.STRUCT, 'unavailable', [Unavailable, None], None, ),  # 2
 )
 
 
@@ -1968,16 +2359,19 @@
     """
     Attributes:
      - success
+     - unavailable
 
     """
 
     __slots__ = (
         'success',
+        'unavailable',
     )
 
 
-    def __init__(self, success=None,):
+    def __init__(self, success=None, unavailable=None,):
         self.success = success
+        self.unavailable = unavailable
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1999,6 +2393,11 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 1:
+                if ftype == TType.STRUCT:
+                    self.unavailable = Unavailable.read(iprot)
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2016,6 +2415,10 @@
                 iter34.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
+        if self.unavailable is not None:
+            oprot.writeFieldBegin('unavailable', TType.STRUCT, 1)
+            self.unavailable.write(oprot)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2042,6 +2445,7 @@
 all_structs.append(fleet_status_result)
 fleet_status_result.thrift_spec = (
     (0, TType.LIST, 'success', (TType.STRUCT, [MemberStatus, None], False), None, ),  # 0
+    (1, TType.STRUCT, 'unavailable', [Unavailable, None], None, ),  # 1
 )
 
 
@@ -2881,18 +3285,21 @@
     """
     Attributes:
      - success
+     - refused
      - unavailable
 
     """
 
     __slots__ = (
         'success',
+        'refused',
         'unavailable',
     )
 
 
-    def __init__(self, success=None, unavailable=None,):
+    def __init__(self, success=None, refused=None, unavailable=None,):
         self.success = success
+        self.refused = refused
         self.unavailable = unavailable
 
     def read(self, iprot):
@@ -2916,6 +3323,11 @@
                 else:
                     iprot.skip(ftype)
             elif fid == 1:
+                if ftype == TType.STRUCT:
+                    self.refused = Refused.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
                 if ftype == TType.STRUCT:
                     self.unavailable = Unavailable.read(iprot)
                 else:
@@ -2937,8 +3349,12 @@
                 iter41.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
+        if self.refused is not None:
+            oprot.writeFieldBegin('refused', TType.STRUCT, 1)
+            self.refused.write(oprot)
+            oprot.writeFieldEnd()
         if self.unavailable is not None:
-            oprot.writeFieldBegin('unavailable', TType.STRUCT, 1)
+            oprot.writeFieldBegin('unavailable', TType.STRUCT, 2)
             self.unavailable.write(oprot)
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -2967,7 +3383,8 @@
 all_structs.append(list_plans_result)
 list_plans_result.thrift_spec = (
     (0, TType.LIST, 'success', (TType.STRUCT, [PlanStatus, None], False), None, ),  # 0
-    (1, TType.STRUCT, 'unavailable', [Unavailable, None], None, ),  # 1
+    (1, TType.STRUCT, 'refused', [Refused, None], None, ),  # 1
+    (2, TType.STRUCT, 'unavailable', [Unavailable, None], None, ),  # 2
 )
 
 
@@ -3028,16 +3445,19 @@
     """
     Attributes:
      - success
+     - unavailable
 
     """
 
     __slots__ = (
         'success',
+        'unavailable',
     )
 
 
-    def __init__(self, success=None,):
+    def __init__(self, success=None, unavailable=None,):
         self.success = success
+        self.unavailable = unavailable
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -3059,6 +3479,11 @@
                     iprot.readMapEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 1:
+                if ftype == TType.STRUCT:
+                    self.unavailable = Unavailable.read(iprot)
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -3077,6 +3502,10 @@
                 oprot.writeDouble(viter50)
             oprot.writeMapEnd()
             oprot.writeFieldEnd()
+        if self.unavailable is not None:
+            oprot.writeFieldBegin('unavailable', TType.STRUCT, 1)
+            self.unavailable.write(oprot)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -3103,6 +3532,7 @@
 all_structs.append(counters_result)
 counters_result.thrift_spec = (
     (0, TType.MAP, 'success', (TType.STRING, 'UTF8', TType.DOUBLE, None, False), None, ),  # 0
+    (1, TType.STRUCT, 'unavailable', [Unavailable, None], None, ),  # 1
 )
 fix_spec(all_structs)
 del all_structs
--- a/src/sequoiadrum/_gen/operator/ttypes.py
+++ b/src/sequoiadrum/_gen/operator/ttypes.py
@@ -46,6 +46,7 @@
      - name
      - version
      - value_json
+     - change_id: Change that gave the object this value.
 
     """
 
@@ -54,14 +55,16 @@
         'name',
         'version',
         'value_json',
+        'change_id',
     )
 
 
-    def __init__(self, kind=None, name=None, version=None, value_json=None,):
+    def __init__(self, kind=None, name=None, version=None, value_json=None, change_id=None,):
         self.kind = kind
         self.name = name
         self.version = version
         self.value_json = value_json
+        self.change_id = change_id
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -92,6 +95,11 @@
                     self.value_json = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.STRING:
+                    self.change_id = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -118,6 +126,10 @@
             oprot.writeFieldBegin('value_json', TType.STRING, 4)
             oprot.writeString(self.value_json.encode('utf-8') if sys.version_info[0] == 2 else self.value_json)
             oprot.writeFieldEnd()
+        if self.change_id is not None:
+            oprot.writeFieldBegin('change_id', TType.STRING, 5)
+            oprot.writeString(self.change_id.encode('utf-8') if sys.version_info[0] == 2 else self.change_id)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1343,6 +1355,7 @@
      - fencing_number
      - steps
      - target_id
+     - detail
 
     """
 
@@ -1355,10 +1368,11 @@
         'fencing_number',
         'steps',
         'target_id',
+        'detail',
     )
 
 
-    def __init__(self, id=None, kind=None, endpoint_id=None, state=None, driver_id=None, fencing_number=None, steps=None, target_id=None,):
+    def __init__(self, id=None, kind=None, endpoint_id=None, state=None, driver_id=None, fencing_number=None, steps=None, target_id=None, detail=None,):
         self.id = id
         self.kind = kind
         self.endpoint_id = endpoint_id
@@ -1367,6 +1381,7 @@
         self.fencing_number = fencing_number
         self.steps = steps
         self.target_id = target_id
+        self.detail = detail
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1423,6 +1438,11 @@
                     self.target_id = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
+            elif fid == 9:
+                if ftype == TType.STRING:
+                    self.detail = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1468,6 +1488,10 @@
             oprot.writeFieldBegin('target_id', TType.STRING, 8)
             oprot.writeString(self.target_id.encode('utf-8') if sys.version_info[0] == 2 else self.target_id)
             oprot.writeFieldEnd()
+        if self.detail is not None:
+            oprot.writeFieldBegin('detail', TType.STRING, 9)
+            oprot.writeString(self.detail.encode('utf-8') if sys.version_info[0] == 2 else self.detail)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1498,6 +1522,7 @@
     (2, TType.STRING, 'name', 'UTF8', None, ),  # 2
     (3, TType.I64, 'version', None, None, ),  # 3
     (4, TType.STRING, 'value_json', 'UTF8', None, ),  # 4
+    (5, TType.STRING, 'change_id', 'UTF8', None, ),  # 5
 )
 all_structs.append(ChangeResult)
 ChangeResult.thrift_spec = (
@@ -1594,6 +1619,7 @@
     (6, TType.I64, 'fencing_number', None, None, ),  # 6
     (7, TType.LIST, 'steps', (TType.STRUCT, [PlanStep, None], False), None, ),  # 7
     (8, TType.STRING, 'target_id', 'UTF8', None, ),  # 8
+    (9, TType.STRING, 'detail', 'UTF8', None, ),  # 9
 )
 fix_spec(all_structs)
 del all_structs
--- a/src/sequoiadrum/_thrift_transport.py
+++ b/src/sequoiadrum/_thrift_transport.py
@@ -4,6 +4,7 @@
 
 from typing import TYPE_CHECKING, Any, Final, TypeVar
 
+from thrift.protocol.TBinaryProtocol import TBinaryProtocolAcceleratedFactory
 from thrift.protocol.TCompactProtocol import TCompactProtocolAcceleratedFactory
 from thrift.transport.TSocket import TSocket
 from thrift.TSerialization import deserialize, serialize
@@ -17,6 +18,8 @@
 
 COMPACT: Final = TCompactProtocolAcceleratedFactory()
 """Protocol between routers."""
+BINARY: Final = TBinaryProtocolAcceleratedFactory()
+"""Protocol of the operator interface."""
 MAX_FRAME_BYTES: Final = 16_000_000
 """Larger frames are refused before they are read."""
 
--- a/src/sequoiadrum/cli.py
+++ b/src/sequoiadrum/cli.py
@@ -12,6 +12,7 @@
 
 from sequoiadrum import __version__, standin_engine, standin_platform, standin_service
 from sequoiadrum.app import Router
+from sequoiadrum.cli_operator import OperatorCommands  # noqa: TC001 (cappa evaluates it)
 from sequoiadrum.settings import Settings
 
 if TYPE_CHECKING:
@@ -107,7 +108,7 @@
 class Program:
     """The whole program."""
 
-    command: cappa.Subcommands[Serve | StandIn]
+    command: cappa.Subcommands[Serve | StandIn | OperatorCommands]
 
 
 def run(arguments: Sequence[str]) -> int:
--- /dev/null
+++ b/src/sequoiadrum/cli_objects.py
@@ -0,0 +1,113 @@
+"""Commands that read and change configuration objects."""
+
+from __future__ import annotations
+
+import sys
+import uuid
+from typing import TYPE_CHECKING, Annotated, ClassVar, Literal
+
+import cappa
+from attrs import define
+
+from sequoiadrum._cli_base import OperatorCommand, UsageError
+from sequoiadrum._operator_codec import WIRE_BY_KIND
+from sequoiadrum._tables import table
+from sequoiadrum.configuration import ObjectKind
+from sequoiadrum.operator_server import ANY_VERSION, MAX_LISTED_OBJECTS
+
+if TYPE_CHECKING:
+    from sequoiadrum._gen.operator import ttypes
+    from sequoiadrum.operator_client import OperatorClient
+
+
+@define(kw_only=True)
+class ObjectCommand(OperatorCommand):
+    """Commands for one kind of configuration object."""
+
+    kind: ClassVar[ObjectKind]
+
+    action: Annotated[
+        Literal["put", "get", "delete", "list"], cappa.Arg(help="put, get, delete or list")
+    ]
+    name: Annotated[str, cappa.Arg(default="", help="Name of the object; for list: a prefix")] = ""
+    value: Annotated[
+        str, cappa.Arg(default="", help="JSON document of put; '-' reads standard input")
+    ] = ""
+    expected_version: Annotated[
+        int,
+        cappa.Arg(
+            long="--expected-version",
+            help="Change only this version; 0: must not exist; -1: any version",
+        ),
+    ] = ANY_VERSION
+    change_id: Annotated[
+        str, cappa.Arg(long="--change-id", default="", help="Makes the change idempotent")
+    ] = ""
+    limit: Annotated[int, cappa.Arg(long="--limit", help="Objects that list shows")] = 1_000
+
+    def execute(self, client: OperatorClient) -> int:
+        """See `OperatorCommand.execute`."""
+        if not self.name and self.action != "list":
+            raise UsageError(f"{self.action} needs a name")
+        if bool(self.value) != (self.action == "put"):
+            raise UsageError("put needs a value, the other actions take none")
+        wire = WIRE_BY_KIND[self.kind]
+        change_id = self.change_id or f"cli-{uuid.uuid4().hex}"
+        if self.action == "put":
+            document = self._document()
+            result = client.put(self.kind, self.name, document, self.expected_version, change_id)
+            return self.show(result, lambda done: f"{self.name}: version {done.version}\n")
+        if self.action == "delete":
+            deleted = client.delete(self.kind, self.name, self.expected_version, change_id)
+            return self.show(deleted, lambda done: f"{self.name}: deleted at {done.version}\n")
+        if self.action == "get":
+            found = client.read(lambda c: c.get_object(wire, self.name))
+            return self.show(found, lambda entry: _objects([entry]))
+        if not 1 <= self.limit <= MAX_LISTED_OBJECTS:
+            raise UsageError(f"--limit: expected a number from 1 to {MAX_LISTED_OBJECTS}")
+        listed = client.read(lambda c: c.list_objects(wire, self.name, self.limit))
+        return self.show(listed, _objects)
+
+    def _document(self) -> str:
+        return sys.stdin.read() if self.value == "-" else self.value
+
+
+def _objects(entries: list[ttypes.ConfigObject]) -> str:
+    rows = [(e.name, e.version, e.change_id, e.value_json) for e in entries]
+    return table(("name", "version", "change", "value"), rows)
+
+
+@cappa.command(name="account", help="Client accounts.")
+@define(kw_only=True)
+class AccountCommand(ObjectCommand):
+    """Reads and changes accounts."""
+
+    kind = ObjectKind.ACCOUNT
+
+
+@cappa.command(name="route", help="Routes from models and services to pools.")
+@define(kw_only=True)
+class RouteCommand(ObjectCommand):
+    """Reads and changes routes."""
+
+    kind = ObjectKind.ROUTE
+
+
+@cappa.command(name="endpoint", help="Declarations of engines and services.")
+@define(kw_only=True)
+class EndpointCommand(ObjectCommand):
+    """Reads and changes endpoint declarations."""
+
+    kind = ObjectKind.ENDPOINT
+
+
+@cappa.command(name="setting", help="Settings of the whole fleet.")
+@define(kw_only=True)
+class SettingCommand(ObjectCommand):
+    """Reads and changes fleet settings; a value may be a bare JSON value."""
+
+    kind = ObjectKind.SETTING
+
+    def _document(self) -> str:
+        text = super()._document().strip()
+        return text if text.startswith("{") else f'{{"value": {text}}}'
--- a/src/sequoiadrum/configuration.py
+++ b/src/sequoiadrum/configuration.py
@@ -171,6 +171,14 @@
             (e for e in self.endpoints_by_id.values() if e.pool == pool), key=lambda e: e.id
         )
 
+    def declared_endpoint(self, endpoint_id: str) -> Endpoint | None:
+        """Gives an endpoint in any declared state; None when it is not declared or was deleted."""
+        change = self.changes_by_key.get((ObjectKind.ENDPOINT, endpoint_id))
+        if change is None or change.value is None:
+            return None
+        endpoint: Endpoint = _parse(ObjectKind.ENDPOINT, endpoint_id, change.value)
+        return endpoint
+
 
 def check_value(kind: ObjectKind, name: str, value: Mapping[str, Any] | None) -> str:
     """Checks an object's name and value; gives what is wrong, or an empty string."""
@@ -218,10 +226,17 @@
             failure_domain=str(value.get("failure_domain", "")),
             state=EndpointState(value.get("state", "active")),
             checks_fencing=bool(value.get("checks_fencing", False)),
+            models=_names(value.get("models", ())),
         )
     return value.get("value")
 
 
+def _names(value: Any) -> tuple[str, ...]:
+    if not isinstance(value, list | tuple) or not all(isinstance(v, str) and v for v in value):
+        raise ValueError("must be a list of names")
+    return tuple(value)
+
+
 def _positive(value: Any) -> float:
     number = float(value)
     if not 0 < number < 1e9:
--- a/src/sequoiadrum/interfaces.py
+++ b/src/sequoiadrum/interfaces.py
@@ -9,7 +9,7 @@
 from attrs import frozen
 
 if TYPE_CHECKING:
-    from collections.abc import Collection, Mapping
+    from collections.abc import Collection, Mapping, Sequence
 
     from returns.result import Result
 
@@ -21,7 +21,7 @@
         InvalidChange,
     )
     from sequoiadrum.errors import Refusal
-    from sequoiadrum.messages import Address, Member
+    from sequoiadrum.messages import Address, Endpoint, Member
     from sequoiadrum.service_client import ServiceRequest
     from sequoiadrum.tasks import Task
 
@@ -211,3 +211,50 @@
 
         Repeating a request with the same `change_id` is safe.
         """
+
+
+@frozen
+class EndpointLoad:
+    """An endpoint as the owner of its pool sees it."""
+
+    endpoint: Endpoint
+    state: str
+    """`active`, `draining`, `leaving` or `unhealthy`."""
+    in_flight: float
+    """Cost-weighted grants that are not released."""
+    reported_load: float
+    """What the endpoint itself reported last; it lags."""
+
+
+@frozen
+class PoolLoad:
+    """A pool as its owner sees it."""
+
+    pool: str
+    owner_id: str
+    queued: int
+    endpoints: tuple[EndpointLoad, ...]
+
+
+class PoolInspector(ABC):
+    """What operators and plans learn from admission; calls may block on the pool owner."""
+
+    @abstractmethod
+    def pool_load(self, pool: str) -> Result[PoolLoad, Refusal]:
+        """Reads the load of a pool from its owner."""
+
+    @abstractmethod
+    def in_flight(self, endpoint_id: str) -> float | None:
+        """Gives the grants in flight at an endpoint; None when the owner cannot be asked."""
+
+    @abstractmethod
+    def recent_chats(self, endpoint_id: str, limit: int) -> Sequence[str]:
+        """Lists chats that the endpoint served last, the most recent first."""
+
+
+class PlanNotices(ABC):
+    """Learns at once of plans that an operator created or aborted on this router."""
+
+    @abstractmethod
+    def plan_changed(self, plan_id: str, version: int) -> None:
+        """Tells the fleet that a plan has a new version; never blocks."""
--- a/src/sequoiadrum/messages.py
+++ b/src/sequoiadrum/messages.py
@@ -73,6 +73,8 @@
     state: EndpointState = EndpointState.ACTIVE
     checks_fencing: bool = False
     """Whether the endpoint refuses orders with an old fencing number."""
+    models: tuple[str, ...] = ()
+    """Models that an engine is declared to hold; empty: not declared."""
 
 
 @frozen
--- /dev/null
+++ b/src/sequoiadrum/plan_driver.py
@@ -0,0 +1,308 @@
+"""Carries out the steps of plans, one bounded slice at a time."""
+
+from __future__ import annotations
+
+import threading
+from typing import TYPE_CHECKING, Final
+
+import structlog
+from attrs import evolve, frozen
+from returns.result import Failure, Success
+
+from sequoiadrum.configuration import ChangeConflict, ChangeRequest, InvalidChange, ObjectKind
+from sequoiadrum.engine_client import EngineFailure, EngineOrder
+from sequoiadrum.hashing import first_ranked
+from sequoiadrum.messages import EndpointKind, EndpointState, MemberState
+from sequoiadrum.plan_keeper import Advance, Driven, PlanKeeper
+from sequoiadrum.plans import PlanKind, PlanState, StepName, StepState
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Sequence
+
+    from sequoiadrum.engine_client import EngineClient
+    from sequoiadrum.interfaces import ConfigSource, ConfigWriter, MembershipSource, PoolInspector
+    from sequoiadrum.messages import Endpoint
+    from sequoiadrum.metrics import Metrics
+    from sequoiadrum.plan_store import PlanStore
+
+_MAX_CHATS: Final = 1_000
+"""Chats whose KV cache a plan moves; further ones are imported when they return."""
+_KV_SLICE_CHATS: Final = 20
+"""Chats between two looks at the lease."""
+_LOAD_TIMEOUT_S: Final = 60.0
+"""An engine that does not report an ordered model after this time gets the order again."""
+
+_log = structlog.get_logger(__name__)
+
+
+class LoadPacer:
+    """Keeps load orders apart; safe to use from any thread."""
+
+    def __init__(self, interval_s: float) -> None:
+        self._interval_s = interval_s
+        self._lock = threading.Lock()
+        self._next_at = float("-inf")
+
+    def take(self, now: float) -> bool:
+        """Takes the right to give one load order now, if there is one."""
+        with self._lock:
+            if now < self._next_at:
+                return False
+            self._next_at = now + self._interval_s
+            return True
+
+
+@frozen
+class DriverParts:
+    """What a driver works with."""
+
+    store: PlanStore
+    config: ConfigSource
+    writer: ConfigWriter
+    engines: EngineClient
+    inspector: PoolInspector
+    membership: MembershipSource
+    metrics: Metrics
+
+
+class PlanDriver:
+    """Advances plans; every call blocks on the platform or on engines for a bounded time.
+
+    Two rules keep a driver harmless that was paused at any point and lost its lease:
+
+    - A configuration change carries the version that was read before the lease was last confirmed
+      by a conditional write. Whatever a later driver does raises that version, so the late change
+      conflicts.
+    - An order carries the fencing number of the lease. Engines that do not check it get only orders
+      that are harmless when late.
+    """
+
+    def __init__(
+        self,
+        parts: DriverParts,
+        process_id: int,
+        lease_s: float,
+        load_interval_s: float,
+        clock: Callable[[], float],
+    ) -> None:
+        self._parts = parts
+        self._lease_s = lease_s
+        router_id = parts.membership.self_id()
+        self._keeper = PlanKeeper(parts.store, router_id, process_id, lease_s, parts.metrics, clock)
+        self._pacer = LoadPacer(load_interval_s)
+        self._clock = clock
+        self._steps_by_name: Final[dict[StepName, Callable[[Driven], Advance]]] = {
+            StepName.LOAD_MODELS: self._load_models,
+            StepName.ACTIVATE_TARGET: self._activate_target,
+            StepName.MARK_DRAINING: self._mark_draining,
+            StepName.MOVE_KV: self._move_kv,
+            StepName.WAIT_IDLE: self._wait_idle,
+            StepName.MARK_REMOVED: self._mark_removed,
+            StepName.UNLOAD_SOURCE: self._unload_source,
+            StepName.RESTORE_SOURCE: self._restore_source,
+            StepName.RESTORE_TARGET: self._restore_target,
+        }
+
+    def advance(self, driven: Driven) -> Advance:
+        """Does one bounded slice of work; takes the lease over first if another one holds it."""
+        settled = self._keeper.settle(driven)
+        if settled is not None:
+            return settled
+        if driven.plan.state.is_final:
+            return Advance.FINISHED
+        step = driven.plan.current_step
+        if step is None:
+            return self._keeper.write(
+                driven, driven.plan.undo(PlanState.FAILED, "no step is pending")
+            )
+        return self._steps_by_name[step.name](driven)
+
+    def release(self, driven: Driven) -> None:
+        """See `PlanKeeper.release`."""
+        self._keeper.release(driven)
+
+    # Steps that change the configuration.
+
+    def _activate_target(self, driven: Driven) -> Advance:
+        return self._declare(driven, driven.plan.target_id, EndpointState.ACTIVE.value)
+
+    def _mark_draining(self, driven: Driven) -> Advance:
+        return self._declare(driven, driven.plan.endpoint_id, EndpointState.DRAINING.value)
+
+    def _mark_removed(self, driven: Driven) -> Advance:
+        return self._declare(driven, driven.plan.endpoint_id, EndpointState.REMOVED.value)
+
+    def _restore_source(self, driven: Driven) -> Advance:
+        return self._declare(driven, driven.plan.endpoint_id, driven.plan.endpoint_state)
+
+    def _restore_target(self, driven: Driven) -> Advance:
+        return self._declare(driven, driven.plan.target_id, driven.plan.target_state)
+
+    def _declare(self, driven: Driven, endpoint_id: str, state: str) -> Advance:
+        step = driven.plan.current_step
+        assert step is not None
+        change_id = driven.plan.change_id(step.name)
+        # The order matters: the version is read before the lease is confirmed.
+        found = self._parts.config.current().changes_by_key.get((ObjectKind.ENDPOINT, endpoint_id))
+        if found is None or found.value is None:
+            return self._keeper.fail(driven, f"endpoint {endpoint_id} is not declared")
+        renewed = self._keeper.renew(driven)
+        if renewed is not None:
+            return renewed
+        if driven.plan.current_step != step:
+            return Advance.PROGRESS
+        submitted = self._parts.writer.submit(
+            ChangeRequest(
+                change_id,
+                ObjectKind.ENDPOINT,
+                endpoint_id,
+                {**found.value, "state": state},
+                found.revision,
+            )
+        )
+        if isinstance(submitted, Success):
+            revision = submitted.unwrap().revision
+            return self._keeper.finish(driven, f"{endpoint_id} is {state}", revision)
+        failure = submitted.failure()
+        if isinstance(failure, InvalidChange):
+            return self._keeper.fail(driven, failure.detail)
+        if isinstance(failure, ChangeConflict):
+            self._parts.metrics.count("plan_change_conflicts_total")
+            return self._keeper.wait(
+                driven, f"{endpoint_id} was changed by {failure.winning_change_id}"
+            )
+        return self._keeper.wait(driven, "the configuration cannot be changed now")
+
+    # Steps that talk to engines.
+
+    def _load_models(self, driven: Driven) -> Advance:
+        plan = driven.plan
+        target_id = plan.endpoint_id if plan.kind is PlanKind.REPAIR else plan.target_id
+        target = self._parts.config.current().declared_endpoint(target_id)
+        if target is None:
+            return self._keeper.fail(driven, f"endpoint {target_id} is not declared")
+        if not plan.models:
+            return self._record_models(driven, target)
+        report = self._parts.engines.load(target.address)
+        if isinstance(report, Failure):
+            return self._keeper.wait(
+                driven, f"{target_id} does not report: {report.failure().value}"
+            )
+        missing = [model for model in plan.models if model not in report.unwrap().models]
+        if not missing:
+            return self._keeper.finish(driven, f"{target_id} holds {', '.join(plan.models)}")
+        return self._order_load(driven, target, missing)
+
+    def _record_models(self, driven: Driven, target: Endpoint) -> Advance:
+        source_id = driven.plan.endpoint_id
+        source = self._parts.config.current().declared_endpoint(source_id)
+        if source is None:
+            return self._keeper.fail(driven, f"endpoint {source_id} is not declared")
+        report = self._parts.engines.load(source.address)
+        if isinstance(report, Failure) and not source.models:
+            return self._keeper.wait(
+                driven, f"{source_id} does not report: {report.failure().value}"
+            )
+        held = report.unwrap().models if isinstance(report, Success) else ()
+        models = tuple(sorted({*held, *source.models, *target.models}))
+        if not models:
+            return self._keeper.finish(
+                driven, f"{source_id} holds no models", state=StepState.SKIPPED
+            )
+        return self._keeper.write(driven, evolve(driven.plan, models=models))
+
+    def _order_load(self, driven: Driven, target: Endpoint, missing: Sequence[str]) -> Advance:
+        now = self._clock()
+        ordered = driven.ordered_at_by_model
+        pending = [m for m in missing if now - ordered.get(m, float("-inf")) < _LOAD_TIMEOUT_S]
+        note = f"{target.id} lacks {', '.join(missing)}"
+        if pending or not self._pacer.take(now):
+            return self._keeper.wait(driven, note)
+        outcome = self._order(driven, target, "load", missing[0])
+        if outcome is None:
+            ordered[missing[0]] = now
+            return self._keeper.wait(driven, note)
+        return outcome
+
+    def _unload_source(self, driven: Driven) -> Advance:
+        source = self._parts.config.current().declared_endpoint(driven.plan.endpoint_id)
+        if source is None:
+            return self._keeper.finish(
+                driven, "the source is not declared", state=StepState.SKIPPED
+            )
+        if not source.checks_fencing:
+            detail = "the source does not check fencing numbers; stop it to free its memory"
+            return self._keeper.finish(driven, detail, state=StepState.SKIPPED)
+        for model in driven.plan.models:
+            outcome = self._order(driven, source, "unload", model)
+            if outcome is Advance.WAIT:
+                # The source is out of service, so its memory does not keep the plan open.
+                detail = f"{model} was not unloaded: {driven.note}"
+                return self._keeper.finish(driven, detail, state=StepState.SKIPPED)
+            if outcome is not None:
+                return outcome
+        return self._keeper.finish(driven, f"unloaded {', '.join(driven.plan.models) or 'nothing'}")
+
+    def _order(
+        self, driven: Driven, engine: Endpoint, action: str, argument: str
+    ) -> Advance | None:
+        """Gives an order; None when the engine accepted it."""
+        plan = driven.plan
+        assert plan.lease is not None
+        order_id = f"{plan.id}-{action}-{argument}"
+        order = EngineOrder(order_id, action, argument, plan.lease.fencing_number)
+        result = self._parts.engines.order(engine.address, order)
+        outcome = result.failure().value if isinstance(result, Failure) else "ok"
+        self._parts.metrics.count("engine_orders_total", action=action, outcome=outcome)
+        if isinstance(result, Success):
+            return None
+        if result.failure() is EngineFailure.STALE_FENCE:
+            # Either another driver has this plan, which the write shows, or the engine had orders
+            # of a younger plan, which a younger lease outranks.
+            return self._keeper.acquire(driven)
+        return self._keeper.wait(driven, f"{engine.id} did not {action} {argument}: {outcome}")
+
+    def _move_kv(self, driven: Driven) -> Advance:
+        config = self._parts.config.current()
+        source = config.declared_endpoint(driven.plan.endpoint_id)
+        if source is None or source.kind is not EndpointKind.ENGINE:
+            return self._keeper.finish(driven, "no engine to move from", state=StepState.SKIPPED)
+        engines_by_id = {
+            e.id: e
+            for e in config.pool_endpoints(source.pool)
+            if e.id != source.id and e.state is EndpointState.ACTIVE
+        }
+        if not engines_by_id:
+            return self._keeper.finish(driven, "no engine to move to", state=StepState.SKIPPED)
+        if driven.chats is None:
+            driven.chats = self._parts.inspector.recent_chats(source.id, _MAX_CHATS)
+            driven.chats_tried = driven.chats_moved = 0
+        began = self._clock()
+        for chat in driven.chats[driven.chats_tried : driven.chats_tried + _KV_SLICE_CHATS]:
+            home = engines_by_id[first_ranked(chat, engines_by_id) or ""]
+            moved = self._parts.engines.import_kv(home.address, chat, source.address)
+            driven.chats_tried += 1
+            driven.chats_moved += isinstance(moved, Success) and moved.unwrap() > 0
+            if self._clock() - began >= self._lease_s / 4:
+                break
+        driven.note = f"moved {driven.chats_moved} of {len(driven.chats)} chats"
+        if driven.chats_tried < len(driven.chats):
+            return Advance.PROGRESS
+        return self._keeper.finish(driven, driven.note)
+
+    def _wait_idle(self, driven: Driven) -> Advance:
+        marked = driven.plan.step(StepName.MARK_DRAINING)
+        revision = marked.revision if marked else 0
+        behind = sorted(
+            member.id
+            for member in self._parts.membership.members().values()
+            if member.state is not MemberState.DEAD and member.config_revision < revision
+        )
+        if behind:
+            return self._keeper.wait(driven, f"not draining yet on {', '.join(behind[:5])}")
+        in_flight = self._parts.inspector.in_flight(driven.plan.endpoint_id)
+        if in_flight is None:
+            return self._keeper.wait(driven, "the owner of the pool does not answer")
+        if in_flight > 0:
+            return self._keeper.wait(driven, f"{in_flight:g} in flight")
+        return self._keeper.finish(driven, f"idle; revision {revision} is in force on all routers")
--- a/src/sequoiadrum/settings.py
+++ b/src/sequoiadrum/settings.py
@@ -92,6 +92,14 @@
     """When all engines of a pool are full, requests wait."""
     ledger_shards: Annotated[int, _setting("ledger_shards", "Shards of the ledger", 16)] = 16
     """The same on all routers; fixed for the life of the ledger."""
+    plan_lease_s: Annotated[
+        float, _setting("plan_lease_s", "Lease of the driver of a plan, in seconds", 10.0)
+    ] = 10.0
+    """A plan whose object has not changed for this time gets another driver."""
+    load_interval_s: Annotated[
+        float, _setting("load_interval_s", "Least time between two load orders, in seconds", 5.0)
+    ] = 5.0
+    """Of one router; the weight store is rate-limited."""
     log_format: Annotated[str, _setting("log_format", "json or console", "json")] = "json"
     """One event a line."""
     check: Annotated[bool, cappa.Arg(long="--check", help="Validate the settings and end")] = False
@@ -191,5 +199,7 @@
     "admit_multiple": _between(1.0, 10),
     "engine_slots": _between(1, 100_000),
     "ledger_shards": _between(1, 4_096),
+    "plan_lease_s": _between(1, 600),
+    "load_interval_s": _between(0, 3_600),
     "log_format": (lambda text: text in ("json", "console"), "json or console"),
 }
--- a/src/sequoiadrum/standin_engine.py
+++ b/src/sequoiadrum/standin_engine.py
@@ -2,8 +2,9 @@
 
 It speaks the wire form of `_engine_http`. Tokens become available by the clock, so a stream goes
 on while nobody is attached and can be resumed. Besides that: `GET /kv/export?chat=ID`,
-`GET /cache_events?since=N`, `GET /_stats`, and `POST /_faults` with `leaving`, `hang`,
-`cut_after` (break each stream after that many tokens, once for each stream) or `refuse`.
+`GET /kv/chats` (the most recent first), `GET /cache_events?since=N`, `GET /_stats`, and
+`POST /_faults` with `leaving`, `hang`, `cut_after` (break each stream after that many tokens,
+once for each stream) or `refuse`.
 A request body with the word `crash-endpoint` makes the engine crash.
 """
 
@@ -224,6 +225,9 @@
         elif url.path == "/kv/export":
             with self.state.lock:
                 self._json(200, {"tokens": self.state.cache.get(query["chat"], 0)})
+        elif url.path == "/kv/chats":
+            with self.state.lock:
+                self._json(200, {"chats": list(reversed(self.state.cache))})
         elif url.path == "/cache_events":
             with self.state.lock:
                 events = [e for e in self.state.events if e["seq"] > int(query["since"])]
