Test plans under every disturbance at every outside call

Kill, pause past the lease, abort, platform outage and lost answers are tried before each outside call of a drain and of a move; the pause tests then put the endpoint back into service and check that the late driver leaves it alone.

--- /dev/null
+++ b/tests/test_plan_driver.py
@@ -0,0 +1,315 @@
+"""Plans under kills, pauses, outages, lost answers and aborts at every outside call."""
+
+from __future__ import annotations
+
+import unittest
+from typing import TYPE_CHECKING, Any
+
+from attrs import evolve
+from returns.result import Success
+
+from sequoiadrum.configuration import ChangeRequest, ObjectKind
+from sequoiadrum.engine_client import EngineFailure, EngineOrder
+from sequoiadrum.messages import Address
+from sequoiadrum.plan_keeper import Advance
+from sequoiadrum.plan_store import AbortRefused, PlanStore, with_write_id
+from sequoiadrum.plans import PlanKind, PlanState, StepName, StepState, new_plan
+from tests.builders import a_config, an_endpoint_value
+from tests.plan_world import FakeEngine, Killed, World, a_member
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+ENDPOINT = ObjectKind.ENDPOINT
+KINDS = (PlanKind.DRAIN, PlanKind.MOVE)
+
+
+def a_world(kind: PlanKind, checks_fencing: bool = True) -> World:
+    """Builds a pool of three engines, e1 to be drained or moved to e2, and the plan `p`."""
+    values = {"checks_fencing": checks_fencing}
+    world = World(
+        a_config(
+            (ENDPOINT, "e1", an_endpoint_value(port=1, **values)),
+            (ENDPOINT, "e2", an_endpoint_value(port=2, state="draining", **values)),
+            (ENDPOINT, "e3", an_endpoint_value(port=3, **values)),
+        )
+    )
+    world.engines.by_port = {
+        1: FakeEngine("m1", "m2", checks_fencing=checks_fencing),
+        2: FakeEngine(checks_fencing=checks_fencing),
+        3: FakeEngine("m1", "m2", checks_fencing=checks_fencing),
+    }
+    target = "e2" if kind is PlanKind.MOVE else ""
+    world.store.write(with_write_id(new_plan("p", kind, "e1", target)), 0)
+    return world
+
+
+def each_call(checks_fencing: bool = True) -> Iterator[tuple[PlanKind, int]]:
+    """Gives every outside call of an undisturbed run of every kind of plan."""
+    for kind in KINDS:
+        world = a_world(kind, checks_fencing)
+        world.run("r1", "p")
+        for number in range(1, world.calls + 1):
+            yield kind, number
+
+
+def at(world: World, number: int, act: Any) -> None:
+    """Runs `act` before one outside call of router r1."""
+
+    def on_call(count: int, what: str) -> None:
+        if count == number:
+            act()
+
+    world.on_call = on_call
+
+
+def raise_killed() -> None:
+    """Ends the driver."""
+    raise Killed
+
+
+def put_back(world: World) -> None:
+    """An operator returns e1 to service after the plan, and a later plan loads it again."""
+    value = {**world.config.value(ENDPOINT, "e1"), "state": "active"}
+    request = ChangeRequest("operator-puts-back", ENDPOINT, "e1", value, None)
+    world.config.state = world.config.state.apply([world.config.state.decide(request).unwrap()])
+    for model in ("m1", "m2"):
+        order = EngineOrder(f"later-{model}", "load", model, world.platform.version)
+        world.engines.order(Address("127.0.0.1", 1), order)
+
+
+class PlanDriverTest(unittest.TestCase):
+    """Each disturbance is tried at every outside call of a run."""
+
+    def assert_done(self, world: World) -> None:
+        plan = world.plan("p")
+        self.assertIs(plan.state, PlanState.DONE, plan)
+        self.assertEqual(world.config.value(ENDPOINT, "e1")["state"], "removed")
+        if plan.kind is PlanKind.MOVE:
+            self.assertEqual(world.config.value(ENDPOINT, "e2")["state"], "active")
+            self.assertEqual(sorted(world.engines.by_port[2].models), ["m1", "m2"])
+
+    def assert_as_before(self, world: World) -> None:
+        self.assertEqual(world.config.value(ENDPOINT, "e1")["state"], "active")
+        self.assertEqual(world.config.value(ENDPOINT, "e2")["state"], "draining")
+        self.assertEqual(world.engines.by_port[1].models, ["m1", "m2"])
+
+    def test_undisturbed(self) -> None:
+        """Guards against a plan that leaves a step out or in the wrong order."""
+        for kind in KINDS:
+            world = a_world(kind)
+            world.inspector.in_flight_left = [None, 2.0, 1.0]
+            self.assertIs(world.run("r1", "p"), Advance.FINISHED)
+            self.assert_done(world)
+            self.assertEqual({chat for _, chat, _ in world.engines.imports}, {"c1", "c2"})
+            self.assertEqual(world.plan("p").lease.holder_id, "")
+        self.assertEqual(world.engines.by_port[1].models, [])
+
+    def test_killed_at_every_call(self) -> None:
+        """Guards against a plan that nobody can finish after its driver died."""
+        for kind, number in each_call():
+            with self.subTest(kind=kind, call=number):
+                world = a_world(kind)
+                at(world, number, raise_killed)
+                with self.assertRaises(Killed):
+                    world.run("r1", "p")
+                self.assertIs(world.run("r2", "p"), Advance.FINISHED)
+                self.assert_done(world)
+
+    def paused(self, world: World, number: int) -> None:
+        """Pauses r1 before a call until r2 has finished the plan and e1 is in service again."""
+
+        def others() -> None:
+            world.now += 60
+            world.run("r2", "p")
+            put_back(world)
+
+        at(world, number, others)
+        self.assertIn(world.run("r1", "p"), (Advance.LOST, Advance.FINISHED))
+
+    def violations(self, world: World) -> list[str]:
+        """Lists what a driver that woke up too late has done to e1."""
+        found = []
+        if world.config.value(ENDPOINT, "e1")["state"] != "active":
+            found.append("e1 was taken out of service")
+        if world.engines.by_port[1].models[:2] not in (["m1", "m2"], ["m2", "m1"]):
+            found.append("e1 lost models")
+        return found
+
+    def test_paused_at_every_call(self) -> None:
+        """Guards against a driver that wakes after its lease and acts on an old plan."""
+        for checks_fencing in (True, False):
+            for kind, number in each_call(checks_fencing):
+                with self.subTest(kind=kind, call=number, fencing=checks_fencing):
+                    world = a_world(kind, checks_fencing)
+                    self.paused(world, number)
+                    self.assertEqual(self.violations(world), [])
+                    self.assertIs(world.plan("p").state, PlanState.DONE)
+
+    def test_pause_harness_detects_missing_safeguards(self) -> None:
+        """Guards against a pause test that would pass without conditional writes or fencing."""
+        unconditional = unfenced = 0
+        for kind, number in each_call():
+            world = a_world(kind)
+            world.store = _UnconditionalStore(world.platform)
+            self.paused(world, number)
+            unconditional += bool(self.violations(world))
+            world = a_world(kind)
+            # The declaration says that the engine checks fencing numbers, and it does not.
+            world.engines.by_port[1].checks_fencing = False
+            self.paused(world, number)
+            unfenced += "e1 lost models" in self.violations(world)
+        self.assertGreater(unconditional, 0)
+        self.assertGreater(unfenced, 0)
+
+    def test_engine_that_ignores_fencing_gets_harmless_orders_only(self) -> None:
+        """Guards against an unload that a paused driver could send late."""
+        world = a_world(PlanKind.MOVE, checks_fencing=False)
+        world.run("r1", "p")
+        self.assert_done(world)
+        self.assertEqual({a for e in world.engines.by_port.values() for a in e.actions}, {"load"})
+        self.assertIs(world.plan("p").step(StepName.UNLOAD_SOURCE).state, StepState.SKIPPED)
+
+    def test_abort_at_every_call(self) -> None:
+        """Guards against an abort that leaves an endpoint half out of service."""
+        refused = 0
+        for kind, number in each_call():
+            with self.subTest(kind=kind, call=number):
+                world = a_world(kind)
+                results: list[Any] = []
+                at(world, number, lambda w=world, r=results: r.append(w.store.abort("p", "stop")))
+                if world.run("r1", "p") is Advance.LOST:
+                    world.run("r2", "p")
+                if isinstance(results[0], Success):
+                    self.assertIs(world.plan("p").state, PlanState.ABORTED)
+                    self.assertEqual(world.plan("p").detail, "stop")
+                    self.assert_as_before(world)
+                else:
+                    self.assertIsInstance(results[0].failure(), AbortRefused)
+                    refused += 1
+                    self.assert_done(world)
+        self.assertGreater(refused, 0)
+
+    def test_paused_across_an_abort(self) -> None:
+        """Guards against a change that a paused driver sends after the abort was undone."""
+        for kind, number in each_call():
+            with self.subTest(kind=kind, call=number):
+                world = a_world(kind)
+                results: list[Any] = []
+
+                def others(world: World = world, results: list[Any] = results) -> None:
+                    results.append(world.store.abort("p", "stop"))
+                    world.now += 60
+                    world.run("r2", "p")
+
+                world.active = "r2"  # Calls of the operator and of r2 are not counted.
+                at(world, number, others)
+                world.run("r1", "p")
+                if isinstance(results[0], Success):
+                    self.assert_as_before(world)
+
+    def test_outage_at_every_call(self) -> None:
+        """Guards against a plan that fails, or acts without its lease, in a platform outage."""
+        for kind, number in each_call():
+            with self.subTest(kind=kind, call=number):
+                world = a_world(kind)
+                until = [float("inf")]
+
+                def start(world: World = world, until: list[float] = until) -> None:
+                    world.platform.outage = world.config.outage = True
+                    until[0] = world.now + 30
+
+                def on_call(
+                    count: int,
+                    what: str,
+                    world: World = world,
+                    number: int = number,
+                    until: list[float] = until,
+                    start: Any = start,
+                ) -> None:
+                    if count == number:
+                        start()
+                    elif world.now >= until[0]:
+                        world.platform.outage = world.config.outage = False
+
+                world.on_call = on_call
+                self.assertIs(world.run("r1", "p"), Advance.FINISHED)
+                self.assert_done(world)
+
+    def test_lost_answer_of_every_write(self) -> None:
+        """Guards against a step that is taken for undone, or for done, after a lost answer."""
+        for kind in KINDS:
+            for number in range(2, 30):
+                for applied in (True, False):
+                    with self.subTest(kind=kind, write=number, applied=applied):
+                        world = a_world(kind)
+                        world.platform.lost_puts = {number: applied}
+                        self.assertIs(world.run("r1", "p"), Advance.FINISHED)
+                        self.assert_done(world)
+
+    def test_lost_answer_of_every_change(self) -> None:
+        """Guards against a configuration change that is made twice after a lost answer."""
+        for kind, number in each_call():
+            for applied in (True, False):
+                world = a_world(kind)
+                at(
+                    world,
+                    number,
+                    lambda w=world, a=applied: setattr(w.config, "lose_next", a),
+                )
+                self.assertIs(world.run("r1", "p"), Advance.FINISHED)
+                self.assert_done(world)
+
+    def test_router_behind_delays_idle(self) -> None:
+        """Guards against a removal while a router still may grant work to the endpoint."""
+        world = a_world(PlanKind.DRAIN)
+        behind = evolve(a_member("r2"), config_revision=0)
+        world.members_by_id["r2"] = behind
+        looks: list[str] = []
+
+        def on_call(count: int, what: str) -> None:
+            if world.now > 20:
+                world.members_by_id["r2"] = a_member("r2")
+            elif world.config.value(ENDPOINT, "e1").get("state") == "removed":
+                looks.append(what)
+
+        world.on_call = on_call
+        world.run("r1", "p")
+        self.assertEqual(looks, [])
+        self.assert_done(world)
+
+    def test_younger_plan_on_the_same_engine(self) -> None:
+        """Guards against a plan that stops because another plan gave orders to its engine."""
+        world = a_world(PlanKind.MOVE)
+
+        def on_call(count: int, what: str) -> None:
+            if what == "order load" and not world.engines.by_port[2].actions:
+                world.engines.by_port[2].highest_fence = 102
+
+        world.on_call = on_call
+        self.assertIs(world.run("r1", "p"), Advance.FINISHED)
+        self.assert_done(world)
+        labels = {"action": "load", "outcome": "stale_fence"}
+        self.assertGreater(world.metrics.value("engine_orders_total", **labels), 0)
+        order = EngineOrder("late", "unload", "m1", 1)
+        late = world.engines.order(Address("127.0.0.1", 2), order)
+        self.assertIs(late.failure(), EngineFailure.STALE_FENCE)
+
+    def test_undeclared_target_fails_and_restores(self) -> None:
+        """Guards against a failed plan that keeps its source out of service."""
+        world = a_world(PlanKind.MOVE)
+        request = ChangeRequest("delete-e2", ENDPOINT, "e2", None, None)
+        change = world.config.state.decide(request).unwrap()
+        world.config.state = world.config.state.apply([change])
+        world.run("r1", "p")
+        self.assertIs(world.plan("p").state, PlanState.FAILED)
+        self.assertIn("e2 is not declared", world.plan("p").detail)
+        self.assertEqual(world.config.value(ENDPOINT, "e1")["state"], "active")
+
+
+class _UnconditionalStore(PlanStore):
+    """Writes whatever the version is, as a driver without conditional writes would."""
+
+    def write(self, plan: Any, expected_version: int) -> Any:
+        found = self._platform.get(plan.name)
+        return super().write(plan, found.unwrap().version)
