--- /dev/null
+++ b/src/sequoiadrum/_peer_admission.py
@@ -0,0 +1,112 @@
+"""The owner's side of the admission calls of `schema/peer.thrift`."""
+
+from __future__ import annotations
+
+import threading
+import time
+from concurrent.futures import Future
+from concurrent.futures import TimeoutError as FutureTimeoutError
+from typing import TYPE_CHECKING, Any, Final
+
+from returns.result import Failure, Result, Success
+
+from sequoiadrum._gen.peer import ttypes
+from sequoiadrum.admission import ReportedGrant
+from sequoiadrum.errors import Refusal, RefusalReason
+from sequoiadrum.grant_outbox import OUTCOMES_BY_NUMBER
+from sequoiadrum.interfaces import AdmissionRequest, Grant, GrantOutcome
+from sequoiadrum.pool_owner import GrantHolder
+
+if TYPE_CHECKING:
+    from sequoiadrum.pool_directory import PoolDirectory
+    from sequoiadrum.pool_owner import PoolOwner
+
+MAX_WAITING: Final = 128
+"""Peers' requests that wait at once; each holds a connection, and releases need free ones."""
+
+
+class PeerAdmission:
+    """Answers `acquire`, `release` and `report_grants` on the threads of the peer server."""
+
+    def __init__(self, router_id: str, owner: PoolOwner, directory: PoolDirectory) -> None:
+        self._router_id = router_id
+        self._owner = owner
+        self._directory = directory
+        self._waiting = threading.BoundedSemaphore(MAX_WAITING)
+
+    def acquire(self, request: Any) -> Any:
+        """Decides a peer's request, or names the owner."""
+        if not request.forced:
+            owner_id = self._directory.owner_of(request.pool)
+            if owner_id is not None and owner_id != self._router_id:
+                return ttypes.AcquireReply(ttypes.AcquireStatus.NOT_OWNER, owner_id=owner_id)
+        wanted = AdmissionRequest(
+            pool=request.pool,
+            request_id=request.request_id,
+            chat_id=request.chat_id,
+            account=request.account,
+            priority=request.priority,
+            cost=request.cost,
+            deadline=time.monotonic() + request.deadline_ms / 1e3,
+            fingerprint=request.fingerprint,
+        )
+        holder = GrantHolder(request.router_id, request.router_process_id)
+        decision = self._owner.acquire(wanted, request.excluded_endpoints or (), holder)
+        if isinstance(decision, Future):
+            decision = self._wait(decision, wanted.deadline)
+        return self._reply(decision)
+
+    def release(self, pool: str, releases: list[Any]) -> None:
+        """Ends grants; outcomes of a newer version count as failures."""
+        self._owner.release(
+            pool,
+            [
+                (r.grant_id, OUTCOMES_BY_NUMBER.get(r.outcome, GrantOutcome.FAILED))
+                for r in releases
+            ],
+        )
+
+    def report(self, pool: str, holder: GrantHolder, grants: list[Any]) -> None:
+        """Takes all grants of a pool that a router holds."""
+        self._owner.report(
+            pool,
+            holder,
+            [
+                ReportedGrant(g.grant_id, g.endpoint_id, g.chat_id, g.cost, g.fingerprint)
+                for g in grants
+            ],
+        )
+
+    def _wait(
+        self, future: Future[Result[Grant, Refusal]], deadline: float
+    ) -> Result[Grant, Refusal]:
+        if not self._waiting.acquire(blocking=False):
+            self._owner.abandon(future)
+            return Failure(Refusal(RefusalReason.POOL_FULL, "too many routers wait", 500))
+        try:
+            return future.result(max(0.0, deadline - time.monotonic()))
+        except FutureTimeoutError:
+            self._owner.abandon(future)
+            return Failure(Refusal(RefusalReason.POOL_FULL, "no engine had room in time", 500))
+        finally:
+            self._waiting.release()
+
+    def _reply(self, decision: Result[Grant, Refusal]) -> Any:
+        if isinstance(decision, Success):
+            grant = decision.unwrap()
+            return ttypes.AcquireReply(
+                ttypes.AcquireStatus.GRANTED,
+                grant_id=grant.grant_id,
+                endpoint_id=grant.endpoint_id,
+                host=grant.address.host,
+                port=grant.address.port,
+                kv_source=str(grant.kv_source) if grant.kv_source is not None else None,
+                owner_id=self._router_id,
+            )
+        refusal = decision.failure()
+        return ttypes.AcquireReply(
+            ttypes.AcquireStatus.REFUSED,
+            reason=refusal.reason.value,
+            retry_after_ms=refusal.retry_after_ms,
+            owner_id=self._router_id,
+        )
--- a/src/sequoiadrum/admission.py
+++ b/src/sequoiadrum/admission.py
@@ -1,84 +1,419 @@
-"""Placement of chats on the engines of a pool under a load bound, without I/O."""
+"""Placement of requests on the engines of one pool under a load bound, without I/O."""
 
 from __future__ import annotations
 
-import math
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Final
 
 from attrs import define, field, frozen
 
-from sequoiadrum.hashing import rank
+from sequoiadrum.admission_queue import AdmissionQueue
+from sequoiadrum.errors import Refusal, RefusalReason
+from sequoiadrum.hashing import stable_hash
+from sequoiadrum.placement import (
+    SLOW_START_S,
+    BoundPolicy,
+    EngineState,
+    RecentTable,
+    chat_score,
+)
 
 if TYPE_CHECKING:
-    from collections.abc import Collection, Mapping
+    from collections.abc import Collection, Iterable, Mapping
+
+SETTLE_S: Final = 0.5
+"""A new owner waits this long for the routers' reports before it trusts its own counts alone."""
+GRANT_LEASE_S: Final = 16.0
+"""A grant that no report confirms for this long is dropped; three report intervals and a margin."""
+MISSING_GRACE_S: Final = 3.0
+"""A grant younger than this may be missing in its router's report because it is on its way."""
 
 
 @frozen
-class BoundPolicy:
-    """How far the load of one engine may be from the mean."""
+class PoolRequest:
+    """Asks a pool for an engine."""
+
+    request_id: str
+    grant_id: str
+    """Names the grant in `release`."""
+    chat_id: str
+    account: str
+    router_id: str
+    """Router that will hold the grant."""
+    router_process_id: int
+    deadline: float
+    """Monotonic seconds."""
+    priority: int = 1
+    cost: float = 1.0
+    fingerprint: str = ""
+    suspect: bool = False
+    """Was involved in a crash; gets an engine without another suspect."""
+    excluded: frozenset[str] = frozenset()
+    """Endpoints that have failed this request."""
 
-    bound_multiple: float = 1.25
-    """Largest load of an engine over the mean load."""
-    admit_multiple: float = 1.15
-    """Multiple at which new requests spill; the gap to the bound is headroom for releases."""
 
-    @property
-    def low_load_allowance(self) -> float:
-        """Load that an engine may always carry: below it, rounding exceeds any multiple."""
-        return math.ceil(1 / (self.bound_multiple - 1))
+@frozen
+class Placed:
+    """An engine was granted."""
+
+    grant_id: str
+    engine_id: str
+    kv_source: str | None
+    """Engine that last held the chat's context, when it is another one."""
+    reused: bool
+    """Whether the engine is the one that last served the chat."""
+
+
+@frozen
+class Waiting:
+    """The request is queued; `pump` or `expire` will decide it."""
+
+
+@define(eq=False)
+class HeldGrant:
+    """One grant in flight."""
+
+    engine: EngineState
+    cost: float
+    router_id: str
+    router_process_id: int
+    fingerprint: str
+    suspect: bool
+    granted_at: float
+    confirmed_at: float
+    """When the router last said that it holds the grant."""
+
+
+@frozen
+class ReportedGrant:
+    """A grant that a router says it holds."""
 
-    def cap(self, total_after: float, engines: int) -> float:
-        """Gives the largest load of one engine when `total_after` is in flight on all."""
-        mean = total_after / engines
-        return max(math.floor(self.admit_multiple * mean), self.low_load_allowance)
+    grant_id: str
+    engine_id: str
+    chat_id: str
+    cost: float
+    fingerprint: str
+    suspect: bool = False
 
 
-@define
+@define(eq=False)
 class PoolAdmission:
-    """Loads and placement of one pool, owned by one router."""
+    """Loads, placements and queue of one pool, owned by one router."""
 
     policy: BoundPolicy
-    _cost_by_grant: dict[str, tuple[str, float]] = field(factory=dict)
-    _load_by_engine: dict[str, float] = field(factory=dict)
+    started_at: float = 0.0
+    """When this router became the owner; monotonic seconds."""
+    recent: RecentTable = field(factory=RecentTable)
+    queue: AdmissionQueue[PoolRequest] = field(factory=AdmissionQueue)
+    spills: int = 0
+    """Requests that did not get the engine that last served their chat."""
+    _engine_by_id: dict[str, EngineState] = field(factory=dict)
+    _usable: list[EngineState] = field(factory=list)
+    _total: float = 0.0
+    _warm_at: float = 0.0
+    _grant_by_id: dict[str, HeldGrant] = field(factory=dict)
+    _evicted: list[PoolRequest] = field(factory=list)
 
-    def place(
-        self,
-        grant_id: str,
-        chat_id: str,
-        cost: float,
-        declared: Collection[str],
-        usable: Collection[str],
-    ) -> str | None:
-        """Grants the first engine of the chat's ranking that has room.
-
-        Args:
-            grant_id: Names the grant in `release`.
-            chat_id: The chat.
-            cost: Weight of the request.
-            declared: All engines of the pool; they make the ranking, so a flap moves no home.
-            usable: Those that may get new work.
+    def set_engines(self, draining_by_id: Mapping[str, bool], now: float) -> None:
+        """Takes the declared engines; those that join a running pool start slowly."""
+        joins_late = bool(self._engine_by_id)
+        for engine_id, draining in draining_by_id.items():
+            engine = self._engine_by_id.get(engine_id)
+            if engine is None:
+                engine = self._engine_by_id[engine_id] = EngineState.of(engine_id)
+                engine.warm_at = now + SLOW_START_S if joins_late else now
+            engine.declared, engine.draining = True, draining
+        for engine_id, engine in list(self._engine_by_id.items()):
+            if engine_id not in draining_by_id:
+                engine.declared = False
+                if engine.load <= 0:
+                    del self._engine_by_id[engine_id]
+        self._refresh(now)
+
+    def set_leaving(self, leaving: Collection[str], now: float) -> None:
+        """Takes all engines that are announced to leave."""
+        for engine in self._engine_by_id.values():
+            engine.leaving = engine.id in leaving
+        self._refresh(now)
+
+    def set_healthy(self, engine_id: str, healthy: bool, now: float) -> None:
+        """Takes an engine's health; a recovered engine starts slowly."""
+        engine = self._engine_by_id.get(engine_id)
+        if engine is None or engine.healthy is healthy:
+            return
+        engine.healthy = healthy
+        if healthy:
+            engine.warm_at = now + SLOW_START_S
+        self._refresh(now)
+
+    def note_load(self, engine_id: str, in_flight: float) -> None:
+        """Takes an engine's load report."""
+        engine = self._engine_by_id.get(engine_id)
+        if engine is not None:
+            engine.reported = in_flight
+
+    def acquire(self, request: PoolRequest, now: float) -> Placed | Waiting | Refusal:
+        """Places a request, queues it or refuses it.
+
+        A queued request of another account may be turned away instead; `expire` gives it.
+        """
+        if not len(self.queue):
+            placed = self._place(request, now)
+            if placed is not None:
+                return placed
+        if not any(e.id not in request.excluded for e in self._usable):
+            return Refusal(RefusalReason.NO_ENDPOINT, "no endpoint of the pool is usable", 1_000)
+        evicted = self.queue.push(request)
+        if evicted is request:
+            return self._full("the queue of the pool is full")
+        if evicted is not None:
+            self._evicted.append(evicted)
+        return Waiting()
+
+    def pump(self, now: float) -> list[tuple[PoolRequest, Placed]]:
+        """Places queued requests as far as there is room."""
+        placed: list[tuple[PoolRequest, Placed]] = []
+
+        def fits(request: PoolRequest) -> bool:
+            outcome = self._place(request, now)
+            if outcome is not None:
+                placed.append((request, outcome))
+            return outcome is not None
+
+        while len(self.queue) and self.queue.take(fits) is not None:
+            pass
+        return placed
+
+    def expire(self, now: float) -> list[tuple[PoolRequest, Refusal]]:
+        """Refuses queued requests whose deadline has passed or that were displaced."""
+        late = [(r, self._full("no engine had room in time")) for r in self.queue.expire(now)]
+        displaced = [(r, self._full("the queue of the pool is full")) for r in self._evicted]
+        self._evicted.clear()
+        return late + displaced
+
+    def withdraw(self, grant_id: str) -> None:
+        """Takes a request out of the queue."""
+        self.queue.remove(lambda request: request.grant_id == grant_id)
+
+    def release(self, grant_id: str) -> HeldGrant | None:
+        """Ends a grant; unknown ones are passed over."""
+        grant = self._grant_by_id.pop(grant_id, None)
+        if grant is None:
+            return None
+        engine = grant.engine
+        engine.load -= grant.cost
+        engine.suspects -= grant.suspect
+        if engine.usable:
+            self._total -= grant.cost
+        elif not engine.declared and engine.load <= 0:
+            self._engine_by_id.pop(engine.id, None)
+        if not self._grant_by_id:
+            self._reset_loads()
+        return grant
+
+    def in_flight_at(self, engine_id: str) -> list[HeldGrant]:
+        """Lists the grants of one engine."""
+        return [grant for grant in self._grant_by_id.values() if grant.engine.id == engine_id]
+
+    def report(
+        self, router_id: str, process_id: int, grants: Iterable[ReportedGrant], now: float
+    ) -> None:
+        """Takes all grants that a router holds: adds unknown ones and drops those it misses.
+
+        Grants of an earlier process of the router are dropped too.
+        """
+        held = {grant.grant_id: grant for grant in grants}
+        for grant_id, grant in list(self._grant_by_id.items()):
+            if grant.router_id != router_id:
+                continue
+            if grant_id in held:
+                grant.confirmed_at = now
+                continue
+            if grant.router_process_id != process_id or now - grant.granted_at > MISSING_GRACE_S:
+                self.release(grant_id)
+        for grant_id, reported in held.items():
+            engine = self._engine_by_id.get(reported.engine_id)
+            if grant_id not in self._grant_by_id and engine is not None:
+                self._hold(
+                    grant_id,
+                    HeldGrant(
+                        engine,
+                        reported.cost,
+                        router_id,
+                        process_id,
+                        reported.fingerprint,
+                        reported.suspect,
+                        now,
+                        now,
+                    ),
+                )
+                self.recent.record(stable_hash(reported.chat_id), engine, now)
+
+    def drop_router(self, router_id: str, process_id: int | None = None) -> int:
+        """Drops what a dead router (or one earlier process of it) holds or waits for.
 
         Returns:
-            The engine, or None when none is usable.
+            The number of dropped grants.
         """
-        total = sum(self._load_by_engine.get(engine, 0.0) for engine in usable) + cost
-        if not usable:
+        gone = [
+            grant_id
+            for grant_id, grant in self._grant_by_id.items()
+            if grant.router_id == router_id and process_id in (None, grant.router_process_id)
+        ]
+        for grant_id in gone:
+            self.release(grant_id)
+        self.queue.remove(
+            lambda r: r.router_id == router_id and process_id in (None, r.router_process_id)
+        )
+        return len(gone)
+
+    def drop_unconfirmed(self, now: float) -> int:
+        """Drops grants that no report has confirmed for `GRANT_LEASE_S`; gives their number."""
+        gone = [
+            grant_id
+            for grant_id, grant in self._grant_by_id.items()
+            if now - grant.confirmed_at > GRANT_LEASE_S
+        ]
+        for grant_id in gone:
+            self.release(grant_id)
+        return len(gone)
+
+    def loads(self) -> dict[str, float]:
+        """Gives the load of each engine."""
+        return {engine.id: engine.load for engine in self._engine_by_id.values()}
+
+    def usable_ids(self) -> list[str]:
+        """Lists the engines that may get new work."""
+        return [engine.id for engine in self._usable]
+
+    def is_healthy(self, engine_id: str) -> bool:
+        """Whether an engine is believed to work."""
+        engine = self._engine_by_id.get(engine_id)
+        return engine is not None and engine.healthy
+
+    def __len__(self) -> int:
+        return len(self._grant_by_id)
+
+    def _place(self, request: PoolRequest, now: float) -> Placed | None:
+        if not self._usable:
             return None
-        cap = self.policy.cap(total, len(usable))
-        order = [engine for engine in rank(chat_id, declared) if engine in usable]
-        chosen = next((e for e in order if self._load_by_engine.get(e, 0.0) + cost <= cap), None)
+        chat_hash = stable_hash(request.chat_id)
+        last = self.recent.last_engine(chat_hash)
+        preferred = self.recent.displaced_from(chat_hash, now) or last
+        engines = self._engine_count(now)
+        if preferred is not None and self._has_room(preferred, request, engines, now):
+            chosen: EngineState | None = preferred
+        elif last is not preferred and last and self._has_room(last, request, engines, now):
+            chosen = last
+        else:
+            chosen = self._spill(chat_hash, request, engines, now)
         if chosen is None:
-            chosen = min(order, key=lambda e: self._load_by_engine.get(e, 0.0))
-        self._cost_by_grant[grant_id] = (chosen, cost)
-        self._load_by_engine[chosen] = self._load_by_engine.get(chosen, 0.0) + cost
-        return chosen
+            return None
+        if last is not None and chosen is not last:
+            self.spills += 1
+        self.recent.record(chat_hash, chosen, now)
+        self._hold(
+            request.grant_id,
+            HeldGrant(
+                chosen,
+                request.cost,
+                request.router_id,
+                request.router_process_id,
+                request.fingerprint,
+                request.suspect,
+                now,
+                now,
+            ),
+        )
+        moved = last is not None and last is not chosen and last.healthy and last.declared
+        source = last.id if last is not None and moved and self.policy.kv_import else None
+        return Placed(request.grant_id, chosen.id, source, chosen is last)
 
-    def release(self, grant_id: str) -> None:
-        """Ends a grant; unknown ones are passed over."""
-        engine, cost = self._cost_by_grant.pop(grant_id, ("", 0.0))
-        if engine:
-            self._load_by_engine[engine] -= cost
+    def _spill(
+        self, chat_hash: int, request: PoolRequest, engines: float, now: float
+    ) -> EngineState | None:
+        """Chooses an engine for a chat without a usable preferred one."""
+        choices = self.policy.cold_choices
+        if choices != 0:
+            # The ranking is over all engines, so a chat whose table entry was lost is looked for
+            # where an earlier owner has placed it.
+            order = sorted(
+                self._engine_by_id.values(),
+                key=lambda e: chat_score(chat_hash, e.id_hash),
+                reverse=True,
+            )
+            first = [e for e in order[:choices] if self._has_room(e, request, engines, now)]
+            if first:
+                return min(first, key=lambda e: e.load / e.weight(now))
+            for engine in order[choices:]:
+                if self._has_room(engine, request, engines, now):
+                    return engine
+        # Below the admission multiple there may be no room only because of rounding; the bound
+        # itself decides then.
+        bound = self.policy.bound_multiple
+        room = [e for e in self._usable if self._has_room(e, request, engines, now, bound)]
+        if len(room) < 2:
+            return room[0] if room else None
+        load_by_id = {e.id: self._load(e, now) / e.weight(now) for e in room}
+        least = min(load_by_id.values())
+        # The ranking breaks ties, so that an idle pool spreads its chats.
+        return max(
+            (e for e in room if load_by_id[e.id] <= least),
+            key=lambda e: chat_score(chat_hash, e.id_hash),
+        )
+
+    def _has_room(
+        self,
+        engine: EngineState,
+        request: PoolRequest,
+        engines: float,
+        now: float,
+        multiple: float | None = None,
+    ) -> bool:
+        if not engine.usable or engine.id in request.excluded:
+            return False
+        if request.suspect and engine.suspects:
+            return False
+        load = self._load(engine, now)
+        if load <= 0:
+            return True
+        total = self._total if now - self.started_at >= SETTLE_S else self._settling_total(now)
+        multiple = self.policy.admit_multiple if multiple is None else multiple
+        cap = self.policy.cap(multiple, total + request.cost, engines, request.cost)
+        return load + request.cost <= cap * engine.weight(now) + 1e-9
+
+    def _load(self, engine: EngineState, now: float) -> float:
+        if now - self.started_at >= SETTLE_S:
+            return engine.load
+        return max(engine.load, engine.reported)
+
+    def _settling_total(self, now: float) -> float:
+        return sum(self._load(engine, now) for engine in self._usable)
+
+    def _engine_count(self, now: float) -> float:
+        """Counts an engine in slow start by its weight, so that its join lowers no cap at once."""
+        if now >= self._warm_at:
+            return len(self._usable)
+        return sum(engine.weight(now) for engine in self._usable)
+
+    def _hold(self, grant_id: str, grant: HeldGrant) -> None:
+        self._grant_by_id[grant_id] = grant
+        grant.engine.load += grant.cost
+        grant.engine.suspects += grant.suspect
+        if grant.engine.usable:
+            self._total += grant.cost
+
+    def _refresh(self, now: float) -> None:
+        for engine in self._engine_by_id.values():
+            engine.update_usable()
+        self._usable = [engine for engine in self._engine_by_id.values() if engine.usable]
+        self._total = sum(engine.load for engine in self._usable)
+        self._warm_at = max((engine.warm_at for engine in self._usable), default=now)
+
+    def _reset_loads(self) -> None:
+        """Removes what rounding of fractional costs has left over."""
+        self._total = 0.0
+        for engine in self._engine_by_id.values():
+            engine.load = 0.0
 
-    def loads(self) -> Mapping[str, float]:
-        """Gives the load of each engine that ever had one."""
-        return dict(self._load_by_engine)
+    def _full(self, detail: str) -> Refusal:
+        return Refusal(RefusalReason.POOL_FULL, detail, 200 + 2 * len(self.queue))
--- a/src/sequoiadrum/admission_task.py
+++ b/src/sequoiadrum/admission_task.py
@@ -1,96 +1,356 @@
-"""The task that owns the admission state of the pools."""
+"""Admission as the request path uses it: finds the owner of the pool and asks it."""
 
 from __future__ import annotations
 
 import time
-import uuid
+from concurrent.futures import Future
 from concurrent.futures import TimeoutError as FutureTimeoutError
-from typing import TYPE_CHECKING, Any
+from typing import TYPE_CHECKING, Any, Final
 
-from attrs import define, frozen
+from attrs import frozen
 from returns.result import Failure, Result, Success
 
-from sequoiadrum.admission import BoundPolicy, PoolAdmission
+from sequoiadrum._peer_admission import PeerAdmission
+from sequoiadrum.configuration import ObjectKind
+from sequoiadrum.endpoint_watch import (
+    LEAVING_TTL_S,
+    POLL_S,
+    EndpointPoller,
+    LeavingEndpoints,
+    Listed,
+    Polled,
+)
 from sequoiadrum.errors import Refusal, RefusalReason
-from sequoiadrum.interfaces import Admission, AdmissionRequest, Grant, GrantOutcome
-from sequoiadrum.messages import EndpointState
-from sequoiadrum.tasks import Ask, MailboxFullError, Task
+from sequoiadrum.grant_outbox import GrantOutbox
+from sequoiadrum.hashing import rank
+from sequoiadrum.interfaces import Admission, Grant, GrantOutcome
+from sequoiadrum.messages import EndpointState, MembersChanged, MemberState, RumorHeard
+from sequoiadrum.placement import BoundPolicy
+from sequoiadrum.pool_directory import PoolDirectory
+from sequoiadrum.pool_owner import GrantHolder, PoolOwner
+from sequoiadrum.remote_admission import RemoteAdmission
+from sequoiadrum.tasks import Task
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Collection
+    from collections.abc import Callable, Collection, Mapping
 
-    from sequoiadrum.interfaces import ConfigSource
+    from sequoiadrum.configuration import ConfigState
+    from sequoiadrum.engine_client import EngineClient
+    from sequoiadrum.interfaces import AdmissionRequest, ConfigSource, MembershipSource
+    from sequoiadrum.messages import Endpoint, Member
     from sequoiadrum.metrics import Metrics
+    from sequoiadrum.peer_client import PeerClient
+    from sequoiadrum.platform_client import PlatformClient
     from sequoiadrum.settings import Settings
+    from sequoiadrum.timers import TimerService
 
+REPORT_S: Final = 5.0
+"""Interval of the reports of held grants; bounds how long a lost release counts."""
+LIST_S: Final = 1.0
+"""Interval of the reads of the platform's list; leaves 2 s of the 3 s for rumours."""
+_LIST_READERS: Final = 3
+"""Routers that read the list although they own no pool."""
+_TICK_S: Final = 0.1
+_RESPREAD_S: Final = LEAVING_TTL_S / 3
 
-@define(eq=False)
-class _Acquire(Ask[Result[Grant, Refusal]]):
-    request: AdmissionRequest
-    excluded: tuple[str, ...]
+
+@frozen
+class AdmissionParts:
+    """What admission works with."""
+
+    config: ConfigSource
+    membership: MembershipSource
+    peers: PeerClient
+    engines: EngineClient
+    platform: PlatformClient
+    timers: TimerService
+    metrics: Metrics
 
 
 @frozen
-class _Release:
-    grant: Grant
-    outcome: GrantOutcome
+class _Tick:
+    """Time to expire waits and look for changes of the configuration."""
+
+
+@frozen
+class _PollTick:
+    """Time to poll the endpoints."""
+
+
+@frozen
+class _ListTick:
+    """Time to read the platform's list."""
+
+
+@frozen
+class _ReportTick:
+    """Time to report held grants."""
 
 
 class AdmissionTask(Task, Admission):
-    """Decides each request of this router on the loads that this router knows."""
+    """Finds owners, reports grants, watches endpoints.
+
+    Requests are decided on the threads that ask; the task's own thread does what is periodic.
+    """
 
     def __init__(
-        self,
-        settings: Settings,
-        config: ConfigSource,
-        metrics: Metrics,
-        on_invariant: Callable[[], None],
+        self, settings: Settings, parts: AdmissionParts, on_invariant: Callable[[], None]
     ) -> None:
-        super().__init__("admission", metrics, on_invariant)
+        self._parts = parts
         self._router_id = settings.instance_id
-        self._policy = BoundPolicy(settings.bound_multiple, settings.admit_multiple)
-        self._config = config
-        self._pools_by_name: dict[str, PoolAdmission] = {}
+        members = parts.membership.members()
+        own = members.get(self._router_id)
+        self._holder = GrantHolder(self._router_id, own.process_id if own is not None else 0)
+        policy = BoundPolicy(
+            settings.bound_multiple,
+            settings.admit_multiple,
+            engine_slots=float(settings.engine_slots),
+        )
+        self._directory = PoolDirectory(parts.membership)
+        self._owner = PoolOwner(
+            self._router_id, policy, parts.config, parts.metrics, parts.membership.spread
+        )
+        self._outbox = GrantOutbox(
+            self._holder, parts.peers, self._directory.address_of, parts.metrics
+        )
+        self._remote = RemoteAdmission(
+            self._holder, parts.peers, self._directory, self._outbox, parts.metrics
+        )
+        self._peer_side = PeerAdmission(self._router_id, self._owner, self._directory)
+        self._leaving = LeavingEndpoints()
+        self._poller = EndpointPoller(parts.engines, parts.platform, self.post)
+        self._members: Mapping[str, Member] = members
+        self._reported: dict[str, set[str]] = {}
+        self._endpoints_by_pool: dict[str, list[Endpoint]] = {}
+        self._draining_revision_by_id: dict[str, int] = {}
+        self._config_revision = -1
+        self._spread_at_by_id: dict[str, float] = {}
+        super().__init__("admission", parts.metrics, on_invariant)
 
     def handlers(self) -> dict[type, Callable[[Any], None]]:
         """See `Task.handlers`."""
-        return {_Acquire: self._acquire, _Release: self._release}
+        return {
+            _Tick: self._tick,
+            _PollTick: self._poll,
+            _ListTick: self._read_list,
+            _ReportTick: self._report_all,
+            Polled: self._polled,
+            Listed: self._listed,
+            MembersChanged: self._members_changed,
+            RumorHeard: self._rumor_heard,
+        }
+
+    def start(self) -> None:
+        """See `Task.start`."""
+        super().start()
+        self._outbox.start()
+        self._parts.membership.subscribe(self)
+        timers = self._parts.timers
+        timers.subscribe(self, _TICK_S, _Tick())
+        timers.subscribe(self, POLL_S, _PollTick())
+        timers.subscribe(self, LIST_S, _ListTick())
+        timers.subscribe(self, REPORT_S, _ReportTick())
+
+    def stop(self, timeout_s: float = 5.0) -> None:
+        """See `Task.stop`."""
+        self._poller.stop()
+        self._outbox.stop()
+        super().stop(timeout_s)
 
     def acquire(
         self, request: AdmissionRequest, excluded: Collection[str]
     ) -> Result[Grant, Refusal]:
         """See `Admission.acquire`."""
-        future = self.ask(_Acquire(request, tuple(excluded)))
-        try:
-            return future.result(max(0.0, request.deadline - time.monotonic()))
-        except FutureTimeoutError:
-            return Failure(Refusal(RefusalReason.DEADLINE, "no endpoint in time", 1_000))
-        except MailboxFullError:
-            return Failure(Refusal(RefusalReason.OVERLOADED, "admission is overloaded", 200))
+        refusal = self._owner.refusal(request.fingerprint)
+        if refusal is not None:
+            return Failure(refusal)
+        local = self._directory.owner_of(request.pool) == self._router_id
+        if not local:
+            asked = self._remote.acquire(request, excluded)
+            if asked is not None:
+                return asked
+        decision = self._owner.acquire(request, excluded, self._holder)
+        if isinstance(decision, Future):
+            decision = self._wait(decision, request.deadline)
+        if isinstance(decision, Success):
+            self._outbox.hold(decision.unwrap(), request)
+        return decision
 
     def release(self, grant: Grant, outcome: GrantOutcome) -> None:
         """See `Admission.release`."""
-        self.post(_Release(grant, outcome))
-
-    def _acquire(self, ask: _Acquire) -> None:
-        request = ask.request
-        endpoints = self._config.current().pool_endpoints(request.pool)
-        usable = {
-            e.id: e
-            for e in endpoints
-            if e.state is EndpointState.ACTIVE and e.id not in ask.excluded
-        }
-        pool = self._pools_by_name.setdefault(request.pool, PoolAdmission(self._policy))
-        grant_id = uuid.uuid4().hex
-        chosen = pool.place(
-            grant_id, request.chat_id, request.cost, [e.id for e in endpoints], usable
+        if self._outbox.release(grant, outcome):
+            self._owner.release(grant.pool, [(grant.grant_id, outcome)])
+
+    def acquire_for_peer(self, request: Any) -> Any:
+        """Answers `Peer.acquire`."""
+        return self._peer_side.acquire(request)
+
+    def release_for_peer(self, pool: str, router_id: str, releases: list[Any]) -> None:
+        """Answers `Peer.release`."""
+        self._peer_side.release(pool, releases)
+
+    def report_grants(
+        self, pool: str, router_id: str, router_process_id: int, grants: list[Any]
+    ) -> None:
+        """Answers `Peer.report_grants`."""
+        self._peer_side.report(pool, GrantHolder(router_id, router_process_id), grants)
+
+    def loads(self, pool: str) -> Mapping[str, float]:
+        """Gives the load of each engine of a pool, as far as it is decided here."""
+        return self._owner.loads(pool)
+
+    def _wait(
+        self, future: Future[Result[Grant, Refusal]], deadline: float
+    ) -> Result[Grant, Refusal]:
+        try:
+            return future.result(max(0.0, deadline - time.monotonic()))
+        except FutureTimeoutError:
+            self._owner.abandon(future)
+            return Failure(Refusal(RefusalReason.POOL_FULL, "no engine had room in time", 500))
+
+    def _owned_pools(self) -> list[str]:
+        return [
+            pool
+            for pool in self._endpoints_by_pool
+            if self._directory.owner_of(pool) == self._router_id
+        ]
+
+    def _tick(self, _: _Tick) -> None:
+        config = self._parts.config.current()
+        if config.revision != self._config_revision:
+            self._config_revision = config.revision
+            self._endpoints_by_pool.clear()
+            for endpoint in config.endpoints_by_id.values():
+                self._endpoints_by_pool.setdefault(endpoint.pool, []).append(endpoint)
+            self._spread_drains(config)
+        self._owner.set_leaving(self._leaving.all(time.monotonic()))
+        self._owner.tick(())
+
+    def _poll(self, _: _PollTick) -> None:
+        owned = self._owned_pools()
+        self._owner.tick(owned)
+        self._poller.poll(e for pool in owned for e in self._endpoints_by_pool[pool])
+
+    def _polled(self, polled: Polled) -> None:
+        endpoint = polled.endpoint
+        in_flight = None
+        if isinstance(polled.result, Success):
+            report = polled.result.unwrap()
+            in_flight = report.in_flight
+            self._leaving.note_report(endpoint.id, report.leaving)
+            self._leaving_changed()
+        self._owner.polled(endpoint, polled.started_at, self._poller.health(polled), in_flight)
+
+    def _read_list(self, _: _ListTick) -> None:
+        usable = [member.id for member in self._members.values() if member.is_usable]
+        first = rank("instance-list", usable)[:_LIST_READERS]
+        if self._router_id in first or self._owner.pools():
+            self._poller.read_list()
+
+    def _listed(self, listed: Listed) -> None:
+        if isinstance(listed.result, Failure):
+            return
+        leaving = [line for line in listed.result.unwrap() if line.leaving]
+        places = {(line.host, line.port) for line in leaving}
+        names = {line.id for line in leaving}
+        self._leaving.note_list(
+            e.id
+            for e in self._parts.config.current().endpoints_by_id.values()
+            if e.id in names or (e.address.host, e.address.port) in places
         )
-        if chosen is None:
-            detail = f"no endpoint of pool {request.pool!r} is usable"
-            ask.answer(Failure(Refusal(RefusalReason.NO_ENDPOINT, detail, 1_000)))
+        self._leaving_changed()
+
+    def _leaving_changed(self) -> None:
+        """Applies what is known at once and tells the other routers what was seen here."""
+        now = time.monotonic()
+        seen = self._leaving.seen_here()
+        self._owner.set_leaving(self._leaving.all(now))
+        for endpoint_id in seen:
+            if now - self._spread_at_by_id.get(endpoint_id, -_RESPREAD_S) >= _RESPREAD_S:
+                self._spread_at_by_id[endpoint_id] = now
+                self._spread_leaving(endpoint_id, True)
+        for endpoint_id in self._spread_at_by_id.keys() - seen:
+            del self._spread_at_by_id[endpoint_id]
+            self._spread_leaving(endpoint_id, False)
+
+    def _spread_leaving(self, endpoint_id: str, leaving: bool) -> None:
+        version = int(time.time() * 1e3)
+        payload = b"1" if leaving else b"0"
+        self._parts.membership.spread("leaving", endpoint_id, version, payload, LEAVING_TTL_S)
+
+    def _spread_drains(self, config: ConfigState) -> None:
+        """Tells routers that are cut off from the configuration about draining endpoints.
+
+        The version is that of the change, so all routers that see it spread the same rumour.
+        """
+        for endpoint in config.endpoints_by_id.values():
+            known = self._draining_revision_by_id.get(endpoint.id)
+            if endpoint.state is EndpointState.ACTIVE and known is None:
+                continue
+            revision = config.changes_by_key[(ObjectKind.ENDPOINT, endpoint.id)].revision
+            if endpoint.state is EndpointState.DRAINING and known != revision:
+                self._draining_revision_by_id[endpoint.id] = revision
+                self._spread_drain(endpoint.id, revision, True)
+            elif endpoint.state is EndpointState.ACTIVE:
+                del self._draining_revision_by_id[endpoint.id]
+                self._spread_drain(endpoint.id, revision, False)
+
+    def _spread_drain(self, endpoint_id: str, revision: int, draining: bool) -> None:
+        payload = b"1" if draining else b"0"
+        self._parts.membership.spread("drain", endpoint_id, revision, payload, LEAVING_TTL_S)
+
+    def _rumor_heard(self, rumor: RumorHeard) -> None:
+        if rumor.kind == "crash":
+            self._owner.hear_crash(rumor.key, rumor.payload)
+        elif rumor.kind == "leaving" or (
+            rumor.kind == "drain" and rumor.version > self._parts.config.current().revision
+        ):
+            self._leaving.note_rumor(rumor.key, rumor.payload == b"1", time.monotonic())
+            self._owner.set_leaving(self._leaving.all(time.monotonic()))
+
+    def _members_changed(self, message: MembersChanged) -> None:
+        before, self._members = self._members, message.members_by_id
+        for member_id, old in before.items():
+            new = self._members.get(member_id)
+            if new is None:
+                continue
+            died = new.state is MemberState.DEAD and old.state is not MemberState.DEAD
+            if died or new.process_id != old.process_id:
+                self._owner.drop_router(member_id, old.process_id)
+        self._report(only_new_owners=True)
+
+    def _report_all(self, _: _ReportTick) -> None:
+        self._report(only_new_owners=False)
+        self._owner.sweep()
+
+    def _report(self, only_new_owners: bool) -> None:
+        """Reports the held grants of each pool to its owner.
+
+        An owner that gave grants or got grants reported lately gets two more reports, even when
+        they are empty: they show which releases were lost, and the first one may come within
+        `MISSING_GRACE_S` of the grant.
+        """
+        wanted: dict[str, set[str]] = {}
+        for pool in self._outbox.held_by_pool():
+            owner = self._directory.owner_of(pool)
+            if owner is not None:
+                wanted.setdefault(owner, set()).add(pool)
+        if only_new_owners:
+            for owner, pools in wanted.items():
+                known = self._reported.setdefault(owner, set())
+                self._report_to(owner, pools - known)
+                known |= pools
             return
-        address = usable[chosen].address
-        ask.answer(Success(Grant(grant_id, request.pool, chosen, address, self._router_id)))
+        for owner, pools in self._outbox.take_touched().items():
+            wanted.setdefault(owner, set()).update(pools)
+        previous, self._reported = self._reported, wanted
+        for owner in wanted.keys() | previous.keys():
+            self._report_to(owner, wanted.get(owner, set()) | previous.get(owner, set()))
 
-    def _release(self, message: _Release) -> None:
-        self._pools_by_name[message.grant.pool].release(message.grant.grant_id)
+    def _report_to(self, owner: str, pools: Collection[str]) -> None:
+        for pool in pools:
+            if owner != self._router_id:
+                self._outbox.report(owner, pool)
+            else:
+                entries = self._outbox.mark_reported(owner, pool)
+                self._peer_side.report(pool, self._holder, entries)
--- a/src/sequoiadrum/app.py
+++ b/src/sequoiadrum/app.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import secrets
 import signal
 import threading
 import time
@@ -12,20 +13,25 @@
 from sequoiadrum._engine_http import HttpEngineClient
 from sequoiadrum._platform_http import HttpPlatformClient
 from sequoiadrum._service_http import HttpServiceClient
-from sequoiadrum.admission_task import AdmissionTask
+from sequoiadrum.admission_task import AdmissionParts, AdmissionTask
 from sequoiadrum.chat_relay import ChatRelay
 from sequoiadrum.config_task import ConfigTask
 from sequoiadrum.http_front import FrontParts, HttpFront
-from sequoiadrum.interfaces import AccountLimits, Directory
+from sequoiadrum.interfaces import AccountLimits, Directory, MembershipSource
 from sequoiadrum.ledger import ObjectLedger
-from sequoiadrum.messages import Address
+from sequoiadrum.messages import Address, Member, MemberState
 from sequoiadrum.metrics import Metrics
+from sequoiadrum.peer_client import ThriftPeerClient
+from sequoiadrum.peer_server import PeerHandler, create_peer_server
 from sequoiadrum.service_relay import ServiceRelay
 from sequoiadrum.timers import TimerService
 
 if TYPE_CHECKING:
+    from collections.abc import Mapping
+
     from sequoiadrum.errors import Refusal
     from sequoiadrum.settings import Settings
+    from sequoiadrum.tasks import Task
 
 _ENGINE_TIMEOUT_S: Final = 2.0
 _STREAM_TIMEOUT_S: Final = 30.0
@@ -51,6 +57,36 @@
         return (self.address,)
 
 
+class _SingleMember(MembershipSource):
+    """A fleet of this router alone."""
+
+    def __init__(self, settings: Settings) -> None:
+        self._member = Member(
+            id=settings.instance_id,
+            host=settings.host,
+            peer_port=settings.peer_port,
+            http_port=settings.http_port,
+            failure_domain=settings.failure_domain,
+            region=settings.region,
+            process_id=secrets.randbits(62),
+            incarnation=0,
+            state=MemberState.ALIVE,
+        )
+        self._members = {settings.instance_id: self._member}
+
+    def self_id(self) -> str:
+        return self._member.id
+
+    def members(self) -> Mapping[str, Member]:
+        return self._members
+
+    def subscribe(self, task: Task) -> None:
+        return None
+
+    def spread(self, kind: str, key: str, version: int, payload: bytes, ttl_s: float) -> None:
+        return None
+
+
 class Router:
     """One running router."""
 
@@ -66,8 +102,21 @@
         engines = HttpEngineClient(_ENGINE_TIMEOUT_S, _STREAM_TIMEOUT_S)
         services = HttpServiceClient()
         self.config: Final = ConfigTask(platform, self.metrics)
-        self.admission: Final = AdmissionTask(
-            settings, self.config, self.metrics, self._invariant_broken
+        self.peers: Final = ThriftPeerClient(self.metrics)
+        parts = AdmissionParts(
+            config=self.config,
+            membership=_SingleMember(settings),
+            peers=self.peers,
+            engines=engines,
+            platform=platform,
+            timers=self.timers,
+            metrics=self.metrics,
+        )
+        self.admission: Final = AdmissionTask(settings, parts, self._invariant_broken)
+        self.peer_server: Final = create_peer_server(
+            Address(settings.host, settings.peer_port),
+            PeerHandler(None, self.admission, None, None, None),
+            self.metrics,
         )
         keyed = ObjectLedger(platform, self.config, self.admission, services, self.metrics)
         directory = _OwnAddress(Address(settings.host, settings.http_port))
@@ -91,6 +140,7 @@
         self.timers.start()
         self.config.start()
         self.admission.start()
+        self.peer_server.start()
         self.front.start()
         _log.info("started", instance=self.settings.instance_id, http_port=self.front.port)
 
@@ -113,6 +163,8 @@
             time.sleep(_POLL_S)
         self.front.stop()
         self.admission.stop()
+        self.peer_server.stop()
+        self.peers.close()
         self.config.stop()
         self.timers.stop()
         _log.info("stopped")
--- /dev/null
+++ b/src/sequoiadrum/placement.py
@@ -0,0 +1,152 @@
+"""Load of engines, the bound on it, and where chats were served, without I/O."""
+
+from __future__ import annotations
+
+import math
+from typing import Final
+
+from attrs import define, field, frozen
+
+from sequoiadrum.hashing import stable_hash
+
+SLOW_START_S: Final = 10.0
+"""A cold engine reaches its full cap after this time."""
+DISPLACED_S: Final = 600.0
+"""A chat returns to its engine if that engine recovers within this time."""
+
+_MASK: Final = (1 << 64) - 1
+
+
+@frozen
+class BoundPolicy:
+    """How far the load of one engine may be from the mean."""
+
+    bound_multiple: float = 1.25
+    """Largest load of an engine over the mean load."""
+    admit_multiple: float = 1.15
+    """Multiple at which new requests spill; the gap to the bound is headroom for releases."""
+    cold_choices: int = 2
+    """Engines of the ranking among which a chat without cached context takes the least loaded;
+    0 means all engines."""
+    kv_import: bool = True
+    """Whether a spilled chat is told where its context is."""
+    engine_slots: float = 64.0
+    """Cost in flight at one engine at most."""
+
+    @property
+    def low_load_allowance(self) -> float:
+        """Load that an engine may always carry: below it, rounding exceeds any multiple."""
+        return math.ceil(1 / (self.bound_multiple - 1) - 1e-9)
+
+    def cap(self, multiple: float, total_after: float, engines: float, cost: float) -> float:
+        """Gives the largest load of one engine.
+
+        Args:
+            multiple: Multiple of the mean.
+            total_after: Load of all engines with the new request.
+            engines: Number of engines; one in slow start counts as a fraction.
+            cost: Weight of the new request; the allowance is counted in requests of this size.
+        """
+        allowance = self.low_load_allowance * max(1.0, cost)
+        return min(self.engine_slots, max(multiple * total_after / engines, allowance))
+
+
+@define(eq=False)
+class EngineState:
+    """What the pool owner knows of one engine."""
+
+    id: str
+    id_hash: int
+    declared: bool = True
+    draining: bool = False
+    """Declared as draining."""
+    leaving: bool = False
+    """Announced by the engine, the platform's list or a rumour."""
+    healthy: bool = True
+    usable: bool = True
+    """Whether it may get new work; follows from the other states."""
+    load: float = 0.0
+    """Cost of the grants in flight."""
+    reported: float = 0.0
+    """Load in the engine's last report."""
+    suspects: int = 0
+    """Suspected requests in flight."""
+    warm_at: float = 0.0
+    """When the slow start ends, in monotonic seconds."""
+
+    @classmethod
+    def of(cls, engine_id: str) -> EngineState:
+        """Makes the state of a newly declared engine."""
+        return cls(engine_id, stable_hash("engine", engine_id))
+
+    def weight(self, now: float) -> float:
+        """Gives the part of the full cap that the engine may use, in (0, 1]."""
+        if now >= self.warm_at:
+            return 1.0
+        return max(0.1, 1.0 - (self.warm_at - now) / SLOW_START_S)
+
+    def update_usable(self) -> None:
+        """Derives `usable` from the other states."""
+        self.usable = self.declared and self.healthy and not (self.draining or self.leaving)
+
+
+def chat_score(chat_hash: int, engine_hash: int) -> int:
+    """Gives the rendezvous weight of an engine for a chat.
+
+    Mixes two 64-bit hashes with the finalizer of SplitMix64, which costs a tenth of hashing the
+    names again for each engine.
+    """
+    z = chat_hash ^ engine_hash
+    z = ((z ^ (z >> 30)) * 0xBF58476D1CE4E5B9) & _MASK
+    z = ((z ^ (z >> 27)) * 0x94D049BB133111EB) & _MASK
+    return z ^ (z >> 31)
+
+
+@define
+class RecentTable:
+    """Bounded table of the engines that last served the chats, least recently used out first."""
+
+    capacity: int = 100_000
+    """Chats kept."""
+    _engine_by_chat: dict[int, EngineState] = field(factory=dict)
+    _displaced_by_chat: dict[int, tuple[EngineState, float]] = field(factory=dict)
+
+    def last_engine(self, chat_hash: int) -> EngineState | None:
+        """Gives the engine that last served a chat."""
+        return self._engine_by_chat.get(chat_hash)
+
+    def displaced_from(self, chat_hash: int, now: float) -> EngineState | None:
+        """Gives the engine that a chat left only because the engine was unhealthy."""
+        if not self._displaced_by_chat:
+            return None
+        entry = self._displaced_by_chat.get(chat_hash)
+        if entry is None:
+            return None
+        if now - entry[1] > DISPLACED_S or not entry[0].declared:
+            del self._displaced_by_chat[chat_hash]
+            return None
+        return entry[0]
+
+    def record(self, chat_hash: int, engine: EngineState, now: float) -> None:
+        """Notes a placement."""
+        previous = self._engine_by_chat.pop(chat_hash, None)
+        self._engine_by_chat[chat_hash] = engine
+        if len(self._engine_by_chat) > self.capacity:
+            del self._engine_by_chat[next(iter(self._engine_by_chat))]
+        displaced = self._displaced_by_chat.get(chat_hash)
+        if displaced is not None:
+            if displaced[0] is engine:
+                del self._displaced_by_chat[chat_hash]
+        elif previous is not None and not previous.healthy and previous is not engine:
+            self._displaced_by_chat[chat_hash] = (previous, now)
+            if len(self._displaced_by_chat) > self.capacity:
+                del self._displaced_by_chat[next(iter(self._displaced_by_chat))]
+
+    def evicted(self, chat_hash: int, engine_id: str) -> None:
+        """Forgets a chat whose context the engine says it has dropped."""
+        engine = self._engine_by_chat.get(chat_hash)
+        if engine is not None and engine.id == engine_id:
+            del self._engine_by_chat[chat_hash]
+
+    def __len__(self) -> int:
+        return len(self._engine_by_chat)
--- /dev/null
+++ b/src/sequoiadrum/remote_admission.py
@@ -0,0 +1,121 @@
+"""Asks the owner of a pool for grants."""
+
+from __future__ import annotations
+
+import time
+from typing import TYPE_CHECKING, Any, Final
+
+from returns.result import Failure, Result, Success
+
+from sequoiadrum._gen.peer import ttypes
+from sequoiadrum.errors import Refusal, RefusalReason
+from sequoiadrum.interfaces import Grant
+from sequoiadrum.messages import Address
+from sequoiadrum.peer_client import PeerFailure
+from sequoiadrum.pool_owner import MAX_WAIT_S
+from sequoiadrum.settings import parse_address
+
+if TYPE_CHECKING:
+    from collections.abc import Collection
+
+    from sequoiadrum.grant_outbox import GrantOutbox
+    from sequoiadrum.interfaces import AdmissionRequest
+    from sequoiadrum.metrics import Metrics
+    from sequoiadrum.peer_client import PeerClient
+    from sequoiadrum.pool_directory import PoolDirectory
+    from sequoiadrum.pool_owner import GrantHolder
+
+_MARGIN_S: Final = 0.5
+"""Time beyond the owner's queue until it counts as lost."""
+_ATTEMPTS: Final = 3
+"""Owners asked at most."""
+
+
+class RemoteAdmission:
+    """The requesting side of `Peer.acquire`; runs on the caller's thread."""
+
+    def __init__(
+        self,
+        holder: GrantHolder,
+        client: PeerClient,
+        directory: PoolDirectory,
+        outbox: GrantOutbox,
+        metrics: Metrics,
+    ) -> None:
+        self._holder = holder
+        self._client = client
+        self._directory = directory
+        self._outbox = outbox
+        self._metrics = metrics
+
+    def acquire(
+        self, request: AdmissionRequest, excluded: Collection[str]
+    ) -> Result[Grant, Refusal] | None:
+        """Asks one owner after the other; None when this router is to decide itself."""
+        forced = False
+        for _ in range(_ATTEMPTS):
+            owner = self._directory.owner_to_ask(request.pool)
+            if owner is None or owner == self._holder.router_id:
+                return None
+            if excluded:
+                # The owner must know of the failed attempt before it decides the next one.
+                self._outbox.flush(owner)
+            reply = self._call(owner, request, excluded, forced)
+            if isinstance(reply, Success) and reply.unwrap().status == _NOT_OWNER:
+                hinted = reply.unwrap().owner_id
+                if hinted == self._holder.router_id:
+                    return None
+                self._metrics.count("retries_total", reason="not_owner")
+                owner = hinted if self._directory.address_of(hinted or "") else owner
+                reply = self._call(owner, request, excluded, forced=True)
+            if isinstance(reply, Success):
+                return self._result(reply.unwrap(), request)
+            if time.monotonic() >= request.deadline:
+                break
+            self._directory.avoid(owner)
+            self._metrics.count("retries_total", reason=f"owner_{reply.failure().value}")
+            # The next owner still believes in the first one, so it must be told to decide.
+            forced = True
+        return Failure(Refusal(RefusalReason.OWNER_UNREACHABLE, "no pool owner answered", 1_000))
+
+    def _call(
+        self, owner: str, request: AdmissionRequest, excluded: Collection[str], forced: bool
+    ) -> Result[Any, PeerFailure]:
+        address = self._directory.address_of(owner)
+        if address is None:
+            return Failure(PeerFailure.UNREACHABLE)
+        remaining_s = min(MAX_WAIT_S, max(0.0, request.deadline - time.monotonic()))
+        message = ttypes.AcquireRequest(
+            pool=request.pool,
+            request_id=request.request_id,
+            chat_id=request.chat_id,
+            account=request.account,
+            priority=request.priority,
+            cost=request.cost,
+            deadline_ms=int(remaining_s * 1e3),
+            fingerprint=request.fingerprint,
+            router_id=self._holder.router_id,
+            router_process_id=self._holder.process_id,
+            excluded_endpoints=list(excluded),
+            forced=forced,
+        )
+        return self._client.call(address, lambda c: c.acquire(message), remaining_s + _MARGIN_S)
+
+    def _result(self, reply: Any, request: AdmissionRequest) -> Result[Grant, Refusal]:
+        if reply.status != ttypes.AcquireStatus.GRANTED:
+            known = reply.reason in RefusalReason._value2member_map_
+            reason = RefusalReason(reply.reason) if known else RefusalReason.NO_ENDPOINT
+            return Failure(Refusal(reason, "refused by the pool owner", reply.retry_after_ms))
+        grant = Grant(
+            reply.grant_id,
+            request.pool,
+            reply.endpoint_id,
+            Address(reply.host, reply.port),
+            reply.owner_id,
+            parse_address(reply.kv_source) if reply.kv_source else None,
+        )
+        self._outbox.hold(grant, request)
+        return Success(grant)
+
+
+_NOT_OWNER: Final = ttypes.AcquireStatus.NOT_OWNER
--- /dev/null
+++ b/tests/test_admission_task.py
@@ -0,0 +1,232 @@
+"""Routers that ask each other for grants, in one process."""
+
+from __future__ import annotations
+
+import itertools
+import time
+import unittest
+from typing import TYPE_CHECKING, Any
+
+from returns.result import Failure, Success
+
+from sequoiadrum import admission_task
+from sequoiadrum.admission_task import AdmissionParts, AdmissionTask
+from sequoiadrum.configuration import ObjectKind
+from sequoiadrum.errors import RefusalReason
+from sequoiadrum.hashing import rank
+from sequoiadrum.interfaces import AdmissionRequest, Grant, GrantOutcome
+from sequoiadrum.messages import Address, LoadReport, MemberState
+from sequoiadrum.metrics import Metrics
+from sequoiadrum.peer_client import ThriftPeerClient
+from sequoiadrum.peer_server import PeerHandler, create_peer_server
+from sequoiadrum.platform_client import ListedInstance
+from sequoiadrum.timers import TimerService
+from tests.builders import a_config, a_settings, an_endpoint_value
+from tests.fakes import FakeConfig, FakeEngines, FakeMembership, FakePeers, FakePlatform, a_member
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+_WAIT_S = 15.0
+_numbers = itertools.count(1)
+_POOL = "assistant"
+
+
+def a_request(chat_id: str = "", fingerprint: str = "", wait_s: float = 10.0) -> AdmissionRequest:
+    """Builds a request with a fresh id."""
+    name = f"q{next(_numbers)}"
+    deadline = time.monotonic() + wait_s
+    return AdmissionRequest(_POOL, name, chat_id or name, "a", 1, 1.0, deadline, fingerprint)
+
+
+class AdmissionTaskTest(unittest.TestCase):
+    """Three routers, four engines; `first` owns the pool, `second` is next in the ranking."""
+
+    def setUp(self) -> None:
+        ids = ["r1", "r2", "r3"]
+        self.first, self.second, self.third = rank(f"pool/{_POOL}", ids)
+        members = {router_id: a_member(router_id, n) for n, router_id in enumerate(ids, 1)}
+        self.ports = {router_id: n for n, router_id in enumerate(ids, 1)}
+        self.peers = FakePeers()
+        self.engines = FakeEngines()
+        self.platforms = {router_id: FakePlatform() for router_id in ids}
+        self.config = FakeConfig(self.endpoints())
+        self.timers = TimerService()
+        self.metrics = Metrics()
+        self.views = {router_id: FakeMembership(router_id, members) for router_id in ids}
+        self.tasks: dict[str, AdmissionTask] = {}
+        self.timers.start()
+        self.addCleanup(self.timers.stop)
+        for port in range(9000, 9004):
+            self.engines.report_by_port[port] = LoadReport(0.0)
+        for router_id in ids:
+            view = self.views[router_id]
+            view.linked = [other for other in self.views.values() if other is not view]
+            engines: Any = self.engines
+            platform: Any = self.platforms[router_id]
+            parts = AdmissionParts(
+                self.config, view, self.peers, engines, platform, self.timers, self.metrics
+            )
+            task = AdmissionTask(a_settings(instance_id=router_id), parts, self.fail)
+            self.tasks[router_id] = task
+            self.peers.handlers_by_port[self.ports[router_id]] = _Calls(task)
+            task.start()
+            self.addCleanup(task.stop)
+
+    def endpoints(self, **values: Any) -> Any:
+        """Builds a configuration; the values apply to the first engine."""
+        return a_config(
+            *(
+                (
+                    ObjectKind.ENDPOINT,
+                    f"e{n}",
+                    an_endpoint_value(port=9000 + n, **(values if n == 0 else {})),
+                )
+                for n in range(4)
+            )
+        )
+
+    def granted(self, router_id: str, **values: Any) -> Grant:
+        """Gets a grant through a router."""
+        decision = self.tasks[router_id].acquire(a_request(**values), ())
+        assert isinstance(decision, Success), decision
+        return decision.unwrap()
+
+    def load(self, router_id: str) -> float:
+        """Gives the load that a router counts."""
+        return sum(self.tasks[router_id].loads(_POOL).values())
+
+    def eventually(self, holds: Callable[[], bool]) -> None:
+        """Waits until a condition holds."""
+        deadline = time.monotonic() + _WAIT_S
+        while not holds():
+            if time.monotonic() > deadline:
+                self.fail("the condition did not come true")
+            time.sleep(0.01)
+
+    def test_all_routers_count_at_the_owner(self) -> None:
+        """Guards against routers that each keep the bound on their own part of the load only."""
+        grants = [self.granted(router_id, chat_id="hot") for router_id in self.tasks]
+        grants += [self.granted(self.third, chat_id="hot") for _ in range(9)]
+        self.assertEqual({grant.owner_id for grant in grants}, {self.first})
+        self.assertEqual(self.load(self.first), 12)
+        self.assertLessEqual(max(self.tasks[self.first].loads(_POOL).values()), 4)
+        for grant in grants[3:]:
+            self.tasks[self.third].release(grant, GrantOutcome.OK)
+        self.eventually(lambda: self.load(self.first) == 3)
+        self.assertLess(self.peers.calls.count("release"), 9)
+
+    def test_wrong_owner_names_the_right_one(self) -> None:
+        """Guards against two routers that send a request back and forth."""
+        self.views[self.third].change(self.first, state=MemberState.DEAD)
+        self.assertEqual(self.granted(self.third).owner_id, self.first)
+        self.views[self.second].change(self.first, state=MemberState.DEAD)
+        self.assertEqual(self.granted(self.third).owner_id, self.second)
+
+    def test_lost_owner_is_replaced_and_told(self) -> None:
+        """Guards against a new owner that starts from an empty pool."""
+        held = self.granted(self.third)
+        del self.peers.handlers_by_port[self.ports[self.first]]
+        self.assertEqual(self.granted(self.third).owner_id, self.second)
+        for router_id in (self.second, self.third):
+            self.views[router_id].change(self.first, state=MemberState.DEAD)
+        self.eventually(lambda: self.load(self.second) == 2)
+        self.tasks[self.third].release(held, GrantOutcome.OK)
+        self.eventually(lambda: self.load(self.second) == 1)
+
+    def test_dead_router_leaks_nothing(self) -> None:
+        """Guards against load that nobody will ever release."""
+        for _ in range(4):
+            self.granted(self.second)
+        self.tasks[self.second].stop()
+        self.views[self.first].change(self.second, state=MemberState.DEAD)
+        self.eventually(lambda: self.load(self.first) == 0)
+
+    def test_lost_release_leaks_nothing(self) -> None:
+        """Guards against load that stays when a release is lost on the way."""
+        grant = self.granted(self.third)
+        self.peers.lose.add("release")
+        self.tasks[self.third].release(grant, GrantOutcome.OK)
+        self.eventually(lambda: self.peers.calls.count("release") > 0)
+        self.assertEqual(self.load(self.first), 1)
+        self.eventually(lambda: self.load(self.first) == 0)
+
+    def test_own_report_and_list_stop_new_work_everywhere(self) -> None:
+        """Guards against new work on a leaving engine, also past a router without a platform."""
+        self.platforms[self.first].instances = None
+        self.engines.report_by_port[9001] = LoadReport(0.0, leaving=True)
+        line = ListedInstance("x", "127.0.0.1", 9002, "engine", True)
+        self.platforms[self.second].instances = [line]
+        self.eventually(lambda: self.used_by_all() <= {"e0", "e3"})
+
+    def test_drain_reaches_an_owner_with_an_old_configuration(self) -> None:
+        """Guards against a cut-off owner that grants a draining engine."""
+        old = FakeConfig(self.config.state)
+        self.tasks[self.first]._owner._config = old
+        object.__setattr__(self.tasks[self.first]._parts, "config", old)
+        state = self.endpoints()
+        drained = a_config(
+            *[(c.kind, c.name, dict(c.value or {})) for c in state.changes_by_key.values()],
+            (ObjectKind.ENDPOINT, "e0", an_endpoint_value(port=9000, state="draining")),
+        )
+        self.config.state = drained
+        self.eventually(lambda: "e0" not in self.used_by_all())
+
+    def test_crashing_request_is_refused_by_every_router(self) -> None:
+        """Guards against a request that is sent again through another router."""
+        for router_id in (self.third, self.second):
+            grant = self.granted(router_id, fingerprint="bad")
+            self.tasks[router_id].release(grant, GrantOutcome.CRASHED)
+            self.eventually(lambda: self.counted("bad"))
+            time.sleep(0.05)
+        for task in self.tasks.values():
+            self.eventually(lambda t=task: t._owner.refusal("bad") is not None)
+        decision = self.tasks[self.first].acquire(a_request(fingerprint="bad"), ())
+        assert isinstance(decision, Failure)
+        self.assertIs(decision.failure().reason, RefusalReason.CRASHES_ENDPOINTS)
+
+    def used_by_all(self) -> set[str]:
+        """Gives the engines that the routers are granted now."""
+        granted = [(task, self.granted(r)) for r, task in self.tasks.items() for _ in range(4)]
+        for task, grant in granted:
+            task.release(grant, GrantOutcome.OK)
+        return {grant.endpoint_id for _, grant in granted}
+
+    def counted(self, fingerprint: str) -> bool:
+        """Whether a crash of the fingerprint was spread."""
+        rumors = self.views[self.first].spread_rumors
+        return any(r.kind == "crash" and r.key == fingerprint for r in rumors)
+
+    def test_calls_pass_through_the_wire_format(self) -> None:
+        """Guards against fields that the schema does not carry."""
+        server = create_peer_server(
+            Address("127.0.0.1", 0),
+            PeerHandler(None, self.tasks[self.first], None, None, None),
+            self.metrics,
+        )
+        server.start()
+        self.addCleanup(server.stop)
+        client = ThriftPeerClient(self.metrics)
+        self.addCleanup(client.close)
+        remote = self.tasks[self.third]._remote
+        remote._client = client
+        for view in self.views.values():
+            view.change(self.first, peer_port=server.port)
+        grants = [self.granted(self.third, chat_id="hot") for _ in range(9)]
+        self.assertTrue(any(grant.kv_source is not None for grant in grants))
+        decision = self.tasks[self.third].acquire(a_request(), ("e0", "e1", "e2", "e3"))
+        assert isinstance(decision, Failure)
+        self.assertIs(decision.failure().reason, RefusalReason.NO_ENDPOINT)
+
+    def test_intervals_keep_the_leave_deadline(self) -> None:
+        """Guards against intervals that add up to more than the 3 s of a leave."""
+        self.assertLess(admission_task.LIST_S + admission_task.POLL_S, 2.0)
+
+
+class _Calls:
+    """The part of `PeerHandler` that admission answers."""
+
+    def __init__(self, task: AdmissionTask) -> None:
+        self.acquire = task.acquire_for_peer
+        self.release = task.release_for_peer
+        self.report_grants = task.report_grants
