--- a/src/sequoiadrum/_cli_base.py
+++ b/src/sequoiadrum/_cli_base.py
@@ -13,6 +13,7 @@
 
 from sequoiadrum._tables import to_json
 from sequoiadrum.operator_client import (
+    CONFIRM_S,
     CallConflict,
     CallFailure,
     CallRefused,
@@ -65,13 +66,16 @@
     timeout_s: Annotated[
         float, cappa.Arg(long="--timeout-s", help="Time for connecting and for the answer")
     ] = 10.0
+    confirm_s: Annotated[
+        float, cappa.Arg(long="--confirm-s", help="Time to look for a change after a lost answer")
+    ] = CONFIRM_S
 
     def __call__(self) -> int:
         """Runs the command and prints its outcome."""
         # The thrift library logs failed connections, which the outcome tells already.
         logging.getLogger("thrift").setLevel(logging.CRITICAL)
         try:
-            client = OperatorClient(self._addresses(), self.timeout_s)
+            client = OperatorClient(self._addresses(), self.timeout_s, self.confirm_s)
             return self.execute(client)
         except UsageError as error:
             sys.stderr.write(f"sequoiadrum: {error}\n")
--- a/src/sequoiadrum/plan_task.py
+++ b/src/sequoiadrum/plan_task.py
@@ -25,6 +25,7 @@
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Sequence
+    from concurrent.futures import Executor
 
     from sequoiadrum.settings import Settings
     from sequoiadrum.timers import TimerService
@@ -111,7 +112,18 @@
         process_id: int,
         on_invariant: Callable[[], None],
         clock: Callable[[], float] = time.monotonic,
+        executor: Executor | None = None,
     ) -> None:
+        """Prepares the task; it drives nothing before `start`.
+
+        Args:
+            parts: What the driver works with.
+            settings: Lease time and load interval.
+            process_id: Random number of this process, as its peers know it.
+            on_invariant: Called when an invariant is broken.
+            clock: Monotonic seconds.
+            executor: Runs the blocking calls; by default a small thread pool.
+        """
         super().__init__("plans", parts.metrics, on_invariant)
         self._parts = parts
         self._clock = clock
@@ -121,7 +133,7 @@
         )
         self._drift = DriftWatch(parts.config, parts.engines, self._self_id, parts.metrics)
         self._observer = LeaseObserver(settings.plan_lease_s)
-        self._executor = ThreadPoolExecutor(_WORKERS, thread_name_prefix="plans")
+        self._executor = executor or ThreadPoolExecutor(_WORKERS, thread_name_prefix="plans")
         self._usable: list[str] = [self._self_id]
         self._driven_by_id: dict[str, Driven] = {}
         self._busy: set[str] = set()
--- a/tests/plan_world.py
+++ b/tests/plan_world.py
@@ -6,7 +6,6 @@
 
 from returns.result import Failure, Success
 
-from sequoiadrum.configuration import ConfigState
 from sequoiadrum.engine_client import EngineClient, EngineFailure
 from sequoiadrum.errors import Refusal, RefusalReason
 from sequoiadrum.interfaces import (
@@ -29,6 +28,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from sequoiadrum.configuration import ConfigState
     from sequoiadrum.plans import Plan
 
 LEASE_S = 9.0
