Start the operator side in the router and test it end to end

The router now starts the operator port and the plan task. Until the writer of the configuration, the membership and the pool inspector are wired in, it uses placeholders: no change is accepted, the fleet has one router, no load is known.

A drain or move that finds its endpoint made active again by an operator fails and restores it instead of removing it.

--- a/src/sequoiadrum/app.py
+++ b/src/sequoiadrum/app.py
@@ -2,12 +2,14 @@
 
 from __future__ import annotations
 
+import secrets
 import signal
 import threading
 import time
 from typing import TYPE_CHECKING, Final
 
 import structlog
+from returns.result import Failure, Result
 
 from sequoiadrum._engine_http import HttpEngineClient
 from sequoiadrum._platform_http import HttpPlatformClient
@@ -15,17 +17,32 @@
 from sequoiadrum.admission_task import AdmissionTask
 from sequoiadrum.chat_relay import ChatRelay
 from sequoiadrum.config_task import ConfigTask
+from sequoiadrum.errors import Refusal, RefusalReason
 from sequoiadrum.http_front import FrontParts, HttpFront
-from sequoiadrum.interfaces import AccountLimits, Directory
+from sequoiadrum.interfaces import (
+    AccountLimits,
+    ConfigUnavailable,
+    ConfigWriter,
+    Directory,
+    MembershipSource,
+    PoolInspector,
+)
 from sequoiadrum.ledger import ObjectLedger
-from sequoiadrum.messages import Address
+from sequoiadrum.messages import Address, Member, MemberState
 from sequoiadrum.metrics import Metrics
+from sequoiadrum.operator_side import OperatorSide
+from sequoiadrum.plan_driver import DriverParts
+from sequoiadrum.plan_store import PlanStore
 from sequoiadrum.service_relay import ServiceRelay
 from sequoiadrum.timers import TimerService
 
 if TYPE_CHECKING:
-    from sequoiadrum.errors import Refusal
+    from collections.abc import Mapping, Sequence
+
+    from sequoiadrum.configuration import Change, ChangeRequest
+    from sequoiadrum.interfaces import ConfigSource, PoolLoad
     from sequoiadrum.settings import Settings
+    from sequoiadrum.tasks import Task
 
 _ENGINE_TIMEOUT_S: Final = 2.0
 _STREAM_TIMEOUT_S: Final = 30.0
@@ -51,6 +68,62 @@
         return (self.address,)
 
 
+class _NoWriter(ConfigWriter):
+    """Accepts no changes."""
+
+    def submit(self, request: ChangeRequest) -> Result[Change, ConfigUnavailable]:
+        return Failure(ConfigUnavailable("this router accepts no changes"))
+
+
+class _OnlyThisRouter(MembershipSource):
+    """A fleet of one."""
+
+    def __init__(self, settings: Settings, process_id: int, config: ConfigSource) -> None:
+        self._settings = settings
+        self._process_id = process_id
+        self._config = config
+
+    def self_id(self) -> str:
+        return self._settings.instance_id
+
+    def members(self) -> Mapping[str, Member]:
+        s = self._settings
+        revision = self._config.current().revision
+        member = Member(
+            id=s.instance_id,
+            host=s.host,
+            peer_port=s.peer_port,
+            http_port=s.http_port,
+            failure_domain=s.failure_domain,
+            region=s.region,
+            process_id=self._process_id,
+            incarnation=0,
+            state=MemberState.ALIVE,
+            config_revision=revision,
+        )
+        return {s.instance_id: member}
+
+    def subscribe(self, task: Task) -> None:
+        """Nothing changes."""
+
+    def spread(self, kind: str, key: str, version: int, payload: bytes, ttl_s: float) -> None:
+        """Nobody listens."""
+
+
+class _NoInspector(PoolInspector):
+    """Knows no loads, so no drain gets past its wait."""
+
+    def pool_load(self, pool: str) -> Result[PoolLoad, Refusal]:
+        detail = "the owner of the pool cannot be asked"
+        return Failure(Refusal(RefusalReason.OWNER_UNREACHABLE, detail, 1_000))
+
+    def in_flight(self, endpoint_id: str) -> float | None:
+        return None
+
+    def recent_chats(self, endpoint_id: str, limit: int) -> Sequence[str]:
+        return ()
+
+
 class Router:
     """One running router."""
 
@@ -84,6 +157,19 @@
             ),
         )
         directory.address = Address(settings.host, self.front.port)
+        process_id = secrets.randbits(62)
+        driver_parts = DriverParts(
+            store=PlanStore(platform),
+            config=self.config,
+            writer=_NoWriter(),
+            engines=engines,
+            inspector=_NoInspector(),
+            membership=_OnlyThisRouter(settings, process_id, self.config),
+            metrics=self.metrics,
+        )
+        self.operators: Final = OperatorSide(
+            settings, driver_parts, process_id, self._invariant_broken
+        )
         self.metrics.gauge("requests_in_flight", lambda: float(self.front.active()))
 
     def start(self) -> None:
@@ -92,6 +178,7 @@
         self.config.start()
         self.admission.start()
         self.front.start()
+        self.operators.start(self.timers)
         _log.info("started", instance=self.settings.instance_id, http_port=self.front.port)
 
     def run(self) -> int:
@@ -112,6 +199,7 @@
         while self.front.active() and time.monotonic() < deadline:
             time.sleep(_POLL_S)
         self.front.stop()
+        self.operators.stop()
         self.admission.stop()
         self.config.stop()
         self.timers.stop()
--- a/src/sequoiadrum/plan_driver.py
+++ b/src/sequoiadrum/plan_driver.py
@@ -19,6 +19,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable, Sequence
 
+    from sequoiadrum.configuration import Change
     from sequoiadrum.engine_client import EngineClient
     from sequoiadrum.interfaces import ConfigSource, ConfigWriter, MembershipSource, PoolInspector
     from sequoiadrum.messages import Endpoint
@@ -146,6 +147,8 @@
         found = self._parts.config.current().changes_by_key.get((ObjectKind.ENDPOINT, endpoint_id))
         if found is None or found.value is None:
             return self._keeper.fail(driven, f"endpoint {endpoint_id} is not declared")
+        if step.name is StepName.MARK_REMOVED and self._is_taken_back(driven, found):
+            return self._keeper.fail(driven, f"{endpoint_id} was made active by {found.change_id}")
         renewed = self._keeper.renew(driven)
         if renewed is not None:
             return renewed
@@ -173,6 +176,14 @@
             )
         return self._keeper.wait(driven, "the configuration cannot be changed now")
 
+    def _is_taken_back(self, driven: Driven, found: Change | None) -> bool:
+        """Whether an operator has returned the endpoint to service since it was marked."""
+        marked = driven.plan.step(StepName.MARK_DRAINING)
+        if found is None or found.value is None or marked is None:
+            return False
+        is_active = found.value.get("state", EndpointState.ACTIVE.value) == "active"
+        return is_active and found.revision > marked.revision
+
     # Steps that talk to engines.
 
     def _load_models(self, driven: Driven) -> Advance:
@@ -291,6 +302,10 @@
         return self._keeper.finish(driven, driven.note)
 
     def _wait_idle(self, driven: Driven) -> Advance:
+        endpoint_id = driven.plan.endpoint_id
+        found = self._parts.config.current().changes_by_key.get((ObjectKind.ENDPOINT, endpoint_id))
+        if found is not None and self._is_taken_back(driven, found):
+            return self._keeper.fail(driven, f"{endpoint_id} was made active by {found.change_id}")
         marked = driven.plan.step(StepName.MARK_DRAINING)
         revision = marked.revision if marked else 0
         behind = sorted(
@@ -300,7 +315,7 @@
         )
         if behind:
             return self._keeper.wait(driven, f"not draining yet on {', '.join(behind[:5])}")
-        in_flight = self._parts.inspector.in_flight(driven.plan.endpoint_id)
+        in_flight = self._parts.inspector.in_flight(endpoint_id)
         if in_flight is None:
             return self._keeper.wait(driven, "the owner of the pool does not answer")
         if in_flight > 0:
--- a/src/sequoiadrum/plans.py
+++ b/src/sequoiadrum/plans.py
@@ -226,7 +226,7 @@
         """
         try:
             return cls._from_json(json.loads(value))
-        except (KeyError, TypeError, AttributeError) as error:
+        except (KeyError, TypeError, AttributeError, ArithmeticError, RecursionError) as error:
             raise ValueError("not a plan") from error
 
     @classmethod
--- a/tests/test_plan_driver.py
+++ b/tests/test_plan_driver.py
@@ -278,6 +278,41 @@
         self.assertEqual(looks, [])
         self.assert_done(world)
 
+    def test_loads_are_paced(self) -> None:
+        """Guards against loads that come faster than the weight store can serve."""
+        world = a_world(PlanKind.MOVE)
+        ordered: list[float] = []
+        world.on_call = lambda count, what: (
+            ordered.append(world.now) if what == "order load" else None
+        )
+        world.run("r1", "p")
+        self.assertEqual(len(ordered), 2)
+        self.assertGreaterEqual(ordered[1] - ordered[0], 2.0)
+
+    def test_operator_takes_the_endpoint_back(self) -> None:
+        """Guards against a drain that removes an endpoint which an operator made active again."""
+        failed = 0
+        for kind, number in each_call():
+            with self.subTest(kind=kind, call=number):
+                world = a_world(kind)
+                back: list[bool] = []
+
+                def take_back(world: World = world, back: list[bool] = back) -> None:
+                    if world.config.value(ENDPOINT, "e1").get("state") == "draining":
+                        put_back(world)
+                        back.append(True)
+
+                at(world, number, take_back)
+                world.run("r1", "p")
+                # A plan whose step is not recorded yet makes its own change once more.
+                if back and world.plan("p").state is PlanState.FAILED:
+                    self.assertIn("operator-puts-back", world.plan("p").detail)
+                    self.assert_as_before(world)
+                    failed += 1
+                else:
+                    self.assert_done(world)
+        self.assertGreater(failed, 0)
+
     def test_younger_plan_on_the_same_engine(self) -> None:
         """Guards against a plan that stops because another plan gave orders to its engine."""
         world = a_world(PlanKind.MOVE)
--- a/tests/test_whole_path.py
+++ b/tests/test_whole_path.py
@@ -2,9 +2,12 @@
 
 from __future__ import annotations
 
+import contextlib
+import io
 import time
 import unittest
 
+from sequoiadrum.cli import run
 from tests.builders import a_chat_body
 from tools.fleet import Fleet, call_json
 
@@ -36,6 +39,13 @@
         self.assertEqual(len(words), 20)
         self.assertEqual(answer["choices"][0]["finish_reason"], "stop")
 
+    def test_operator_commands_reach_a_router(self) -> None:
+        """Guards against a router whose operator interface is not started."""
+        router = self.fleet.routers_by_id["r1"].operator_address
+        for command in (["account", "list"], ["fleet"], ["plan", "list"], ["counters"]):
+            with contextlib.redirect_stdout(io.StringIO()):
+                self.assertEqual(run([*command, f"--router={router}"]), 0, command)
+
     def test_repeated_key_runs_once(self) -> None:
         """Guards against a second execution when a key comes again at another router."""
         headers = {
--- a/tools/fleet.py
+++ b/tools/fleet.py
@@ -34,6 +34,8 @@
     name: str
     popen: subprocess.Popen[str]
     address: Address
+    operator_address: Address | None = None
+    """Operator port, of routers only."""
 
     def kill(self) -> None:
         """Ends the process at once (SIGKILL)."""
@@ -102,7 +104,9 @@
             *flags,
         ]
         popen = subprocess.Popen(arguments, stderr=subprocess.DEVNULL, text=True)
-        process = Process(router_id, popen, Address(_HOST, http_port))
+        process = Process(
+            router_id, popen, Address(_HOST, http_port), Address(_HOST, operator_port)
+        )
         self.routers_by_id[router_id] = process
         return process
 
