Announce open plans again until they end

A router that becomes the driver of a plan may have heard of its version before. Scouts therefore announce open plans at each scan under a new rumour version, and hints are looked at again on the next tick after members changed, which bounds the ranking work at a churn of members.

--- a/src/sequoiadrum/plan_task.py
+++ b/src/sequoiadrum/plan_task.py
@@ -44,7 +44,9 @@
 _RUMOR_TTL_S: Final = 30.0
 _WORKERS: Final = 4
 _READS_PER_SCAN: Final = 20
-_MAX_HINTS: Final = 1_000
+_MAX_REMEMBERED: Final = 1_000
+_HINT_S: Final = 60.0
+"""A scout announces an open plan again before this time."""
 _FULL_PAUSE_S: Final = 0.05
 
 _log = structlog.get_logger(__name__)
@@ -138,8 +140,9 @@
         self._driven_by_id: dict[str, Driven] = {}
         self._busy: set[str] = set()
         self._next_read_by_id: dict[str, float] = {}
-        self._hinted_versions_by_id: OrderedDict[str, int] = OrderedDict()
-        self._final_versions_by_id: dict[str, int] = {}
+        self._hinted_at_by_id: OrderedDict[str, float] = OrderedDict()
+        self._members_are_new = False
+        self._final_versions_by_id: OrderedDict[str, int] = OrderedDict()
         parts.metrics.gauge("plans_driven", lambda: float(len(self._driven_by_id)))
 
     def handlers(self) -> dict[type, Callable[[Any], None]]:
@@ -180,19 +183,28 @@
 
     def plan_changed(self, plan_id: str, version: int) -> None:
         """See `PlanNotices.plan_changed`."""
-        self._parts.membership.spread(RUMOR_KIND, plan_id, version, b"", _RUMOR_TTL_S)
+        self._spread(plan_id, version)
         self.post(PlanHint(plan_id, version))
 
+    def _spread(self, plan_id: str, version: int) -> None:
+        # The rumour's own version is a time, so that an unchanged plan is heard again by routers
+        # which have become its driver since. A skewed clock only delays a notice until the next.
+        heard = int(time.time() * 1e3)
+        payload = str(version).encode()
+        self._parts.membership.spread(RUMOR_KIND, plan_id, heard, payload, _RUMOR_TTL_S)
+
     def _members_changed(self, message: MembersChanged) -> None:
         usable = [member.id for member in message.members_by_id.values() if member.is_usable]
         self._usable = usable or [self._self_id]
-        # A plan whose driver has died is announced with a version that was heard before.
-        for plan_id in list(self._hinted_versions_by_id):
-            self._consider(plan_id)
+        self._members_are_new = True
 
     def _rumor(self, message: RumorHeard) -> None:
-        if message.kind == RUMOR_KIND:
-            self._hint(PlanHint(message.key, message.version))
+        if message.kind != RUMOR_KIND:
+            return
+        try:
+            self._hint(PlanHint(message.key, int(message.payload)))
+        except ValueError:
+            self.metrics.count("malformed_rumors_total", kind=RUMOR_KIND)
 
     def _scan(self, _: Scan) -> None:
         if self._self_id in rank("plans", self._usable)[:SCOUTS]:
@@ -203,18 +215,16 @@
             return
         entries = message.result.unwrap()
         present = dict(entries)
-        self._final_versions_by_id = {
-            plan_id: version
-            for plan_id, version in self._final_versions_by_id.items()
-            if present.get(plan_id) == version
-        }
+        for plan_id, version in list(self._final_versions_by_id.items()):
+            if present.get(plan_id) != version:
+                del self._final_versions_by_id[plan_id]
         open_entries = [e for e in entries if self._final_versions_by_id.get(e[0]) != e[1]]
         for plan_id, version in open_entries[:_READS_PER_SCAN]:
             if plan_id in self._driven_by_id:
                 continue
             self._read(plan_id)
             if not self._is_first(plan_id):
-                self._parts.membership.spread(RUMOR_KIND, plan_id, version, b"", _RUMOR_TTL_S)
+                self._spread(plan_id, version)
         self._prune(entries)
 
     def _prune(self, entries: Sequence[tuple[str, int]]) -> None:
@@ -229,10 +239,10 @@
         if driven is not None:
             driven.refresh |= message.version > driven.stored.version
         elif self._final_versions_by_id.get(plan_id, -1) < message.version:
-            self._hinted_versions_by_id[plan_id] = message.version
-            self._hinted_versions_by_id.move_to_end(plan_id)
-            if len(self._hinted_versions_by_id) > _MAX_HINTS:
-                self._hinted_versions_by_id.popitem(last=False)
+            self._hinted_at_by_id[plan_id] = self._clock()
+            self._hinted_at_by_id.move_to_end(plan_id)
+            if len(self._hinted_at_by_id) > _MAX_REMEMBERED:
+                self._hinted_at_by_id.popitem(last=False)
             self._consider(plan_id)
 
     def _consider(self, plan_id: str) -> None:
@@ -257,7 +267,7 @@
         stored = message.result.unwrap()
         if stored.plan.state.is_final:
             self._forget(plan_id)
-            self._final_versions_by_id[plan_id] = stored.version
+            self._remember_final(plan_id, stored.version)
         elif not self._is_first(plan_id):
             self._next_read_by_id.pop(plan_id, None)
             self._observer.forget(stored.plan.name)
@@ -278,12 +288,29 @@
 
     def _forget(self, plan_id: str) -> None:
         self._next_read_by_id.pop(plan_id, None)
-        self._hinted_versions_by_id.pop(plan_id, None)
+        self._hinted_at_by_id.pop(plan_id, None)
         self._observer.forget(PLAN_PREFIX + plan_id)
 
+    def _remember_final(self, plan_id: str, version: int) -> None:
+        self._final_versions_by_id[plan_id] = version
+        if len(self._final_versions_by_id) > _MAX_REMEMBERED:
+            self._final_versions_by_id.popitem(last=False)
+
+    def _reconsider(self) -> None:
+        """Looks at the plans heard of lately, whose driver may have died."""
+        self._members_are_new = False
+        oldest = self._clock() - _HINT_S
+        for plan_id, heard_at in list(self._hinted_at_by_id.items()):
+            if heard_at < oldest:
+                del self._hinted_at_by_id[plan_id]
+            else:
+                self._consider(plan_id)
+
     def _tick(self, _: Tick) -> None:
         for plan_id in list(self._driven_by_id):
             self._advance(plan_id)
+        if self._members_are_new:
+            self._reconsider()
         now = self._clock()
         for plan_id in [p for p, due in self._next_read_by_id.items() if due <= now]:
             self._read(plan_id)
@@ -298,7 +325,7 @@
         elif message.outcome is Advance.FINISHED:
             driven = self._driven_by_id.pop(message.plan_id)
             state = driven.plan.state.value
-            self._final_versions_by_id[message.plan_id] = driven.stored.version
+            self._remember_final(message.plan_id, driven.stored.version)
             self.metrics.count("plans_finished_total", state=state)
             _log.info("plan_finished", plan=message.plan_id, state=state)
         elif message.outcome is Advance.LOST:
--- a/tests/test_plan_task.py
+++ b/tests/test_plan_task.py
@@ -160,6 +160,7 @@
         self.assertEqual(self.world.plan(plan_id).lease.holder_id, "")
         self.world.inspector.in_flight_left = []
         self.fleet.bury("r1")
+        self.fleet.run(1)
         self.assertIs(self.world.plan(plan_id).state, PlanState.DONE)
 
     def test_abort_reaches_the_driver_at_once(self) -> None:
@@ -181,6 +182,13 @@
         self.fleet.run(10)
         self.assertEqual(calls, ["list plans/"] * 2)
 
+    def test_malformed_rumor_is_counted(self) -> None:
+        """Guards against a task that fails on a rumour that is no version."""
+        self.fleet.send(RumorHeard("plan", "p1", 1, b"soon"))
+        self.assertEqual(
+            self.world.metrics.value("malformed_rumors_total", kind="plan"), len(ROUTERS)
+        )
+
     def test_finished_plans_cost_no_more_reads(self) -> None:
         """Guards against reading the history of plans at every listing."""
         self.fleet.create(a_plan_id("r3"), at="r2")
