Deliver whole answers or an error, and bound the caller interface

Relay: a stream was resumed but never restarted, events with a gap passed, [DONE] alone made an answer whole, and a silent engine kept its thread for 30 s. Now a broken stream resumes at the next token, restarts on another engine when nothing was delivered or the replay is verified by a hash of the delivered text, and ends with an error otherwise. Failed grants are released as crashed only when the engine refuses connections. Streams are cancelled after a grace period by a task, which holds the grant until then, because the engine works until then. Retries draw on a budget; the first resume of a break does not, since it adds no work at the engine.

Stream reading goes straight to the socket: http.client cannot read again after a timeout, which the checks for deadline and caller need.

Requests beyond the threads, connections beyond the limit, stalled readers and requests that do not arrive are refused or dropped with a counter; errors of the HTTP library and unexpected exceptions are typed. Setting will_close, as waitress does, does not drop a stalled reader: its socket never becomes writable.

The engine stand-in notices a reader that has gone between two tokens; before, a cancellation of an unattached stream had no effect for up to one token.

--- a/src/sequoiadrum/_engine_http.py
+++ b/src/sequoiadrum/_engine_http.py
@@ -2,7 +2,9 @@
 
 `POST /v1/chat/completions` streams server-sent events whose `id` is the token offset and ends with
 `data: [DONE]`; `X-Request-Id`, `X-Chat-Id` and `X-Priority` name the stream, the chat and the
-priority. `GET /v1/streams/ID?offset=N` attaches again, `POST /v1/streams/ID/cancel` cancels,
+priority, and `X-Deadline-Ms` the time after which nobody waits for the answer. One event holds one
+token, and the headers of the answer come before the first token.
+`GET /v1/streams/ID?offset=N` attaches again, `POST /v1/streams/ID/cancel` cancels,
 `GET /load` reports load, `POST /kv/import` fetches a chat's KV cache from another engine and
 `POST /orders` takes an order.
 """
@@ -10,6 +12,7 @@
 from __future__ import annotations
 
 import json
+import time
 from http.client import HTTPConnection, HTTPException, HTTPResponse
 from typing import TYPE_CHECKING, Any, Final
 from urllib.parse import quote
@@ -17,16 +20,17 @@
 from returns.result import Failure, Result, Success
 
 from sequoiadrum._http_pool import HttpPool
+from sequoiadrum._sse import SseReader
 from sequoiadrum.engine_client import EngineClient, EngineFailure, EngineOrder, EngineStream
-from sequoiadrum.messages import LoadReport, StreamEvent
+from sequoiadrum.messages import LoadReport
 
 if TYPE_CHECKING:
     from collections.abc import Mapping, Sequence
 
-    from sequoiadrum.messages import Address, ChatRequest
+    from sequoiadrum.messages import Address, ChatRequest, StreamEvent
 
-_READ_BYTES: Final = 65_536
-_DONE: Final = b"[DONE]"
+_HEADERS_TIMEOUT_S: Final = 5.0
+"""An engine sends headers as soon as it has accepted a request; one that does not, hangs."""
 _FAILURES_BY_STATUS: Final = {
     404: EngineFailure.LOST,
     409: EngineFailure.STALE_FENCE,
@@ -52,14 +56,20 @@
             "X-Chat-Id": request.chat_id,
             "X-Priority": str(request.priority),
         }
-        return self._stream(address, "POST", "/v1/chat/completions", request.body, headers)
+        timeout_s = _HEADERS_TIMEOUT_S
+        if request.deadline:
+            remaining_s = max(0.001, request.deadline - time.monotonic())
+            headers["X-Deadline-Ms"] = str(int(remaining_s * 1e3))
+            timeout_s = min(timeout_s, remaining_s)
+        path = "/v1/chat/completions"
+        return self._stream(address, "POST", path, request.body, headers, timeout_s)
 
     def resume(
         self, address: Address, request_id: str, offset: int
     ) -> Result[EngineStream, EngineFailure]:
         """See `EngineClient.resume`."""
         path = f"/v1/streams/{quote(request_id, safe='')}?offset={offset}"
-        return self._stream(address, "GET", path, None, {})
+        return self._stream(address, "GET", path, None, {}, self._timeout_s)
 
     def cancel(
         self, address: Address, request_id: str, if_unattached: bool
@@ -78,11 +88,12 @@
         )
 
     def import_kv(
-        self, address: Address, chat_id: str, source: Address
+        self, address: Address, chat_id: str, source: Address, timeout_s: float | None = None
     ) -> Result[int, EngineFailure]:
         """See `EngineClient.import_kv`."""
         document = {"chat_id": chat_id, "host": source.host, "port": source.port}
-        return self._call(address, "POST", "/kv/import", document).map(lambda d: int(d["tokens"]))
+        result = self._call(address, "POST", "/kv/import", document, timeout_s)
+        return result.bind(_prefix_tokens)
 
     def order(self, address: Address, order: EngineOrder) -> Result[None, EngineFailure]:
         """See `EngineClient.order`."""
@@ -94,6 +105,10 @@
         }
         return self._call(address, "POST", "/orders", document).map(lambda _: None)
 
+    def close(self) -> None:
+        """Closes the idle connections."""
+        self._pool.close()
+
     def _stream(
         self,
         address: Address,
@@ -101,13 +116,16 @@
         path: str,
         body: bytes | None,
         headers: Mapping[str, str],
+        timeout_s: float,
     ) -> Result[EngineStream, EngineFailure]:
         try:
-            connection = self._pool.borrow(address)
+            connection = self._pool.borrow(address, min(timeout_s, self._timeout_s))
         except OSError:
             return Failure(EngineFailure.UNREACHABLE)
         try:
-            connection.sock.settimeout(self._stream_timeout_s)
+            # `getresponse` forgets the socket of an answer that ends with its connection.
+            body_socket = connection.sock
+            body_socket.settimeout(timeout_s)
             connection.request(method, path, body=body, headers=dict(headers))
             response = connection.getresponse()
         except (OSError, HTTPException):
@@ -116,14 +134,28 @@
         if response.status != 200:
             connection.close()
             return Failure(_FAILURES_BY_STATUS.get(response.status, EngineFailure.REJECTED))
-        return Success(_HttpEngineStream(self._pool, address, connection, response))
+        try:
+            reader = SseReader(body_socket, response)
+        except (OSError, ValueError):
+            connection.close()
+            return Failure(EngineFailure.BROKEN)
+        return Success(
+            _HttpEngineStream(
+                self._pool, address, connection, response, reader, self._stream_timeout_s
+            )
+        )
 
     def _call(
-        self, address: Address, method: str, path: str, document: object = None
+        self,
+        address: Address,
+        method: str,
+        path: str,
+        document: object = None,
+        timeout_s: float | None = None,
     ) -> Result[dict[str, Any], EngineFailure]:
         body = None if document is None else json.dumps(document)
         try:
-            connection = self._pool.borrow(address)
+            connection = self._pool.borrow(address, timeout_s)
         except OSError:
             return Failure(EngineFailure.UNREACHABLE)
         try:
@@ -143,7 +175,7 @@
 
 
 class _HttpEngineStream(EngineStream):
-    """Parses the server-sent events of one response."""
+    """The server-sent events of one response."""
 
     def __init__(
         self,
@@ -151,30 +183,31 @@
         address: Address,
         connection: HTTPConnection,
         response: HTTPResponse,
+        reader: SseReader,
+        idle_timeout_s: float,
     ) -> None:
         self._pool = pool
         self._address = address
         self._connection = connection
         self._response = response
-        self._rest = b""
-        self._done = False
+        self._reader = reader
+        self._idle_timeout_s = idle_timeout_s
+        self._last_read = time.monotonic()
         self._closed = False
 
-    def read(self) -> Result[Sequence[StreamEvent], EngineFailure]:
+    def read(
+        self, timeout_s: float, linger_s: float = 0.0
+    ) -> Result[Sequence[StreamEvent], EngineFailure]:
         """See `EngineStream.read`."""
-        events: list[StreamEvent] = []
-        while not events and not self._done:
-            try:
-                chunk = self._response.read1(_READ_BYTES)
-            except (OSError, HTTPException):
-                return Failure(EngineFailure.BROKEN)
-            if not chunk:
-                # The response ended without `[DONE]`: the answer is not whole.
-                return Failure(EngineFailure.BROKEN)
-            try:
-                self._parse(chunk, events)
-            except (ValueError, IndexError):
-                return Failure(EngineFailure.REJECTED)
+        try:
+            events = self._reader.read(timeout_s, linger_s)
+        except TimeoutError:
+            idle_s = time.monotonic() - self._last_read
+            hung = idle_s > self._idle_timeout_s
+            return Failure(EngineFailure.BROKEN if hung else EngineFailure.TIMED_OUT)
+        except (OSError, ValueError):
+            return Failure(EngineFailure.BROKEN)
+        self._last_read = time.monotonic()
         return Success(events)
 
     def close(self) -> None:
@@ -182,22 +215,15 @@
         if self._closed:
             return
         self._closed = True
-        if self._done and not self._response.isclosed():
-            self._read_tail()
-        self._pool.give_back(self._address, self._connection, self._response)
-
-    def _read_tail(self) -> None:
-        try:
-            self._response.read()
-        except (OSError, HTTPException):
+        if self._reader.done:
+            self._reader.read_tail()
+        self._response.close()
+        if self._reader.complete:
+            self._pool.give_back(self._address, self._connection, self._response)
+        else:
             self._connection.close()
 
-    def _parse(self, chunk: bytes, events: list[StreamEvent]) -> None:
-        *blocks, self._rest = (self._rest + chunk).split(b"\n\n")
-        for block in blocks:
-            lines = block.split(b"\n")
-            data = lines[-1].removeprefix(b"data: ")
-            if data == _DONE:
-                self._done = True
-            else:
-                events.append(StreamEvent(int(lines[0].removeprefix(b"id: ")), data))
+
+def _prefix_tokens(document: dict[str, Any]) -> Result[int, EngineFailure]:
+    tokens = document.get("tokens")
+    return Success(tokens) if isinstance(tokens, int) else Failure(EngineFailure.REJECTED)
--- a/src/sequoiadrum/_wsgi.py
+++ b/src/sequoiadrum/_wsgi.py
@@ -14,7 +14,9 @@
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable, Mapping
 
-    StartResponse = Callable[[str, list[tuple[str, str]]], object]
+    from sequoiadrum.metrics import Metrics
+
+    StartResponse = Callable[..., object]
 
 _STATUS_BY_REASON: Final = {
     RefusalReason.ACCOUNT_LIMIT: 429,
@@ -24,6 +26,7 @@
     RefusalReason.CRASHES_ENDPOINTS: 422,
     RefusalReason.DEADLINE: 504,
     RefusalReason.ENDPOINT_FAILED: 502,
+    RefusalReason.INTERNAL: 500,
     RefusalReason.KEY_EXPIRED: 422,
     RefusalReason.KEY_MISSING: 400,
     RefusalReason.KEY_REUSED: 422,
@@ -71,6 +74,10 @@
         """Reads the whole body, which waitress has buffered and bounded."""
         return bytes(self.environ["wsgi.input"].read())
 
+    def body_bytes(self) -> int:
+        """Gives the length of the body, which waitress has read whole."""
+        return int(self.environ.get("CONTENT_LENGTH") or 0)
+
     def disconnected(self) -> bool:
         """Tells whether the caller has closed the connection."""
         check = self.environ.get("waitress.client_disconnected")
@@ -116,13 +123,57 @@
     }
 
 
-def respond_refusal(start_response: StartResponse, refusal: Refusal) -> list[bytes]:
-    """Sends a typed JSON error."""
-    headers = []
-    if refusal.retry_after_ms is not None:
-        headers.append(("Retry-After", str(max(1, -(-refusal.retry_after_ms // 1000)))))
-    status = _STATUS_BY_REASON.get(refusal.reason, 503)
-    return respond_json(start_response, status, refusal_document(refusal), headers)
+def refusal_status(refusal: Refusal) -> int:
+    """Gives the HTTP status of a refusal."""
+    return _STATUS_BY_REASON.get(refusal.reason, 503)
+
+
+def refusal_headers(refusal: Refusal) -> list[tuple[str, str]]:
+    """Gives `Retry-After` in whole seconds when a new attempt may succeed."""
+    if refusal.retry_after_ms is None:
+        return []
+    return [("Retry-After", str(max(1, -(-refusal.retry_after_ms // 1000))))]
+
+
+def refuse(metrics: Metrics, start_response: StartResponse, refusal: Refusal) -> list[bytes]:
+    """Counts a refusal and sends it as a typed JSON error."""
+    metrics.count("refusals_total", reason=refusal.reason.value)
+    return respond_json(
+        start_response,
+        refusal_status(refusal),
+        refusal_document(refusal),
+        refusal_headers(refusal),
+    )
+
+
+def raw_refusal(refusal: Refusal) -> bytes:
+    """Writes a refusal as a whole HTTP answer that ends the connection."""
+    body = json.dumps(refusal_document(refusal)).encode()
+    status = refusal_status(refusal)
+    lines = [
+        f"HTTP/1.1 {status} {_phrase(status)}",
+        "Connection: close",
+        "Content-Type: application/json",
+        f"Content-Length: {len(body)}",
+        *(f"{name}: {value}" for name, value in refusal_headers(refusal)),
+    ]
+    return "\r\n".join(lines).encode() + b"\r\n\r\n" + body
+
+
+def read_deadline(request: HttpRequest, now: float, longest_s: float) -> float | None:
+    """Reads `X-Deadline-Ms` as monotonic seconds; None when it is malformed."""
+    text = request.header("X-Deadline-Ms")
+    if not text:
+        return now + longest_s
+    if not is_number(text, 9):
+        return None
+    return now + min(int(text) / 1e3, longest_s)
+
+
+def is_number(text: str, digits: int) -> bool:
+    """Tells whether a text is a decimal number of at most so many ASCII digits."""
+    # `isdigit` alone accepts characters that `int` does not, such as a superscript two.
+    return text.isascii() and text.isdigit() and len(text) <= digits
 
 
 def _phrase(status: int) -> str:
--- a/src/sequoiadrum/app.py
+++ b/src/sequoiadrum/app.py
@@ -13,7 +13,7 @@
 from sequoiadrum._platform_http import HttpPlatformClient
 from sequoiadrum._service_http import HttpServiceClient
 from sequoiadrum.admission_task import AdmissionTask
-from sequoiadrum.chat_relay import ChatRelay
+from sequoiadrum.chat_relay import ChatRelay, RetryBudgets
 from sequoiadrum.config_task import ConfigTask
 from sequoiadrum.http_front import FrontParts, HttpFront
 from sequoiadrum.interfaces import AccountLimits, Directory
@@ -21,6 +21,7 @@
 from sequoiadrum.messages import Address
 from sequoiadrum.metrics import Metrics
 from sequoiadrum.service_relay import ServiceRelay
+from sequoiadrum.stream_cancel import StreamCanceller
 from sequoiadrum.timers import TimerService
 
 if TYPE_CHECKING:
@@ -69,6 +70,10 @@
         self.admission: Final = AdmissionTask(
             settings, self.config, self.metrics, self._invariant_broken
         )
+        self.canceller: Final = StreamCanceller(
+            engines, self.admission, self.timers, self.metrics, self._invariant_broken
+        )
+        budgets = RetryBudgets(self.metrics)
         keyed = ObjectLedger(platform, self.config, self.admission, services, self.metrics)
         directory = _OwnAddress(Address(settings.host, settings.http_port))
         self.front: Final = HttpFront(
@@ -76,8 +81,10 @@
             FrontParts(
                 config=self.config,
                 limits=_NoLimits(),
-                relay=ChatRelay(self.config, self.admission, engines, self.metrics),
-                services=ServiceRelay(self.admission, services, self.metrics),
+                relay=ChatRelay(
+                    self.config, self.admission, engines, self.canceller, budgets, self.metrics
+                ),
+                services=ServiceRelay(self.admission, services, budgets),
                 keyed=keyed,
                 directory=directory,
                 metrics=self.metrics,
@@ -91,6 +98,7 @@
         self.timers.start()
         self.config.start()
         self.admission.start()
+        self.canceller.start()
         self.front.start()
         _log.info("started", instance=self.settings.instance_id, http_port=self.front.port)
 
@@ -112,6 +120,7 @@
         while self.front.active() and time.monotonic() < deadline:
             time.sleep(_POLL_S)
         self.front.stop()
+        self.canceller.stop()
         self.admission.stop()
         self.config.stop()
         self.timers.stop()
--- a/src/sequoiadrum/chat_relay.py
+++ b/src/sequoiadrum/chat_relay.py
@@ -1,85 +1,66 @@
-"""Relays one chat request: admission, stream, resume, release."""
+"""Relays one chat request: admission, stream, resume, restart, release."""
 
 from __future__ import annotations
 
+import threading
 import time
 from typing import TYPE_CHECKING, Final
 
-from attrs import define, field
 from returns.result import Failure, Result, Success
 
+from sequoiadrum.chat_stream import ChatStream
 from sequoiadrum.engine_client import EngineFailure
 from sequoiadrum.errors import Refusal, RefusalReason
 from sequoiadrum.interfaces import AdmissionRequest, GrantOutcome
+from sequoiadrum.limits import RetryBudget
+from sequoiadrum.stream_cancel import GRACE_S, SETTLE_S, Abandoned
 
 if TYPE_CHECKING:
-    from collections.abc import Iterator, Sequence
+    from collections.abc import Callable
 
     from sequoiadrum.engine_client import EngineClient, EngineStream
     from sequoiadrum.interfaces import Admission, ConfigSource, Grant
-    from sequoiadrum.messages import Address, ChatRequest, StreamEvent
+    from sequoiadrum.messages import Address, ChatRequest
     from sequoiadrum.metrics import Metrics
+    from sequoiadrum.stream_cancel import StreamCanceller
 
 _RESUME_ATTEMPTS: Final = 3
 _RESUME_PAUSE_S: Final = 0.05
+_MAX_ENDPOINTS: Final = 4
+"""Endpoints tried for one request."""
+_KV_IMPORT_TIMEOUT_S: Final = 0.25
+"""About the prefill time that an import saves; a slower import is not worth its wait."""
+_LOST: Final = Refusal(RefusalReason.STREAM_LOST, "the engine has lost the stream", ran=None)
 
 
-@define(eq=False)
-class ChatStream:
-    """An answer on its way to the caller."""
-
-    relay: ChatRelay
-    request: ChatRequest
-    grant: Grant | None
-    address: Address
-    endpoint_id: str
-    stream: EngineStream
-    next_offset: int = 0
-    """First token that the caller does not have yet."""
-    failure: Refusal | None = None
-    """Set when the stream ended before its regular end."""
-    _pending: Sequence[StreamEvent] = field(factory=tuple)
-    _outcome: GrantOutcome = GrantOutcome.CANCELLED
-
-    def __iter__(self) -> Iterator[Sequence[StreamEvent]]:
-        """Yields events in order, each token once; look at `failure` after the end."""
-        if self._pending:
-            yield self._pending
-        while True:
-            result = self.stream.read()
-            if isinstance(result, Failure):
-                self.failure = self.relay.recover(self, result.failure())
-                if self.failure is not None:
-                    self._outcome = GrantOutcome.FAILED
-                    return
-                continue
-            events = result.unwrap()
-            if not events:
-                self._outcome = GrantOutcome.OK
-                return
-            fresh = self.accept(events)
-            if fresh:
-                yield fresh
-
-    def accept(self, events: Sequence[StreamEvent]) -> Sequence[StreamEvent]:
-        """Drops events that the caller has already and moves the offset."""
-        fresh = [event for event in events if event.offset >= self.next_offset]
-        if fresh:
-            self.next_offset = fresh[-1].offset + 1
-        return fresh
-
-    def prefetch(self, events: Sequence[StreamEvent]) -> None:
-        """Keeps the first events, read before the answer began."""
-        self._pending = self.accept(events)
-
-    def close(self) -> None:
-        """Releases the grant; a stream that is not finished is cancelled at the engine."""
-        self.stream.close()
-        if self._outcome is GrantOutcome.CANCELLED:
-            self.relay.abandon(self)
-        if self.grant is not None:
-            self.relay.admission.release(self.grant, self._outcome)
-            self.grant = None
+class RetryBudgets:
+    """The retry budgets of all pools; safe to use from any thread."""
+
+    def __init__(self, metrics: Metrics) -> None:
+        self._metrics = metrics
+        self._lock = threading.Lock()
+        self._budgets_by_pool: dict[str, RetryBudget] = {}
+
+    def request(self, pool: str) -> None:
+        """Counts a first attempt."""
+        now = time.monotonic()
+        with self._lock:
+            self._budget(pool, now).request(now)
+
+    def take(self, pool: str, reason: str) -> bool:
+        """Takes one retry and counts it by its reason, or tells that the budget is spent."""
+        now = time.monotonic()
+        with self._lock:
+            allowed = self._budget(pool, now).take(now)
+        name = "retries_total" if allowed else "retries_refused_total"
+        self._metrics.count(name, reason=reason)
+        return allowed
+
+    def _budget(self, pool: str, now: float) -> RetryBudget:
+        budget = self._budgets_by_pool.get(pool)
+        if budget is None:
+            budget = self._budgets_by_pool[pool] = RetryBudget.starting(now)
+        return budget
 
 
 class ChatRelay:
@@ -90,18 +71,151 @@
         config: ConfigSource,
         admission: Admission,
         engines: EngineClient,
+        canceller: StreamCanceller,
+        budgets: RetryBudgets,
         metrics: Metrics,
+        grace_s: float = GRACE_S,
     ) -> None:
         self.admission: Final = admission
         self._config = config
         self._engines = engines
+        self._canceller = canceller
+        self._budgets = budgets
         self._metrics = metrics
+        self._grace_s = grace_s
+
+    def start(
+        self,
+        request: ChatRequest,
+        pool: str,
+        delivers: bool = True,
+        caller_gone: Callable[[], bool] = lambda: False,
+        linger_s: Callable[[], float] = lambda: 0.0,
+    ) -> Result[ChatStream, Refusal]:
+        """Gets a grant, opens the stream and waits for the first token.
+
+        Args:
+            request: The request.
+            pool: Pool of its model.
+            delivers: Whether the caller gets tokens before the answer is whole.
+            caller_gone: Tells whether the caller has closed its connection.
+            linger_s: Gives the time for which events are collected into one batch.
+        """
+        self._budgets.request(pool)
+        chat = ChatStream(self, request, pool, delivers, caller_gone, linger_s)
+        refusal = self._place(chat)
+        if refusal is None:
+            chat.wait_first()
+            refusal = chat.failure
+        if refusal is not None:
+            chat.close()
+            return Failure(refusal)
+        return Success(chat)
+
+    def attach(
+        self,
+        request: ChatRequest,
+        endpoint_id: str,
+        offset: int,
+        caller_gone: Callable[[], bool] = lambda: False,
+        linger_s: Callable[[], float] = lambda: 0.0,
+    ) -> Result[ChatStream, Refusal]:
+        """Continues a stream that another router began."""
+        endpoint = self._config.current().endpoints_by_id.get(endpoint_id)
+        if endpoint is None:
+            return Failure(_LOST)
+        chat = ChatStream(
+            self,
+            request,
+            endpoint.pool,
+            True,
+            caller_gone,
+            linger_s,
+            address=endpoint.address,
+            endpoint_id=endpoint_id,
+            first_offset=offset,
+            next_offset=offset,
+        )
+        failure = self._resume(chat, endpoint.address, "caller")
+        if failure is not None:
+            # A later attempt may succeed unless the engine says that the stream is gone.
+            retry_after_ms = None if failure is EngineFailure.LOST else 500
+            return Failure(Refusal(_LOST.reason, _LOST.detail, retry_after_ms, None))
+        return Success(chat)
+
+    def recover(
+        self, chat: ChatStream, failure: EngineFailure
+    ) -> tuple[Refusal | None, GrantOutcome]:
+        """Resumes a broken stream at its next token, or starts it again on another engine.
+
+        Returns:
+            None when the stream goes on, else why it ends; and how its grant ended.
+        """
+        assert chat.stream is not None
+        assert chat.address is not None
+        chat.stream.close()
+        resumed = self._resume(chat, chat.address, failure.value)
+        if resumed is None:
+            return None, GrantOutcome.OK
+        # Only an engine that accepts no connections has crashed; others lost this stream.
+        unreachable = resumed is EngineFailure.UNREACHABLE
+        outcome = GrantOutcome.CRASHED if unreachable else GrantOutcome.FAILED
+        chat.may_have_run = True
+        if chat.grant is None or (chat.delivered and not chat.request.replayable):
+            return _LOST, outcome
+        self._drop(chat, outcome, cancel=not unreachable)
+        if not self._may_retry(chat, f"restart_{resumed.value}"):
+            return _spent(chat), outcome
+        return self._place(chat), outcome
+
+    def abandon(self, chat: ChatStream, may_resume: bool) -> None:
+        """Has the stream cancelled unless another reader attaches in the grace period."""
+        assert chat.address is not None
+        self._metrics.count("streams_abandoned_total")
+        grace_s = self._grace_s if may_resume else SETTLE_S
+        # The caller of a collected answer has seen no event id, so it cannot attach anywhere.
+        force = not chat.delivers
+        self._canceller.abandon(
+            Abandoned(
+                chat.address,
+                chat.request.request_id,
+                chat.grant,
+                0.0 if force else grace_s,
+                force,
+            )
+        )
 
-    def start(self, request: ChatRequest, pool: str) -> Result[ChatStream, Refusal]:
-        """Gets a grant and opens the stream; passes over endpoints that fail at once."""
-        excluded: list[str] = []
-        admission_request = AdmissionRequest(
-            pool=pool,
+    def _resume(self, chat: ChatStream, address: Address, reason: str) -> EngineFailure | None:
+        """Attaches at the next token; gives the last failure when that is impossible.
+
+        The first attempt goes on with work that the engine has already, so it needs no budget;
+        each further one does.
+        """
+        failure = EngineFailure.BROKEN
+        for attempt in range(_RESUME_ATTEMPTS):
+            if attempt == 0:
+                self._metrics.count("retries_total", reason=f"resume_{reason}")
+            else:
+                pause_s = _RESUME_PAUSE_S * 2**attempt
+                if time.monotonic() + pause_s > chat.request.deadline:
+                    break
+                if not self._budgets.take(chat.pool, f"resume_again_{failure.value}"):
+                    break
+                time.sleep(pause_s)
+            resumed = self._engines.resume(address, chat.request.request_id, chat.next_offset)
+            if isinstance(resumed, Success):
+                chat.continue_with(resumed.unwrap())
+                return None
+            failure = resumed.failure()
+            if failure is EngineFailure.LOST:
+                break
+        return failure
+
+    def _place(self, chat: ChatStream) -> Refusal | None:
+        """Starts the request on the first granted engine that takes it."""
+        request = chat.request
+        wanted = AdmissionRequest(
+            pool=chat.pool,
             request_id=request.request_id,
             chat_id=request.chat_id,
             account=request.account,
@@ -111,84 +225,80 @@
             fingerprint=request.fingerprint,
         )
         while True:
-            granted = self.admission.acquire(admission_request, excluded)
+            granted = self.admission.acquire(wanted, chat.excluded)
             if isinstance(granted, Failure):
-                return granted
+                return _after_failures(chat, granted.failure())
             grant = granted.unwrap()
             opened = self._open(request, grant)
             if isinstance(opened, Success):
-                return opened
+                chat.begin(grant, opened.unwrap())
+                return None
             failure = opened.failure()
-            self.admission.release(grant, _grant_outcome(failure))
+            self._end_failed_open(chat, grant, failure)
             if failure is EngineFailure.REJECTED:
-                return Failure(
-                    Refusal(RefusalReason.BAD_REQUEST, "the engine rejected the request")
-                )
-            excluded.append(grant.endpoint_id)
-            self._metrics.count("retries_total", reason=f"open_{failure.value}")
-            if len(excluded) > _RESUME_ATTEMPTS or time.monotonic() > request.deadline:
-                return Failure(
-                    Refusal(
-                        RefusalReason.ENDPOINT_FAILED,
-                        f"the last engine failed: {failure.value}",
-                        retry_after_ms=1_000,
-                    )
-                )
+                return Refusal(RefusalReason.BAD_REQUEST, "the engine rejected the request")
+            if not self._may_retry(chat, f"open_{failure.value}"):
+                return _spent(chat)
 
-    def attach(
-        self, request: ChatRequest, endpoint_id: str, offset: int
-    ) -> Result[ChatStream, Refusal]:
-        """Continues a stream that another router began."""
-        endpoint = self._config.current().endpoints_by_id.get(endpoint_id)
-        lost = Refusal(RefusalReason.STREAM_LOST, "the engine has lost the stream", ran=None)
-        if endpoint is None:
-            return Failure(lost)
-        resumed = self._engines.resume(endpoint.address, request.request_id, offset)
-        if isinstance(resumed, Failure):
-            return Failure(lost)
-        self._metrics.count("retries_total", reason="caller_resumed")
-        return Success(
-            ChatStream(self, request, None, endpoint.address, endpoint_id, resumed.unwrap(), offset)
-        )
+    def _open(self, request: ChatRequest, grant: Grant) -> Result[EngineStream, EngineFailure]:
+        if grant.kv_source is not None:
+            imported = self._engines.import_kv(
+                grant.address, request.chat_id, grant.kv_source, _KV_IMPORT_TIMEOUT_S
+            )
+            result = "ok" if isinstance(imported, Success) else imported.failure().value
+            self._metrics.count("kv_imports_total", result=result)
+        return self._engines.open(grant.address, request)
 
-    def recover(self, chat: ChatStream, failure: EngineFailure) -> Refusal | None:
-        """Resumes a broken stream at its next token, or tells why that is impossible."""
-        chat.stream.close()
-        for attempt in range(_RESUME_ATTEMPTS):
-            self._metrics.count("retries_total", reason=f"resume_{failure.value}")
-            resumed = self._engines.resume(chat.address, chat.request.request_id, chat.next_offset)
-            if isinstance(resumed, Success):
-                chat.stream = resumed.unwrap()
-                return None
-            if resumed.failure() is EngineFailure.LOST:
-                break
-            time.sleep(_RESUME_PAUSE_S * 2**attempt)
-        return Refusal(RefusalReason.STREAM_LOST, "the engine has lost the stream", ran=None)
+    def _end_failed_open(self, chat: ChatStream, grant: Grant, failure: EngineFailure) -> None:
+        chat.excluded.append(grant.endpoint_id)
+        if failure in (EngineFailure.BUSY, EngineFailure.REJECTED):
+            self.admission.release(grant, GrantOutcome.REFUSED)
+        elif failure is EngineFailure.UNREACHABLE:
+            # Nothing was sent, so this request has not crashed the engine.
+            self.admission.release(grant, GrantOutcome.FAILED)
+        else:
+            chat.may_have_run = True
+            probe = self._engines.resume(grant.address, chat.request.request_id, 0)
+            if isinstance(probe, Success):
+                probe.unwrap().close()
+            crashed = probe == Failure(EngineFailure.UNREACHABLE)
+            outcome = GrantOutcome.CRASHED if crashed else GrantOutcome.FAILED
+            self.admission.release(grant, outcome)
+            if not crashed:
+                self._cancel_at(grant.address, chat.request.request_id)
 
-    def abandon(self, chat: ChatStream) -> None:
-        """Tells the engine to cancel unless another reader has attached."""
-        self._metrics.count("streams_abandoned_total")
-        self._engines.cancel(chat.address, chat.request.request_id, if_unattached=True)
+    def _drop(self, chat: ChatStream, outcome: GrantOutcome, cancel: bool) -> None:
+        """Gives up the engine of a broken stream."""
+        assert chat.grant is not None
+        chat.excluded.append(chat.endpoint_id)
+        self.admission.release(chat.grant, outcome)
+        if cancel:
+            self._cancel_at(chat.grant.address, chat.request.request_id)
+        chat.grant = chat.stream = chat.address = None
 
-    def _open(self, request: ChatRequest, grant: Grant) -> Result[ChatStream, EngineFailure]:
-        if grant.kv_source is not None:
-            self._engines.import_kv(grant.address, request.chat_id, grant.kv_source)
-        opened = self._engines.open(grant.address, request)
-        if isinstance(opened, Failure):
-            return opened
-        stream = opened.unwrap()
-        first = stream.read()
-        if isinstance(first, Failure):
-            stream.close()
-            return first
-        chat = ChatStream(self, request, grant, grant.address, grant.endpoint_id, stream)
-        chat.prefetch(first.unwrap())
-        return Success(chat)
+    def _cancel_at(self, address: Address, request_id: str) -> None:
+        self._canceller.abandon(Abandoned(address, request_id, None, SETTLE_S))
+
+    def _may_retry(self, chat: ChatStream, reason: str) -> bool:
+        if len(chat.excluded) >= _MAX_ENDPOINTS or time.monotonic() > chat.request.deadline:
+            return False
+        return self._budgets.take(chat.pool, reason)
+
+
+def _spent(chat: ChatStream) -> Refusal:
+    ran = None if chat.may_have_run else False
+    if time.monotonic() > chat.request.deadline:
+        return Refusal(RefusalReason.DEADLINE, "the deadline passed", None, ran)
+    if len(chat.excluded) >= _MAX_ENDPOINTS:
+        return Refusal(RefusalReason.ENDPOINT_FAILED, "several engines failed", 1_000, ran)
+    return Refusal(RefusalReason.RETRY_BUDGET, "an engine failed; too many retries", 1_000, ran)
 
 
-def _grant_outcome(failure: EngineFailure) -> GrantOutcome:
-    if failure is EngineFailure.BUSY or failure is EngineFailure.REJECTED:
-        return GrantOutcome.REFUSED
-    if failure is EngineFailure.UNREACHABLE:
-        return GrantOutcome.CRASHED
-    return GrantOutcome.FAILED
+def _after_failures(chat: ChatStream, refusal: Refusal) -> Refusal:
+    """Tells the failure behind a refusal when no other endpoint is left to try."""
+    if not chat.excluded:
+        return refusal
+    ran = None if chat.may_have_run else False
+    if refusal.reason is RefusalReason.NO_ENDPOINT:
+        return Refusal(RefusalReason.ENDPOINT_FAILED, "no other engine is left", 1_000, ran)
+    return Refusal(refusal.reason, refusal.detail, refusal.retry_after_ms, ran)
--- a/src/sequoiadrum/engine_client.py
+++ b/src/sequoiadrum/engine_client.py
@@ -31,14 +31,23 @@
     """The engine says that the request or order is wrong."""
     STALE_FENCE = "stale_fence"
     """The engine refused an order because it has seen a higher fencing number."""
+    TIMED_OUT = "timed_out"
+    """Nothing came within the time given to a read; the stream is intact."""
 
 
 class EngineStream(ABC):
     """A running answer."""
 
     @abstractmethod
-    def read(self) -> Result[Sequence[StreamEvent], EngineFailure]:
-        """Waits for more events; an empty sequence is the regular end of the answer."""
+    def read(
+        self, timeout_s: float, linger_s: float = 0.0
+    ) -> Result[Sequence[StreamEvent], EngineFailure]:
+        """Waits for more events; an empty sequence is the regular end of the answer.
+
+        Args:
+            timeout_s: Longest wait; `TIMED_OUT` after it.
+            linger_s: Time to collect further events once the first have come.
+        """
 
     @abstractmethod
     def close(self) -> None:
@@ -81,9 +90,16 @@
 
     @abstractmethod
     def import_kv(
-        self, address: Address, chat_id: str, source: Address
+        self, address: Address, chat_id: str, source: Address, timeout_s: float | None = None
     ) -> Result[int, EngineFailure]:
-        """Fetches the KV cache of a chat from another engine; gives the prefix length in tokens."""
+        """Fetches the KV cache of a chat from another engine; gives the prefix length in tokens.
+
+        Args:
+            address: The engine that gets the cache.
+            chat_id: The chat.
+            source: The engine that holds the cache.
+            timeout_s: Bound of the whole call; None for the client's own.
+        """
 
     @abstractmethod
     def order(self, address: Address, order: EngineOrder) -> Result[None, EngineFailure]:
--- a/src/sequoiadrum/errors.py
+++ b/src/sequoiadrum/errors.py
@@ -22,6 +22,7 @@
     CRASHES_ENDPOINTS = "crashes_endpoints"
     DEADLINE = "deadline"
     ENDPOINT_FAILED = "endpoint_failed"
+    INTERNAL = "internal"
     ISOLATED = "isolated"
     KEY_EXPIRED = "key_expired"
     KEY_MISSING = "key_missing"
--- a/src/sequoiadrum/service_relay.py
+++ b/src/sequoiadrum/service_relay.py
@@ -6,6 +6,7 @@
 import uuid
 from typing import TYPE_CHECKING, Final
 
+from attrs import evolve
 from returns.result import Failure, Result, Success
 
 from sequoiadrum.errors import Refusal, RefusalReason
@@ -13,8 +14,8 @@
 from sequoiadrum.service_client import Answered, NotSent
 
 if TYPE_CHECKING:
+    from sequoiadrum.chat_relay import RetryBudgets
     from sequoiadrum.interfaces import Admission
-    from sequoiadrum.metrics import Metrics
     from sequoiadrum.service_client import ServiceClient, ServiceRequest
 
 _MAX_ATTEMPTS: Final = 3
@@ -23,10 +24,12 @@
 class ServiceRelay:
     """Serves idempotent calls on the thread of their caller, with retries."""
 
-    def __init__(self, admission: Admission, services: ServiceClient, metrics: Metrics) -> None:
+    def __init__(
+        self, admission: Admission, services: ServiceClient, budgets: RetryBudgets
+    ) -> None:
         self._admission = admission
         self._services = services
-        self._metrics = metrics
+        self._budgets = budgets
 
     def call(
         self, pool: str, account: str, request: ServiceRequest, deadline: float
@@ -35,10 +38,13 @@
         request_id = uuid.uuid4().hex
         wanted = AdmissionRequest(pool, request_id, request_id, account, 1, 1.0, deadline, "")
         excluded: list[str] = []
-        while len(excluded) < _MAX_ATTEMPTS:
+        ran: bool | None = False
+        self._budgets.request(pool)
+        while True:
             granted = self._admission.acquire(wanted, excluded)
             if isinstance(granted, Failure):
-                return granted
+                refusal = granted.failure()
+                return Failure(evolve(refusal, ran=ran) if excluded else refusal)
             grant = granted.unwrap()
             outcome = self._services.call(
                 grant.address, request, max(0.0, deadline - time.monotonic())
@@ -47,7 +53,15 @@
                 self._admission.release(grant, GrantOutcome.OK)
                 return Success(outcome)
             sent = not isinstance(outcome, NotSent)
-            self._admission.release(grant, GrantOutcome.FAILED if sent else GrantOutcome.CRASHED)
+            ran = None if sent else ran
+            # Whether the service has crashed is not known; its owner's polling tells.
+            self._admission.release(grant, GrantOutcome.FAILED)
             excluded.append(grant.endpoint_id)
-            self._metrics.count("retries_total", reason="sent" if sent else "not_sent")
-        return Failure(Refusal(RefusalReason.ENDPOINT_FAILED, "no endpoint answered", 1_000, None))
+            if len(excluded) >= _MAX_ATTEMPTS:
+                detail = "no endpoint answered"
+                return Failure(Refusal(RefusalReason.ENDPOINT_FAILED, detail, 1_000, ran))
+            if time.monotonic() > deadline:
+                return Failure(Refusal(RefusalReason.DEADLINE, "no answer in time", None, ran))
+            if not self._budgets.take(pool, "service_sent" if sent else "service_not_sent"):
+                detail = "an endpoint failed; too many retries"
+                return Failure(Refusal(RefusalReason.RETRY_BUDGET, detail, 1_000, ran))
--- a/src/sequoiadrum/standin_engine.py
+++ b/src/sequoiadrum/standin_engine.py
@@ -11,6 +11,7 @@
 
 import json
 import os
+import socket
 import threading
 import time
 from collections import OrderedDict, deque
@@ -303,6 +304,8 @@
                 self.close_connection = True
                 return
             if offset >= ready:
+                if self._reader_gone():
+                    raise BrokenPipeError
                 due = stream.started + stream.first_token_s + offset * token_s
                 time.sleep(max(0.0005, min(_POLL_S, due - time.monotonic())))
                 continue
@@ -315,6 +318,13 @@
         self._chunk(b"data: [DONE]\n\n")
         self._chunk(b"")
 
+    def _reader_gone(self) -> bool:
+        """Notices a reader that closed its connection between two tokens."""
+        try:
+            return not self.connection.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
+        except BlockingIOError:
+            return False
+
     def _was_cut(self, stream: _Stream) -> bool:
         with self.state.lock:
             key = f"cut:{stream.request_id}"
