Hold account limits over the fleet by leased shares

Every known account was admitted. LimitsTask takes tokens under a lock on the caller's thread and leases more from the account's owner on workers. Without an owner in reach each router spends its part of the limit. A mailbox round trip for each request was ruled out: it would queue admissions behind lease answers.

Membership is a stand-in with this router only until the real one is wired; LimitsTask answers lease_tokens for the peer handler.

--- a/src/sequoiadrum/app.py
+++ b/src/sequoiadrum/app.py
@@ -16,17 +16,21 @@
 from sequoiadrum.chat_relay import ChatRelay, RetryBudgets
 from sequoiadrum.config_task import ConfigTask
 from sequoiadrum.http_front import FrontParts, HttpFront
-from sequoiadrum.interfaces import AccountLimits, Directory
+from sequoiadrum.interfaces import Directory, MembershipSource
 from sequoiadrum.ledger import ObjectLedger
-from sequoiadrum.messages import Address
+from sequoiadrum.limits_task import LimitsTask
+from sequoiadrum.messages import Address, Member, MemberState
 from sequoiadrum.metrics import Metrics
+from sequoiadrum.peer_client import ThriftPeerClient
 from sequoiadrum.service_relay import ServiceRelay
 from sequoiadrum.stream_cancel import StreamCanceller
 from sequoiadrum.timers import TimerService
 
 if TYPE_CHECKING:
-    from sequoiadrum.errors import Refusal
+    from collections.abc import Mapping
+
     from sequoiadrum.settings import Settings
+    from sequoiadrum.tasks import Task
 
 _ENGINE_TIMEOUT_S: Final = 2.0
 _STREAM_TIMEOUT_S: Final = 30.0
@@ -35,11 +39,35 @@
 _log = structlog.get_logger(__name__)
 
 
-class _NoLimits(AccountLimits):
-    """Admits every known account."""
+class _SingleMember(MembershipSource):
+    """A fleet of this router only."""
+
+    def __init__(self, settings: Settings) -> None:
+        member = Member(
+            id=settings.instance_id,
+            host=settings.host,
+            peer_port=settings.peer_port,
+            http_port=settings.http_port,
+            failure_domain=settings.failure_domain,
+            region=settings.region,
+            process_id=1,
+            incarnation=1,
+            state=MemberState.ALIVE,
+        )
+        self._members = {member.id: member}
+        self._self_id = member.id
+
+    def self_id(self) -> str:
+        return self._self_id
+
+    def members(self) -> Mapping[str, Member]:
+        return self._members
 
-    def admit(self, account: str) -> Refusal | None:
-        return None
+    def subscribe(self, task: Task) -> None:
+        """Nothing changes."""
+
+    def spread(self, kind: str, key: str, version: int, payload: bytes, ttl_s: float) -> None:
+        """There is nobody to hear it."""
 
 
 class _OwnAddress(Directory):
@@ -70,6 +98,14 @@
         self.admission: Final = AdmissionTask(
             settings, self.config, self.metrics, self._invariant_broken
         )
+        self.limits: Final = LimitsTask(
+            self.config,
+            _SingleMember(settings),
+            ThriftPeerClient(self.metrics),
+            self.timers,
+            self.metrics,
+            self._invariant_broken,
+        )
         self.canceller: Final = StreamCanceller(
             engines, self.admission, self.timers, self.metrics, self._invariant_broken
         )
@@ -80,7 +116,7 @@
             settings,
             FrontParts(
                 config=self.config,
-                limits=_NoLimits(),
+                limits=self.limits,
                 relay=ChatRelay(
                     self.config, self.admission, engines, self.canceller, budgets, self.metrics
                 ),
@@ -98,6 +134,7 @@
         self.timers.start()
         self.config.start()
         self.admission.start()
+        self.limits.start()
         self.canceller.start()
         self.front.start()
         _log.info("started", instance=self.settings.instance_id, http_port=self.front.port)
@@ -121,6 +158,7 @@
             time.sleep(_POLL_S)
         self.front.stop()
         self.canceller.stop()
+        self.limits.stop()
         self.admission.stop()
         self.config.stop()
         self.timers.stop()
