Replace the object ledger by sharded ledgers with group commit

One object for each key costs two platform writes a call and leaves objects that nobody deletes. Claims and outcomes of a shard now share conditional writes of one head object, and the same write carries ownership, so a paused former owner cannot claim anything. Older entries move to create-only segments.

Weighed: answering before or after the outcome is stored. Answering first saves a write time, but a repeated key can then be told unknown after an answer was given; the whole-path test showed this with two routers that do not know each other. The answer now waits for the outcome write, up to the deadline.

The window is the least time between two writes of a shard, not a delay before each one, so a call on a quiet shard does not wait for it.

--- /dev/null
+++ b/src/sequoiadrum/_ledger_dispatch.py
@@ -0,0 +1,108 @@
+"""Sends claimed calls to their endpoints."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Final
+
+import structlog
+from returns.result import Failure, Success
+
+from sequoiadrum._ledger_codec import not_run, unknown
+from sequoiadrum._ledger_wire import reply_to_wire
+from sequoiadrum.errors import RefusalReason
+from sequoiadrum.interfaces import AdmissionRequest, GrantOutcome, KeyedOutcome, KeyedState
+from sequoiadrum.service_client import Answered, CallOutcome, MaybeSent, NotSent
+
+if TYPE_CHECKING:
+    from sequoiadrum._ledger_types import SendGate, ShardCall
+    from sequoiadrum.interfaces import Admission, ConfigSource, KeyedCall
+    from sequoiadrum.ledger_task import Clock, KeyName
+    from sequoiadrum.messages import Address
+    from sequoiadrum.peer_client import PeerClient
+    from sequoiadrum.service_client import ServiceClient
+
+_LATE_TRIES: Final = 3
+_LATE_PAUSE_S: Final = 0.5
+_PEER_TIMEOUT_S: Final = 2.0
+
+_log = structlog.get_logger(__name__)
+
+
+class Dispatcher:
+    """Runs on the executor of `LedgerTask`; makes exactly one try for each claim."""
+
+    def __init__(
+        self,
+        config: ConfigSource,
+        admission: Admission,
+        services: ServiceClient,
+        peers: PeerClient,
+        clock: Clock,
+    ) -> None:
+        self._config = config
+        self._admission = admission
+        self._services = services
+        self._peers = peers
+        self._clock = clock
+
+    def send(self, call: ShardCall, gate: SendGate) -> KeyedOutcome:
+        """Waits for a grant, then sends the call unless it was given up meanwhile."""
+        keyed: KeyedCall = call.context.keyed
+        route = self._config.current().routes_by_name.get(keyed.service)
+        if route is None:
+            gate.try_cancel()
+            return not_run(RefusalReason.ROUTE_UNKNOWN, "no such service", None)
+        request = AdmissionRequest(
+            route.pool, call.attempt, call.key, keyed.account, 0, 1.0, call.deadline, ""
+        )
+        granted = self._admission.acquire(request, ())
+        if isinstance(granted, Failure):
+            gate.try_cancel()
+            return KeyedOutcome(KeyedState.NOT_RUN, refusal=granted.failure())
+        grant = granted.unwrap()
+        # A process that was paused since the claim finds its deadline passed here.
+        if not gate.try_send(self._clock.now()):
+            self._admission.release(grant, GrantOutcome.CANCELLED)
+            return not_run(RefusalReason.DEADLINE, "given up before it was sent")
+        outcome = self._exchange(grant.address, call, keyed)
+        self._admission.release(grant, _grant_outcome(outcome))
+        return _keyed_outcome(outcome)
+
+    def tell_late(self, owner: Address, name: KeyName, attempt: str, outcome: KeyedOutcome) -> None:
+        """Tells the present owner of a shard what became of an attempt; best effort."""
+        reply = reply_to_wire(outcome)
+        for _ in range(_LATE_TRIES):
+            told = self._peers.call(
+                owner,
+                lambda client: client.record_outcome(
+                    name.service, name.account, name.key, attempt, reply
+                ),
+                _PEER_TIMEOUT_S,
+            )
+            if isinstance(told, Success):
+                return
+            self._clock.sleep(_LATE_PAUSE_S)
+
+    def _exchange(self, address: Address, call: ShardCall, keyed: KeyedCall) -> CallOutcome:
+        remaining_s = call.deadline - self._clock.now()
+        if remaining_s <= 0:
+            return NotSent("deadline passed before sending")
+        try:
+            return self._services.call(address, keyed.request, remaining_s)
+        except Exception as error:  # Whatever broke, a byte may have left.
+            _log.exception("service_client_failed")
+            return MaybeSent(type(error).__name__)
+
+
+def _grant_outcome(outcome: CallOutcome) -> GrantOutcome:
+    if isinstance(outcome, Answered):
+        return GrantOutcome.OK
+    return GrantOutcome.CRASHED if isinstance(outcome, NotSent) else GrantOutcome.FAILED
+
+
+def _keyed_outcome(outcome: CallOutcome) -> KeyedOutcome:
+    if isinstance(outcome, Answered):
+        return KeyedOutcome(KeyedState.DONE, outcome.status, outcome.content_type, outcome.body)
+    if isinstance(outcome, NotSent):
+        return not_run(RefusalReason.ENDPOINT_FAILED, outcome.detail)
+    return unknown(RefusalReason.ENDPOINT_FAILED, outcome.detail)
--- /dev/null
+++ b/src/sequoiadrum/ledger_task.py
@@ -0,0 +1,360 @@
+"""The task that owns the ledger shards held here and dispatches keyed calls."""
+
+from __future__ import annotations
+
+import time
+import uuid
+from collections import OrderedDict
+from concurrent.futures import Executor, Future, ThreadPoolExecutor
+from functools import partial
+from typing import TYPE_CHECKING, Any, Final
+
+import structlog
+from attrs import define, frozen
+from returns.result import Failure, Result
+
+from sequoiadrum._ledger_types import (
+    Answered,
+    CallKind,
+    Dispatch,
+    LateOutcome,
+    LedgerPolicy,
+    Obsolete,
+    ReadObject,
+    Redirected,
+    ShardCall,
+)
+from sequoiadrum.hashing import first_ranked
+from sequoiadrum.ledger import LedgerShard
+from sequoiadrum.messages import MemberState
+from sequoiadrum.tasks import Ask, Task
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from sequoiadrum._ledger_dispatch import Dispatcher
+    from sequoiadrum._ledger_types import SendGate, ShardEvent, ShardIo
+    from sequoiadrum.interfaces import KeyedCall, KeyedOutcome, MembershipSource
+    from sequoiadrum.metrics import Metrics
+    from sequoiadrum.platform_client import PlatformClient, PlatformFailure, StoredObject
+    from sequoiadrum.timers import TimerService
+
+TICK_S: Final = 0.05
+_IO_THREADS: Final = 16
+_DISPATCH_THREADS: Final = 64
+_MAX_NAMES: Final = 20_000
+_POST_TRIES: Final = 1_200
+_POST_PAUSE_S: Final = 0.05
+
+_log = structlog.get_logger(__name__)
+
+
+class Clock:
+    """Time, and waiting for it; replaced in tests."""
+
+    def now(self) -> float:
+        """Monotonic seconds."""
+        return time.monotonic()
+
+    def unix_ms(self) -> int:
+        """Unix time in milliseconds."""
+        return int(time.time() * 1e3)
+
+    def wait(self, future: Future[Any], timeout_s: float) -> Any:
+        """Waits for a result.
+
+        Raises:
+            TimeoutError: None came in time.
+        """
+        return future.result(max(0.0, timeout_s))
+
+    def sleep(self, seconds: float) -> None:
+        """Waits."""
+        time.sleep(seconds)
+
+
+@frozen
+class KeyName:
+    """What names a keyed call between routers."""
+
+    service: str
+    account: str
+    key: str
+
+
+@frozen
+class Elsewhere:
+    """The shard is not held here; nothing was done."""
+
+    owner: str
+    """Router that should be asked, or empty."""
+
+
+@define(eq=False)
+class AskShard(Ask["KeyedOutcome | Elsewhere"]):
+    """Puts a question to a shard."""
+
+    shard: int
+    call: ShardCall
+    name: KeyName
+    keyed: KeyedCall | None
+    """The request, for calls that are to be run."""
+
+
+@frozen
+class _IoDone:
+    shard: int
+    result: Result[StoredObject, PlatformFailure]
+
+
+@frozen
+class _Finished:
+    shard: int
+    key: str
+    attempt: str
+    outcome: KeyedOutcome
+
+
+@frozen
+class RecordOutcome:
+    """Brings the late outcome of an earlier owner's attempt."""
+
+    shard: int
+    key: str
+    attempt: str
+    outcome: KeyedOutcome
+
+
+@frozen
+class _Due:
+    shard: int
+
+
+@frozen
+class _Tick:
+    pass
+
+
+@define(eq=False)
+class _Release(Ask[bool]):
+    """Answered with whether every shard is given up."""
+
+
+class LedgerTask(Task):
+    """Owns the shards; asked by `KeyedRouter` and by its own executors."""
+
+    def __init__(
+        self,
+        shards: int,
+        policy: LedgerPolicy,
+        members: MembershipSource,
+        platform: PlatformClient,
+        dispatcher: Dispatcher,
+        timers: TimerService,
+        metrics: Metrics,
+        on_invariant: Callable[[], None],
+        *,
+        clock: Clock | None = None,
+        io_pool: Executor | None = None,
+        dispatch_pool: Executor | None = None,
+    ) -> None:
+        super().__init__("ledger", metrics, on_invariant)
+        self.shard_count: Final = shards
+        self.clock: Final = clock or Clock()
+        self._members = members
+        self._platform = platform
+        self._dispatcher = dispatcher
+        self._timers = timers
+        self._io_pool = io_pool or ThreadPoolExecutor(_IO_THREADS, "ledger-io")
+        self._dispatch_pool = dispatch_pool or ThreadPoolExecutor(_DISPATCH_THREADS, "ledger-send")
+        self._names_by_attempt: OrderedDict[str, KeyName] = OrderedDict()
+        self._due_by_shard: dict[int, float] = {}
+        self._owner_by_shard: dict[int, str] = {}
+        process_id = members.members()[members.self_id()].process_id
+        self._shards = [
+            LedgerShard(
+                number,
+                members.self_id(),
+                process_id,
+                policy,
+                new_id=lambda: uuid.uuid4().hex,
+                is_gone=self.is_gone,
+                should_own=partial(self._should_own, number),
+            )
+            for number in range(shards)
+        ]
+        metrics.gauge("ledger_shards_held", lambda: float(sum(s.held for s in self._shards)))
+
+    def handlers(self) -> dict[type, Callable[[Any], None]]:
+        """See `Task.handlers`."""
+        return {
+            AskShard: self._ask_shard,
+            RecordOutcome: self._record,
+            _IoDone: self._io_done,
+            _Finished: self._finished,
+            _Due: self._due,
+            _Tick: self._tick,
+            _Release: self._release,
+        }
+
+    def start(self) -> None:
+        """Starts the thread and its ticks."""
+        super().start()
+        self._timers.subscribe(self, TICK_S, _Tick())
+
+    def stop(self, timeout_s: float = 5.0) -> None:
+        """Ends the thread and the executors; see `drain` for a planned stop."""
+        super().stop(timeout_s)
+        self._io_pool.shutdown(wait=False, cancel_futures=True)
+        self._dispatch_pool.shutdown(wait=False, cancel_futures=True)
+
+    def drain(self, timeout_s: float) -> bool:
+        """Finishes the calls, records their outcomes and releases the shards; blocks.
+
+        Returns:
+            Whether all shards were released in time.
+        """
+        deadline = self.clock.now() + timeout_s
+        while self.clock.now() < deadline:
+            if self.clock.wait(self.ask(_Release()), timeout_s):
+                return True
+            self.clock.sleep(TICK_S)
+        return False
+
+    def preferred_owner(self, shard: int) -> str:
+        """Names the router to ask first; callable from any thread."""
+        known = self._owner_by_shard.get(shard, "")
+        member = self._members.members().get(known)
+        if member is not None and member.state is not MemberState.DEAD:
+            return known
+        return self._ranked(shard)
+
+    def note_owner(self, shard: int, owner: str) -> None:
+        """Remembers who holds a shard; callable from any thread."""
+        self._owner_by_shard[shard] = owner
+
+    def is_gone(self, router: str, process_id: int) -> bool:
+        """Whether a router's process is dead in the view of this router."""
+        member = self._members.members().get(router)
+        return member is None or member.state is MemberState.DEAD or member.process_id != process_id
+
+    def _should_own(self, shard: int) -> bool:
+        return self._ranked(shard) == self._members.self_id()
+
+    def _ranked(self, shard: int) -> str:
+        usable = [m.id for m in self._members.members().values() if m.is_usable]
+        return first_ranked(f"ledger/{shard}", usable) or self._members.self_id()
+
+    # Messages
+
+    def _ask_shard(self, ask: AskShard) -> None:
+        ask.call.context = ask
+        if ask.call.kind is CallKind.RUN:
+            self._names_by_attempt[ask.call.attempt] = ask.name
+            while len(self._names_by_attempt) > _MAX_NAMES:
+                self._names_by_attempt.popitem(last=False)
+        shard = self._shards[ask.shard]
+        shard.submit(ask.call, self.clock.now(), self.clock.unix_ms())
+        self._run_shard(ask.shard)
+
+    def _record(self, message: RecordOutcome) -> None:
+        shard = self._shards[message.shard]
+        shard.record(message.key, message.attempt, message.outcome, self.clock.now())
+        self._run_shard(message.shard)
+
+    def _io_done(self, message: _IoDone) -> None:
+        self._shards[message.shard].io_done(message.result, self.clock.now())
+        self._run_shard(message.shard)
+
+    def _finished(self, message: _Finished) -> None:
+        shard = self._shards[message.shard]
+        shard.finish(message.key, message.attempt, message.outcome, self.clock.now())
+        self._run_shard(message.shard)
+
+    def _due(self, message: _Due) -> None:
+        self._due_by_shard.pop(message.shard, None)
+        self._run_shard(message.shard)
+
+    def _tick(self, _: _Tick) -> None:
+        now = self.clock.now()
+        for number, shard in enumerate(self._shards):
+            if not shard.is_idle() or shard.next_due() is not None:
+                shard.tick(now)
+                self._run_shard(number)
+
+    def _release(self, ask: _Release) -> None:
+        for number, shard in enumerate(self._shards):
+            shard.release()
+            self._run_shard(number)
+        ask.answer(all(shard.is_idle() and not shard.held for shard in self._shards))
+
+    # Effects
+
+    def _run_shard(self, number: int) -> None:
+        """Carries out events, then starts the next read or write or a timer for it."""
+        shard = self._shards[number]
+        now = self.clock.now()
+        io = shard.next_io(now, self.clock.unix_ms())
+        self._carry_out(number, shard.take_events())
+        if io is not None:
+            self.metrics.count("ledger_io_total", kind=type(io).__name__)
+            self._io_pool.submit(self._run_io, number, io)
+            return
+        due = shard.next_due()
+        scheduled = self._due_by_shard.get(number, now)
+        if due is not None and (scheduled <= now or due < scheduled):
+            self._due_by_shard[number] = due
+            self._timers.schedule(self, max(0.0, due - now), _Due(number))
+
+    def _carry_out(self, number: int, events: list[ShardEvent]) -> None:
+        for event in events:
+            if isinstance(event, Answered):
+                event.call.context.answer(event.outcome)
+            elif isinstance(event, Redirected):
+                self.note_owner(number, event.owner)
+                event.call.context.answer(Elsewhere(event.owner))
+            elif isinstance(event, Dispatch):
+                self._dispatch_pool.submit(self._send, number, event.call, event.gate)
+            elif isinstance(event, LateOutcome):
+                self._tell_late(event)
+            elif isinstance(event, Obsolete):
+                self._io_pool.submit(self._delete, event.name)
+        if self._shards[number].held:
+            self.note_owner(number, self._members.self_id())
+
+    def _tell_late(self, event: LateOutcome) -> None:
+        name = self._names_by_attempt.get(event.attempt)
+        member = self._members.members().get(event.owner)
+        if name is None or member is None or event.owner == self._members.self_id():
+            return
+        self.metrics.count("ledger_late_outcomes_total")
+        self._dispatch_pool.submit(
+            self._dispatcher.tell_late, member.peer_address, name, event.attempt, event.outcome
+        )
+
+    # On the executors
+
+    def _run_io(self, number: int, io: ShardIo) -> None:
+        result: Result[StoredObject, PlatformFailure]
+        if isinstance(io, ReadObject):
+            result = self._platform.get(io.name)
+        else:
+            result = self._platform.put(io.name, io.value, io.expected_version)
+        self._post_surely(_IoDone(number, result))
+
+    def _delete(self, name: str) -> None:
+        found = self._platform.get(name)
+        if not isinstance(found, Failure):
+            self._platform.delete(name, found.unwrap().version)
+
+    def _send(self, number: int, call: ShardCall, gate: SendGate) -> None:
+        outcome = self._dispatcher.send(call, gate)
+        self._post_surely(_Finished(number, call.key, call.attempt, outcome))
+
+    def _post_surely(self, message: object) -> None:
+        """Posts a result that the shard cannot do without."""
+        for _ in range(_POST_TRIES):
+            if self.post(message):
+                return
+            self.clock.sleep(_POST_PAUSE_S)
+        _log.error("ledger_result_dropped", message=type(message).__name__)
--- a/src/sequoiadrum/settings.py
+++ b/src/sequoiadrum/settings.py
@@ -92,6 +92,10 @@
     """When all engines of a pool are full, requests wait."""
     ledger_shards: Annotated[int, _setting("ledger_shards", "Shards of the ledger", 16)] = 16
     """The same on all routers; fixed for the life of the ledger."""
+    ledger_window_s: Annotated[
+        float, _setting("ledger_window_s", "Least time between two writes of a shard, in s", 0.02)
+    ] = 0.02
+    """Longer windows cost latency and save platform writes."""
     log_format: Annotated[str, _setting("log_format", "json or console", "json")] = "json"
     """One event a line."""
     check: Annotated[bool, cappa.Arg(long="--check", help="Validate the settings and end")] = False
@@ -191,5 +195,6 @@
     "admit_multiple": _between(1.0, 10),
     "engine_slots": _between(1, 100_000),
     "ledger_shards": _between(1, 4_096),
+    "ledger_window_s": _between(0.0, 5.0),
     "log_format": (lambda text: text in ("json", "console"), "json or console"),
 }
