Accept only answers of plain services that are provably whole

An answer without Content-Length and without chunking ends with its connection, so a cut-off one was stored as the outcome of a call; so was one with differing lengths, a cut status line, or an interim 1xx answer. These are MaybeSent now. A request that cannot be encoded is NotSent, since its head is only buffered, and a dripping body no longer holds its thread beyond the deadline.

A server that drips its header lines can still hold a thread: http.client reads them without a hook.

--- a/src/sequoiadrum/_service_http.py
+++ b/src/sequoiadrum/_service_http.py
@@ -17,11 +17,13 @@
 )
 
 if TYPE_CHECKING:
-    from http.client import HTTPConnection
+    import socket
+    from http.client import HTTPConnection, HTTPResponse
 
     from sequoiadrum.messages import Address
 
 _CONNECT_TIMEOUT_S: Final = 1.0
+_READ_BYTES: Final = 65_536
 MAX_ANSWER_BYTES: Final = 4_000_000
 
 
@@ -37,34 +39,74 @@
 
     def call(self, address: Address, request: ServiceRequest, timeout_s: float) -> CallOutcome:
         """See `ServiceClient.call`."""
-        started = time.monotonic()
+        deadline = time.monotonic() + timeout_s
+        if timeout_s <= 0:
+            return NotSent("deadline passed before sending")
         try:
             connection = self._pool.connect(address, min(timeout_s, _CONNECT_TIMEOUT_S))
         except OSError as error:
             return NotSent(type(error).__name__)
-        remaining_s = timeout_s - (time.monotonic() - started)
-        if remaining_s <= 0:
-            connection.close()
-            return NotSent("deadline passed before sending")
         try:
-            connection.sock.settimeout(remaining_s)
-            return self._exchange(connection, request)
+            return _exchange(connection, request, deadline)
         except (OSError, HTTPException) as error:
             return MaybeSent(type(error).__name__)
         finally:
             connection.close()
 
-    def _exchange(self, connection: HTTPConnection, request: ServiceRequest) -> CallOutcome:
-        headers = {"Content-Type": request.content_type, "Connection": "close"}
-        if request.idempotency_key:
-            headers["Idempotency-Key"] = request.idempotency_key
-        connection.request(request.method, request.path, request.body, headers)
-        response = connection.getresponse()
-        # `read` raises IncompleteRead when the connection ends before Content-Length.
-        body = response.read(MAX_ANSWER_BYTES + 1)
-        if len(body) > MAX_ANSWER_BYTES:
-            return MaybeSent("answer too large")
-        if response.length:
-            return MaybeSent("answer cut off")
-        content_type = response.getheader("Content-Type") or "application/octet-stream"
-        return Answered(response.status, content_type, body)
+
+def _exchange(connection: HTTPConnection, request: ServiceRequest, deadline: float) -> CallOutcome:
+    try:
+        _prepare(connection, request)
+    except (HTTPException, ValueError) as error:
+        # The head of the request is only buffered until `endheaders`.
+        return NotSent(f"request cannot be encoded: {type(error).__name__}")
+    remaining_s = deadline - time.monotonic()
+    if remaining_s <= 0:
+        return NotSent("deadline passed before sending")
+    # `getresponse` forgets the socket of a connection that is to be closed.
+    sock = connection.sock
+    sock.settimeout(remaining_s)
+    connection.endheaders(request.body)
+    response = connection.getresponse()
+    if response.status < 200:
+        return MaybeSent("interim answer")
+    lengths = set(response.headers.get_all("Content-Length", []))
+    if len(lengths) > 1 or not (response.chunked or response.length is not None):
+        # The end of the connection is then the only end of the answer: it may have been cut off.
+        return MaybeSent("answer without a length")
+    body = _read_body(sock, response, deadline)
+    if body is None:
+        return MaybeSent("answer too large, too late or cut off")
+    content_type = response.getheader("Content-Type") or "application/octet-stream"
+    return Answered(response.status, content_type, body)
+
+
+def _prepare(connection: HTTPConnection, request: ServiceRequest) -> None:
+    connection.putrequest(request.method, request.path)
+    connection.putheader("Content-Type", request.content_type)
+    connection.putheader("Content-Length", str(len(request.body)))
+    connection.putheader("Connection", "close")
+    if request.idempotency_key:
+        connection.putheader("Idempotency-Key", request.idempotency_key)
+
+
+def _read_body(sock: socket.socket, response: HTTPResponse, deadline: float) -> bytes | None:
+    """Reads a body of known length; None when it is not whole.
+
+    Raises:
+        OSError, HTTPException: The connection broke or timed out; a chunk was cut off.
+    """
+    chunks: list[bytes] = []
+    size = 0
+    while True:
+        remaining_s = deadline - time.monotonic()
+        if remaining_s <= 0 or size > MAX_ANSWER_BYTES:
+            return None
+        # The timeout of a socket counts from the last byte, so it is set for each read.
+        sock.settimeout(remaining_s)
+        chunk = response.read1(_READ_BYTES) if response.chunked or response.length else b""
+        if not chunk:
+            is_whole = response.chunked or response.length == 0
+            return b"".join(chunks) if is_whole else None
+        chunks.append(chunk)
+        size += len(chunk)
