--- a/schema/peer.thrift
+++ b/schema/peer.thrift
@@ -134,12 +134,29 @@
   4: optional string owner_id,
 }
 
+/** An endpoint as the owner of its pool sees it. */
+struct EndpointReport {
+  1: string endpoint_id,
+  2: double load,
+  3: double reported_load,
+  4: string state,
+}
+
+struct PoolReport {
+  1: string owner_id,
+  2: i32 queued,
+  3: list<EndpointReport> endpoints,
+  4: list<string> recent_chats,
+}
+
 service Peer {
   /** Push-pull of the whole member list. */
   list<MemberReport> sync_members(1: list<MemberReport> members),
   AcquireReply acquire(1: AcquireRequest request),
   void release(1: string pool, 2: string router_id, 3: list<Release> releases),
   void report_grants(1: string pool, 2: string router_id, 3: i64 router_process_id, 4: list<HeldGrant> grants),
+  /** Loads of a pool that is owned here, and chats that an endpoint (may be empty) served last. */
+  PoolReport inspect_pool(1: string pool, 2: string endpoint_id, 3: i32 max_chats),
   /** Changes above a revision, or a snapshot when they are no longer kept. */
   ConfigUpdate fetch_config(1: i64 since_revision),
   KeyedReply submit_keyed(1: KeyedRequest request),
--- a/src/sequoiadrum/_gen/peer/Peer.py
+++ b/src/sequoiadrum/_gen/peer/Peer.py
@@ -58,6 +58,18 @@
         """
         pass
 
+    def inspect_pool(self, pool, endpoint_id, max_chats):
+        """
+        Loads of a pool that is owned here, and chats that an endpoint (may be empty) served last.
+
+        Parameters:
+         - pool
+         - endpoint_id
+         - max_chats
+
+        """
+        pass
+
     def fetch_config(self, since_revision):
         """
         Changes above a revision, or a snapshot when they are no longer kept.
@@ -255,6 +267,44 @@
         iprot.readMessageEnd()
         return
 
+    def inspect_pool(self, pool, endpoint_id, max_chats):
+        """
+        Loads of a pool that is owned here, and chats that an endpoint (may be empty) served last.
+
+        Parameters:
+         - pool
+         - endpoint_id
+         - max_chats
+
+        """
+        self.send_inspect_pool(pool, endpoint_id, max_chats)
+        return self.recv_inspect_pool()
+
+    def send_inspect_pool(self, pool, endpoint_id, max_chats):
+        self._oprot.writeMessageBegin('inspect_pool', TMessageType.CALL, self._seqid)
+        args = inspect_pool_args()
+        args.pool = pool
+        args.endpoint_id = endpoint_id
+        args.max_chats = max_chats
+        args.write(self._oprot)
+        self._oprot.writeMessageEnd()
+        self._oprot.trans.flush()
+
+    def recv_inspect_pool(self):
+        iprot = self._iprot
+        (fname, mtype, rseqid) = iprot.readMessageBegin()
+        if mtype == TMessageType.EXCEPTION:
+            x = TApplicationException()
+            x.read(iprot)
+            iprot.readMessageEnd()
+            raise x
+        result = inspect_pool_result()
+        result.read(iprot)
+        iprot.readMessageEnd()
+        if result.success is not None:
+            return result.success
+        raise TApplicationException(TApplicationException.MISSING_RESULT, "inspect_pool failed: unknown result")
+
     def fetch_config(self, since_revision):
         """
         Changes above a revision, or a snapshot when they are no longer kept.
@@ -446,6 +496,7 @@
         self._processMap["acquire"] = Processor.process_acquire
         self._processMap["release"] = Processor.process_release
         self._processMap["report_grants"] = Processor.process_report_grants
+        self._processMap["inspect_pool"] = Processor.process_inspect_pool
         self._processMap["fetch_config"] = Processor.process_fetch_config
         self._processMap["submit_keyed"] = Processor.process_submit_keyed
         self._processMap["keyed_status"] = Processor.process_keyed_status
@@ -565,6 +616,29 @@
         oprot.writeMessageEnd()
         oprot.trans.flush()
 
+    def process_inspect_pool(self, seqid, iprot, oprot):
+        args = inspect_pool_args()
+        args.read(iprot)
+        iprot.readMessageEnd()
+        result = inspect_pool_result()
+        try:
+            result.success = self._handler.inspect_pool(args.pool, args.endpoint_id, args.max_chats)
+            msg_type = TMessageType.REPLY
+        except TTransport.TTransportException:
+            raise
+        except TApplicationException as ex:
+            logging.exception('TApplication exception in handler')
+            msg_type = TMessageType.EXCEPTION
+            result = ex
+        except Exception:
+            logging.exception('Unexpected exception in handler')
+            msg_type = TMessageType.EXCEPTION
+            result = TApplicationException(TApplicationException.INTERNAL_ERROR, 'Internal error')
+        oprot.writeMessageBegin("inspect_pool", msg_type, seqid)
+        result.write(oprot)
+        oprot.writeMessageEnd()
+        oprot.trans.flush()
+
     def process_fetch_config(self, seqid, iprot, oprot):
         args = fetch_config_args()
         args.read(iprot)
@@ -710,11 +784,11 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.members = []
-                    (_etype24, _size21) = iprot.readListBegin()
-                    for _i25 in range(_size21):
-                        _elem26 = MemberReport()
-                        _elem26.read(iprot)
-                        self.members.append(_elem26)
+                    (_etype38, _size35) = iprot.readListBegin()
+                    for _i39 in range(_size35):
+                        _elem40 = MemberReport()
+                        _elem40.read(iprot)
+                        self.members.append(_elem40)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -731,8 +805,8 @@
         if self.members is not None:
             oprot.writeFieldBegin('members', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.members))
-            for iter27 in self.members:
-                iter27.write(oprot)
+            for iter41 in self.members:
+                iter41.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -792,11 +866,11 @@
             if fid == 0:
                 if ftype == TType.LIST:
                     self.success = []
-                    (_etype31, _size28) = iprot.readListBegin()
-                    for _i32 in range(_size28):
-                        _elem33 = MemberReport()
-                        _elem33.read(iprot)
-                        self.success.append(_elem33)
+                    (_etype45, _size42) = iprot.readListBegin()
+                    for _i46 in range(_size42):
+                        _elem47 = MemberReport()
+                        _elem47.read(iprot)
+                        self.success.append(_elem47)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -813,8 +887,8 @@
         if self.success is not None:
             oprot.writeFieldBegin('success', TType.LIST, 0)
             oprot.writeListBegin(TType.STRUCT, len(self.success))
-            for iter34 in self.success:
-                iter34.write(oprot)
+            for iter48 in self.success:
+                iter48.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -1036,11 +1110,11 @@
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.releases = []
-                    (_etype38, _size35) = iprot.readListBegin()
-                    for _i39 in range(_size35):
-                        _elem40 = Release()
-                        _elem40.read(iprot)
-                        self.releases.append(_elem40)
+                    (_etype52, _size49) = iprot.readListBegin()
+                    for _i53 in range(_size49):
+                        _elem54 = Release()
+                        _elem54.read(iprot)
+                        self.releases.append(_elem54)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1065,8 +1139,8 @@
         if self.releases is not None:
             oprot.writeFieldBegin('releases', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.releases))
-            for iter41 in self.releases:
-                iter41.write(oprot)
+            for iter55 in self.releases:
+                iter55.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -1205,11 +1279,11 @@
             elif fid == 4:
                 if ftype == TType.LIST:
                     self.grants = []
-                    (_etype45, _size42) = iprot.readListBegin()
-                    for _i46 in range(_size42):
-                        _elem47 = HeldGrant()
-                        _elem47.read(iprot)
-                        self.grants.append(_elem47)
+                    (_etype59, _size56) = iprot.readListBegin()
+                    for _i60 in range(_size56):
+                        _elem61 = HeldGrant()
+                        _elem61.read(iprot)
+                        self.grants.append(_elem61)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1238,8 +1312,8 @@
         if self.grants is not None:
             oprot.writeFieldBegin('grants', TType.LIST, 4)
             oprot.writeListBegin(TType.STRUCT, len(self.grants))
-            for iter48 in self.grants:
-                iter48.write(oprot)
+            for iter62 in self.grants:
+                iter62.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -1328,6 +1402,178 @@
 )
 
 
+class inspect_pool_args(object):
+    """
+    Attributes:
+     - pool
+     - endpoint_id
+     - max_chats
+
+    """
+
+    __slots__ = (
+        'pool',
+        'endpoint_id',
+        'max_chats',
+    )
+
+
+    def __init__(self, pool=None, endpoint_id=None, max_chats=None,):
+        self.pool = pool
+        self.endpoint_id = endpoint_id
+        self.max_chats = max_chats
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.pool = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.endpoint_id = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I32:
+                    self.max_chats = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('inspect_pool_args')
+        if self.pool is not None:
+            oprot.writeFieldBegin('pool', TType.STRING, 1)
+            oprot.writeString(self.pool.encode('utf-8') if sys.version_info[0] == 2 else self.pool)
+            oprot.writeFieldEnd()
+        if self.endpoint_id is not None:
+            oprot.writeFieldBegin('endpoint_id', TType.STRING, 2)
+            oprot.writeString(self.endpoint_id.encode('utf-8') if sys.version_info[0] == 2 else self.endpoint_id)
+            oprot.writeFieldEnd()
+        if self.max_chats is not None:
+            oprot.writeFieldBegin('max_chats', TType.I32, 3)
+            oprot.writeI32(self.max_chats)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+all_structs.append(inspect_pool_args)
+inspect_pool_args.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'pool', 'UTF8', None, ),  # 1
+    (2, TType.STRING, 'endpoint_id', 'UTF8', None, ),  # 2
+    (3, TType.I32, 'max_chats', None, None, ),  # 3
+)
+
+
+class inspect_pool_result(object):
+    """
+    Attributes:
+     - success
+
+    """
+
+    __slots__ = (
+        'success',
+    )
+
+
+    def __init__(self, success=None,):
+        self.success = success
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 0:
+                if ftype == TType.STRUCT:
+                    self.success = PoolReport()
+                    self.success.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('inspect_pool_result')
+        if self.success is not None:
+            oprot.writeFieldBegin('success', TType.STRUCT, 0)
+            self.success.write(oprot)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+all_structs.append(inspect_pool_result)
+inspect_pool_result.thrift_spec = (
+    (0, TType.STRUCT, 'success', [PoolReport, None], None, ),  # 0
+)
+
+
 class fetch_config_args(object):
     """
     Attributes:
--- a/src/sequoiadrum/_gen/peer/ttypes.py
+++ b/src/sequoiadrum/_gen/peer/ttypes.py
@@ -1765,6 +1765,233 @@
 
     def __ne__(self, other):
         return not (self == other)
+
+
+class EndpointReport(object):
+    """
+    An endpoint as the owner of its pool sees it.
+
+    Attributes:
+     - endpoint_id
+     - load
+     - reported_load
+     - state
+
+    """
+
+    __slots__ = (
+        'endpoint_id',
+        'load',
+        'reported_load',
+        'state',
+    )
+
+
+    def __init__(self, endpoint_id=None, load=None, reported_load=None, state=None,):
+        self.endpoint_id = endpoint_id
+        self.load = load
+        self.reported_load = reported_load
+        self.state = state
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.endpoint_id = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.DOUBLE:
+                    self.load = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.DOUBLE:
+                    self.reported_load = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.STRING:
+                    self.state = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('EndpointReport')
+        if self.endpoint_id is not None:
+            oprot.writeFieldBegin('endpoint_id', TType.STRING, 1)
+            oprot.writeString(self.endpoint_id.encode('utf-8') if sys.version_info[0] == 2 else self.endpoint_id)
+            oprot.writeFieldEnd()
+        if self.load is not None:
+            oprot.writeFieldBegin('load', TType.DOUBLE, 2)
+            oprot.writeDouble(self.load)
+            oprot.writeFieldEnd()
+        if self.reported_load is not None:
+            oprot.writeFieldBegin('reported_load', TType.DOUBLE, 3)
+            oprot.writeDouble(self.reported_load)
+            oprot.writeFieldEnd()
+        if self.state is not None:
+            oprot.writeFieldBegin('state', TType.STRING, 4)
+            oprot.writeString(self.state.encode('utf-8') if sys.version_info[0] == 2 else self.state)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class PoolReport(object):
+    """
+    Attributes:
+     - owner_id
+     - queued
+     - endpoints
+     - recent_chats
+
+    """
+
+    __slots__ = (
+        'owner_id',
+        'queued',
+        'endpoints',
+        'recent_chats',
+    )
+
+
+    def __init__(self, owner_id=None, queued=None, endpoints=None, recent_chats=None,):
+        self.owner_id = owner_id
+        self.queued = queued
+        self.endpoints = endpoints
+        self.recent_chats = recent_chats
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.owner_id = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I32:
+                    self.queued = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.LIST:
+                    self.endpoints = []
+                    (_etype24, _size21) = iprot.readListBegin()
+                    for _i25 in range(_size21):
+                        _elem26 = EndpointReport()
+                        _elem26.read(iprot)
+                        self.endpoints.append(_elem26)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.LIST:
+                    self.recent_chats = []
+                    (_etype30, _size27) = iprot.readListBegin()
+                    for _i31 in range(_size27):
+                        _elem32 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.recent_chats.append(_elem32)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('PoolReport')
+        if self.owner_id is not None:
+            oprot.writeFieldBegin('owner_id', TType.STRING, 1)
+            oprot.writeString(self.owner_id.encode('utf-8') if sys.version_info[0] == 2 else self.owner_id)
+            oprot.writeFieldEnd()
+        if self.queued is not None:
+            oprot.writeFieldBegin('queued', TType.I32, 2)
+            oprot.writeI32(self.queued)
+            oprot.writeFieldEnd()
+        if self.endpoints is not None:
+            oprot.writeFieldBegin('endpoints', TType.LIST, 3)
+            oprot.writeListBegin(TType.STRUCT, len(self.endpoints))
+            for iter33 in self.endpoints:
+                iter33.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.recent_chats is not None:
+            oprot.writeFieldBegin('recent_chats', TType.LIST, 4)
+            oprot.writeListBegin(TType.STRING, len(self.recent_chats))
+            for iter34 in self.recent_chats:
+                oprot.writeString(iter34.encode('utf-8') if sys.version_info[0] == 2 else iter34)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
 all_structs.append(Member)
 Member.thrift_spec = (
     None,  # 0
@@ -1891,5 +2118,21 @@
     (3, TType.I32, 'retry_after_ms', None, None, ),  # 3
     (4, TType.STRING, 'owner_id', 'UTF8', None, ),  # 4
 )
+all_structs.append(EndpointReport)
+EndpointReport.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'endpoint_id', 'UTF8', None, ),  # 1
+    (2, TType.DOUBLE, 'load', None, None, ),  # 2
+    (3, TType.DOUBLE, 'reported_load', None, None, ),  # 3
+    (4, TType.STRING, 'state', 'UTF8', None, ),  # 4
+)
+all_structs.append(PoolReport)
+PoolReport.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'owner_id', 'UTF8', None, ),  # 1
+    (2, TType.I32, 'queued', None, None, ),  # 2
+    (3, TType.LIST, 'endpoints', (TType.STRUCT, [EndpointReport, None], False), None, ),  # 3
+    (4, TType.LIST, 'recent_chats', (TType.STRING, 'UTF8', False), None, ),  # 4
+)
 fix_spec(all_structs)
 del all_structs
--- a/src/sequoiadrum/_peer_admission.py
+++ b/src/sequoiadrum/_peer_admission.py
@@ -77,6 +77,13 @@
             ],
         )
 
+    def inspect(self, pool: str, endpoint_id: str, max_chats: int) -> Any:
+        """Gives the loads of a pool as they are decided here."""
+        queued, engines = self._owner.inspect(pool)
+        reports = [ttypes.EndpointReport(e.id, e.load, e.reported, e.label()) for e in engines]
+        chats = self._owner.recent_chats(pool, endpoint_id, max_chats) if endpoint_id else []
+        return ttypes.PoolReport(self._router_id, queued, reports, chats)
+
     def _wait(
         self, future: Future[Result[Grant, Refusal]], deadline: float
     ) -> Result[Grant, Refusal]:
--- a/src/sequoiadrum/admission.py
+++ b/src/sequoiadrum/admission.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from copy import copy
 from typing import TYPE_CHECKING, Final
 
 from attrs import define, field, frozen
@@ -281,6 +282,14 @@
         """Gives the load of each engine."""
         return {engine.id: engine.load for engine in self._engine_by_id.values()}
 
+    def engines(self) -> list[EngineState]:
+        """Gives copies of the engines' states."""
+        return [copy(engine) for engine in self._engine_by_id.values()]
+
+    def recent_chats(self, engine_id: str, limit: int) -> list[str]:
+        """Lists chats that an engine served last, the most recent first."""
+        return self.recent.chats_of(engine_id, limit)
+
     def usable_ids(self) -> list[str]:
         """Lists the engines that may get new work."""
         return [engine.id for engine in self._usable]
@@ -311,6 +320,7 @@
         if last is not None and chosen is not last:
             self.spills += 1
         self.recent.record(chat_hash, chosen, now)
+        self.recent.list_chat(chosen.id, request.chat_id)
         self._hold(
             request.grant_id,
             HeldGrant(
--- a/src/sequoiadrum/admission_task.py
+++ b/src/sequoiadrum/admission_task.py
@@ -37,7 +37,7 @@
     from sequoiadrum.configuration import ConfigState
     from sequoiadrum.engine_client import EngineClient
     from sequoiadrum.interfaces import AdmissionRequest, ConfigSource, MembershipSource
-    from sequoiadrum.messages import Endpoint, Member
+    from sequoiadrum.messages import Address, Endpoint, Member
     from sequoiadrum.metrics import Metrics
     from sequoiadrum.peer_client import PeerClient
     from sequoiadrum.platform_client import PlatformClient
@@ -195,6 +195,17 @@
         """Answers `Peer.report_grants`."""
         self._peer_side.report(pool, GrantHolder(router_id, router_process_id), grants)
 
+    def owner_address(self, pool: str) -> Address | None:
+        """Gives the peer address of the router that decides for a pool; None for this router."""
+        owner = self._directory.owner_to_ask(pool)
+        if owner is None or owner == self._router_id:
+            return None
+        return self._directory.address_of(owner)
+
+    def inspect_pool(self, pool: str, endpoint_id: str, max_chats: int) -> Any:
+        """Answers `Peer.inspect_pool`."""
+        return self._peer_side.inspect(pool, endpoint_id, max_chats)
+
     def loads(self, pool: str) -> Mapping[str, float]:
         """Gives the load of each engine of a pool, as far as it is decided here."""
         return self._owner.loads(pool)
--- a/src/sequoiadrum/app.py
+++ b/src/sequoiadrum/app.py
@@ -11,26 +11,33 @@
 import structlog
 
 from sequoiadrum._engine_http import HttpEngineClient
+from sequoiadrum._ledger_dispatch import Dispatcher
+from sequoiadrum._ledger_types import LedgerPolicy
 from sequoiadrum._platform_http import HttpPlatformClient
 from sequoiadrum._service_http import HttpServiceClient
-from sequoiadrum.admission_task import AdmissionTask
-from sequoiadrum.chat_relay import ChatRelay
+from sequoiadrum.admission_task import AdmissionParts, AdmissionTask
+from sequoiadrum.chat_relay import ChatRelay, RetryBudgets
 from sequoiadrum.config_task import ConfigTask
 from sequoiadrum.config_writer import PlatformConfigWriter
 from sequoiadrum.directory import MemberDirectory
 from sequoiadrum.gossip_task import GossipTask
 from sequoiadrum.http_front import FrontParts, HttpFront
-from sequoiadrum.interfaces import AccountLimits
-from sequoiadrum.ledger import ObjectLedger
+from sequoiadrum.keyed_router import KeyedRouter
+from sequoiadrum.ledger_task import Clock, LedgerTask
+from sequoiadrum.limits_task import LimitsTask
 from sequoiadrum.messages import Address
 from sequoiadrum.metrics import Metrics
+from sequoiadrum.operator_side import OperatorSide
 from sequoiadrum.peer_client import ThriftPeerClient
 from sequoiadrum.peer_server import PeerHandler, create_peer_server
+from sequoiadrum.plan_driver import DriverParts
+from sequoiadrum.plan_store import PlanStore
+from sequoiadrum.pool_inspector import PeerPoolInspector
 from sequoiadrum.service_relay import ServiceRelay
+from sequoiadrum.stream_cancel import StreamCanceller
 from sequoiadrum.timers import TimerService
 
 if TYPE_CHECKING:
-    from sequoiadrum.errors import Refusal
     from sequoiadrum.settings import Settings
 
 _ENGINE_TIMEOUT_S: Final = 2.0
@@ -40,68 +47,48 @@
 _log = structlog.get_logger(__name__)
 
 
-class _NoLimits(AccountLimits):
-    """Admits every known account."""
-
-    def admit(self, account: str) -> Refusal | None:
-        return None
-
-
-class _Unwired:
-    """Stands for a part that does not answer peers yet; every call of it fails."""
-
-
 class Router:
     """One running router."""
 
     def __init__(self, settings: Settings) -> None:
+        """Binds all ports.
+
+        Raises:
+            OSError: An address is in use or not local.
+        """
         self.settings: Final = settings
         self.metrics: Final = Metrics()
         self.timers: Final = TimerService()
         self._stop_requested = threading.Event()
         self._failed = False
-        platform = HttpPlatformClient(
+        self._platform = HttpPlatformClient(
             settings.platform_address(), self.metrics, settings.platform_timeout_s
         )
-        engines = HttpEngineClient(_ENGINE_TIMEOUT_S, _STREAM_TIMEOUT_S)
-        services = HttpServiceClient()
+        self._engines = HttpEngineClient(_ENGINE_TIMEOUT_S, _STREAM_TIMEOUT_S)
+        self._services = HttpServiceClient()
         self.peers: Final = ThriftPeerClient(self.metrics)
         self.gossip: Final = GossipTask(
-            settings, platform, self.peers, self.metrics, self._invariant_broken
+            settings, self._platform, self.peers, self.metrics, self._invariant_broken
         )
         self.config: Final = ConfigTask(
-            platform, self.gossip, self.peers, self.metrics, self._invariant_broken
+            self._platform, self.gossip, self.peers, self.metrics, self._invariant_broken
         )
         self.background: Final = ThreadPoolExecutor(1, thread_name_prefix="background")
-        self.config_writer: Final = PlatformConfigWriter(
-            platform, self.config.current, self.config.accept, self.metrics, self.background
-        )
-        self.admission: Final = AdmissionTask(
-            settings, self.config, self.metrics, self._invariant_broken
+        self.admission: Final = self._create_admission()
+        self.limits: Final = LimitsTask(
+            self.config, self.gossip, self.peers, self.timers, self.metrics, self._invariant_broken
         )
-        keyed = ObjectLedger(platform, self.config, self.admission, services, self.metrics)
-        self.front: Final = HttpFront(
-            settings,
-            FrontParts(
-                config=self.config,
-                limits=_NoLimits(),
-                relay=ChatRelay(self.config, self.admission, engines, self.metrics),
-                services=ServiceRelay(self.admission, services, self.metrics),
-                keyed=keyed,
-                directory=MemberDirectory(self.gossip),
-                metrics=self.metrics,
-            ),
+        self.canceller: Final = StreamCanceller(
+            self._engines, self.admission, self.timers, self.metrics, self._invariant_broken
         )
+        self.ledger: Final = self._create_ledger()
+        self.keyed: Final = KeyedRouter(self.ledger, self.gossip, self.peers)
+        self.front: Final = self._create_front()
         self.gossip.set_http_port(self.front.port)
+        self.operators: Final = self._create_operator_side()
         self.peer_server: Final = create_peer_server(
             Address(settings.host, self.gossip.peer_port),
-            PeerHandler(
-                membership=self.gossip,
-                admission=_Unwired(),
-                config=self.config,
-                keyed=_Unwired(),
-                limits=_Unwired(),
-            ),
+            PeerHandler(self.gossip, self.admission, self.config, self.keyed, self.limits),
             self.metrics,
         )
         self.metrics.gauge("requests_in_flight", lambda: float(self.front.active()))
@@ -113,7 +100,11 @@
         self.gossip.run_on(self.timers)
         self.config.run_on(self.timers)
         self.admission.start()
+        self.limits.start()
+        self.canceller.start()
+        self.ledger.start()
         self.front.start()
+        self.operators.start(self.timers)
         _log.info("started", instance=self.settings.instance_id, http_port=self.front.port)
 
     def run(self) -> int:
@@ -134,7 +125,13 @@
         deadline = time.monotonic() + self.settings.request_timeout_s
         while self.front.active() and time.monotonic() < deadline:
             time.sleep(_POLL_S)
+        if not self.ledger.drain(self.settings.request_timeout_s):
+            _log.warning("ledger_not_released")
         self.front.stop()
+        self.operators.stop()
+        self.ledger.stop()
+        self.canceller.stop()
+        self.limits.stop()
         self.admission.stop()
         self.config.stop()
         self.gossip.stop()
@@ -144,6 +141,68 @@
         self.timers.stop()
         _log.info("stopped")
 
+    def _create_admission(self) -> AdmissionTask:
+        parts = AdmissionParts(
+            config=self.config,
+            membership=self.gossip,
+            peers=self.peers,
+            engines=self._engines,
+            platform=self._platform,
+            timers=self.timers,
+            metrics=self.metrics,
+        )
+        return AdmissionTask(self.settings, parts, self._invariant_broken)
+
+    def _create_ledger(self) -> LedgerTask:
+        clock = Clock()
+        return LedgerTask(
+            self.settings.ledger_shards,
+            LedgerPolicy(window_s=self.settings.ledger_window_s),
+            self.gossip,
+            self._platform,
+            Dispatcher(self.config, self.admission, self._services, self.peers, clock),
+            self.timers,
+            self.metrics,
+            self._invariant_broken,
+        )
+
+    def _create_front(self) -> HttpFront:
+        budgets = RetryBudgets(self.metrics)
+        return HttpFront(
+            self.settings,
+            FrontParts(
+                config=self.config,
+                limits=self.limits,
+                relay=ChatRelay(
+                    self.config,
+                    self.admission,
+                    self._engines,
+                    self.canceller,
+                    budgets,
+                    self.metrics,
+                ),
+                services=ServiceRelay(self.admission, self._services, budgets),
+                keyed=self.keyed,
+                directory=MemberDirectory(self.gossip),
+                metrics=self.metrics,
+            ),
+        )
+
+    def _create_operator_side(self) -> OperatorSide:
+        writer = PlatformConfigWriter(
+            self._platform, self.config.current, self.config.accept, self.metrics, self.background
+        )
+        parts = DriverParts(
+            store=PlanStore(self._platform),
+            config=self.config,
+            writer=writer,
+            engines=self._engines,
+            inspector=PeerPoolInspector(self.admission, self.config, self.peers),
+            membership=self.gossip,
+            metrics=self.metrics,
+        )
+        return OperatorSide(self.settings, parts, self.gossip.process_id(), self._invariant_broken)
+
     def _invariant_broken(self) -> None:
         self._failed = True
         self._stop_requested.set()
--- a/src/sequoiadrum/peer_server.py
+++ b/src/sequoiadrum/peer_server.py
@@ -20,6 +20,7 @@
         KeyedRequest,
         LimitLease,
         MemberReport,
+        PoolReport,
         Release,
     )
     from sequoiadrum.messages import Address
@@ -35,7 +36,7 @@
     membership: Any
     """Answers `sync_members`."""
     admission: Any
-    """Answers `acquire`, `release` and `report_grants`."""
+    """Answers `acquire`, `release`, `report_grants` and `inspect_pool`."""
     config: Any
     """Answers `fetch_config`."""
     keyed: Any
@@ -61,6 +62,10 @@
         """Tells a new owner which grants a router still holds."""
         self.admission.report_grants(pool, router_id, router_process_id, grants)
 
+    def inspect_pool(self, pool: str, endpoint_id: str, max_chats: int) -> PoolReport:
+        """Gives the loads of a pool that is owned here."""
+        return self.admission.inspect_pool(pool, endpoint_id, max_chats)
+
     def fetch_config(self, since_revision: int) -> ConfigUpdate:
         """Gives configuration changes above a revision."""
         return self.config.fetch_config(since_revision)
--- a/src/sequoiadrum/placement.py
+++ b/src/sequoiadrum/placement.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import math
+from collections import OrderedDict
 from typing import Final
 
 from attrs import define, field, frozen
@@ -14,6 +15,9 @@
 DISPLACED_S: Final = 600.0
 """A chat returns to its engine if that engine recovers within this time."""
 
+CHATS_LISTED_PER_ENGINE: Final = 256
+"""Names of chats kept for each engine, for plans that move their context."""
+
 _MASK: Final = (1 << 64) - 1
 
 
@@ -85,6 +89,14 @@
             return 1.0
         return max(0.1, 1.0 - (self.warm_at - now) / SLOW_START_S)
 
+    def label(self) -> str:
+        """Names the state for operators."""
+        if self.draining:
+            return "draining"
+        if self.leaving:
+            return "leaving"
+        return "active" if self.healthy else "unhealthy"
+
     def update_usable(self) -> None:
         """Derives `usable` from the other states."""
         self.usable = self.declared and self.healthy and not (self.draining or self.leaving)
@@ -110,6 +122,7 @@
     """Chats kept."""
     _engine_by_chat: dict[int, EngineState] = field(factory=dict)
     _displaced_by_chat: dict[int, tuple[EngineState, float]] = field(factory=dict)
+    _chats_by_engine: dict[str, OrderedDict[str, None]] = field(factory=dict)
 
     def last_engine(self, chat_hash: int) -> EngineState | None:
         """Gives the engine that last served a chat."""
@@ -148,5 +161,17 @@
         if engine is not None and engine.id == engine_id:
             del self._engine_by_chat[chat_hash]
 
+    def list_chat(self, engine_id: str, chat_id: str) -> None:
+        """Notes the name of a chat that an engine serves."""
+        chats = self._chats_by_engine.setdefault(engine_id, OrderedDict())
+        chats[chat_id] = None
+        chats.move_to_end(chat_id)
+        if len(chats) > CHATS_LISTED_PER_ENGINE:
+            chats.popitem(last=False)
+
+    def chats_of(self, engine_id: str, limit: int) -> list[str]:
+        """Lists chats that an engine served last, the most recent first."""
+        return list(reversed(self._chats_by_engine.get(engine_id, ())))[:limit]
+
     def __len__(self) -> int:
         return len(self._engine_by_chat)
--- /dev/null
+++ b/src/sequoiadrum/pool_inspector.py
@@ -0,0 +1,71 @@
+"""Asks the owner of a pool for its loads."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Final
+
+from returns.result import Failure, Result, Success
+
+from sequoiadrum.errors import Refusal, RefusalReason
+from sequoiadrum.interfaces import EndpointLoad, PoolInspector, PoolLoad
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+    from sequoiadrum._gen.peer.ttypes import PoolReport
+    from sequoiadrum.admission_task import AdmissionTask
+    from sequoiadrum.interfaces import ConfigSource
+    from sequoiadrum.peer_client import PeerClient
+
+_TIMEOUT_S: Final = 2.0
+
+
+class PeerPoolInspector(PoolInspector):
+    """Reads from the local admission task or over `Peer.inspect_pool`."""
+
+    def __init__(self, admission: AdmissionTask, config: ConfigSource, peers: PeerClient) -> None:
+        self._admission = admission
+        self._config = config
+        self._peers = peers
+
+    def pool_load(self, pool: str) -> Result[PoolLoad, Refusal]:
+        """See `PoolInspector.pool_load`."""
+        declared = {e.id: e for e in self._config.current().pool_endpoints(pool)}
+        if not declared:
+            return Failure(Refusal(RefusalReason.NOT_FOUND, f"no pool {pool!r}"))
+        report = self._inspect(pool, "", 0)
+        if report is None:
+            detail = "the owner of the pool does not answer"
+            return Failure(Refusal(RefusalReason.OWNER_UNREACHABLE, detail, 1_000))
+        endpoints = tuple(
+            EndpointLoad(declared[e.endpoint_id], e.state, e.load, e.reported_load)
+            for e in report.endpoints
+            if e.endpoint_id in declared
+        )
+        return Success(PoolLoad(pool, report.owner_id, report.queued, endpoints))
+
+    def in_flight(self, endpoint_id: str) -> float | None:
+        """See `PoolInspector.in_flight`."""
+        endpoint = self._config.current().endpoints_by_id.get(endpoint_id)
+        report = self._inspect(endpoint.pool, "", 0) if endpoint is not None else None
+        if report is None:
+            return None
+        # An endpoint without state at the owner has no grant.
+        return next((e.load for e in report.endpoints if e.endpoint_id == endpoint_id), 0.0)
+
+    def recent_chats(self, endpoint_id: str, limit: int) -> Sequence[str]:
+        """See `PoolInspector.recent_chats`."""
+        endpoint = self._config.current().endpoints_by_id.get(endpoint_id)
+        if endpoint is None:
+            return ()
+        report = self._inspect(endpoint.pool, endpoint_id, limit)
+        return () if report is None else tuple(report.recent_chats)
+
+    def _inspect(self, pool: str, endpoint_id: str, max_chats: int) -> PoolReport | None:
+        owner = self._admission.owner_address(pool)
+        if owner is None:
+            return self._admission.inspect_pool(pool, endpoint_id, max_chats)
+        asked = self._peers.call(
+            owner, lambda c: c.inspect_pool(pool, endpoint_id, max_chats), _TIMEOUT_S
+        )
+        return asked.value_or(None)
--- a/src/sequoiadrum/pool_owner.py
+++ b/src/sequoiadrum/pool_owner.py
@@ -24,7 +24,7 @@
     from sequoiadrum.configuration import ConfigState
     from sequoiadrum.interfaces import AdmissionRequest, ConfigSource
     from sequoiadrum.metrics import Metrics
-    from sequoiadrum.placement import BoundPolicy
+    from sequoiadrum.placement import BoundPolicy, EngineState
 
 MAX_WAIT_S: Final = 2.0
 """Longest wait in the queue of a pool; a frozen owner delays a caller by little more than this."""
@@ -252,6 +252,18 @@
             pool = self._pools_by_name.get(pool_name)
             return pool.core.loads() if pool is not None else {}
 
+    def inspect(self, pool_name: str) -> tuple[int, list[EngineState]]:
+        """Gives the length of a pool's queue and copies of its endpoints' states."""
+        with self._lock:
+            pool = self._pool(pool_name, self._clock())
+            return len(pool.core.queue), pool.core.engines()
+
+    def recent_chats(self, pool_name: str, endpoint_id: str, limit: int) -> list[str]:
+        """Lists chats that an endpoint served last, the most recent first."""
+        with self._lock:
+            pool = self._pools_by_name.get(pool_name)
+            return pool.core.recent_chats(endpoint_id, limit) if pool is not None else []
+
     def pools(self) -> list[str]:
         """Lists the pools with state here."""
         with self._lock:
--- a/src/sequoiadrum/settings.py
+++ b/src/sequoiadrum/settings.py
@@ -100,6 +100,10 @@
         float, _setting("load_interval_s", "Least time between two load orders, in seconds", 5.0)
     ] = 5.0
     """Of one router; the weight store is rate-limited."""
+    ledger_window_s: Annotated[
+        float, _setting("ledger_window_s", "Least time between two writes of a shard, in s", 0.02)
+    ] = 0.02
+    """Longer windows cost latency and save platform writes."""
     log_format: Annotated[str, _setting("log_format", "json or console", "json")] = "json"
     """One event a line."""
     check: Annotated[bool, cappa.Arg(long="--check", help="Validate the settings and end")] = False
@@ -201,5 +205,6 @@
     "ledger_shards": _between(1, 4_096),
     "plan_lease_s": _between(1, 600),
     "load_interval_s": _between(0, 3_600),
+    "ledger_window_s": _between(0.0, 5.0),
     "log_format": (lambda text: text in ("json", "console"), "json or console"),
 }
