--- a/tools/fleet.py
+++ b/tools/fleet.py
@@ -163,6 +163,7 @@
                             "host": process.address.host,
                             "port": process.address.port,
                             "failure_domain": f"d{number % 3 + 1}",
+                            "checks_fencing": kind == "engine",
                         },
                     )
                 )
--- a/tools/load.py
+++ b/tools/load.py
@@ -89,15 +89,14 @@
 
     def chat(self, chat_id: str, prompt: str, tokens: int) -> bool:
         """Sends one turn of a chat and reads its stream to the end, across routers if needed."""
-        request_id = f"{self.rng.getrandbits(64):016x}"
-        reader = _StreamReader(request_id, tokens, self.report)
+        reader = _StreamReader(tokens, self.report)
         body = {
             "model": "assistant",
             "messages": [{"role": "user", "content": prompt}],
             "max_tokens": tokens,
             "stream": True,
         }
-        headers = {"X-Account": self.account, "X-Chat-Id": chat_id, "X-Request-Id": request_id}
+        headers = {"X-Account": self.account, "X-Chat-Id": chat_id}
         for attempt in range(_ATTEMPTS):
             addresses = self.addresses("chat", chat_id)
             router = addresses[min(attempt, len(addresses) - 1)]
@@ -161,8 +160,8 @@
 class _StreamReader:
     """Reads the answer of one request and checks that each token is the expected one."""
 
-    def __init__(self, request_id: str, tokens: int, report: LoadReport) -> None:
-        self._request_id = request_id
+    def __init__(self, tokens: int, report: LoadReport) -> None:
+        self._request_id = ""
         self._tokens = tokens
         self._report = report
         self._last_event_id = ""
@@ -195,6 +194,7 @@
                 if error["type"] == "stream_lost":
                     self._last_event_id, self._next = "", 0
                 return False
+            self._request_id = response.getheader("X-Request-Id") or ""
             if not self._next:
                 with self._report.lock:
                     self._report.first_token_s.append(time.monotonic() - started)
