Measure routing on virtual time and fix what it showed

It showed two faults:

- A removed engine kept its returning chats (the leave row read 0 % moved): the table of recent engines still referred to it as usable.
The new test fails without that line.
It now adds what the report shows beyond its own counts, for one report interval (5 s).

--- a/src/sequoiadrum/admission.py
+++ b/src/sequoiadrum/admission.py
@@ -20,8 +20,9 @@
 if TYPE_CHECKING:
     from collections.abc import Collection, Iterable, Mapping
 
-SETTLE_S: Final = 0.5
-"""A new owner waits this long for the routers' reports before it trusts its own counts alone."""
+SETTLE_S: Final = 5.0
+"""A new owner adds the engines' reported load to its own counts this long: one interval of the
+routers' periodic reports, so that a router that missed the change of the owner is heard."""
 GRANT_LEASE_S: Final = 16.0
 """A grant that no report confirms for this long is dropped; three report intervals and a margin."""
 MISSING_GRACE_S: Final = 3.0
@@ -125,6 +126,8 @@
         for engine_id, engine in list(self._engine_by_id.items()):
             if engine_id not in draining_by_id:
                 engine.declared = False
+                # The table of recent engines may still refer to it.
+                engine.update_usable()
                 if engine.load <= 0:
                     del self._engine_by_id[engine_id]
         self._refresh(now)
@@ -145,11 +148,11 @@
             engine.warm_at = now + SLOW_START_S
         self._refresh(now)
 
-    def note_load(self, engine_id: str, in_flight: float) -> None:
-        """Takes an engine's load report."""
+    def note_load(self, engine_id: str, in_flight: float, now: float) -> None:
+        """Takes an engine's load report; a new owner counts what it does not know as foreign."""
         engine = self._engine_by_id.get(engine_id)
-        if engine is not None:
-            engine.reported = in_flight
+        if engine is not None and self._is_settling(now):
+            engine.foreign = max(0.0, in_flight - engine.load)
 
     def acquire(self, request: PoolRequest, now: float) -> Placed | Waiting | Refusal:
         """Places a request, queues it or refuses it.
@@ -246,6 +249,7 @@
                         now,
                     ),
                 )
+                engine.foreign = max(0.0, engine.foreign - reported.cost)
                 self.recent.record(stable_hash(reported.chat_id), engine, now)
 
     def drop_router(self, router_id: str, process_id: int | None = None) -> int:
@@ -333,9 +337,17 @@
     ) -> EngineState | None:
         """Chooses an engine for a chat without a usable preferred one."""
         choices = self.policy.cold_choices
-        if choices != 0:
+        if choices == 1:
             # The ranking is over all engines, so a chat whose table entry was lost is looked for
             # where an earlier owner has placed it.
+            home = max(
+                self._engine_by_id.values(),
+                key=lambda e: chat_score(chat_hash, e.id_hash),
+                default=None,
+            )
+            if home is not None and self._has_room(home, request, engines, now):
+                return home
+        if choices != 0:
             order = sorted(
                 self._engine_by_id.values(),
                 key=lambda e: chat_score(chat_hash, e.id_hash),
@@ -347,19 +359,33 @@
             for engine in order[choices:]:
                 if self._has_room(engine, request, engines, now):
                     return engine
-        # Below the admission multiple there may be no room only because of rounding; the bound
-        # itself decides then.
+        return self._least_loaded(chat_hash, request, engines, now)
+
+    def _least_loaded(
+        self, chat_hash: int, request: PoolRequest, engines: float, now: float
+    ) -> EngineState | None:
+        """Gives the least loaded engine with room under the bound itself.
+
+        Below the admission multiple there may be no room only because of rounding.
+        """
         bound = self.policy.bound_multiple
-        room = [e for e in self._usable if self._has_room(e, request, engines, now, bound)]
-        if len(room) < 2:
-            return room[0] if room else None
-        load_by_id = {e.id: self._load(e, now) / e.weight(now) for e in room}
-        least = min(load_by_id.values())
+        room = self._usable
+        plain = not (request.suspect or request.excluded)
+        if now < self._warm_at or self._is_settling(now) or not plain:
+            room = [e for e in room if self._has_room(e, request, engines, now, bound)]
+            if not room:
+                return None
+            load_by_id = {e.id: self._load(e, now) / e.weight(now) for e in room}
+            least = min(load_by_id.values())
+            ties = [e for e in room if load_by_id[e.id] <= least]
+        else:
+            least = min([e.load for e in room])
+            ties = [e for e in room if e.load <= least]
+            # All engines have the same cap here, so the least loaded one speaks for all.
+            if not self._has_room(ties[0], request, engines, now, bound):
+                return None
         # The ranking breaks ties, so that an idle pool spreads its chats.
-        return max(
-            (e for e in room if load_by_id[e.id] <= least),
-            key=lambda e: chat_score(chat_hash, e.id_hash),
-        )
+        return max(ties, key=lambda e: chat_score(chat_hash, e.id_hash))
 
     def _has_room(
         self,
@@ -376,15 +402,16 @@
         load = self._load(engine, now)
         if load <= 0:
             return True
-        total = self._total if now - self.started_at >= SETTLE_S else self._settling_total(now)
+        total = self._settling_total(now) if self._is_settling(now) else self._total
         multiple = self.policy.admit_multiple if multiple is None else multiple
         cap = self.policy.cap(multiple, total + request.cost, engines, request.cost)
         return load + request.cost <= cap * engine.weight(now) + 1e-9
 
     def _load(self, engine: EngineState, now: float) -> float:
-        if now - self.started_at >= SETTLE_S:
-            return engine.load
-        return max(engine.load, engine.reported)
+        return engine.load + engine.foreign if self._is_settling(now) else engine.load
+
+    def _is_settling(self, now: float) -> bool:
+        return now - self.started_at < SETTLE_S
 
     def _settling_total(self, now: float) -> float:
         return sum(self._load(engine, now) for engine in self._usable)
--- a/src/sequoiadrum/placement.py
+++ b/src/sequoiadrum/placement.py
@@ -25,7 +25,7 @@
     """Largest load of an engine over the mean load."""
     admit_multiple: float = 1.15
     """Multiple at which new requests spill; the gap to the bound is headroom for releases."""
-    cold_choices: int = 2
+    cold_choices: int = 1
     """Engines of the ranking among which a chat without cached context takes the least loaded;
     0 means all engines."""
     kv_import: bool = True
@@ -51,6 +51,12 @@
         return min(self.engine_slots, max(multiple * total_after / engines, allowance))
 
 
+REUSE_WEIGHTED: Final = BoundPolicy(admit_multiple=1.15, cold_choices=1)
+"""Keeps chats on their home engines, where a new owner finds them again."""
+SKEW_WEIGHTED: Final = BoundPolicy(admit_multiple=1.05, cold_choices=0)
+"""Spreads whatever has no context, and spills early."""
+
+
 @define(eq=False)
 class EngineState:
     """What the pool owner knows of one engine."""
@@ -67,8 +73,8 @@
     """Whether it may get new work; follows from the other states."""
     load: float = 0.0
     """Cost of the grants in flight."""
-    reported: float = 0.0
-    """Load in the engine's last report."""
+    foreign: float = 0.0
+    """Reported load that a new owner knows no grants for."""
     suspects: int = 0
     """Suspected requests in flight."""
     warm_at: float = 0.0
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -103,7 +103,7 @@
         pool = a_pool(3)
         pool.started_at = _NOW
         for engine_id, load in (("e0", 30.0), ("e1", 30.0), ("e2", 2.0)):
-            pool.note_load(engine_id, load)
+            pool.note_load(engine_id, load, _NOW)
         self.assertEqual({p.engine_id for p in fill(pool, 10)}, {"e2"})
         self.assertGreater(len({p.engine_id for p in fill(pool, 30, _NOW + SETTLE_S)}), 1)
 
@@ -155,6 +155,16 @@
         self.assertEqual(placed.kv_source, home)
         self.assertNotIn(home, {p.engine_id for p in fill(pool, 100)})
 
+    def test_removed_engine_gets_nothing(self) -> None:
+        """Guards against returning chats that follow the table to an engine that is gone."""
+        pool = a_pool()
+        before = {f"c{n}": placed_by(pool, f"c{n}") for n in range(50)}
+        for placed in before.values():
+            pool.release(placed.grant_id)
+        pool.set_engines({f"e{n}": False for n in range(1, 5)}, _NOW)
+        again = {chat: placed_by(pool, chat) for chat in before}
+        self.assertNotIn("e0", {placed.engine_id for placed in again.values()})
+
     def test_suspects_never_share_an_engine(self) -> None:
         """Guards against a second crash that cannot be told apart from the first."""
         pool = a_pool(3)
--- /dev/null
+++ b/tools/bench_admission_core.py
@@ -0,0 +1,231 @@
+"""Measures the admission core alone, and the sizes of its messages.
+
+Usage: `PYTHONPATH=src python -m tools.bench_admission_core [--seed N]`.
+"""
+
+from __future__ import annotations
+
+import argparse
+import gc
+import random
+import time
+import tracemalloc
+from typing import TYPE_CHECKING, Any, Final
+
+from thrift.transport.TTransport import TFramedTransport, TMemoryBuffer
+
+from sequoiadrum._gen.peer import Peer, ttypes
+from sequoiadrum._thrift_transport import COMPACT
+from sequoiadrum.admission import Placed, PoolAdmission, PoolRequest
+from sequoiadrum.placement import REUSE_WEIGHTED, SKEW_WEIGHTED, BoundPolicy, RecentTable
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+_ENGINES: Final = 10_000
+_PER_POOL: Final = 64
+_ACCOUNTS: Final = 31_000
+_IN_FLIGHT: Final = 156_000
+"""39,000 requests/s for 4 s each."""
+_OPERATIONS: Final = 60_000
+_CHATS: Final = 400_000
+
+
+def main() -> None:
+    """Prints all figures."""
+    parser = argparse.ArgumentParser()
+    parser.add_argument("--seed", type=int, default=7)
+    seed = parser.parse_args().seed
+    print(f"tools/bench_admission_core.py --seed {seed}")
+    print(
+        f"{_ENGINES} engines in {-(-_ENGINES // _PER_POOL)} pools of up to {_PER_POOL}, "
+        f"{_ACCOUNTS} accounts, {_IN_FLIGHT} grants in flight, {_CHATS} chats"
+    )
+    for name, policy in (("reuse-weighted", REUSE_WEIGHTED), ("skew-weighted", SKEW_WEIGHTED)):
+        _speed(name, policy, seed)
+    _memory(seed)
+    _messages()
+
+
+def _pools(policy: BoundPolicy) -> list[PoolAdmission]:
+    pools = []
+    for first in range(0, _ENGINES, _PER_POOL):
+        pool = PoolAdmission(policy)
+        last = min(_ENGINES, first + _PER_POOL)
+        pool.set_engines({f"engine-{n:05}": False for n in range(first, last)}, 0.0)
+        pools.append(pool)
+    return pools
+
+
+def _request(number: int, chat: int, source: random.Random) -> PoolRequest:
+    return PoolRequest(
+        f"request-{number}",
+        f"r17-18c0ffee-{number:x}",
+        f"chat-{chat:08}",
+        f"account-{source.randrange(_ACCOUNTS):05}",
+        f"router-{source.randrange(2400):04}",
+        number % 2400,
+        1e9,
+        fingerprint=f"{chat:016x}",
+    )
+
+
+def _speed(name: str, policy: BoundPolicy, seed: int) -> None:
+    """Times one release and one acquire after the other with all pools under load."""
+    source = random.Random(seed)
+    pools = _pools(policy)
+    held: list[tuple[PoolAdmission, str]] = []
+    for number in range(_IN_FLIGHT):
+        chat = source.randrange(_CHATS)
+        pool = pools[chat % len(pools)]
+        if isinstance(pool.acquire(_request(number, chat, source), 100.0), Placed):
+            held.append((pool, f"r17-18c0ffee-{number:x}"))
+    requests = [
+        (source.randrange(_CHATS), _IN_FLIGHT + number, source.randrange(len(held)))
+        for number in range(_OPERATIONS)
+    ]
+    prepared = [(chat, _request(number, chat, source), out) for chat, number, out in requests]
+    acquire_s = release_s = 0.0
+    for chat, request, out in prepared:
+        pool, grant_id = held[out]
+        begin = time.perf_counter()
+        pool.release(grant_id)
+        between = time.perf_counter()
+        new_pool = pools[chat % len(pools)]
+        outcome = new_pool.acquire(request, 100.0)
+        end = time.perf_counter()
+        release_s += between - begin
+        acquire_s += end - between
+        if isinstance(outcome, Placed):
+            held[out] = (new_pool, outcome.grant_id)
+    spills = sum(pool.spills for pool in pools)
+    print(
+        f"{name}: acquire {1e6 * acquire_s / _OPERATIONS:.1f} us, release "
+        f"{1e6 * release_s / _OPERATIONS:.1f} us ({_OPERATIONS} each, {spills} spills in all)"
+    )
+
+
+def _memory(seed: int) -> None:
+    source = random.Random(seed)
+    pool = PoolAdmission(REUSE_WEIGHTED, recent=RecentTable(capacity=10**6))
+    engines = {f"engine-{n:05}": False for n in range(5_000)}
+    print(
+        f"bytes per engine {_bytes(lambda: pool.set_engines(engines, 0.0)) / len(engines):.0f} "
+        f"({len(engines)} engines)"
+    )
+    pool = PoolAdmission(REUSE_WEIGHTED, recent=RecentTable(capacity=10**6))
+    pool.set_engines({f"engine-{n:05}": False for n in range(_PER_POOL)}, 0.0)
+    count = 20_000
+    pool.policy = BoundPolicy(engine_slots=1e9, cold_choices=0)
+
+    def fill() -> None:
+        for number in range(count):
+            pool.acquire(_request(number, number, source), 100.0)
+
+    both = _bytes(fill)
+    grants = [f"r17-18c0ffee-{number:x}" for number in range(count)]
+
+    def empty() -> None:
+        for grant_id in grants:
+            pool.release(grant_id)
+        pool._grant_by_id = {}
+
+    rest = both + _bytes(empty)
+    print(
+        f"bytes per grant {(both - rest) / count:.0f}, per entry of the recent table "
+        f"{rest / count:.0f} ({count} each)"
+    )
+
+
+def _bytes(work: Callable[[], None]) -> int:
+    gc.collect()
+    started = not tracemalloc.is_tracing()
+    if started:
+        tracemalloc.start()
+    before = tracemalloc.get_traced_memory()[0]
+    work()
+    gc.collect()
+    return tracemalloc.get_traced_memory()[0] - before
+
+
+def _messages() -> None:
+    request = ttypes.AcquireRequest(
+        "assistant-large", "01234567-89ab-cdef-0123-456789abcdef", "chat-01234567", "account-01234",
+        1, 1.0, 2000, "0123456789abcdef", "router-0123", 2**61, [], False,
+    )  # fmt: skip
+    reply = ttypes.AcquireReply(
+        ttypes.AcquireStatus.GRANTED, "router-0123-18c0ffee123-1a2b3", "engine-01234",
+        "192.0.2.123", 8000, None, None, None, "router-0123",
+    )  # fmt: skip
+    release = ttypes.Release("router-0123-18c0ffee123-1a2b3", ttypes.ReleaseOutcome.OK)
+    held = ttypes.HeldGrant(
+        "router-0123-18c0ffee123-1a2b3", "engine-01234", "chat-01234567", "account-01234", 1.0,
+        "0123456789abcdef",
+    )  # fmt: skip
+    acquire = _call(lambda c: c.send_acquire(request))
+    answer = _struct(Peer.acquire_result(reply)) + 20
+    print(f"acquire: call {acquire} bytes, answer {answer} bytes (framed compact protocol)")
+    by_name: dict[str, list[int]] = {}
+    for name, send in (
+        ("release", lambda c, n: c.send_release("assistant-large", "router-0123", [release] * n)),
+        (
+            "report",
+            lambda c, n: c.send_report_grants("assistant-large", "router-0123", 2**61, [held] * n),
+        ),
+    ):
+        sizes = [_call(lambda c, n=n, s=send: s(c, n)) for n in (0, 1, 64)]  # type: ignore[misc]
+        print(
+            f"{name}: {sizes[0]} bytes when empty, {sizes[1]} with one entry, "
+            f"{sizes[2]} with 64 ({(sizes[2] - sizes[0]) / 64:.1f} per entry)"
+        )
+        by_name[name] = sizes
+    _control(acquire, answer, by_name["release"][1], by_name["report"][2] / 64)
+
+
+def _control(call: int, answer: int, release: float, report: float) -> None:
+    """Computes control traffic from the sizes of the messages.
+
+    Routers share the requests evenly; a mean over routers counts each message at both ends, and
+    each release travels alone.
+    """
+    print(
+        "control traffic computed from these sizes (4 s per request, 487 tokens per request, 120 "
+        "bytes per token event, reports every 5 s)"
+    )
+    for name, routers, requests_s, pools in (
+        ("deployment A", 14, 15.0, 1),
+        ("fleet in two years", 2_400, 39_000.0, 157),
+    ):
+        remote = requests_s * (1 - 1 / routers)
+        in_flight = remote * 4.0
+        per_request = call + answer + release
+        grants = remote * per_request + in_flight * report / 5.0
+        forwarded = remote * 487 * 120
+        changes = requests_s * 2 * release * (routers - 1)
+        print(
+            f"  {name}: {routers} routers, {requests_s:g} requests/s, {pools} pools\n"
+            f"    owner grants, mean per router {2 * grants / routers / 1e3:.2f} KB/s, "
+            f"per pool at its owner {grants / pools / 1e3:.1f} KB/s\n"
+            f"    owner relays streams, mean per router {2 * forwarded / routers / 1e3:.0f} KB/s, "
+            f"per pool at its owner {forwarded / pools / 1e3:.0f} KB/s\n"
+            f"    every router tells all others each change, per router "
+            f"{2 * changes / routers / 1e3:.1f} KB/s\n"
+            f"    every router decides on its own requests: 0 KB/s; {in_flight / routers:.1f} "
+            f"requests of its own in flight, {in_flight / routers / pools:.2f} per pool"
+        )
+
+
+def _call(send: Callable[[Any], None]) -> int:
+    buffer = TMemoryBuffer()
+    send(Peer.Client(COMPACT.getProtocol(TFramedTransport(buffer))))
+    return len(buffer.getvalue())
+
+
+def _struct(value: Any) -> int:
+    buffer = TMemoryBuffer()
+    value.write(COMPACT.getProtocol(buffer))
+    return len(buffer.getvalue())
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/tools/routing_model.py
@@ -0,0 +1,401 @@
+"""A small model of engines, chats and routers on virtual time, for `bench_routing`."""
+
+from __future__ import annotations
+
+import heapq
+import itertools
+import math
+import random
+from abc import ABC, abstractmethod
+from collections import OrderedDict
+from typing import TYPE_CHECKING, Any, Final
+
+from attrs import define, field, frozen
+
+from sequoiadrum.admission import Placed, PoolAdmission, PoolRequest, ReportedGrant, Waiting
+from sequoiadrum.hashing import first_ranked, stable_hash
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Sequence
+
+    from sequoiadrum.placement import BoundPolicy
+
+SAMPLE_S: Final = 0.05
+_GRANT_S: Final = 0.001
+_BATCH_S: Final = 0.02
+_TURN_TOKENS: Final = 500
+_CACHE_TOKENS: Final = 1_500_000
+_PREFILL_S_PER_TOKEN: Final = 0.0004
+_MEAN_TURNS: Final = 6.0
+_SERVICE_S: Final = 4.0
+
+
+@frozen
+class Deployment:
+    """Sizes of a deployment."""
+
+    name: str
+    routers: int
+    engines: int
+    account_weights: tuple[float, ...] = (30, 20, 15, 10, 8, 6, 4, 3, 2, 2)
+
+    def engine_ids(self) -> list[str]:
+        """Lists the engines."""
+        return [f"e{n}" for n in range(self.engines)]
+
+
+DEPLOYMENT_A: Final = Deployment("A", 14, 5)
+DEPLOYMENT_B: Final = Deployment("B", 13, 9)
+
+
+@define(eq=False)
+class Chat:
+    """One chat with all its random choices, the same under every policy."""
+
+    id: str
+    account: str
+    random: random.Random
+    turns_left: int
+    tokens: int = 0
+    wait_limit_s: float = 2.0
+    """Longest wait for an engine."""
+
+
+@define(eq=False)
+class Turn:
+    """One request of a chat."""
+
+    chat: Chat
+    router: int
+    asked_at: float
+    request_id: str
+    engine_id: str = ""
+
+
+@define(eq=False)
+class Engine:
+    """Prefix cache with least recently used eviction, and requests in flight."""
+
+    id: str
+    load: int = 0
+    tokens_by_chat: OrderedDict[str, int] = field(factory=OrderedDict)
+    cached_tokens: int = 0
+
+    def store(self, chat: Chat) -> None:
+        """Caches a chat's context and evicts others."""
+        self.cached_tokens -= self.tokens_by_chat.pop(chat.id, 0)
+        self.tokens_by_chat[chat.id] = chat.tokens
+        self.cached_tokens += chat.tokens
+        while self.cached_tokens > _CACHE_TOKENS:
+            self.cached_tokens -= self.tokens_by_chat.popitem(last=False)[1]
+
+
+class Chooser(ABC):
+    """Chooses engines."""
+
+    @abstractmethod
+    def choose(self, turn: Turn, now: float) -> tuple[str, str | None] | str | None:
+        """Gives engine and KV source, None when the request waits, or a refusal's name."""
+
+    def release(self, turn: Turn, now: float) -> None:  # noqa: B027 - most have no state
+        """Learns of the end of a request."""
+
+    def pump(self, now: float) -> list[tuple[Turn, str, str | None]]:
+        """Gives waiting requests that have an engine now."""
+        return []
+
+    def refused(self, now: float) -> list[Turn]:
+        """Gives waiting requests that are refused now."""
+        return []
+
+
+class ModuloChooser(Chooser):
+    """Hash of the chat modulo the number of engines."""
+
+    def __init__(self, engines: Sequence[str]) -> None:
+        self.engines = list(engines)
+
+    def choose(self, turn: Turn, now: float) -> tuple[str, None]:
+        """See `Chooser`."""
+        return self.engines[stable_hash(turn.chat.id) % len(self.engines)], None
+
+
+class RendezvousChooser(ModuloChooser):
+    """Highest random weight, without a bound."""
+
+    def choose(self, turn: Turn, now: float) -> tuple[str, None]:
+        """See `Chooser`."""
+        return first_ranked(turn.chat.id, self.engines) or "", None
+
+
+class TwoChoicesChooser(ModuloChooser):
+    """The less loaded of two random engines, with exact loads."""
+
+    def __init__(self, engines: Sequence[str], seed: int) -> None:
+        super().__init__(engines)
+        self._random = random.Random(seed)
+        self._load: dict[str, int] = dict.fromkeys(engines, 0)
+
+    def choose(self, turn: Turn, now: float) -> tuple[str, None]:
+        """See `Chooser`."""
+        chosen = min(self._random.sample(self.engines, 2), key=lambda e: self._load[e])
+        self._load[chosen] += 1
+        return chosen, None
+
+    def release(self, turn: Turn, now: float) -> None:
+        """See `Chooser`."""
+        self._load[turn.engine_id] -= 1
+
+    def reset(self) -> None:
+        """Starts with idle engines."""
+        self._load = dict.fromkeys(self.engines, 0)
+
+
+class LeastLoadedChooser(TwoChoicesChooser):
+    """The least loaded engine, with exact loads: the best that any placement does for skew."""
+
+    def choose(self, turn: Turn, now: float) -> tuple[str, None]:
+        """See `Chooser`."""
+        chosen = min(self.engines, key=lambda e: (self._load[e], self._random.random()))
+        self._load[chosen] += 1
+        return chosen, None
+
+
+class PoolChooser(Chooser):
+    """The real core; may be split over several owners for a time."""
+
+    def __init__(self, policy: BoundPolicy, engines: Sequence[str]) -> None:
+        self.policy = policy
+        self.engines = list(engines)
+        self.owner_of_router: Callable[[int], int] = lambda router: 0
+        self.owners = [self.new_owner(0.0)]
+        self._owner_by_request: dict[str, PoolAdmission] = {}
+        self.turn_by_request: dict[str, Turn] = {}
+
+    def new_owner(self, now: float) -> PoolAdmission:
+        """Makes an owner that knows no grant."""
+        pool = PoolAdmission(self.policy, now)
+        pool.set_engines(dict.fromkeys(self.engines, False), now)
+        return pool
+
+    def choose(self, turn: Turn, now: float) -> tuple[str, str | None] | str | None:
+        """See `Chooser`."""
+        pool = self.owners[self.owner_of_router(turn.router)]
+        outcome = pool.acquire(
+            PoolRequest(
+                turn.request_id,
+                turn.request_id,
+                turn.chat.id,
+                turn.chat.account,
+                f"r{turn.router}",
+                1,
+                now + turn.chat.wait_limit_s,
+            ),
+            now,
+        )
+        self.turn_by_request[turn.request_id] = turn
+        self._owner_by_request[turn.request_id] = pool
+        if isinstance(outcome, Placed):
+            return outcome.engine_id, outcome.kv_source
+        if isinstance(outcome, Waiting):
+            return None
+        del self.turn_by_request[turn.request_id]
+        return outcome.reason.value
+
+    def release(self, turn: Turn, now: float) -> None:
+        """See `Chooser`."""
+        self.turn_by_request.pop(turn.request_id, None)
+        self._owner_by_request.pop(turn.request_id).release(turn.request_id)
+
+    def pump(self, now: float) -> list[tuple[Turn, str, str | None]]:
+        """See `Chooser`."""
+        return [
+            (self.turn_by_request[request.request_id], placed.engine_id, placed.kv_source)
+            for pool in self.owners
+            if len(pool.queue)
+            for request, placed in pool.pump(now)
+        ]
+
+    def refused(self, now: float) -> list[Turn]:
+        """See `Chooser`."""
+        return [
+            self.turn_by_request.pop(request.request_id)
+            for pool in self.owners
+            if len(pool.queue)
+            for request, _ in pool.expire(now)
+        ]
+
+    def hand_over(
+        self,
+        owner: PoolAdmission,
+        now: float,
+        reports: Callable[[int], bool] = lambda router: True,
+    ) -> None:
+        """Reports the grants of routers to an owner, as they do when the owner changes."""
+        by_router: dict[str, list[ReportedGrant]] = {}
+        for turn in self.turn_by_request.values():
+            if turn.engine_id and reports(turn.router):
+                by_router.setdefault(f"r{turn.router}", []).append(
+                    ReportedGrant(turn.request_id, turn.engine_id, turn.chat.id, 1.0, "")
+                )
+                self._owner_by_request[turn.request_id] = owner
+        for router_id, grants in by_router.items():
+            owner.report(router_id, 1, grants, now)
+
+
+@define(eq=False)
+class Outcome:
+    """What was measured."""
+
+    returning: int = 0
+    found_local: int = 0
+    found_imported: int = 0
+    evicted: int = 0
+    """Returning chats whose context no engine held any more."""
+    ratios: list[float] = field(factory=list)
+    """Max over mean of the samples with a mean above 3.2."""
+    waits: dict[str, list[float]] = field(factory=dict)
+    refused: dict[str, int] = field(factory=dict)
+
+    def share(self, value: int) -> float:
+        """Gives the percentage of returning chats."""
+        return 100 * value / max(1, self.returning)
+
+    def ratio(self, quantile: float) -> float:
+        """Gives a quantile of max over mean."""
+        return quantile_of(self.ratios, quantile)
+
+    def above(self) -> float:
+        """Gives the percentage of samples above 1.25."""
+        return 100 * sum(r > 1.25 + 1e-9 for r in self.ratios) / max(1, len(self.ratios))
+
+
+def quantile_of(values: Sequence[float], quantile: float) -> float:
+    """Gives a quantile, NaN without values."""
+    if not values:
+        return math.nan
+    return sorted(values)[min(len(values) - 1, int(quantile * len(values)))]
+
+
+class Simulation:
+    """Runs chats against a chooser; demand does not depend on the chooser."""
+
+    no_random: Final = random.Random(0)
+    """For chats that draw nothing."""
+
+    def __init__(
+        self, deployment: Deployment, chooser: Chooser, mean_load: float, seed: int
+    ) -> None:
+        self.deployment = deployment
+        self.chooser = chooser
+        self.engines = {e: Engine(e) for e in deployment.engine_ids()}
+        self.outcome = Outcome()
+        self.measured_from = 150.0
+        self.surge: tuple[float, float, float] = (0.0, 0.0, 1.0)
+        """Start, end and factor of a surge of the two largest accounts."""
+        self._rate = mean_load * deployment.engines / _SERVICE_S / _MEAN_TURNS
+        self._seed = seed
+        self._random = random.Random(seed)
+        self._events: list[tuple[float, int, Callable[..., None], Any]] = []
+        self._order = itertools.count()
+        self._numbers = itertools.count()
+        self.now = 0.0
+
+    def at(self, when: float, action: Callable[..., None], argument: Any = None) -> None:
+        """Schedules an action."""
+        heapq.heappush(self._events, (when, next(self._order), action, argument))
+
+    def run(self, until: float) -> Outcome:
+        """Runs from an empty system."""
+        weights = self.deployment.account_weights
+        for number in range(len(weights)):
+            self._next_chat(number)
+        self.at(0.0, self._sample)
+        while self._events and self._events[0][0] < until:
+            self.now, _, action, argument = heapq.heappop(self._events)
+            action(argument)
+        return self.outcome
+
+    def _next_chat(self, account: int) -> None:
+        weights = self.deployment.account_weights
+        rate = self._rate * weights[account] / sum(weights)
+        start, end, factor = self.surge
+        if account < 2 and start <= self.now < end:
+            rate *= factor
+        self.at(self.now + self._random.expovariate(rate), self._new_chat, account)
+
+    def _new_chat(self, account: int) -> None:
+        number = next(self._numbers)
+        own = random.Random(self._seed * 1_000_003 + number)
+        turns = 1 + int(own.expovariate(1 / (_MEAN_TURNS - 0.5)))
+        self._turn(Chat(f"chat-{number}", f"account-{account}", own, turns))
+        self._next_chat(account)
+
+    def _turn(self, chat: Chat) -> None:
+        router = chat.random.randrange(self.deployment.routers)
+        request_id = f"{chat.id}.{chat.turns_left}"
+        turn = Turn(chat, router, self.now, request_id)
+        chosen = self.chooser.choose(turn, self.now)
+        if isinstance(chosen, str):
+            self._refuse(turn)
+        elif chosen is not None:
+            self._start(turn, *chosen)
+
+    def _start(self, turn: Turn, engine_id: str, kv_source: str | None) -> None:
+        turn.engine_id = engine_id
+        chat, engine = turn.chat, self.engines[engine_id]
+        found = chat.id in engine.tokens_by_chat
+        source = self.engines.get(kv_source or "")
+        imported = not found and source is not None and chat.id in source.tokens_by_chat
+        if self.now >= self.measured_from:
+            self._count(chat, found, imported)
+            wait = self.now - turn.asked_at
+            self.outcome.waits.setdefault(chat.account, []).append(wait)
+        prefill = 0.0 if found or imported else chat.tokens * _PREFILL_S_PER_TOKEN
+        chat.tokens += _TURN_TOKENS
+        engine.store(chat)
+        engine.load += 1
+        service = chat.random.lognormvariate(math.log(_SERVICE_S * 0.8), 0.67)
+        self.at(self.now + _GRANT_S + prefill + service, self._end, turn)
+
+    def _count(self, chat: Chat, found: bool, imported: bool) -> None:
+        if chat.tokens == 0:
+            return
+        self.outcome.returning += 1
+        self.outcome.found_local += found
+        self.outcome.found_imported += found or imported
+        anywhere = any(chat.id in engine.tokens_by_chat for engine in self.engines.values())
+        self.outcome.evicted += not anywhere
+
+    def _end(self, turn: Turn) -> None:
+        self.engines[turn.engine_id].load -= 1
+        delay = _GRANT_S + turn.chat.random.uniform(0, _BATCH_S)
+        self.at(self.now + delay, self._release, turn)
+        chat = turn.chat
+        chat.turns_left -= 1
+        if chat.turns_left > 0:
+            think = chat.random.lognormvariate(math.log(25), 1.2)
+            self.at(self.now + think, self._turn, chat)
+
+    def _release(self, turn: Turn) -> None:
+        self.chooser.release(turn, self.now)
+        self._serve_waiting()
+
+    def _serve_waiting(self) -> None:
+        for turn, engine_id, source in self.chooser.pump(self.now):
+            self._start(turn, engine_id, source)
+        for turn in self.chooser.refused(self.now):
+            self._refuse(turn)
+
+    def _refuse(self, turn: Turn) -> None:
+        if self.now >= self.measured_from:
+            refused = self.outcome.refused
+            refused[turn.chat.account] = refused.get(turn.chat.account, 0) + 1
+
+    def _sample(self, _: None) -> None:
+        self._serve_waiting()
+        loads = [engine.load for engine in self.engines.values()]
+        mean = sum(loads) / len(loads)
+        if self.now >= self.measured_from and mean > 3.2:
+            self.outcome.ratios.append(max(loads) / mean)
+        self.at(self.now + SAMPLE_S, self._sample)
