--- a/tools/bench_admission_core.py
+++ b/tools/bench_admission_core.py
@@ -12,12 +12,19 @@
 import tracemalloc
 from typing import TYPE_CHECKING, Any, Final
 
+from attrs import define
+from returns.result import Success
 from thrift.transport.TTransport import TFramedTransport, TMemoryBuffer
 
 from sequoiadrum._gen.peer import Peer, ttypes
 from sequoiadrum._thrift_transport import COMPACT
 from sequoiadrum.admission import Placed, PoolAdmission, PoolRequest
+from sequoiadrum.configuration import Change, ConfigState, ObjectKind
+from sequoiadrum.interfaces import AdmissionRequest, ConfigSource, GrantOutcome
+from sequoiadrum.metrics import Metrics
 from sequoiadrum.placement import REUSE_WEIGHTED, SKEW_WEIGHTED, BoundPolicy, RecentTable
+from sequoiadrum.pool_owner import GrantHolder, PoolOwner
+from sequoiadrum.tasks import Ask, Task
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -43,6 +50,7 @@
     )
     for name, policy in (("reuse-weighted", REUSE_WEIGHTED), ("skew-weighted", SKEW_WEIGHTED)):
         _speed(name, policy, seed)
+    _local_owner()
     _memory(seed)
     _messages()
 
@@ -105,6 +113,66 @@
     )
 
 
+class _Config(ConfigSource):
+    """Five engines in one pool."""
+
+    def __init__(self) -> None:
+        value = {"pool": "p", "kind": "engine", "host": "192.0.2.1", "port": 8000}
+        self._state = ConfigState().apply(
+            Change(n, f"c{n}", ObjectKind.ENDPOINT, f"e{n}", value) for n in range(1, 6)
+        )
+
+    def current(self) -> ConfigState:
+        """See `ConfigSource`."""
+        return self._state
+
+    def refusal(self) -> None:
+        """See `ConfigSource`."""
+        return
+
+
+@define(eq=False)
+class _Echo(Ask[int]):
+    """Asks for nothing."""
+
+
+class _EchoTask(Task):
+    """Answers at once."""
+
+    def handlers(self) -> dict[type, Callable[[Any], None]]:
+        """See `Task.handlers`."""
+        return {_Echo: lambda message: message.answer(1)}
+
+
+def _local_owner() -> None:
+    """Times a whole decision at its owner next to a mere hand-over to a task and back."""
+    metrics = Metrics()
+    owner = PoolOwner("r1", REUSE_WEIGHTED, _Config(), metrics, lambda *_: None)
+    holder = GrantHolder("r1", 1)
+    count = 20_000
+    requests = [
+        AdmissionRequest("p", f"q{n}", f"c{n % 5000}", "a", 1, 1.0, 1e12, f"{n:016x}")
+        for n in range(count)
+    ]
+    begin = time.perf_counter()
+    for request in requests:
+        decision = owner.acquire(request, (), holder)
+        assert isinstance(decision, Success)
+        owner.release("p", [(decision.unwrap().grant_id, GrantOutcome.OK)])
+    middle = time.perf_counter()
+    task = _EchoTask("echo", metrics, lambda: None)
+    task.start()
+    for _ in range(count):
+        task.ask(_Echo()).result()
+    end = time.perf_counter()
+    task.stop()
+    print(
+        f"pool of 5 engines at its owner: acquire and release {1e6 * (middle - begin) / count:.1f} "
+        f"us on the asking thread; an empty hand-over to a task and back "
+        f"{1e6 * (end - middle) / count:.1f} us ({count} each, one thread asking)"
+    )
+
+
 def _memory(seed: int) -> None:
     source = random.Random(seed)
     pool = PoolAdmission(REUSE_WEIGHTED, recent=RecentTable(capacity=10**6))
