Refuse costs out of range from peers and make cold_choices a setting

A cost of infinity from a peer would have kept the queue's rounds turning for ever; such costs are refused as bad_request and passed over in reports (the new test hangs or fails without the check). cold_choices chooses between the home engine (1) and the least loaded engine (0) for chats without context; the skew-weighted setting needs it.

--- a/src/sequoiadrum/_peer_admission.py
+++ b/src/sequoiadrum/_peer_admission.py
@@ -23,6 +23,8 @@
 
 MAX_WAITING: Final = 128
 """Peers' requests that wait at once; each holds a connection, and releases need free ones."""
+MAX_COST: Final = 1_000.0
+"""Heavier requests are refused; an infinite cost would never be served by the queue's rounds."""
 
 
 class PeerAdmission:
@@ -40,6 +42,8 @@
             owner_id = self._directory.owner_of(request.pool)
             if owner_id is not None and owner_id != self._router_id:
                 return ttypes.AcquireReply(ttypes.AcquireStatus.NOT_OWNER, owner_id=owner_id)
+        if not 0 < request.cost <= MAX_COST:
+            return self._reply(Failure(Refusal(RefusalReason.BAD_REQUEST, "cost out of range")))
         wanted = AdmissionRequest(
             pool=request.pool,
             request_id=request.request_id,
@@ -74,6 +78,7 @@
             [
                 ReportedGrant(g.grant_id, g.endpoint_id, g.chat_id, g.cost, g.fingerprint)
                 for g in grants
+                if 0 < g.cost <= MAX_COST
             ],
         )
 
--- a/src/sequoiadrum/admission_task.py
+++ b/src/sequoiadrum/admission_task.py
@@ -104,6 +104,7 @@
         policy = BoundPolicy(
             settings.bound_multiple,
             settings.admit_multiple,
+            cold_choices=settings.cold_choices,
             engine_slots=float(settings.engine_slots),
         )
         self._directory = PoolDirectory(parts.membership)
--- a/src/sequoiadrum/settings.py
+++ b/src/sequoiadrum/settings.py
@@ -86,6 +86,10 @@
         float, _setting("admit_multiple", "Multiple at which new requests spill", 1.15)
     ] = 1.15
     """Between 1 and `bound_multiple`; lower values weigh skew, higher ones cache reuse."""
+    cold_choices: Annotated[
+        int, _setting("cold_choices", "Engines considered for chats without context", 1)
+    ] = 1
+    """1: the home engine, found again by a new owner; 0: the least loaded of all, for less skew."""
     engine_slots: Annotated[
         int, _setting("engine_slots", "Requests in flight at one engine at most", 64)
     ] = 64
@@ -189,6 +193,7 @@
     "platform_timeout_s": _between(0.05, 60),
     "bound_multiple": _between(1.01, 10),
     "admit_multiple": _between(1.0, 10),
+    "cold_choices": _between(0, 64),
     "engine_slots": _between(1, 100_000),
     "ledger_shards": _between(1, 4_096),
     "log_format": (lambda text: text in ("json", "console"), "json or console"),
--- a/tests/test_admission_task.py
+++ b/tests/test_admission_task.py
@@ -7,6 +7,7 @@
 import unittest
 from typing import TYPE_CHECKING, Any
 
+from attrs import evolve
 from returns.result import Failure, Success
 
 from sequoiadrum import admission_task
@@ -218,6 +219,13 @@
         assert isinstance(decision, Failure)
         self.assertIs(decision.failure().reason, RefusalReason.NO_ENDPOINT)
 
+    def test_costs_out_of_range_are_refused(self) -> None:
+        """Guards against a peer's infinite cost, which the queue would never serve or leave."""
+        for cost in (float("inf"), float("nan"), 0.0, -1.0):
+            decision = self.tasks[self.third].acquire(evolve(a_request(), cost=cost), ())
+            assert isinstance(decision, Failure)
+            self.assertIs(decision.failure().reason, RefusalReason.BAD_REQUEST)
+
     def test_intervals_keep_the_leave_deadline(self) -> None:
         """Guards against intervals that add up to more than the 3 s of a leave."""
         self.assertLess(admission_task.LIST_S + admission_task.POLL_S, 2.0)
