--- a/src/sequoiadrum/_peer_admission.py
+++ b/src/sequoiadrum/_peer_admission.py
@@ -11,10 +11,10 @@
 from returns.result import Failure, Result, Success
 
 from sequoiadrum._gen.peer import ttypes
-from sequoiadrum.admission import ReportedGrant
 from sequoiadrum.errors import Refusal, RefusalReason
 from sequoiadrum.grant_outbox import OUTCOMES_BY_NUMBER
 from sequoiadrum.interfaces import AdmissionRequest, Grant, GrantOutcome
+from sequoiadrum.pool_messages import ReportedGrant
 from sequoiadrum.pool_owner import GrantHolder
 
 if TYPE_CHECKING:
--- a/src/sequoiadrum/admission.py
+++ b/src/sequoiadrum/admission.py
@@ -4,7 +4,7 @@
 
 from typing import TYPE_CHECKING, Final
 
-from attrs import define, field, frozen
+from attrs import define, field
 
 from sequoiadrum.admission_queue import AdmissionQueue
 from sequoiadrum.errors import Refusal, RefusalReason
@@ -16,10 +16,13 @@
     RecentTable,
     chat_score,
 )
+from sequoiadrum.pool_messages import HeldGrant, Placed, Waiting
 
 if TYPE_CHECKING:
     from collections.abc import Collection, Iterable, Mapping
 
+    from sequoiadrum.pool_messages import PoolRequest, ReportedGrant
+
 SETTLE_S: Final = 5.0
 """A new owner adds the engines' reported load to its own counts this long: one interval of the
 routers' periodic reports, so that a router that missed the change of the owner is heard."""
@@ -29,73 +32,6 @@
 """A grant younger than this may be missing in its router's report because it is on its way."""
 
 
-@frozen
-class PoolRequest:
-    """Asks a pool for an engine."""
-
-    request_id: str
-    grant_id: str
-    """Names the grant in `release`."""
-    chat_id: str
-    account: str
-    router_id: str
-    """Router that will hold the grant."""
-    router_process_id: int
-    deadline: float
-    """Monotonic seconds."""
-    priority: int = 1
-    cost: float = 1.0
-    fingerprint: str = ""
-    suspect: bool = False
-    """Was involved in a crash; gets an engine without another suspect."""
-    excluded: frozenset[str] = frozenset()
-    """Endpoints that have failed this request."""
-
-
-@frozen
-class Placed:
-    """An engine was granted."""
-
-    grant_id: str
-    engine_id: str
-    kv_source: str | None
-    """Engine that last held the chat's context, when it is another one."""
-    reused: bool
-    """Whether the engine is the one that last served the chat."""
-
-
-@frozen
-class Waiting:
-    """The request is queued; `pump` or `expire` will decide it."""
-
-
-@define(eq=False)
-class HeldGrant:
-    """One grant in flight."""
-
-    engine: EngineState
-    cost: float
-    router_id: str
-    router_process_id: int
-    fingerprint: str
-    suspect: bool
-    granted_at: float
-    confirmed_at: float
-    """When the router last said that it holds the grant."""
-
-
-@frozen
-class ReportedGrant:
-    """A grant that a router says it holds."""
-
-    grant_id: str
-    engine_id: str
-    chat_id: str
-    cost: float
-    fingerprint: str
-    suspect: bool = False
-
-
 @define(eq=False)
 class PoolAdmission:
     """Loads, placements and queue of one pool, owned by one router."""
--- a/src/sequoiadrum/pool_owner.py
+++ b/src/sequoiadrum/pool_owner.py
@@ -11,20 +11,21 @@
 from attrs import define, evolve, field, frozen
 from returns.result import Failure, Result, Success
 
-from sequoiadrum.admission import Placed, PoolAdmission, PoolRequest
+from sequoiadrum.admission import PoolAdmission
 from sequoiadrum.crash_guard import CrashGuard, crash_event
 from sequoiadrum.errors import Refusal, RefusalReason
 from sequoiadrum.interfaces import Grant, GrantOutcome
 from sequoiadrum.messages import Address, Endpoint, EndpointState
+from sequoiadrum.pool_messages import Placed, PoolRequest
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Collection, Iterable, Mapping
 
-    from sequoiadrum.admission import HeldGrant, ReportedGrant
     from sequoiadrum.configuration import ConfigState
     from sequoiadrum.interfaces import AdmissionRequest, ConfigSource
     from sequoiadrum.metrics import Metrics
     from sequoiadrum.placement import BoundPolicy
+    from sequoiadrum.pool_messages import HeldGrant, ReportedGrant
 
 MAX_WAIT_S: Final = 2.0
 """Longest wait in the queue of a pool; a frozen owner delays a caller by little more than this."""
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -9,18 +9,10 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from sequoiadrum.admission import (
-    GRANT_LEASE_S,
-    MISSING_GRACE_S,
-    SETTLE_S,
-    Placed,
-    PoolAdmission,
-    PoolRequest,
-    ReportedGrant,
-    Waiting,
-)
+from sequoiadrum.admission import GRANT_LEASE_S, MISSING_GRACE_S, SETTLE_S, PoolAdmission
 from sequoiadrum.errors import Refusal, RefusalReason
 from sequoiadrum.placement import SLOW_START_S, BoundPolicy, RecentTable
+from sequoiadrum.pool_messages import Placed, PoolRequest, ReportedGrant, Waiting
 
 _numbers = itertools.count(1)
 _NOW = 100.0
--- a/tools/bench_admission_core.py
+++ b/tools/bench_admission_core.py
@@ -18,11 +18,12 @@
 
 from sequoiadrum._gen.peer import Peer, ttypes
 from sequoiadrum._thrift_transport import COMPACT
-from sequoiadrum.admission import Placed, PoolAdmission, PoolRequest
+from sequoiadrum.admission import PoolAdmission
 from sequoiadrum.configuration import Change, ConfigState, ObjectKind
 from sequoiadrum.interfaces import AdmissionRequest, ConfigSource, GrantOutcome
 from sequoiadrum.metrics import Metrics
 from sequoiadrum.placement import REUSE_WEIGHTED, SKEW_WEIGHTED, BoundPolicy, RecentTable
+from sequoiadrum.pool_messages import Placed, PoolRequest
 from sequoiadrum.pool_owner import GrantHolder, PoolOwner
 from sequoiadrum.tasks import Ask, Task
 
--- a/tools/routing_model.py
+++ b/tools/routing_model.py
@@ -12,8 +12,9 @@
 
 from attrs import define, field, frozen
 
-from sequoiadrum.admission import Placed, PoolAdmission, PoolRequest, ReportedGrant, Waiting
+from sequoiadrum.admission import PoolAdmission
 from sequoiadrum.hashing import first_ranked, stable_hash
+from sequoiadrum.pool_messages import Placed, PoolRequest, ReportedGrant, Waiting
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Sequence
