Keep a drain known by rumour until the configuration has it

A router that is cut off from the configuration took a draining endpoint back into use when the rumour expired after 60 s. The drain now holds until the router's own revision reaches that of the change.

--- a/src/sequoiadrum/admission_task.py
+++ b/src/sequoiadrum/admission_task.py
@@ -223,6 +223,7 @@
             self._endpoints_by_pool.clear()
             for endpoint in config.endpoints_by_id.values():
                 self._endpoints_by_pool.setdefault(endpoint.pool, []).append(endpoint)
+            self._leaving.note_revision(config.revision)
             self._spread_drains(config)
         self._owner.set_leaving(self._leaving.all(time.monotonic()))
         self._owner.tick(())
@@ -303,11 +304,12 @@
     def _rumor_heard(self, rumor: RumorHeard) -> None:
         if rumor.kind == "crash":
             self._owner.hear_crash(rumor.key, rumor.payload)
-        elif rumor.kind == "leaving" or (
-            rumor.kind == "drain" and rumor.version > self._parts.config.current().revision
-        ):
+        elif rumor.kind == "leaving":
             self._leaving.note_rumor(rumor.key, rumor.payload == b"1", time.monotonic())
             self._owner.set_leaving(self._leaving.all(time.monotonic()))
+        elif rumor.kind == "drain" and rumor.version > self._parts.config.current().revision:
+            self._leaving.note_drain(rumor.key, rumor.payload == b"1", rumor.version)
+            self._owner.set_leaving(self._leaving.all(time.monotonic()))
 
     def _members_changed(self, message: MembersChanged) -> None:
         before, self._members = self._members, message.members_by_id
--- a/src/sequoiadrum/endpoint_watch.py
+++ b/src/sequoiadrum/endpoint_watch.py
@@ -51,6 +51,7 @@
     _reported: set[str] = field(factory=set)
     _listed: frozenset[str] = frozenset()
     _rumored_until: dict[str, float] = field(factory=dict)
+    _drain_by_id: dict[str, tuple[int, bool]] = field(factory=dict)
 
     def note_report(self, endpoint_id: str, leaving: bool) -> None:
         """Takes what the endpoint says of itself."""
@@ -70,6 +71,21 @@
         else:
             self._rumored_until.pop(endpoint_id, None)
 
+    def note_drain(self, endpoint_id: str, draining: bool, revision: int) -> None:
+        """Takes a drain that was accepted at a revision of the configuration.
+
+        It holds until this router has that revision itself: a router that is cut off from the
+        configuration would otherwise use the endpoint again when the rumour expires.
+        """
+        if revision >= self._drain_by_id.get(endpoint_id, (0, False))[0]:
+            self._drain_by_id[endpoint_id] = (revision, draining)
+
+    def note_revision(self, revision: int) -> None:
+        """Forgets the drains that the configuration in force here contains."""
+        for endpoint_id, (drained_at, _) in list(self._drain_by_id.items()):
+            if drained_at <= revision:
+                del self._drain_by_id[endpoint_id]
+
     def seen_here(self) -> frozenset[str]:
         """Gives the endpoints that this router itself saw leaving."""
         return self._listed | self._reported
@@ -79,7 +95,8 @@
         for endpoint_id, until in list(self._rumored_until.items()):
             if until <= now:
                 del self._rumored_until[endpoint_id]
-        return self.seen_here() | self._rumored_until.keys()
+        drained = {name for name, (_, draining) in self._drain_by_id.items() if draining}
+        return self.seen_here() | self._rumored_until.keys() | drained
 
 
 class EndpointPoller:
