--- a/src/sequoiadrum/pool_owner.py
+++ b/src/sequoiadrum/pool_owner.py
@@ -11,20 +11,21 @@
 from attrs import define, evolve, field, frozen
 from returns.result import Failure, Result, Success
 
-from sequoiadrum.admission import Placed, PoolAdmission, PoolRequest
+from sequoiadrum.admission import PoolAdmission
 from sequoiadrum.crash_guard import CrashGuard, crash_event
 from sequoiadrum.errors import Refusal, RefusalReason
 from sequoiadrum.interfaces import Grant, GrantOutcome
 from sequoiadrum.messages import Address, Endpoint, EndpointState
+from sequoiadrum.pool_messages import Placed, PoolRequest
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Collection, Iterable, Mapping
 
-    from sequoiadrum.admission import HeldGrant, ReportedGrant
     from sequoiadrum.configuration import ConfigState
     from sequoiadrum.interfaces import AdmissionRequest, ConfigSource
     from sequoiadrum.metrics import Metrics
     from sequoiadrum.placement import BoundPolicy, EngineState
+    from sequoiadrum.pool_messages import HeldGrant, ReportedGrant
 
 MAX_WAIT_S: Final = 2.0
 """Longest wait in the queue of a pool; a frozen owner delays a caller by little more than this."""
@@ -211,7 +212,7 @@
             if healthy is not None and not (healthy and crash and crash[1] >= started_at):
                 pool.core.set_healthy(endpoint.id, healthy, now)
             if in_flight is not None:
-                pool.core.note_load(endpoint.id, in_flight)
+                pool.core.note_load(endpoint.id, in_flight, now)
             self._pump(pool, now)
 
     def hear_crash(self, fingerprint: str, payload: bytes) -> None:
