--- a/src/sequoiadrum/_ledger_commit.py
+++ b/src/sequoiadrum/_ledger_commit.py
@@ -23,6 +23,8 @@
     from sequoiadrum._ledger_types import ShardCall
     from sequoiadrum.interfaces import KeyedOutcome
 
+_REF_BYTES: Final = 95
+"""Stored size of a reference to a segment."""
 _RECENT_WRITE_IDS: Final = 16
 """A lost write is looked up at once; one that others have since pushed out counts as failed."""
 
@@ -42,6 +44,8 @@
         """Stored before the head write that refers to it."""
         self.segment_stored = False
         self.index: Final = SegmentIndex()
+        self._last: Segment | None = None
+        """The segment stored last, to which the next one is added while it is short."""
         self._name = name
         self._policy = policy
         self._new_id = new_id
@@ -88,7 +92,7 @@
         segments = [s for s in self.head.segments if s.high_ms >= horizon_ms]
         sealed = self.segment
         if sealed is not None:
-            segments.append(sealed.ref)
+            segments = [s for s in segments if s.name != sealed.replaces] + [sealed.ref]
             entries = {k: e for k, e in entries.items() if sealed.entries_by_key.get(k) is not e}
         write_id = self._new_id()
         head = evolve(
@@ -101,7 +105,8 @@
             segments=tuple(segments),
         )
         value = head.encode()
-        if sealed is None and len(value) > self._policy.head_limit_bytes:
+        entry_bytes = len(value) - _REF_BYTES * len(segments)
+        if sealed is None and entry_bytes > self._policy.head_limit_bytes:
             self.segment = self._seal(entries)
             if self.segment is not None:
                 self.pending_by_key = {**changes, **self.pending_by_key}
@@ -138,6 +143,9 @@
         self.head, self.version = write.head, version
         if write.sealed is not None:
             self.index.add(write.sealed.ref.name, write.sealed.entries_by_key)
+            self._last = write.sealed
+        for name in dropped:
+            self.index.drop(name)
         return dropped
 
     def clear(self, head: Head) -> list[str]:
@@ -151,6 +159,7 @@
             stored.append(self.write.sealed)
         self.write, self.segment, self.segment_stored = None, None, False
         self.pending_by_key, self.waiting = {}, []
+        self._last = None
         named = {s.name for s in head.segments}
         return [s.ref.name for s in stored if s is not None and s.ref.name not in named]
 
@@ -177,7 +186,12 @@
             size += encoded_size(entry)
         if not chosen:
             return None
+        last = self._last
+        replaces = ""
+        if last is not None and len(last.value) + size <= self._policy.segment_limit_bytes:
+            chosen = {**last.entries_by_key, **chosen}
+            replaces = last.ref.name
         issued = [e.issued_at_ms for e in chosen.values()]
         name = f"{self._name}/seg/{self._new_id()}"
         ref = SegmentRef(name, min(issued), max(issued), len(chosen))
-        return Segment(ref, chosen, encode_segment(chosen.values()))
+        return Segment(ref, chosen, encode_segment(chosen.values()), replaces)
--- a/src/sequoiadrum/_ledger_index.py
+++ b/src/sequoiadrum/_ledger_index.py
@@ -33,6 +33,11 @@
         while len(self._hashes_by_name) > _MAX_INDEXED:
             self._hashes_by_name.popitem(last=False)
 
+    def drop(self, name: str) -> None:
+        """Forgets a segment that the head does not name any more."""
+        self._hashes_by_name.pop(name, None)
+        self._entries_by_name.pop(name, None)
+
     def load(self, name: str, value: bytes) -> None:
         """Remembers the value of a segment.
 
--- a/src/sequoiadrum/_ledger_types.py
+++ b/src/sequoiadrum/_ledger_types.py
@@ -165,6 +165,8 @@
     ref: SegmentRef
     entries_by_key: Mapping[str, Entry]
     value: bytes
+    replaces: str = ""
+    """Name of a shorter segment whose entries are in this one too."""
 
 
 @frozen(kw_only=True)
@@ -177,13 +179,16 @@
     """Older keys are refused."""
     clock_slack_ms: int = 600_000
     """Entries are kept this much longer, for routers whose clocks differ."""
-    head_limit_bytes: int = 64_000
-    """A larger head moves its older entries to a segment."""
-    batch_bytes: int = 48_000
+    head_limit_bytes: int = 24_000
+    """A head with more bytes of entries moves its older ones to a segment. Each write carries the
+    whole head, so a larger limit costs bytes and a smaller one more writes of segments."""
+    segment_limit_bytes: int = 480_000
+    """A segment grows up to this size, which keeps the list of segments short."""
+    batch_bytes: int = 24_000
     """Entries of one write."""
     max_pending: int = 500
     """Calls of one shard that are queued or running."""
-    max_segments: int = 4_000
-    """New keys are refused beyond; keeps the head below the 1 MB of a value."""
+    max_segments: int = 400
+    """New keys are refused beyond; keeps the head near 64 KB."""
     first_backoff_s: float = 0.02
     max_backoff_s: float = 1.0
--- a/src/sequoiadrum/keyed_router.py
+++ b/src/sequoiadrum/keyed_router.py
@@ -56,17 +56,24 @@
 class KeyedRouter(KeyedCalls):
     """Runs on the threads of callers and of the peer server."""
 
-    def __init__(self, task: LedgerTask, members: MembershipSource, peers: PeerClient) -> None:
+    def __init__(
+        self,
+        task: LedgerTask,
+        members: MembershipSource,
+        peers: PeerClient,
+        new_id: Callable[[], str] = lambda: uuid.uuid4().hex,
+    ) -> None:
         self._task = task
         self._members = members
         self._peers = peers
         self._clock = task.clock
+        self._new_id = new_id
 
     # KeyedCalls
 
     def submit(self, call: KeyedCall) -> KeyedOutcome:
         """See `KeyedCalls.submit`."""
-        attempt = uuid.uuid4().hex
+        attempt = self._new_id()
         name = KeyName(call.service, call.account, call.key)
         outcome = self._visit(
             self._shard(name),
--- a/src/sequoiadrum/ledger_task.py
+++ b/src/sequoiadrum/ledger_task.py
@@ -131,8 +131,8 @@
 
 
 @frozen
-class _Tick:
-    pass
+class Tick:
+    """Brings deadlines to the shards' attention."""
 
 
 @define(eq=False)
@@ -193,14 +193,14 @@
             _IoDone: self._io_done,
             _Finished: self._finished,
             _Due: self._due,
-            _Tick: self._tick,
+            Tick: self._tick,
             _Release: self._release,
         }
 
     def start(self) -> None:
         """Starts the thread and its ticks."""
         super().start()
-        self._timers.subscribe(self, TICK_S, _Tick())
+        self._timers.subscribe(self, TICK_S, Tick())
 
     def stop(self, timeout_s: float = 5.0) -> None:
         """Ends the thread and the executors; see `drain` for a planned stop."""
@@ -275,7 +275,7 @@
         self._due_by_shard.pop(message.shard, None)
         self._run_shard(message.shard)
 
-    def _tick(self, _: _Tick) -> None:
+    def _tick(self, _: Tick) -> None:
         now = self.clock.now()
         for number, shard in enumerate(self._shards):
             if not shard.is_idle() or shard.next_due() is not None:
--- /dev/null
+++ b/tests/test_ledger.py
@@ -0,0 +1,410 @@
+"""Tests of one ledger shard on virtual time."""
+
+from __future__ import annotations
+
+import itertools
+import unittest
+from typing import Any
+
+from returns.result import Failure, Result, Success
+
+from sequoiadrum._ledger_codec import MAX_STORED_ANSWER_BYTES, decode_head
+from sequoiadrum._ledger_types import (
+    Answered,
+    CallKind,
+    Dispatch,
+    LateOutcome,
+    LedgerPolicy,
+    Obsolete,
+    ReadObject,
+    Redirected,
+    ShardCall,
+    ShardEvent,
+    WriteObject,
+)
+from sequoiadrum.errors import RefusalReason
+from sequoiadrum.interfaces import KeyedOutcome, KeyedState
+from sequoiadrum.ledger import LedgerShard
+from sequoiadrum.platform_client import PlatformFailure, StoredObject
+
+_HEAD = "ledger/0/head"
+_DONE = KeyedOutcome(KeyedState.DONE, 201, "text/plain", b"ok")
+
+
+class Store:
+    """The platform's conditional writes."""
+
+    def __init__(self) -> None:
+        self.objects: dict[str, tuple[int, bytes]] = {}
+        self.version = 0
+        self.writes = 0
+
+    def carry_out(self, io: ReadObject | WriteObject) -> Result[StoredObject, PlatformFailure]:
+        """Carries out one read or write."""
+        version, value = self.objects.get(io.name, (0, b""))
+        if isinstance(io, ReadObject):
+            if not version:
+                return Failure(PlatformFailure.NOT_FOUND)
+            return Success(StoredObject(io.name, version, value))
+        self.writes += 1
+        if io.expected_version != version:
+            return Failure(PlatformFailure.CONFLICT)
+        self.version += 1
+        self.objects[io.name] = (self.version, io.value)
+        return Success(StoredObject(io.name, self.version, io.value))
+
+
+class Router:
+    """One router's copy of shard 0."""
+
+    def __init__(self, store: Store, name: str = "r1", **policy: Any) -> None:
+        self.store = store
+        self.gone: set[str] = set()
+        self.now = 100.0
+        self.now_ms = 1_000_000_000
+        self.attempts = itertools.count(1)
+        ids = itertools.count(1)
+        self.shard = LedgerShard(
+            0,
+            name,
+            1,
+            LedgerPolicy(**policy),
+            new_id=lambda: f"{name}-{next(ids)}",
+            is_gone=lambda router, _: router in self.gone,
+            should_own=lambda: True,
+        )
+        self.name = name
+
+    def call(self, key: str, kind: CallKind = CallKind.RUN, **values: Any) -> ShardCall:
+        """Submits a call."""
+        defaults: dict[str, Any] = {
+            "attempt": f"{self.name}-attempt-{next(self.attempts)}",
+            "fingerprint": "f",
+            "issued_at_ms": self.now_ms,
+            "deadline": self.now + 10,
+        }
+        call = ShardCall(kind, f"{int(key):016x}", **{**defaults, **values})
+        self.shard.submit(call, self.now, self.now_ms)
+        return call
+
+    def pump(self) -> list[ShardEvent]:
+        """Carries out reads and writes until nothing is left to do."""
+        while (due := self.shard.next_due()) is not None:
+            self.now = max(self.now, due)
+            io = self.shard.next_io(self.now, self.now_ms)
+            assert io is not None
+            self.shard.io_done(self.store.carry_out(io), self.now)
+        return self.shard.take_events()
+
+    def run(self, key: str, outcome: KeyedOutcome = _DONE, **values: Any) -> list[ShardEvent]:
+        """Submits a call and finishes it if it is dispatched."""
+        call = self.call(key, **values)
+        events = self.pump()
+        if any(isinstance(e, Dispatch) and e.gate.try_send(self.now) for e in events):
+            self.shard.finish(call.key, call.attempt, outcome, self.now)
+            events += self.pump()
+        return events
+
+    def io(self) -> ReadObject | WriteObject:
+        """Gives the next read or write, without carrying it out."""
+        self.now = max(self.now, self.shard.next_due() or 0.0)
+        io = self.shard.next_io(self.now, self.now_ms)
+        assert io is not None
+        return io
+
+    def give(self, result: Result[StoredObject, PlatformFailure]) -> None:
+        """Gives the result of the read or write."""
+        self.shard.io_done(result, self.now)
+
+
+def outcomes(events: list[ShardEvent]) -> list[KeyedOutcome]:
+    """Gives the outcomes that were told."""
+    return [event.outcome for event in events if isinstance(event, Answered)]
+
+
+def states(events: list[ShardEvent]) -> list[KeyedState]:
+    """Gives the states that were told."""
+    return [outcome.state for outcome in outcomes(events)]
+
+
+def reason(events: list[ShardEvent]) -> RefusalReason:
+    """Gives the reason of the only refusal."""
+    (outcome,) = outcomes(events)
+    assert outcome.refusal is not None
+    return outcome.refusal.reason
+
+
+def dispatched(events: list[ShardEvent]) -> list[str]:
+    """Gives the attempts to be sent."""
+    return [event.call.attempt for event in events if isinstance(event, Dispatch)]
+
+
+_LOST: Failure[PlatformFailure] = Failure(PlatformFailure.UNKNOWN)
+_DOWN: Failure[PlatformFailure] = Failure(PlatformFailure.UNREACHABLE)
+
+
+class LedgerShardTest(unittest.TestCase):
+    """One shard, seen from one or two routers."""
+
+    def setUp(self) -> None:
+        self.store = Store()
+        self.router = Router(self.store)
+
+    def test_claim_is_stored_before_dispatch(self) -> None:
+        """Guards against a request that leaves before its claim is durable."""
+        call = self.router.call("1")
+        self.router.give(self.store.carry_out(self.router.io()))
+        write = self.router.io()
+        self.assertEqual(self.router.shard.take_events(), [])
+        self.assertIn(call.attempt.encode(), write.value)  # type: ignore[union-attr]
+        self.router.give(self.store.carry_out(write))
+        self.assertEqual(dispatched(self.router.shard.take_events()), [call.attempt])
+
+    def test_repeated_key_gets_the_stored_answer(self) -> None:
+        """Guards against a second dispatch of a key, here and at a later owner."""
+        self.assertEqual(outcomes(self.router.run("1")), [_DONE])
+        self.assertEqual(outcomes(self.router.run("1")), [_DONE])
+        other = Router(self.store, "r2")
+        other.gone = {"r1"}
+        self.assertEqual(outcomes(other.run("1")), [_DONE])
+
+    def test_repeated_key_waits_for_the_running_call(self) -> None:
+        """Guards against dispatching a key twice while its first call runs."""
+        call = self.router.call("1")
+        self.router.pump()
+        self.router.call("1")
+        self.assertEqual(self.router.pump(), [])
+        self.router.shard.finish(call.key, call.attempt, _DONE, self.router.now)
+        self.assertEqual(outcomes(self.router.pump()), [_DONE, _DONE])
+
+    def test_key_with_another_body_is_refused(self) -> None:
+        """Guards against answering one request with the answer of another."""
+        self.router.call("1")
+        self.router.pump()
+        self.assertIs(reason(self.router.run("1", fingerprint="g")), RefusalReason.KEY_REUSED)
+
+    def test_calls_share_writes(self) -> None:
+        """Guards against platform writes that grow with the number of calls."""
+        self.router.run("0")
+        before = self.store.writes
+        calls = [self.router.call(str(number)) for number in range(1, 51)]
+        self.assertEqual(len(dispatched(self.router.pump())), 50)
+        for call in calls:
+            self.router.shard.finish(call.key, call.attempt, _DONE, self.router.now)
+        self.assertEqual(len(outcomes(self.router.pump())), 50)
+        self.assertEqual(self.store.writes - before, 2)
+
+    def test_lost_answer_of_a_write_that_took_effect(self) -> None:
+        """Guards against taking a lost answer for a failed write."""
+        call = self.router.call("1")
+        self.router.give(self.store.carry_out(self.router.io()))
+        self.store.carry_out(self.router.io())
+        self.router.give(_LOST)
+        self.assertEqual(dispatched(self.router.shard.take_events()), [])
+        self.assertEqual(dispatched(self.router.pump()), [call.attempt])
+
+    def test_write_that_takes_effect_after_it_was_looked_up(self) -> None:
+        """Guards against a delayed write that lands after the owner has read the head."""
+        call = self.router.call("1")
+        self.router.give(self.store.carry_out(self.router.io()))
+        delayed = self.router.io()
+        self.router.give(_LOST)
+        self.router.give(self.store.carry_out(self.router.io()))
+        again = self.router.io()
+        self.assertEqual(again, delayed)
+        self.store.carry_out(delayed)
+        self.router.give(self.store.carry_out(again))
+        self.assertEqual(dispatched(self.router.pump()), [call.attempt])
+
+    def test_deadline_before_the_claim_is_stored(self) -> None:
+        """Guards against sending a call after its caller was told that it was not run."""
+        call = self.router.call("1")
+        self.router.give(self.store.carry_out(self.router.io()))
+        write = self.router.io()
+        self.router.now = call.deadline
+        self.router.shard.tick(self.router.now)
+        self.assertEqual(states(self.router.shard.take_events()), [KeyedState.NOT_RUN])
+        self.router.give(self.store.carry_out(write))
+        self.assertEqual(self.router.pump(), [])
+        (entry,) = decode_head(self.store.objects[_HEAD][1]).entries_by_key.values()
+        self.assertEqual(entry.cancelled, (call.attempt,))
+
+    def test_gate_after_the_deadline(self) -> None:
+        """Guards against a process that was paused between its claim and its dispatch."""
+        call = self.router.call("1")
+        (event,) = self.router.pump()
+        assert isinstance(event, Dispatch)
+        self.assertFalse(event.gate.try_send(call.deadline))
+        self.assertTrue(event.gate.try_cancel())
+
+    def test_deadline_of_a_running_call(self) -> None:
+        """Guards against "not run" for a call that was sent, and against forgetting its answer."""
+        call = self.router.call("1")
+        (event,) = self.router.pump()
+        assert isinstance(event, Dispatch)
+        self.assertTrue(event.gate.try_send(self.router.now))
+        self.router.now = call.deadline
+        self.router.shard.tick(self.router.now)
+        self.assertEqual(states(self.router.pump()), [KeyedState.UNKNOWN])
+        self.router.shard.finish(call.key, call.attempt, _DONE, self.router.now)
+        self.router.pump()
+        self.assertEqual(outcomes(self.router.run("1")), [_DONE])
+
+    def test_cancel_that_overtakes_its_call(self) -> None:
+        """Guards against a delayed forwarding that runs after "not run" was told."""
+        self.router.call("1", CallKind.CANCEL, attempt="late", fingerprint="")
+        self.assertEqual(states(self.router.pump()), [KeyedState.NOT_RUN])
+        events = self.router.run("1", KeyedOutcome(KeyedState.NOT_RUN))
+        self.assertEqual(len(dispatched(events)), 1)
+        events = self.router.run("1", attempt="late")
+        self.assertEqual((dispatched(events), states(events)), ([], [KeyedState.NOT_RUN]))
+        other = Router(self.store, "r2")
+        other.gone = {"r1"}
+        self.assertEqual(dispatched(other.run("1", attempt="late")), [])
+
+    def test_cancel_of_a_sent_call_waits(self) -> None:
+        """Guards against "not run" for a forwarded call that was sent."""
+        call = self.router.call("1")
+        (event,) = self.router.pump()
+        assert isinstance(event, Dispatch)
+        event.gate.try_send(self.router.now)
+        self.router.call("1", CallKind.CANCEL, attempt=call.attempt)
+        self.assertEqual(self.router.pump(), [])
+        self.router.shard.finish(call.key, call.attempt, _DONE, self.router.now)
+        self.assertEqual(outcomes(self.router.pump()), [_DONE, _DONE])
+
+    def test_paused_former_owner(self) -> None:
+        """Guards against two owners that dispatch the same key."""
+        self.router.run("1")
+        call = self.router.call("2")
+        write = self.router.io()
+        other = Router(self.store, "r2")
+        other.gone = {"r1"}
+        self.assertEqual(len(dispatched(other.run("2"))), 1)
+        self.router.give(self.store.carry_out(write))
+        self.assertEqual(self.router.pump(), [Redirected(call, "r2")])
+        self.assertFalse(self.router.shard.held)
+
+    def test_live_owner_keeps_its_shard(self) -> None:
+        """Guards against shards that move whenever the ranking of the routers changes."""
+        self.router.run("1")
+        other = Router(self.store, "r2")
+        call = other.call("2")
+        self.assertEqual(other.pump(), [Redirected(call, "r1")])
+
+    def test_claim_of_a_dead_owner(self) -> None:
+        """Guards against running, or calling not run, what a dead owner may have sent."""
+        call = self.router.call("1")
+        (event,) = self.router.pump()
+        assert isinstance(event, Dispatch)
+        event.gate.try_send(self.router.now)
+        other = Router(self.store, "r2")
+        other.gone = {"r1"}
+        self.assertEqual(states(other.run("1")), [KeyedState.UNKNOWN])
+        self.router.call("2")
+        self.router.pump()
+        self.router.shard.finish(call.key, call.attempt, _DONE, self.router.now)
+        events = self.router.pump()
+        self.assertEqual(outcomes(events), [_DONE])
+        (late,) = (e for e in events if isinstance(e, LateOutcome))
+        self.assertEqual(late.owner, "r2")
+        other.shard.record(late.key, late.attempt, late.outcome, other.now)
+        other.pump()
+        self.assertEqual(outcomes(other.run("1")), [_DONE])
+
+    def test_status_of_a_stale_owner(self) -> None:
+        """Guards against "not run" from the memory of an owner that has lost its shard."""
+        self.router.run("1")
+        other = Router(self.store, "r2")
+        other.gone = {"r1"}
+        other.run("2")
+        call = self.router.call("2", CallKind.STATUS)
+        self.assertEqual(self.router.pump(), [Redirected(call, "r2")])
+
+    def test_platform_down(self) -> None:
+        """Guards against calls that hang in an outage, and against losing what is known."""
+        self.router.run("1")
+        self.router.call("2")
+        self.router.io()
+        self.router.give(_DOWN)
+        events = self.router.shard.take_events()
+        self.assertIs(reason(events), RefusalReason.LEDGER_UNAVAILABLE)
+        self.assertEqual(states(events), [KeyedState.NOT_RUN])
+        self.router.call("1")
+        self.assertEqual(outcomes(self.router.shard.take_events()), [_DONE])
+        self.assertEqual(len(dispatched(self.router.run("2"))), 1)
+
+    def test_too_many_calls(self) -> None:
+        """Guards against a queue without bound when the platform is slow."""
+        router = Router(self.store, max_pending=3)
+        for number in range(3):
+            router.call(str(number))
+        router.call("9")
+        self.assertIs(reason(router.shard.take_events()), RefusalReason.LEDGER_BUSY)
+        router.call("1", CallKind.CANCEL, attempt="r1-attempt-2")
+        self.assertEqual(states(router.shard.take_events()), [KeyedState.UNKNOWN])
+
+    def test_segments(self) -> None:
+        """Guards against values that grow with the number of keys, and against lost old keys."""
+        self.router = Router(self.store, segment_limit_bytes=190_000)
+        self.router.run("0", issued_at_ms=self.router.now_ms - 1)
+        for first in range(1, 3_000, 100):
+            calls = [self.router.call(str(n)) for n in range(first, first + 100)]
+            self.router.pump()
+            for call in calls:
+                self.router.shard.finish(call.key, call.attempt, _DONE, self.router.now)
+            self.router.pump()
+        sizes = {name: len(value) for name, (_, value) in self.store.objects.items()}
+        self.assertLess(sizes[_HEAD], 65_000)
+        self.assertLess(max(sizes.values()), 200_000)
+        self.assertEqual(len(decode_head(self.store.objects[_HEAD][1]).segments), 2)
+        other = Router(self.store, "r2")
+        other.gone = {"r1"}
+        for router in (self.router, other):
+            for key in ("0", "7", "2999"):
+                events = router.run(key)
+                self.assertEqual((dispatched(events), outcomes(events)), ([], [_DONE]), key)
+
+    def test_expiry(self) -> None:
+        """Guards against a ledger that grows for ever, and against running a forgotten key."""
+        router = Router(
+            self.store,
+            retention_ms=1_000,
+            clock_slack_ms=500,
+            head_limit_bytes=600,
+            segment_limit_bytes=0,
+        )
+        for number in range(20):
+            router.run(str(number))
+        segments = [name for name in self.store.objects if name != _HEAD]
+        self.assertTrue(segments)
+        issued_at_ms = router.now_ms
+        router.now_ms += 1_400
+        self.assertIs(reason(router.run("1", issued_at_ms=issued_at_ms)), RefusalReason.KEY_EXPIRED)
+        router.now_ms += 200
+        events = router.run("99")
+        self.assertEqual({e.name for e in events if isinstance(e, Obsolete)}, set(segments))
+        head = decode_head(self.store.objects[_HEAD][1])
+        self.assertEqual((len(head.entries_by_key), head.segments), (1, ()))
+
+    def test_release(self) -> None:
+        """Guards against a planned stop that leaves its shards to a live-looking owner."""
+        call = self.router.call("1")
+        self.router.pump()
+        self.router.shard.release()
+        self.router.shard.finish(call.key, call.attempt, _DONE, self.router.now)
+        self.assertEqual(outcomes(self.router.pump()), [_DONE])
+        self.assertFalse(self.router.shard.held)
+        other = Router(self.store, "r2")
+        self.assertEqual(outcomes(other.run("1")), [_DONE])
+        self.assertEqual(len(dispatched(other.run("2"))), 1)
+
+    def test_long_answer_is_not_kept(self) -> None:
+        """Guards against heads beyond their limit and against a cut answer told as whole."""
+        body = b"x" * (MAX_STORED_ANSWER_BYTES + 1)
+        answer = KeyedOutcome(KeyedState.DONE, 200, "text/plain", body)
+        self.assertEqual(outcomes(self.router.run("1", answer)), [answer])
+        (repeated,) = outcomes(self.router.run("1"))
+        assert repeated.refusal is not None
+        self.assertIs(repeated.state, KeyedState.UNKNOWN)
+        self.assertIs(repeated.refusal.ran, True)
--- /dev/null
+++ b/tools/bench_ledger.py
@@ -0,0 +1,276 @@
+"""Platform writes, latency and memory of the ledger: `python -m tools.bench_ledger`.
+
+The baseline stores one object for each key: a claim and an outcome, two writes a call.
+"""
+
+from __future__ import annotations
+
+import argparse
+import heapq
+import itertools
+import random
+import sys
+import tracemalloc
+from typing import TYPE_CHECKING, Final
+
+from attrs import define, field
+from returns.result import Failure, Success
+
+from sequoiadrum._ledger_codec import (
+    Entry,
+    EntryState,
+    decode_segment,
+    encode_segment,
+    encoded_size,
+    key_hash,
+)
+from sequoiadrum._ledger_index import SegmentIndex
+from sequoiadrum._ledger_types import (
+    Answered,
+    CallKind,
+    Dispatch,
+    LedgerPolicy,
+    ReadObject,
+    ShardCall,
+    WriteObject,
+)
+from sequoiadrum.interfaces import KeyedOutcome, KeyedState
+from sequoiadrum.ledger import LedgerShard
+from sequoiadrum.platform_client import PlatformFailure, StoredObject
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Sequence
+
+RATES_PER_S: Final = (10, 100, 1_000)
+WINDOWS_S: Final = (0.005, 0.02, 0.1)
+SHARDS: Final = (1, 4, 16)
+SECONDS: Final = 10.0
+PLATFORM_S: Final = 0.004
+SERVICE_S: Final = 0.02
+ANSWER: Final = KeyedOutcome(KeyedState.DONE, 201, "application/json", b'{"confirmation": 123456}')
+
+
+@define(eq=False)
+class Run:
+    """One run of calls with exponential gaps."""
+
+    rate_per_s: float
+    seed: int
+    now: float = 1.0
+    writes: int = 0
+    reads: int = 0
+    written_bytes: int = 0
+    latencies_s: list[float] = field(factory=list)
+    failed: int = 0
+    _heap: list[tuple[float, int, Callable[[], None]]] = field(factory=list)
+    _order: itertools.count[int] = field(factory=itertools.count)
+
+    def at(self, delay_s: float, action: Callable[[], None]) -> None:
+        """Does something later."""
+        heapq.heappush(self._heap, (self.now + delay_s, next(self._order), action))
+
+    def drive(self, arrive: Callable[[int], None]) -> None:
+        """Lets calls arrive for the set time and ends when all have their answers."""
+        gaps = random.Random(self.seed)
+        at = 0.0
+        for number in itertools.count():
+            at += gaps.expovariate(self.rate_per_s)
+            if at > SECONDS:
+                break
+            self.at(at, lambda number=number: arrive(number))  # type: ignore[misc]
+        while self._heap:
+            self.now, _, action = heapq.heappop(self._heap)
+            action()
+
+    def report(self, name: str) -> str:
+        """Gives one line of the table."""
+        latencies = sorted(self.latencies_s)
+        count = len(latencies)
+        p50, p99 = latencies[count // 2], latencies[int(count * 0.99)]
+        return (
+            f"{name:<22} {self.rate_per_s:>6g} {count:>6} {self.failed:>6} "
+            f"{self.writes / count:>10.3f} {self.writes / SECONDS:>9.1f} {self.reads:>6} "
+            f"{self.written_bytes / count:>9.0f} {p50 * 1e3:>8.1f} {p99 * 1e3:>8.1f}"
+        )
+
+
+@define(eq=False)
+class GroupCommit:
+    """The shards of the ledger against a platform of fixed latency."""
+
+    run: Run
+    shard_count: int
+    window_s: float
+    objects: dict[str, tuple[int, bytes]] = field(factory=dict)
+    shards: list[LedgerShard] = field(factory=list)
+    version: int = 0
+    largest_head: int = 0
+    largest_segment: int = 0
+
+    def __attrs_post_init__(self) -> None:
+        ids = itertools.count()
+        self.shards = [
+            LedgerShard(
+                number,
+                "router-0001",
+                2**61,
+                LedgerPolicy(window_s=self.window_s),
+                new_id=lambda: f"{next(ids):032x}",
+                is_gone=lambda *_: True,
+                should_own=lambda: True,
+            )
+            for number in range(self.shard_count)
+        ]
+
+    def arrive(self, number: int) -> None:
+        """A call comes in."""
+        key = key_hash("orders", "account-1", f"key-{number}")
+        issued_at_ms = int(self.run.now * 1e3)
+        attempt = f"{number:032x}"
+        deadline = self.run.now + 10.0
+        call = ShardCall(CallKind.RUN, key, attempt, "0" * 16, issued_at_ms, deadline, self.run.now)
+        place = int(key, 16) % self.shard_count
+        self.shards[place].submit(call, self.run.now, issued_at_ms)
+        self._step(place)
+
+    def _step(self, place: int) -> None:
+        shard = self.shards[place]
+        io = shard.next_io(self.run.now, int(self.run.now * 1e3))
+        for event in shard.take_events():
+            if isinstance(event, Answered):
+                self.run.latencies_s.append(self.run.now - event.call.context)
+                self.run.failed += event.outcome.state is not KeyedState.DONE
+            elif isinstance(event, Dispatch) and event.gate.try_send(self.run.now):
+                self._send(place, event.call)
+        if io is not None:
+            self.run.at(PLATFORM_S, lambda: self._io(place, io))
+        elif (due := shard.next_due()) is not None:
+            self.run.at(max(0.0, due - self.run.now), lambda: self._step(place))
+
+    def _send(self, place: int, call: ShardCall) -> None:
+        def finish() -> None:
+            self.shards[place].finish(call.key, call.attempt, ANSWER, self.run.now)
+            self._step(place)
+
+        self.run.at(SERVICE_S, finish)
+
+    def _io(self, place: int, io: ReadObject | WriteObject) -> None:
+        if isinstance(io, WriteObject):
+            self.run.writes += 1
+            self.run.written_bytes += len(io.value)
+            self.version += 1
+            self.objects[io.name] = (self.version, io.value)
+            if io.name.endswith("/head"):
+                self.largest_head = max(self.largest_head, len(io.value))
+            else:
+                self.largest_segment = max(self.largest_segment, len(io.value))
+        else:
+            self.run.reads += 1
+        found = self.objects.get(io.name)
+        result = Success(StoredObject(io.name, *found)) if found else Failure(_NOT_FOUND)
+        self.shards[place].io_done(result, self.run.now)
+        self._step(place)
+
+
+_NOT_FOUND: Final = PlatformFailure.NOT_FOUND
+
+
+def baseline(run: Run) -> None:
+    """One object for each key: claim, call, outcome, each answered before the next."""
+    size = len(b'{"state": "claimed"}') + len(b'{"state": "done", "body": ""}') + 32
+
+    def arrive(_: int) -> None:
+        run.writes += 2
+        run.written_bytes += size
+        took_s = PLATFORM_S + SERVICE_S + PLATFORM_S
+        run.at(took_s, lambda: run.latencies_s.append(took_s))
+
+    run.drive(arrive)
+
+
+def entries(count: int) -> list[Entry]:
+    """Builds entries as the ledger keeps them."""
+    return [
+        Entry(
+            key_hash("orders", "account-1", f"key-{n}"),
+            f"{n:016x}",
+            f"{n:032x}",
+            1_700_000_000_000 + n,
+            EntryState.DONE,
+            201,
+            "application/json",
+            ANSWER.body,
+        )
+        for n in range(count)
+    ]
+
+
+def memory_bytes(make: Callable[[], object]) -> int:
+    """Measures what a value holds, by tracemalloc."""
+    tracemalloc.start()
+    before = tracemalloc.get_traced_memory()[0]
+    value = make()
+    after = tracemalloc.get_traced_memory()[0]
+    tracemalloc.stop()
+    del value
+    return after - before
+
+
+def report_sizes(count: int) -> None:
+    """Prints the size of an entry in each place."""
+    sample = entries(count)
+    value = encode_segment(sample)
+
+    def indexed() -> SegmentIndex:
+        index = SegmentIndex()
+        index.add("ledger/0/seg/1", (entry.key for entry in sample))
+        return index
+
+    print(f"sizes of {count} finished entries with an answer of {len(ANSWER.body)} bytes:")
+    loaded = memory_bytes(lambda: decode_segment(value))
+    print(f"  stored, head or segment:         {len(value) / count:8.1f} bytes each")
+    print(f"  in memory, head or loaded:       {loaded / count:8.1f} bytes each")
+    print(f"  in memory, index of a segment:   {memory_bytes(indexed) / count:8.1f} bytes each")
+    print(f"  claim without an outcome, stored {encoded_size(_claim(sample[0])):8d} bytes each")
+
+
+def _claim(entry: Entry) -> Entry:
+    return Entry(
+        entry.key, entry.fingerprint, entry.attempt, entry.issued_at_ms, EntryState.CLAIMED
+    )
+
+
+def main(arguments: Sequence[str]) -> int:
+    """Prints the tables."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--seed", type=int, default=1)
+    seed = parser.parse_args(arguments).seed
+    print(f"command: python -m tools.bench_ledger --seed {seed}")
+    print(
+        f"virtual time; platform {PLATFORM_S * 1e3:g} ms a call without a rate limit, back end "
+        f"{SERVICE_S * 1e3:g} ms, {SECONDS:g} s of calls with exponential gaps"
+    )
+    print(
+        f"{'ledger':<22} {'calls/s':>6} {'calls':>6} {'failed':>6} {'writes/call':>10} "
+        f"{'writes/s':>9} {'reads':>6} {'B/call':>9} {'p50 ms':>8} {'p99 ms':>8}"
+    )
+    largest_head = largest_segment = 0
+    for rate in RATES_PER_S:
+        run = Run(rate, seed)
+        baseline(run)
+        print(run.report("object for each key"))
+        for shards in SHARDS:
+            for window_s in WINDOWS_S:
+                run = Run(rate, seed)
+                ledger = GroupCommit(run, shards, window_s)
+                run.drive(ledger.arrive)
+                print(run.report(f"{shards} shards, {window_s * 1e3:g} ms"))
+                largest_head = max(largest_head, ledger.largest_head)
+                largest_segment = max(largest_segment, ledger.largest_segment)
+    print(f"largest head {largest_head} bytes, largest segment {largest_segment} bytes")
+    report_sizes(10_000)
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main(sys.argv[1:]))
