Answer a call only with the write that carries its change

When a batch was too large for one write, a cancellation whose entry was left for the next write was answered with the first one, so a router that died in between could have told not run without storing it. The new test fails without this.

The fakes of the simulation get a module of their own.

--- a/src/sequoiadrum/_ledger_commit.py
+++ b/src/sequoiadrum/_ledger_commit.py
@@ -111,7 +111,9 @@
             if self.segment is not None:
                 self.pending_by_key = {**changes, **self.pending_by_key}
                 return self.segment_write()
-        waiting, self.waiting = self.waiting, []
+        # A call whose change did not fit into this write waits for the next one.
+        waiting = [item for item in self.waiting if item[0].key not in self.pending_by_key]
+        self.waiting = [item for item in self.waiting if item[0].key in self.pending_by_key]
         self.segment, self.segment_stored = None, False
         self.write = PendingWrite(write_id, head, value, self.version, changes, waiting, sealed)
         return self.head_write()
--- a/tests/test_ledger.py
+++ b/tests/test_ledger.py
@@ -194,6 +194,18 @@
         self.assertEqual(len(outcomes(self.router.pump())), 50)
         self.assertEqual(self.store.writes - before, 2)
 
+    def test_answers_wait_for_their_own_write(self) -> None:
+        """Guards against an answer before its change is stored, when a batch is too large."""
+        router = Router(self.store, batch_bytes=1)
+        router.run("0")
+        for key in ("1", "2"):
+            router.call(key, CallKind.CANCEL, attempt=f"late-{key}", fingerprint="")
+        told = []
+        for _ in range(2):
+            router.give(self.store.carry_out(router.io()))
+            told.append(len(outcomes(router.shard.take_events())))
+        self.assertEqual(told, [1, 1])
+
     def test_lost_answer_of_a_write_that_took_effect(self) -> None:
         """Guards against taking a lost answer for a failed write."""
         call = self.router.call("1")
--- a/tools/fault_matrix.py
+++ b/tools/fault_matrix.py
@@ -24,20 +24,22 @@
 from sequoiadrum.metrics import Metrics
 from sequoiadrum.service_client import ServiceRequest
 from tools import naive_ledgers
-from tools.keyed_sim import (
+from tools.keyed_fakes import (
     SERVICE_S,
-    UNIX_EPOCH_MS,
     Execution,
     PlatformState,
-    Sim,
     SimAdmission,
+    SimPeers,
+    SimPlatform,
+    SimService,
+)
+from tools.keyed_sim import (
+    UNIX_EPOCH_MS,
+    Sim,
     SimClock,
     SimExecutor,
     SimMembers,
-    SimPeers,
-    SimPlatform,
     SimRouter,
-    SimService,
     SimTask,
     SimTimers,
     a_member,
--- a/tools/keyed_sim.py
+++ b/tools/keyed_sim.py
@@ -16,31 +16,19 @@
 from typing import TYPE_CHECKING, Any, Final
 
 from attrs import define, evolve, field
-from returns.result import Failure, Result, Success
 
 from sequoiadrum._ledger_types import CallKind
-from sequoiadrum.interfaces import Admission, Grant, MembershipSource
+from sequoiadrum.interfaces import MembershipSource
 from sequoiadrum.ledger_task import AskShard, Clock, LedgerTask
-from sequoiadrum.messages import Address, Member, MemberState
-from sequoiadrum.peer_client import PeerClient, PeerFailure
-from sequoiadrum.platform_client import PlatformClient, PlatformFailure, StoredObject
-from sequoiadrum.service_client import Answered, CallOutcome, MaybeSent, NotSent, ServiceClient
+from sequoiadrum.messages import Member, MemberState
 from sequoiadrum.timers import Subscription, TimerService
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Collection, Mapping, Sequence
+    from collections.abc import Callable, Mapping
 
-    from sequoiadrum.errors import Refusal
-    from sequoiadrum.interfaces import AdmissionRequest, GrantOutcome, KeyedCalls
-    from sequoiadrum.platform_client import ListedInstance
-    from sequoiadrum.service_client import ServiceRequest
+    from sequoiadrum.interfaces import KeyedCalls
     from sequoiadrum.tasks import Task
 
-PLATFORM_S: Final = 0.005
-PLATFORM_TIMEOUT_S: Final = 2.0
-SLOW_PLATFORM_S: Final = 3.0
-"""Longer than the timeout: a write takes effect after its writer has given up waiting."""
-SERVICE_S: Final = 0.05
 UNIX_EPOCH_MS: Final = 1_700_000_000_000
 
 
@@ -307,217 +295,6 @@
         """See `MembershipSource.spread`."""
 
 
-@define(eq=False)
-class SimPeers(PeerClient):
-    """Calls between the routers; a frozen router carries them out when it is resumed."""
-
-    sim: Sim
-
-    def call(
-        self, address: Address, make: Callable[[Any], Any], timeout_s: float
-    ) -> Result[Any, PeerFailure]:
-        """See `PeerClient.call`."""
-        target = self.sim.routers[address.port]
-        if target.is_killed:
-            return Failure(PeerFailure.UNREACHABLE)
-        reply: Future[Any] = Future()
-        self.sim.spawn(target, lambda: reply.set_result(make(target.peer_handler)))
-        self.sim.block(lambda: reply.done() or target.is_killed, timeout_s)
-        if not reply.done() or target.is_killed:
-            return Failure(PeerFailure.BROKEN)
-        return Success(reply.result())
-
-
-@define(eq=False)
-class PlatformState:
-    """Objects of the fake platform, and its faults."""
-
-    objects_by_name: dict[str, tuple[int, bytes]] = field(factory=dict)
-    version: int = 0
-    writes: int = 0
-    deletes: int = 0
-    is_down: bool = False
-    is_slow: bool = False
-
-    def put(
-        self, name: str, value: bytes | None, expected: int | None
-    ) -> Result[StoredObject, PlatformFailure]:
-        """Writes under a condition, or without one when `expected` is None."""
-        found = self.objects_by_name.get(name, (0, b""))[0]
-        self.writes += 1
-        if expected is not None and found != expected:
-            return Failure(PlatformFailure.CONFLICT)
-        self.version += 1
-        self.objects_by_name[name] = (self.version, value or b"")
-        return Success(StoredObject(name, self.version, value or b""))
-
-
-class SimPlatform(PlatformClient):
-    """One router's connection to the fake platform."""
-
-    def __init__(
-        self,
-        sim: Sim,
-        router: SimRouter,
-        state: PlatformState,
-        stage_of: Callable[[bytes], str],
-    ) -> None:
-        self._sim = sim
-        self._router = router
-        self._state = state
-        self._stage_of = stage_of
-
-    def get(self, name: str) -> Result[StoredObject, PlatformFailure]:
-        """See `PlatformClient.get`."""
-        self._sim.pause(PLATFORM_S)
-        if self._is_cut():
-            return Failure(PlatformFailure.UNREACHABLE)
-        if self._state.is_slow:
-            return self._time_out()
-        found = self._state.objects_by_name.get(name)
-        if found is None:
-            return Failure(PlatformFailure.NOT_FOUND)
-        return Success(StoredObject(name, *found))
-
-    def put(
-        self, name: str, value: bytes, expected_version: int
-    ) -> Result[StoredObject, PlatformFailure]:
-        """See `PlatformClient.put`."""
-        return self._put(name, value, expected_version)
-
-    def put_unconditionally(self, name: str, value: bytes) -> Result[StoredObject, PlatformFailure]:
-        """Overwrites; only the faulty ledgers of the proof use it."""
-        return self._put(name, value, None)
-
-    def _put(
-        self, name: str, value: bytes, expected: int | None
-    ) -> Result[StoredObject, PlatformFailure]:
-        self._sim.pause(PLATFORM_S)
-        if self._is_cut():
-            return Failure(PlatformFailure.UNREACHABLE)
-        stage = self._stage_of(value) if self._router is self._sim.routers[0] else ""
-        if stage == "claim":
-            self._sim.point("claim sent")
-        if self._is_cut():
-            return self._time_out()
-        if self._state.is_slow:
-            self._sim.at(SLOW_PLATFORM_S, partial(self._state.put, name, value, expected))
-            return self._time_out()
-        result = self._state.put(name, value, expected)
-        lost = stage == "claim" and self._sim.point("claim answer lost")
-        lost = lost or (self._router.loses_answers and self._state.writes % 2 == 0)
-        if stage == "outcome":
-            self._sim.point("outcome recorded")
-        self._sim.pause(0)
-        return self._time_out() if lost or self._is_cut() else result
-
-    def delete(self, name: str, expected_version: int) -> Result[None, PlatformFailure]:
-        """See `PlatformClient.delete`."""
-        self._sim.pause(PLATFORM_S)
-        found = self._state.objects_by_name.get(name, (0, b""))[0]
-        if self._is_cut():
-            return Failure(PlatformFailure.UNREACHABLE)
-        if found != expected_version:
-            return Failure(PlatformFailure.CONFLICT)
-        del self._state.objects_by_name[name]
-        self._state.deletes += 1
-        return Success(None)
-
-    def list_names(self, prefix: str) -> Result[Sequence[tuple[str, int]], PlatformFailure]:
-        """See `PlatformClient.list_names`."""
-        return Failure(PlatformFailure.UNREACHABLE)
-
-    def watch(
-        self, name: str, known_version: int, timeout_s: float
-    ) -> Result[StoredObject | None, PlatformFailure]:
-        """See `PlatformClient.watch`."""
-        return Failure(PlatformFailure.UNREACHABLE)
-
-    def list_instances(self) -> Result[Sequence[ListedInstance], PlatformFailure]:
-        """See `PlatformClient.list_instances`."""
-        return Failure(PlatformFailure.UNREACHABLE)
-
-    def _is_cut(self) -> bool:
-        return self._state.is_down or self._router.cut_platform
-
-    def _time_out(self) -> Failure[PlatformFailure]:
-        self._sim.pause(PLATFORM_TIMEOUT_S)
-        return Failure(PlatformFailure.UNKNOWN)
-
-
-@define(eq=False)
-class Execution:
-    """One run at the fake back end."""
-
-    at: float
-    attempt: str
-
-
-class SimService(ServiceClient):
-    """One router's connections to the fake back end, which counts executions."""
-
-    def __init__(
-        self,
-        sim: Sim,
-        router: SimRouter,
-        executions: list[Execution],
-        bytes_left_by_attempt: dict[str, float],
-        duration_s: Callable[[], float],
-    ) -> None:
-        self._sim = sim
-        self._router = router
-        self._executions = executions
-        self._duration_s = duration_s
-        self._bytes_left_by_attempt = bytes_left_by_attempt
-
-    def call(self, address: Address, request: ServiceRequest, timeout_s: float) -> CallOutcome:
-        """See `ServiceClient.call`."""
-        assert self._sim.current is not None
-        if self._router.cut_service:
-            return NotSent("refused")
-        attempt = self._sim.current.attempt
-        self._bytes_left_by_attempt.setdefault(attempt, self._sim.now)
-        is_owner = self._router is self._sim.routers[0]
-        if is_owner:
-            self._sim.point("first byte sent")
-        if self._router.cut_service:
-            self._sim.pause(timeout_s)
-            return MaybeSent("cut")
-        self._executions.append(Execution(self._sim.now, attempt))
-        answer = b"%d" % len(self._executions)
-        duration_s = self._duration_s()
-        self._sim.pause(min(duration_s, timeout_s))
-        if duration_s > timeout_s:
-            return MaybeSent("timed out")
-        lost = is_owner and self._sim.point("back-end answer lost")
-        self._sim.pause(0)
-        if lost or self._router.cut_service:
-            return MaybeSent("answer lost")
-        return Answered(201, "text/plain", answer)
-
-
-class SimAdmission(Admission):
-    """Grants at once."""
-
-    def __init__(self, sim: Sim, router: SimRouter) -> None:
-        self._sim = sim
-        self._router = router
-
-    def acquire(
-        self, request: AdmissionRequest, excluded: Collection[str]
-    ) -> Result[Grant, Refusal]:
-        """See `Admission.acquire`."""
-        assert self._sim.current is not None
-        self._sim.current.attempt = request.request_id
-        if self._router is self._sim.routers[0]:
-            self._sim.point("claimed")
-        self._sim.pause(0)
-        return Success(Grant("g", request.pool, "s1", Address("127.0.0.1", 1), self._router.id))
-
-    def release(self, grant: Grant, outcome: GrantOutcome) -> None:
-        """See `Admission.release`."""
-
-
 def a_member(number: int, router_id: str) -> Member:
     """Describes a router of the simulation; its port is its position."""
     return Member(
--- a/tools/naive_ledgers.py
+++ b/tools/naive_ledgers.py
@@ -17,7 +17,8 @@
     from collections.abc import Callable
 
     from sequoiadrum.interfaces import KeyedCall
-    from tools.keyed_sim import Sim, SimAdmission, SimPlatform, SimRouter, SimService
+    from tools.keyed_fakes import SimAdmission, SimPlatform, SimService
+    from tools.keyed_sim import Sim, SimRouter
 
 
 class ClaimAfterDispatch(KeyedCalls):
