--- a/src/sequoiadrum/ledger_task.py
+++ b/src/sequoiadrum/ledger_task.py
@@ -6,6 +6,7 @@
 import uuid
 from collections import OrderedDict
 from concurrent.futures import Executor, Future, ThreadPoolExecutor
+from concurrent.futures import TimeoutError as FutureTimeoutError
 from functools import partial
 from typing import TYPE_CHECKING, Any, Final
 
@@ -27,7 +28,7 @@
 from sequoiadrum.hashing import first_ranked
 from sequoiadrum.ledger import LedgerShard
 from sequoiadrum.messages import MemberState
-from sequoiadrum.tasks import Ask, Task
+from sequoiadrum.tasks import Ask, MailboxFullError, Task
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -131,8 +132,8 @@
 
 
 @frozen
-class _Tick:
-    pass
+class Tick:
+    """Brings deadlines to the shards' attention."""
 
 
 @define(eq=False)
@@ -193,14 +194,14 @@
             _IoDone: self._io_done,
             _Finished: self._finished,
             _Due: self._due,
-            _Tick: self._tick,
+            Tick: self._tick,
             _Release: self._release,
         }
 
     def start(self) -> None:
         """Starts the thread and its ticks."""
         super().start()
-        self._timers.subscribe(self, TICK_S, _Tick())
+        self._timers.subscribe(self, TICK_S, Tick())
 
     def stop(self, timeout_s: float = 5.0) -> None:
         """Ends the thread and the executors; see `drain` for a planned stop."""
@@ -216,8 +217,11 @@
         """
         deadline = self.clock.now() + timeout_s
         while self.clock.now() < deadline:
-            if self.clock.wait(self.ask(_Release()), timeout_s):
-                return True
+            try:
+                if self.clock.wait(self.ask(_Release()), deadline - self.clock.now()):
+                    return True
+            except (FutureTimeoutError, MailboxFullError):
+                _log.warning("ledger_release_not_handled")
             self.clock.sleep(TICK_S)
         return False
 
@@ -275,7 +279,7 @@
         self._due_by_shard.pop(message.shard, None)
         self._run_shard(message.shard)
 
-    def _tick(self, _: _Tick) -> None:
+    def _tick(self, _: Tick) -> None:
         now = self.clock.now()
         for number, shard in enumerate(self._shards):
             if not shard.is_idle() or shard.next_due() is not None:
