--- a/src/sequoiadrum/admission.py
+++ b/src/sequoiadrum/admission.py
@@ -88,7 +88,10 @@
     def note_load(self, engine_id: str, in_flight: float, now: float) -> None:
         """Takes an engine's load report; a new owner counts what it does not know as foreign."""
         engine = self._engine_by_id.get(engine_id)
-        if engine is not None and self._is_settling(now):
+        if engine is None:
+            return
+        engine.reported = in_flight
+        if self._is_settling(now):
             engine.foreign = max(0.0, in_flight - engine.load)
 
     def acquire(self, request: PoolRequest, now: float) -> Placed | Waiting | Refusal:
--- a/src/sequoiadrum/placement.py
+++ b/src/sequoiadrum/placement.py
@@ -77,6 +77,8 @@
     """Whether it may get new work; follows from the other states."""
     load: float = 0.0
     """Cost of the grants in flight."""
+    reported: float = 0.0
+    """Load in the engine's last report; it lags and only informs operators."""
     foreign: float = 0.0
     """Reported load that a new owner knows no grants for."""
     suspects: int = 0
