--- a/tests/test_chat_relay.py
+++ b/tests/test_chat_relay.py
@@ -8,6 +8,7 @@
 import time
 import unittest
 from typing import Any
+from unittest import mock
 
 from returns.result import Failure, Success
 
@@ -144,6 +145,15 @@
         self.assertLessEqual(spent, 8)
         self.assertNotIn(("e1", "ok"), self.rig.admission.released)
 
+    def test_hung_engine_is_replaced(self) -> None:
+        """Guards against a request that waits for its deadline at an engine that hangs."""
+        self.rig.engines["e1"].state.faults["hang"] = 60
+        with mock.patch("sequoiadrum._engine_http._HEADERS_TIMEOUT_S", 0.3):
+            chat = self.start(a_request())
+        self.assertEqual(offsets(chat), list(range(30)))
+        chat.close()
+        self.assertEqual(self.rig.admission.released, [("e1", "failed"), ("e2", "ok")])
+
     def test_slow_kv_import_does_not_fail_the_request(self) -> None:
         """Guards against a request that waits for, or fails with, an optional cache import."""
         with socket.create_server(("127.0.0.1", 0)) as silent:
--- a/tests/test_http_front.py
+++ b/tests/test_http_front.py
@@ -8,6 +8,7 @@
 import unittest
 from http.client import HTTPConnection
 from typing import Any
+from unittest import mock
 
 from structlog.testing import capture_logs
 
@@ -200,6 +201,14 @@
         self.assertEqual(sum(b"200 OK" in a for a in answers), 2)
         self.assertEqual(sum(b'"type": "overloaded"' in a for a in answers), 38)
 
+    def test_requests_beyond_the_queue_are_refused(self) -> None:
+        """Guards against requests that pile up behind busy threads."""
+        with mock.patch("sequoiadrum._front_server.MAX_QUEUED", 0):
+            answer = self.raw(self.post_chat())
+        self.assertTrue(answer.startswith(b"HTTP/1.1 503 "), answer)
+        self.assertIn(b'"type": "overloaded"', answer)
+        self.assertEqual(self.rig.metrics.value("refusals_total", reason="overloaded"), 1)
+
     def test_connections_beyond_the_limit_are_refused(self) -> None:
         """Guards against idle connections that use up descriptors without a bound."""
         for _ in range(4 * 18 + 5):
