--- a/tools/fleet.py
+++ b/tools/fleet.py
@@ -62,6 +62,8 @@
 
     router_flags: Sequence[str] = ()
     """Flags given to every router."""
+    router_environment: Mapping[str, str] | None = None
+    """Environment of the routers; None for this process's own."""
     platform: Process | None = None
     engines_by_id: dict[str, Process] = field(factory=dict)
     services_by_id: dict[str, Process] = field(factory=dict)
@@ -106,7 +108,9 @@
             *self.router_flags,
             *flags,
         ]
-        popen = subprocess.Popen(arguments, stderr=subprocess.DEVNULL, text=True)
+        popen = subprocess.Popen(
+            arguments, stderr=subprocess.DEVNULL, text=True, env=self.router_environment
+        )
         self.seed = self.seed or f"{_HOST}:{peer_port}"
         process = Process(
             router_id, popen, Address(_HOST, http_port), Address(_HOST, operator_port)
