--- a/src/sequoiadrum/membership.py
+++ b/src/sequoiadrum/membership.py
@@ -140,6 +140,7 @@
         A death in it is taken as a suspicion, so that the member gets a chance to refute it; this
         lets the two sides of a healed split find each other without declaring members dead.
         """
+        self.last_heard = now
         for member in members:
             known = self.members_by_id.get(member.id)
             if member.state is MemberState.DEAD and member.id != self.me.id:
@@ -249,6 +250,7 @@
         if member.state is MemberState.ALIVE:
             suspected = evolve(member, state=MemberState.SUSPECT)
             self._store(suspected, now, spread=not deaf)
+            self._push_wanted = not deaf
 
     def _check_suspects(self, now: float) -> None:
         for member_id in [m for m, until in self._suspect_until.items() if until <= now]:
@@ -257,6 +259,7 @@
             if member is not None and member.state is not MemberState.DEAD:
                 dead = evolve(member, state=MemberState.DEAD)
                 self._store(dead, now, spread=not self._is_deaf(now))
+                self._push_wanted = not self._is_deaf(now)
         if self.rng.random() < 0.05:
             self._rumors.expire(now)
             self._forget_dead(now)
@@ -293,6 +296,8 @@
         else:
             self._suspect_until.pop(member.id, None)
         self._store(member, now, spread)
+        if spread and known is not None and known.state is not member.state:
+            self._push_soon(now)
 
     def _defend(self, claim: Member, now: float) -> None:
         if claim.process_id > self.me.process_id:
--- /dev/null
+++ b/tests/test_fleet_control.py
@@ -0,0 +1,109 @@
+"""Membership and configuration through separate processes."""
+
+from __future__ import annotations
+
+import time
+import unittest
+from http.client import HTTPConnection, HTTPException
+from typing import TYPE_CHECKING
+
+from sequoiadrum.app import Router
+from sequoiadrum.configuration import ChangeRequest, ObjectKind
+from tests.builders import a_settings
+from tools.fleet import Fleet, call_json, is_ready
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from sequoiadrum.messages import Address
+
+DEADLINE_S = 30.0
+
+
+def _wait(condition: Callable[[], bool]) -> bool:
+    deadline = time.monotonic() + DEADLINE_S
+    while time.monotonic() < deadline:
+        if condition():
+            return True
+        time.sleep(0.05)
+    return False
+
+
+def _revision(address: Address) -> int:
+    connection = HTTPConnection(address.host, address.port, timeout=5)
+    try:
+        connection.request("GET", "/metrics")
+        lines = connection.getresponse().read().decode().splitlines()
+    except (OSError, HTTPException):
+        return -1
+    finally:
+        connection.close()
+    values = [line.removeprefix("sequoiadrum_").split() for line in lines]
+    return next((int(float(entry[1])) for entry in values if entry[0] == "config_revision"), -1)
+
+
+class FleetControlTest(unittest.TestCase):
+    """Five routers, one of them in this process, whose writer is used."""
+
+    def setUp(self) -> None:
+        fleet = self.fleet = self.enterContext(Fleet(["--address-ttl-s=0.2"]))
+        fleet.start_platform()
+        fleet.write_config(fleet.default_config(accounts=1))
+        for number in range(4):
+            fleet.start_router(f"r{number}", f"d{number % 3}")
+        settings = a_settings(
+            instance_id="writer",
+            platform=str(fleet.platform.address),
+            seeds=fleet.seed,
+            address_ttl_s=0.2,
+        )
+        self.router = Router(settings)
+        self.router.start()
+        self.addCleanup(self.router.stop)
+        fleet.wait_ready()
+        self.assertTrue(_wait(lambda: len(self._alive()) == 5 and not self.router.config.refusal()))
+
+    def _alive(self) -> list[str]:
+        return [m.id for m in self.router.gossip.members().values() if m.state.name == "ALIVE"]
+
+    def _outage(self, outage: bool) -> None:
+        call_json(self.fleet.platform.address, "POST", "/_faults", {"outage": outage})
+
+    def _submit(self, change_id: str) -> int:
+        value = {"requests_per_s": 5}
+        request = ChangeRequest(change_id, ObjectKind.ACCOUNT, change_id, value, 0)
+        return self.router.config_writer.submit(request).unwrap().revision
+
+    def test_outage_after_acceptance(self) -> None:
+        """Guards against an accepted change that only the writer has, or a stale late starter."""
+        revision = self._submit("acme")
+        self._outage(True)
+        addresses = [process.address for process in self.fleet.routers_by_id.values()]
+        self.assertTrue(_wait(lambda: all(_revision(a) >= revision for a in addresses)))
+        self.assertEqual(self.router.config.current().revision, revision)
+        late = self.fleet.start_router("late").address
+        self.assertTrue(_wait(lambda: is_ready(late)))
+        self.assertEqual(_revision(late), revision)
+
+    def test_change_reaches_all_while_platform_is_up(self) -> None:
+        """Guards against routers that stay behind although nothing is wrong."""
+        for number in range(5):
+            revision = self._submit(f"account-x{number}")
+        addresses = [process.address for process in self.fleet.routers_by_id.values()]
+        self.assertTrue(_wait(lambda: all(_revision(a) == revision for a in addresses)))
+
+    def test_isolated_router_refuses(self) -> None:
+        """Guards against a cut-off router that goes on with a configuration of unknown age."""
+        self._outage(True)
+        for process in self.fleet.routers_by_id.values():
+            process.freeze()
+        refused = lambda: self.router.config.refusal() is not None  # noqa: E731
+        self.assertTrue(_wait(refused))
+        for process in self.fleet.routers_by_id.values():
+            process.resume()
+        self.assertTrue(_wait(lambda: not refused()))
+        self.assertTrue(_wait(lambda: len(self._alive()) == 5))
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tools/bench_control.py
@@ -0,0 +1,163 @@
+"""Measures control traffic of idle router processes and the spread of changes.
+
+Usage: PYTHONPATH=src:. python tools/bench_control.py [SIZE ...]
+"""
+
+from __future__ import annotations
+
+import re
+import statistics
+import sys
+import time
+from http.client import HTTPConnection, HTTPException
+from pathlib import Path
+from typing import TYPE_CHECKING, Final
+
+from sequoiadrum.app import Router
+from sequoiadrum.cli import configure_logs
+from sequoiadrum.configuration import ChangeRequest, ObjectKind
+from sequoiadrum.settings import Settings
+from tools.fleet import Fleet, call_json, free_ports
+
+if TYPE_CHECKING:
+    from sequoiadrum.messages import Address
+
+SIZES: Final = (14, 28, 56)
+CHANGES: Final = 20
+IDLE_S: Final = 15.0
+_BYTES: Final = re.compile(r'control_bytes_total\{.*direction="(sent|received)"\} (\S+)')
+_REVISION: Final = re.compile(r"config_revision (\S+)")
+_TICKS_PER_S: Final = 100
+
+
+def _metrics(address: Address) -> str:
+    connection = HTTPConnection(address.host, address.port, timeout=5)
+    try:
+        connection.request("GET", "/metrics")
+        return connection.getresponse().read().decode()
+    except (OSError, HTTPException):
+        return ""
+    finally:
+        connection.close()
+
+
+def _control_bytes(fleet: Fleet) -> dict[str, float]:
+    totals = {"sent": 0.0, "received": 0.0}
+    for process in fleet.routers_by_id.values():
+        for direction, value in _BYTES.findall(_metrics(process.address)):
+            totals[direction] += float(value)
+    return totals
+
+
+def _cpu_s(fleet: Fleet) -> float:
+    total = 0
+    for process in fleet.routers_by_id.values():
+        entries = Path(f"/proc/{process.popen.pid}/stat").read_text().rsplit(")", 1)[1].split()
+        total += int(entries[11]) + int(entries[12])
+    return total / _TICKS_PER_S
+
+
+def _memory_mb(fleet: Fleet) -> float:
+    sizes = []
+    for process in fleet.routers_by_id.values():
+        status = Path(f"/proc/{process.popen.pid}/status").read_text()
+        match = re.search(r"VmRSS:\s+(\d+)", status)
+        sizes.append(int(match[1]) / 1024 if match else 0.0)
+    return statistics.mean(sizes)
+
+
+def _platform_calls(fleet: Fleet) -> int:
+    assert fleet.platform is not None
+    return sum(call_json(fleet.platform.address, "GET", "/_stats")[1].values())
+
+
+def _spread_times(fleet: Fleet, writer: Router) -> list[float]:
+    waits = []
+    for number in range(CHANGES):
+        value = {"requests_per_s": number + 1}
+        request = ChangeRequest(f"bench-{number}", ObjectKind.ACCOUNT, "bench", value, None)
+        revision = writer.config_writer.submit(request).unwrap().revision
+        accepted = time.monotonic()
+        behind = [process.address for process in fleet.routers_by_id.values()]
+        while behind and time.monotonic() - accepted < 10:
+            behind = [a for a in behind if _revision(a) < revision]
+        waits.append(time.monotonic() - accepted if not behind else float("inf"))
+    return waits
+
+
+def _revision(address: Address) -> int:
+    match = _REVISION.search(_metrics(address))
+    return int(float(match[1])) if match else -1
+
+
+def measure(size: int) -> str:
+    """Runs one fleet; gives its line."""
+    with Fleet(["--address-ttl-s=0.2", "--max-streams=8"]) as fleet:
+        fleet.start_platform()
+        fleet.write_config(fleet.default_config())
+        for number in range(size - 1):
+            fleet.start_router(f"router-{number}", f"d{number % 4}")
+        fleet.wait_ready()
+        assert fleet.platform is not None
+        http_port, peer_port, operator_port = free_ports(3)
+        settings = Settings(
+            instance_id="writer",
+            host="127.0.0.1",
+            failure_domain="d1",
+            platform=str(fleet.platform.address),
+            http_port=http_port,
+            peer_port=peer_port,
+            operator_port=operator_port,
+            seeds=fleet.seed,
+            max_streams=8,
+            address_ttl_s=0.1,
+        )
+        writer = Router(settings)
+        writer.start()
+        try:
+            deadline = time.monotonic() + 30
+            while len(writer.gossip.members()) < size or writer.config.refusal():
+                if time.monotonic() > deadline:
+                    return f"{size:6d} not converged: {len(writer.gossip.members())} members"
+                time.sleep(0.1)
+            time.sleep(3)
+            bytes_before, cpu_before, calls_before = (
+                _control_bytes(fleet),
+                _cpu_s(fleet),
+                _platform_calls(fleet),
+            )
+            begun = time.monotonic()
+            time.sleep(IDLE_S)
+            elapsed = time.monotonic() - begun
+            cpu = _cpu_s(fleet) - cpu_before
+            calls = _platform_calls(fleet) - calls_before
+            after = _control_bytes(fleet)
+            routers = len(fleet.routers_by_id)
+            sent, received = (
+                (after[d] - bytes_before[d]) / elapsed / routers for d in ("sent", "received")
+            )
+            waits = sorted(_spread_times(fleet, writer))
+        finally:
+            writer.stop()
+        return (
+            f"{size:6d} {sent:6.0f} {received:6.0f} {calls / elapsed:8.2f} "
+            f"{100 * cpu / elapsed / routers:7.2f} {_memory_mb(fleet):7.1f} "
+            f"{waits[len(waits) // 2]:7.3f} {waits[-1]:7.3f}"
+        )
+
+
+def main() -> None:
+    """Prints one line for each size."""
+    configure_logs("json")
+    sizes = [int(text) for text in sys.argv[1:]] or list(SIZES)
+    print(f"# idle routers for {IDLE_S:g} s, then {CHANGES} changes through one of them; loopback")
+    print("# sent, received: control B/s per router; platform: calls/s of all routers together")
+    print("# cpu: % of a core per router, with the reading of metrics; rss: MB per router")
+    print("# in force: s from acceptance until all report the revision (p50 max), with polling")
+    print("#  size   sent   recv platform    cpu%  rss-MB  p50-s   max-s")
+    for size in sizes:
+        print(measure(size), flush=True)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/tools/bench_membership.py
@@ -0,0 +1,122 @@
+"""Measures the membership core on virtual time.
+
+Usage: PYTHONPATH=src:. python tools/bench_membership.py [SIZE ...]
+"""
+
+from __future__ import annotations
+
+import sys
+import time
+import tracemalloc
+from functools import partial
+from typing import TYPE_CHECKING, Final
+
+from tests.virtual_bus import Bus, a_member
+
+if TYPE_CHECKING:
+    from sequoiadrum.membership import Membership
+
+SIZES: Final = (14, 28, 56, 112, 600, 2_400)
+SEED: Final = 1
+LOSS: Final = 0.01
+
+
+def _quantile(values: list[float], share: float) -> float:
+    ordered = sorted(values)
+    return ordered[min(len(ordered) - 1, int(share * len(ordered)))] if ordered else float("nan")
+
+
+def _steady(size: int) -> str:
+    seconds = 20.0 if size > 200 else 120.0
+    tracemalloc.start()
+    bus = Bus(seed=SEED, loss=LOSS)
+    bus.start_converged(size)
+    memory = tracemalloc.get_traced_memory()[0] / size
+    tracemalloc.stop()
+    bus.run(5)
+    bus.sent_bytes = bus.sent_datagrams = bus.synced_bytes = 0
+    started = time.process_time()
+    bus.run(seconds)
+    cpu = time.process_time() - started
+    per = size * seconds
+    # Each datagram and synced byte is sent by one router and received by another.
+    return (
+        f"{2 * bus.sent_bytes / per:7.0f} {2 * bus.synced_bytes * 1.0 / per:7.0f} "
+        f"{2 * bus.sent_datagrams / per:6.2f} {cpu / per * 1e3:7.3f} {memory / 1024:8.1f} "
+        f"{len(bus.dead_seen):6d}"
+    )
+
+
+def _kills(size: int) -> str:
+    rounds = 2 if size > 1_000 else 5 if size > 200 else 20
+    delays: list[float] = []
+    missed = 0
+    for number in range(rounds):
+        bus = Bus(seed=SEED + number, loss=LOSS)
+        bus.start_converged(size)
+        bus.run(3)
+        victim = f"router-{size - 1}"
+        killed = bus.now
+        bus.kill(victim)
+        bus.run(15 if size < 200 else 20)
+        seen = {o: t - killed for t, o, s in reversed(bus.dead_seen) if s == victim}
+        delays.extend(seen.values())
+        missed += len(bus.nodes) - len(seen)
+    shares = " ".join(f"{_quantile(delays, share):6.2f}" for share in (0.5, 0.99, 1.0))
+    return f"{shares} {missed:6d}"
+
+
+def _notice(size: int) -> str:
+    rounds = 2 if size > 1_000 else 10
+    delays = []
+    for number in range(rounds):
+        bus = Bus(seed=SEED + number, loss=LOSS)
+        bus.start_converged(size)
+        bus.run(1 + number * 0.13)
+        begun = bus.now
+        bus.nodes["router-1"].set_revision(1, bus.now)
+        bus.flush("router-1")
+        nodes = bus.nodes.values()
+        done = bus.run(10, partial(_all_have_revision, list(nodes)))
+        delays.append(bus.now - begun if done else float("inf"))
+    return f"{_quantile(delays, 0.5):6.2f} {max(delays):6.2f}"
+
+
+def _all_have_revision(nodes: list[Membership]) -> bool:
+    return all(node.me.config_revision for node in nodes)
+
+
+def _cold_start(size: int) -> str:
+    bus = Bus(seed=SEED, loss=LOSS)
+    bus.start(size)
+    begun = time.process_time()
+    done = bus.run(60, lambda: all(len(n.members_by_id) == size for n in bus.nodes.values()))
+    total = (bus.sent_bytes + bus.synced_bytes) / size / 1e3
+    cpu = time.process_time() - begun
+    state = f"{bus.now:.1f} s" if done else "not within 60 s"
+    return (
+        f"all know all after {state}; {total:.0f} KB sent for each router; "
+        f"{len(bus.dead_seen)} false deaths; {cpu:.1f} s of processor time in all"
+    )
+
+
+def main() -> None:
+    """Prints one line for each size."""
+    sizes = [int(text) for text in sys.argv[1:]] or list(SIZES)
+    print(f"# membership core, virtual time, loss {LOSS:.0%}, delay 0.5 to 1.5 ms, seed {SEED}")
+    print(f"# id like {a_member(1).id}, bytes with UDP and IP headers, sent and received")
+    print("# gossip and sync: B/s; msgs: datagrams/s; cpu: ms per router-second; mem: KB traced")
+    print("# detect: s from kill to death in each view (p50 p99 max, views that missed it)")
+    print("# notice: s until a new revision has reached all (p50 max)")
+    print(
+        "# size  gossip    sync   msgs     cpu  mem-KB  false | detect p50 p99 max missed | notice"
+    )
+    for size in sizes:
+        print(f"{size:6d} {_steady(size)} | {_kills(size)} | {_notice(size)}", flush=True)
+    for size in sizes:
+        if size in (14, 600, 2_400):
+            print(f"start of {size} at once from 3 seeds: {_cold_start(size)}", flush=True)
+
+
+if __name__ == "__main__":
+    main()
