Blame this side only after two silent probe intervals

With the shorter rule a prober that heard nobody for one second tripled its suspicion time; that is every third probe on a healthy fleet.

--- a/src/sequoiadrum/membership.py
+++ b/src/sequoiadrum/membership.py
@@ -243,8 +243,9 @@
     def _suspect(self, member: Member, now: float, probed: float) -> None:
         if member.id in self._suspect_until:
             return
-        # Silence of everybody since the probe points to a fault on this side.
-        deaf = self.last_heard is None or self.last_heard < probed
+        # Silence of everybody, the target of the probe before included, points to a fault here.
+        horizon = probed - self.policy.probe_interval_s
+        deaf = self.last_heard is None or self.last_heard < horizon
         factor = 3 if deaf else 1
         self._suspect_until[member.id] = now + factor * self.suspicion_time()
         if member.state is MemberState.ALIVE:
