--- a/src/sequoiadrum/config_task.py
+++ b/src/sequoiadrum/config_task.py
@@ -46,6 +46,10 @@
 _ANTI_ENTROPY_S: Final = 60.0
 """A router that had no platform answer for this long reads the log, in case all watchers fail."""
 _PULL_TIMEOUT_S: Final = 3.0
+_JOIN_S: Final = 1.0
+"""Time to join before a starting router takes itself for alone."""
+_BUCKET_WAIT_S: Final = 15.0
+"""How long a starting router waits for peers that read the buckets."""
 _STARTUP_PEERS: Final = 3
 """Peers whose configuration a router compares when it starts without the platform."""
 
@@ -96,6 +100,7 @@
         self._link = link
         self._peers = peers
         self._history = ConfigHistory()
+        self._created = time.monotonic()
         self._loaded = False
         self._behind_since: float | None = None
         self._platform_ok: float | None = None
@@ -179,8 +184,9 @@
             self._pull_from_any()
 
     def _should_watch(self) -> bool:
-        if not self._loaded:
-            return False
+        return self._loaded and self._is_watcher()
+
+    def _is_watcher(self) -> bool:
         members = self._link.members()
         if self._ranked[0] is not members:
             usable = [m.id for m in members.values() if m.is_usable]
@@ -268,11 +274,14 @@
             return
         # The buckets are up to 256 reads for each router, so peers are asked first.
         self._waiting_log = log
-        if not self._others():
-            self._load_buckets(log)
-        elif self._loaded:
+        if self._loaded:
             self._mark_behind()
 
+    def _may_load_buckets(self) -> bool:
+        """Lets a few routers read the buckets first when a whole fleet starts."""
+        age = time.monotonic() - self._created
+        return age > (_JOIN_S if self._is_watcher() else _BUCKET_WAIT_S)
+
     def _load_buckets(self, log: ConfigLog) -> None:
         if self._loading:
             return
@@ -333,7 +342,7 @@
             return
         if not answered:
             self._answered_by_peer.clear()
-            if self._waiting_log is not None:
+            if self._waiting_log is not None and self._may_load_buckets():
                 self._load_buckets(self._waiting_log)
         elif self.current().revision < self._highest_heard():
             self._pull_from_any()
--- a/tests/test_fleet_control.py
+++ b/tests/test_fleet_control.py
@@ -6,9 +6,13 @@
 import unittest
 from http.client import HTTPConnection, HTTPException
 from typing import TYPE_CHECKING
+from unittest.mock import patch
 
+from sequoiadrum._platform_http import HttpPlatformClient
 from sequoiadrum.app import Router
+from sequoiadrum.config_compactor import compact
 from sequoiadrum.configuration import ChangeRequest, ObjectKind
+from sequoiadrum.metrics import Metrics
 from tests.builders import a_settings
 from tools.fleet import Fleet, call_json, is_ready
 
@@ -92,6 +96,23 @@
         addresses = [process.address for process in self.fleet.routers_by_id.values()]
         self.assertTrue(_wait(lambda: all(_revision(a) == revision for a in addresses)))
 
+    def test_start_after_compaction(self) -> None:
+        """Guards against a router that cannot start once the log has become buckets."""
+        revision = self._submit("acme")
+        platform = HttpPlatformClient(self.fleet.platform.address, Metrics(), 5.0)
+        self.addCleanup(platform.close)
+        with patch("sequoiadrum.config_compactor.LOG_LIMIT_BYTES", 0):
+            self.assertTrue(compact(platform, self.router.config.current()))
+        late = self.fleet.start_router("late").address
+        self.assertTrue(_wait(lambda: is_ready(late)))
+        self.assertEqual(_revision(late), revision)
+        for process in self.fleet.routers_by_id.values():
+            process.kill()
+        self.fleet.routers_by_id.clear()
+        alone = self.fleet.start_router("alone").address
+        self.assertTrue(_wait(lambda: is_ready(alone)))
+        self.assertEqual(_revision(alone), revision)
+
     def test_isolated_router_refuses(self) -> None:
         """Guards against a cut-off router that goes on with a configuration of unknown age."""
         self._outage(True)
--- /dev/null
+++ b/tests/test_gossip_task.py
@@ -0,0 +1,51 @@
+"""The gossip socket of a router."""
+
+from __future__ import annotations
+
+import socket
+import time
+import unittest
+
+from sequoiadrum.gossip_task import GossipTask, new_process_id
+from sequoiadrum.metrics import Metrics
+from sequoiadrum.peer_client import ThriftPeerClient
+from sequoiadrum.timers import TimerService
+from tests.builders import a_settings
+from tests.fake_platform import FakePlatform
+
+
+class GossipTaskTest(unittest.TestCase):
+    """A lone router on an ephemeral port."""
+
+    def test_garbage_is_counted(self) -> None:
+        """Guards against datagrams from outside that end the task, and ports that differ."""
+        metrics = Metrics()
+        timers = TimerService()
+        timers.start()
+        self.addCleanup(timers.stop)
+        task = GossipTask(
+            a_settings(), FakePlatform(), ThriftPeerClient(metrics), metrics, self.fail
+        )
+        task.run_on(timers)
+        self.addCleanup(task.stop)
+        socket.create_server(("127.0.0.1", task.peer_port)).close()
+        with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sender:
+            for data in (b"", b"\x00" * 50, b"\xff" * 1400):
+                sender.sendto(data, ("127.0.0.1", task.peer_port))
+        deadline = time.monotonic() + 10
+        while metrics.value("malformed_datagrams_total") < 3 and time.monotonic() < deadline:
+            time.sleep(0.02)
+        self.assertEqual(metrics.value("malformed_datagrams_total"), 3)
+        self.assertEqual(list(task.members()), [task.self_id()])
+        self.assertIsNone(task.heard_at())
+
+    def test_process_ids_grow(self) -> None:
+        """Guards against a restarted router whose records lose against its former process."""
+        first = new_process_id()
+        time.sleep(0.002)
+        self.assertLess(first, new_process_id())
+        self.assertLess(first, 1 << 63)
+
+
+if __name__ == "__main__":
+    unittest.main()
