Bind the TCP and UDP peer ports together

With port 0 the TCP number was checked, closed and bound again later; in one of three runs of the test suite on a loaded machine another socket took it.

--- a/src/sequoiadrum/app.py
+++ b/src/sequoiadrum/app.py
@@ -103,6 +103,7 @@
                 limits=_Unwired(),
             ),
             self.metrics,
+            self.gossip.listener,
         )
         self.metrics.gauge("requests_in_flight", lambda: float(self.front.active()))
 
--- a/src/sequoiadrum/gossip_task.py
+++ b/src/sequoiadrum/gossip_task.py
@@ -46,6 +46,7 @@
 _LISTED_SEEDS: Final = 8
 _SYNC_TIMEOUT_S: Final = 3.0
 _ASK_TIMEOUT_S: Final = 2.0
+_BACKLOG: Final = 512
 _BIND_ATTEMPTS: Final = 20
 _MAX_READ_BYTES: Final = 2_048
 _RECEIVE_BUFFER_BYTES: Final = 1 << 20
@@ -122,13 +123,13 @@
         metrics: Metrics,
         on_invariant: Callable[[], None],
     ) -> None:
-        """Binds the UDP socket; `peer_port` is its number, which is free for TCP as well.
+        """Binds UDP, and TCP for the peer server (`listener`), to the same number.
 
         Raises:
             OSError: The port is in use or the address not local.
         """
         super().__init__("gossip", metrics, on_invariant)
-        self._socket = _bind(settings.host, settings.peer_port)
+        self._socket, self.listener = _bind(settings.host, settings.peer_port)
         self.peer_port: Final[int] = self._socket.getsockname()[1]
         self._platform = platform
         self._peers = peers
@@ -358,23 +359,23 @@
         self.metrics.count("control_bytes_total", count, channel="gossip", direction=direction)
 
 
-def _bind(host: str, port: int) -> socket.socket:
-    """Binds UDP; with port 0, a number that is free for TCP too.
+def _bind(host: str, port: int) -> tuple[socket.socket, socket.socket]:
+    """Binds UDP and TCP to one number; with port 0, the system chooses it.
 
     Raises:
         OSError: The port is in use or the address not local.
     """
     family = socket.AF_INET6 if ":" in host else socket.AF_INET
     for attempt in range(_BIND_ATTEMPTS):
+        listener = socket.create_server((host, port), family=family, backlog=_BACKLOG)
         bound = socket.socket(family, socket.SOCK_DGRAM)
         try:
             bound.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, _RECEIVE_BUFFER_BYTES)
-            bound.bind((host, port))
-            if port == 0:
-                socket.create_server((host, bound.getsockname()[1]), family=family).close()
-            return bound
+            bound.bind((host, listener.getsockname()[1]))
+            return bound, listener
         except OSError:
             bound.close()
+            listener.close()
             if port or attempt == _BIND_ATTEMPTS - 1:
                 raise
     raise AssertionError("unreachable")
--- a/src/sequoiadrum/peer_server.py
+++ b/src/sequoiadrum/peer_server.py
@@ -11,6 +11,8 @@
 from sequoiadrum.thrift_server import ThriftServer
 
 if TYPE_CHECKING:
+    import socket
+
     from sequoiadrum._gen.peer.ttypes import (
         AcquireReply,
         AcquireRequest,
@@ -92,12 +94,17 @@
         return self.limits.lease_tokens(account, wanted, router_id)
 
 
-def create_peer_server(address: Address, handler: PeerHandler, metrics: Metrics) -> ThriftServer:
-    """Binds the peer port.
+def create_peer_server(
+    address: Address,
+    handler: PeerHandler,
+    metrics: Metrics,
+    listener: socket.socket | None = None,
+) -> ThriftServer:
+    """Binds the peer port, unless a listening socket is given.
 
     Raises:
         OSError: The address is in use or not local.
     """
     return ThriftServer(
-        "peer", address, Peer.Processor(handler), COMPACT, metrics, MAX_PEER_CONNECTIONS
+        "peer", address, Peer.Processor(handler), COMPACT, metrics, MAX_PEER_CONNECTIONS, listener
     )
--- a/src/sequoiadrum/thrift_server.py
+++ b/src/sequoiadrum/thrift_server.py
@@ -34,8 +34,9 @@
         protocol_factory: Any,
         metrics: Metrics,
         max_connections: int,
+        listener: socket.socket | None = None,
     ) -> None:
-        """Binds the socket.
+        """Binds the socket, unless a listening one is given.
 
         Raises:
             OSError: The address is in use or not local.
@@ -45,7 +46,9 @@
         self._protocol_factory = protocol_factory
         self._metrics = metrics
         self._max_connections = max_connections
-        self._listener = socket.create_server((address.host, address.port), backlog=_BACKLOG)
+        self._listener = listener or socket.create_server(
+            (address.host, address.port), backlog=_BACKLOG
+        )
         self.port: Final[int] = self._listener.getsockname()[1]
         self._pool = ThreadPoolExecutor(max_connections, thread_name_prefix=channel)
         self._lock = threading.Lock()
--- a/tests/test_gossip_task.py
+++ b/tests/test_gossip_task.py
@@ -28,7 +28,8 @@
         )
         task.run_on(timers)
         self.addCleanup(task.stop)
-        socket.create_server(("127.0.0.1", task.peer_port)).close()
+        self.addCleanup(task.listener.close)
+        self.assertEqual(task.listener.getsockname()[1], task.peer_port)
         with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sender:
             for data in (b"", b"\x00" * 50, b"\xff" * 1400):
                 sender.sendto(data, ("127.0.0.1", task.peer_port))
