--- a/src/sequoiadrum/membership.py
+++ b/src/sequoiadrum/membership.py
@@ -453,16 +453,20 @@
         return (first + rest)[:count]
 
     def _want_sync(self, now: float) -> None:
-        """Asks for a full sync: seeds while alone, then peers in growing intervals."""
+        """Asks for a full sync with a peer, and with a seed that is not known yet."""
         interval = self.policy.sync_interval_s * max(1.0, self._size() / self.policy.sync_members)
         # The first syncs come fast: a fleet that starts as a whole doubles its knowledge in each.
         self._sync_pause_s = min(2 * self._sync_pause_s, interval)
         peers = self._sample(1)
         if peers:
             self.events.append(SyncWanted(peers[0].peer_address))
-        elif self.seeds:
-            self.events.append(SyncWanted(self.rng.choice(self.seeds)))
+        else:
             self._sync_pause_s = 1.0
+        # Groups that form around different seeds would otherwise stay apart.
+        known = {m.peer_address for m in self.members_by_id.values()}
+        unknown = [seed for seed in self.seeds if seed not in known]
+        if unknown:
+            self.events.append(SyncWanted(self.rng.choice(unknown)))
         self._next_sync = now + self._sync_pause_s * (0.75 + 0.5 * self.rng.random())
 
     def _size(self) -> int:
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -31,6 +31,13 @@
         for seed in range(3):
             self.assertTrue(_grown(seed).agree())
 
+    def test_fleet_start_from_several_seeds(self) -> None:
+        """Guards against groups around different seeds that never meet."""
+        for seed in range(10):
+            bus = Bus(seed=seed, loss=0.01)
+            bus.start(FLEET, seed_count=3)
+            self.assertTrue(bus.run(30, bus.agree))
+
     def test_kill(self) -> None:
         """Guards against a dead member that goes on counting as alive."""
         bus = _grown()
