--- a/src/sequoiadrum/_rumors.py
+++ b/src/sequoiadrum/_rumors.py
@@ -106,3 +106,20 @@
         key = next(iter(self._held_by_key))
         held = self._held_by_key[key] = self._held_by_key.pop(key)
         return held[0]
+
+
+def pick_news(
+    queue: NewsQueue, store: RumorStore, room: int, members: int, now: float
+) -> tuple[list[ttypes.Member], list[ttypes.Rumor]]:
+    """Picks the news of one datagram; an idle datagram carries one stored rumour."""
+    updates: list[ttypes.Member] = []
+    rumors: list[ttypes.Rumor] = []
+    for item in queue.take(room, members):
+        if isinstance(item, ttypes.Member):
+            updates.append(item)
+        elif (rumor := store.fresh(item, now)) is not None:
+            rumors.append(rumor)
+    if not updates and not rumors and (held := store.next_in_turn()) is not None:
+        fresh = store.fresh(held, now)
+        rumors = [fresh] if fresh is not None else []
+    return updates, rumors
--- a/src/sequoiadrum/membership.py
+++ b/src/sequoiadrum/membership.py
@@ -23,7 +23,8 @@
     Superseded,
     SyncWanted,
 )
-from sequoiadrum._rumors import NewsQueue, RumorStore
+from sequoiadrum._rumors import NewsQueue, RumorStore, pick_news
+from sequoiadrum._sampling import across_domains, sample
 from sequoiadrum.messages import Address, MemberState, RumorHeard
 
 if TYPE_CHECKING:
@@ -408,15 +409,8 @@
         if about is not None and about.state not in (MemberState.ALIVE, MemberState.LEAVING):
             members.append(to_wire(about))
             room -= wire_size(members[0])
-        rumors: list[ttypes.Rumor] = []
-        for item in self._news.take(room, self._size()):
-            if isinstance(item, ttypes.Member):
-                members.append(item)
-            elif (rumor := self._rumors.fresh(item, now)) is not None:
-                rumors.append(rumor)
-        if not members and not rumors and (held := self._rumors.next_in_turn()) is not None:
-            fresh = self._rumors.fresh(held, now)
-            rumors = [fresh] if fresh is not None else []
+        news, rumors = pick_news(self._news, self._rumors, room, self._size(), now)
+        members.extend(news)
         datagram = ttypes.Datagram(
             kind=kind,
             sequence=sequence,
@@ -430,27 +424,12 @@
         self.outbox.append((address, seal(datagram)))
 
     def _sample(self, count: int, excluded: str = "") -> list[Member]:
-        ids = list(self.members_by_id)
-        picked: dict[str, Member] = {}
-        for _ in range(4 * count):
-            member = self.members_by_id[ids[self.rng.randrange(len(ids))]]
-            if member.id not in (self.me.id, excluded) and member.state is not MemberState.DEAD:
-                picked[member.id] = member
-                if len(picked) == count:
-                    break
-        return list(picked.values())
+        return sample(self.members_by_id, self.rng, count, (self.me.id, excluded))
 
     def _helpers(self, target: Member) -> list[Member]:
-        """Picks members of different domains; a cut between two domains spares the others."""
         count = self.policy.indirect_probes
-        candidates = self._sample(4 * count, excluded=target.id)
-        by_domain: dict[str, Member] = {}
-        for candidate in candidates:
-            by_domain.setdefault(candidate.failure_domain, candidate)
         near = (self.me.failure_domain, target.failure_domain)
-        first = sorted(by_domain.values(), key=lambda m: m.failure_domain in near)
-        rest = [m for m in candidates if m not in first]
-        return (first + rest)[:count]
+        return across_domains(self._sample(4 * count, target.id), near, count)
 
     def _want_sync(self, now: float) -> None:
         """Asks for a full sync with a peer, and with a seed that is not known yet."""
--- a/tests/test_fleet_control.py
+++ b/tests/test_fleet_control.py
@@ -126,5 +126,23 @@
         self.assertTrue(_wait(lambda: len(self._alive()) == 5))
 
 
+class ListedSeedsTest(unittest.TestCase):
+    """Routers without seeds."""
+
+    def test_join_by_platform_list(self) -> None:
+        """Guards against a router that stays alone although the platform lists another one."""
+        with Fleet(["--address-ttl-s=0.2"]) as fleet:
+            fleet.start_platform()
+            fleet.start_router("r0")
+            host, port = fleet.seed.split(":")
+            line = {"id": "r0", "host": host, "port": int(port), "role": "router", "leaving": False}
+            call_json(fleet.platform.address, "POST", "/_instances", [line])
+            settings = a_settings(platform=str(fleet.platform.address), address_ttl_s=0.2)
+            router = Router(settings)
+            router.start()
+            self.addCleanup(router.stop)
+            self.assertTrue(_wait(lambda: sorted(router.gossip.members()) == ["r0", "r1"]))
+
+
 if __name__ == "__main__":
     unittest.main()
