--- a/src/sequoiadrum/app.py
+++ b/src/sequoiadrum/app.py
@@ -90,6 +90,7 @@
             Address(settings.host, self.gossip.peer_port),
             PeerHandler(self.gossip, self.admission, self.config, self.keyed, self.limits),
             self.metrics,
+            self.gossip.listener,
         )
         self.metrics.gauge("requests_in_flight", lambda: float(self.front.active()))
 
--- a/src/sequoiadrum/membership.py
+++ b/src/sequoiadrum/membership.py
@@ -23,7 +23,8 @@
     Superseded,
     SyncWanted,
 )
-from sequoiadrum._rumors import NewsQueue, RumorStore
+from sequoiadrum._rumors import NewsQueue, RumorStore, pick_news
+from sequoiadrum._sampling import across_domains, sample
 from sequoiadrum.messages import Address, MemberState, RumorHeard
 
 if TYPE_CHECKING:
@@ -140,6 +141,7 @@
         A death in it is taken as a suspicion, so that the member gets a chance to refute it; this
         lets the two sides of a healed split find each other without declaring members dead.
         """
+        self.last_heard = now
         for member in members:
             known = self.members_by_id.get(member.id)
             if member.state is MemberState.DEAD and member.id != self.me.id:
@@ -242,13 +244,15 @@
     def _suspect(self, member: Member, now: float, probed: float) -> None:
         if member.id in self._suspect_until:
             return
-        # Silence of everybody since the probe points to a fault on this side.
-        deaf = self.last_heard is None or self.last_heard < probed
+        # Silence of everybody, the target of the probe before included, points to a fault here.
+        horizon = probed - self.policy.probe_interval_s
+        deaf = self.last_heard is None or self.last_heard < horizon
         factor = 3 if deaf else 1
         self._suspect_until[member.id] = now + factor * self.suspicion_time()
         if member.state is MemberState.ALIVE:
             suspected = evolve(member, state=MemberState.SUSPECT)
             self._store(suspected, now, spread=not deaf)
+            self._push_wanted = not deaf
 
     def _check_suspects(self, now: float) -> None:
         for member_id in [m for m, until in self._suspect_until.items() if until <= now]:
@@ -257,6 +261,7 @@
             if member is not None and member.state is not MemberState.DEAD:
                 dead = evolve(member, state=MemberState.DEAD)
                 self._store(dead, now, spread=not self._is_deaf(now))
+                self._push_wanted = not self._is_deaf(now)
         if self.rng.random() < 0.05:
             self._rumors.expire(now)
             self._forget_dead(now)
@@ -293,6 +298,8 @@
         else:
             self._suspect_until.pop(member.id, None)
         self._store(member, now, spread)
+        if spread and known is not None and known.state is not member.state:
+            self._push_soon(now)
 
     def _defend(self, claim: Member, now: float) -> None:
         if claim.process_id > self.me.process_id:
@@ -402,15 +409,8 @@
         if about is not None and about.state not in (MemberState.ALIVE, MemberState.LEAVING):
             members.append(to_wire(about))
             room -= wire_size(members[0])
-        rumors: list[ttypes.Rumor] = []
-        for item in self._news.take(room, self._size()):
-            if isinstance(item, ttypes.Member):
-                members.append(item)
-            elif (rumor := self._rumors.fresh(item, now)) is not None:
-                rumors.append(rumor)
-        if not members and not rumors and (held := self._rumors.next_in_turn()) is not None:
-            fresh = self._rumors.fresh(held, now)
-            rumors = [fresh] if fresh is not None else []
+        news, rumors = pick_news(self._news, self._rumors, room, self._size(), now)
+        members.extend(news)
         datagram = ttypes.Datagram(
             kind=kind,
             sequence=sequence,
@@ -424,39 +424,28 @@
         self.outbox.append((address, seal(datagram)))
 
     def _sample(self, count: int, excluded: str = "") -> list[Member]:
-        ids = list(self.members_by_id)
-        picked: dict[str, Member] = {}
-        for _ in range(4 * count):
-            member = self.members_by_id[ids[self.rng.randrange(len(ids))]]
-            if member.id not in (self.me.id, excluded) and member.state is not MemberState.DEAD:
-                picked[member.id] = member
-                if len(picked) == count:
-                    break
-        return list(picked.values())
+        return sample(self.members_by_id, self.rng, count, (self.me.id, excluded))
 
     def _helpers(self, target: Member) -> list[Member]:
-        """Picks members of different domains; a cut between two domains spares the others."""
         count = self.policy.indirect_probes
-        candidates = self._sample(4 * count, excluded=target.id)
-        by_domain: dict[str, Member] = {}
-        for candidate in candidates:
-            by_domain.setdefault(candidate.failure_domain, candidate)
         near = (self.me.failure_domain, target.failure_domain)
-        first = sorted(by_domain.values(), key=lambda m: m.failure_domain in near)
-        rest = [m for m in candidates if m not in first]
-        return (first + rest)[:count]
+        return across_domains(self._sample(4 * count, target.id), near, count)
 
     def _want_sync(self, now: float) -> None:
-        """Asks for a full sync: seeds while alone, then peers in growing intervals."""
+        """Asks for a full sync with a peer, and with a seed that is not known yet."""
         interval = self.policy.sync_interval_s * max(1.0, self._size() / self.policy.sync_members)
         # The first syncs come fast: a fleet that starts as a whole doubles its knowledge in each.
         self._sync_pause_s = min(2 * self._sync_pause_s, interval)
         peers = self._sample(1)
         if peers:
             self.events.append(SyncWanted(peers[0].peer_address))
-        elif self.seeds:
-            self.events.append(SyncWanted(self.rng.choice(self.seeds)))
+        else:
             self._sync_pause_s = 1.0
+        # Groups that form around different seeds would otherwise stay apart.
+        known = {m.peer_address for m in self.members_by_id.values()}
+        unknown = [seed for seed in self.seeds if seed not in known]
+        if unknown:
+            self.events.append(SyncWanted(self.rng.choice(unknown)))
         self._next_sync = now + self._sync_pause_s * (0.75 + 0.5 * self.rng.random())
 
     def _size(self) -> int:
