--- a/src/sequoiadrum/app.py
+++ b/src/sequoiadrum/app.py
@@ -190,13 +190,13 @@
         )
 
     def _create_operator_side(self) -> OperatorSide:
-        writer = PlatformConfigWriter(
+        self.config_writer = PlatformConfigWriter(
             self._platform, self.config.current, self.config.accept, self.metrics, self.background
         )
         parts = DriverParts(
             store=PlanStore(self._platform),
             config=self.config,
-            writer=writer,
+            writer=self.config_writer,
             engines=self._engines,
             inspector=PeerPoolInspector(self.admission, self.config, self.peers),
             membership=self.gossip,
