--- a/src/sequoiadrum/thrift_server.py
+++ b/src/sequoiadrum/thrift_server.py
@@ -85,8 +85,13 @@
             if full:
                 self._metrics.count("connections_refused_total", channel=self._channel)
                 connection.close()
-            else:
+                continue
+            try:
                 self._pool.submit(self._serve, connection)
+            except RuntimeError:
+                # The executor was shut down between accepting and submitting.
+                connection.close()
+                return
 
     def _serve(self, connection: socket.socket) -> None:
         connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
--- a/tests/__init__.py
+++ b/tests/__init__.py
@@ -1,1 +1,10 @@
 """Tests of sequoiadrum."""
+
+from __future__ import annotations
+
+import logging
+
+import structlog
+
+# Log lines of expected faults would hide the report of the test runner.
+structlog.configure(wrapper_class=structlog.make_filtering_bound_logger(logging.CRITICAL))
--- a/tests/test_fleet_control.py
+++ b/tests/test_fleet_control.py
@@ -43,7 +43,9 @@
     finally:
         connection.close()
     values = [line.removeprefix("sequoiadrum_").split() for line in lines]
-    return next((int(float(entry[1])) for entry in values if entry[0] == "config_revision"), -1)
+    return next(
+        (int(float(entry[1])) for entry in values if entry[0] == "sequoiadrum_config_revision"), -1
+    )
 
 
 class FleetControlTest(unittest.TestCase):
