--- a/tests/test_fleet_control.py
+++ b/tests/test_fleet_control.py
@@ -4,7 +4,7 @@
 
 import time
 import unittest
-from http.client import HTTPConnection, HTTPException
+from http.client import HTTPException
 from typing import TYPE_CHECKING
 from unittest.mock import patch
 
@@ -14,7 +14,7 @@
 from sequoiadrum.configuration import ChangeRequest, ObjectKind
 from sequoiadrum.metrics import Metrics
 from tests.builders import a_settings
-from tools.fleet import Fleet, call_json, is_ready
+from tools.fleet import Fleet, call_json, is_ready, parse_metrics
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -34,18 +34,10 @@
 
 
 def _revision(address: Address) -> int:
-    connection = HTTPConnection(address.host, address.port, timeout=5)
     try:
-        connection.request("GET", "/metrics")
-        lines = connection.getresponse().read().decode().splitlines()
+        return int(parse_metrics(address).get("sequoiadrum_config_revision", -1))
     except (OSError, HTTPException):
         return -1
-    finally:
-        connection.close()
-    values = [line.removeprefix("sequoiadrum_").split() for line in lines]
-    return next(
-        (int(float(entry[1])) for entry in values if entry[0] == "sequoiadrum_config_revision"), -1
-    )
 
 
 class FleetControlTest(unittest.TestCase):
--- a/tools/bench_control.py
+++ b/tools/bench_control.py
@@ -9,7 +9,7 @@
 import statistics
 import sys
 import time
-from http.client import HTTPConnection, HTTPException
+from http.client import HTTPException
 from pathlib import Path
 from typing import TYPE_CHECKING, Final
 
@@ -17,7 +17,7 @@
 from sequoiadrum.cli import configure_logs
 from sequoiadrum.configuration import ChangeRequest, ObjectKind
 from sequoiadrum.settings import Settings
-from tools.fleet import Fleet, call_json, free_ports
+from tools.fleet import Fleet, call_json, free_ports, parse_metrics
 
 if TYPE_CHECKING:
     from sequoiadrum.messages import Address
@@ -25,27 +25,22 @@
 SIZES: Final = (14, 28, 56)
 CHANGES: Final = 20
 IDLE_S: Final = 15.0
-_BYTES: Final = re.compile(r'control_bytes_total\{.*direction="(sent|received)"\} (\S+)')
-_REVISION: Final = re.compile(r"config_revision (\S+)")
 _TICKS_PER_S: Final = 100
 
 
-def _metrics(address: Address) -> str:
-    connection = HTTPConnection(address.host, address.port, timeout=5)
+def _metrics(address: Address) -> dict[str, float]:
     try:
-        connection.request("GET", "/metrics")
-        return connection.getresponse().read().decode()
+        return parse_metrics(address)
     except (OSError, HTTPException):
-        return ""
-    finally:
-        connection.close()
+        return {}
 
 
 def _control_bytes(fleet: Fleet) -> dict[str, float]:
     totals = {"sent": 0.0, "received": 0.0}
     for process in fleet.routers_by_id.values():
-        for direction, value in _BYTES.findall(_metrics(process.address)):
-            totals[direction] += float(value)
+        for name, value in _metrics(process.address).items():
+            if name.startswith("sequoiadrum_control_bytes_total"):
+                totals["sent" if 'direction="sent"' in name else "received"] += value
     return totals
 
 
@@ -86,8 +81,7 @@
 
 
 def _revision(address: Address) -> int:
-    match = _REVISION.search(_metrics(address))
-    return int(float(match[1])) if match else -1
+    return int(_metrics(address).get("sequoiadrum_config_revision", -1))
 
 
 def measure(size: int) -> str:
