Let routers tell a new pool owner which engines served their chats

A new owner has no placements, so a chat that had spilled from its home missed its prefix for the first 30 s. Callers return to the same router for a chat, so each router now keeps a bounded table of the endpoints granted last and sends the endpoint with acquire; the owner uses it only where its own table has no entry. Copying the owner's table was ruled out, because it dies with the owner.

--- a/schema/peer.thrift
+++ b/schema/peer.thrift
@@ -64,6 +64,8 @@
   10: i64 router_process_id,
   11: list<string> excluded_endpoints,
   12: bool forced,
+  /** Endpoint that served the chat last as far as the asking router knows. */
+  13: optional string last_endpoint,
 }
 
 struct AcquireReply {
--- a/src/sequoiadrum/_gen/peer/ttypes.py
+++ b/src/sequoiadrum/_gen/peer/ttypes.py
@@ -676,6 +676,7 @@
      - router_process_id
      - excluded_endpoints
      - forced
+     - last_endpoint: Endpoint that served the chat last as far as the asking router knows.
 
     """
 
@@ -692,10 +693,11 @@
         'router_process_id',
         'excluded_endpoints',
         'forced',
+        'last_endpoint',
     )
 
 
-    def __init__(self, pool=None, request_id=None, chat_id=None, account=None, priority=None, cost=None, deadline_ms=None, fingerprint=None, router_id=None, router_process_id=None, excluded_endpoints=None, forced=None,):
+    def __init__(self, pool=None, request_id=None, chat_id=None, account=None, priority=None, cost=None, deadline_ms=None, fingerprint=None, router_id=None, router_process_id=None, excluded_endpoints=None, forced=None, last_endpoint=None,):
         self.pool = pool
         self.request_id = request_id
         self.chat_id = chat_id
@@ -708,6 +710,7 @@
         self.router_process_id = router_process_id
         self.excluded_endpoints = excluded_endpoints
         self.forced = forced
+        self.last_endpoint = last_endpoint
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -783,6 +786,11 @@
                     self.forced = iprot.readBool()
                 else:
                     iprot.skip(ftype)
+            elif fid == 13:
+                if ftype == TType.STRING:
+                    self.last_endpoint = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -844,6 +852,10 @@
             oprot.writeFieldBegin('forced', TType.BOOL, 12)
             oprot.writeBool(self.forced)
             oprot.writeFieldEnd()
+        if self.last_endpoint is not None:
+            oprot.writeFieldBegin('last_endpoint', TType.STRING, 13)
+            oprot.writeString(self.last_endpoint.encode('utf-8') if sys.version_info[0] == 2 else self.last_endpoint)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2047,6 +2059,7 @@
     (10, TType.I64, 'router_process_id', None, None, ),  # 10
     (11, TType.LIST, 'excluded_endpoints', (TType.STRING, 'UTF8', False), None, ),  # 11
     (12, TType.BOOL, 'forced', None, None, ),  # 12
+    (13, TType.STRING, 'last_endpoint', 'UTF8', None, ),  # 13
 )
 all_structs.append(AcquireReply)
 AcquireReply.thrift_spec = (
--- a/src/sequoiadrum/_peer_admission.py
+++ b/src/sequoiadrum/_peer_admission.py
@@ -53,6 +53,7 @@
             cost=request.cost,
             deadline=time.monotonic() + request.deadline_ms / 1e3,
             fingerprint=request.fingerprint,
+            last_endpoint=request.last_endpoint or "",
         )
         holder = GrantHolder(request.router_id, request.router_process_id)
         decision = self._owner.acquire(wanted, request.excluded_endpoints or (), holder)
--- a/src/sequoiadrum/admission.py
+++ b/src/sequoiadrum/admission.py
@@ -249,7 +249,7 @@
         if not self._usable:
             return None
         chat_hash = stable_hash(request.chat_id)
-        last = self.recent.last_engine(chat_hash)
+        last = self._last_engine(chat_hash, request, now)
         preferred = self.recent.displaced_from(chat_hash, now) or last
         engines = self._engine_count(now)
         if preferred is not None and self._has_room(preferred, request, engines, now):
@@ -281,6 +281,15 @@
         source = last.id if last is not None and moved and self.policy.kv_import else None
         return Placed(request.grant_id, chosen.id, source, chosen is last)
 
+    def _last_engine(self, chat_hash: int, request: PoolRequest, now: float) -> EngineState | None:
+        """Gives the engine that last served a chat; the router's hint fills a missing entry."""
+        last = self.recent.last_engine(chat_hash)
+        if last is None and request.last_engine:
+            last = self._engine_by_id.get(request.last_engine)
+            if last is not None:
+                self.recent.record(chat_hash, last, now)
+        return last
+
     def _spill(
         self, chat_hash: int, request: PoolRequest, engines: float, now: float
     ) -> EngineState | None:
--- a/src/sequoiadrum/admission_task.py
+++ b/src/sequoiadrum/admission_task.py
@@ -7,7 +7,7 @@
 from concurrent.futures import TimeoutError as FutureTimeoutError
 from typing import TYPE_CHECKING, Any, Final
 
-from attrs import frozen
+from attrs import evolve, frozen
 from returns.result import Failure, Result, Success
 
 from sequoiadrum._peer_admission import PeerAdmission
@@ -29,6 +29,7 @@
 from sequoiadrum.pool_directory import PoolDirectory
 from sequoiadrum.pool_owner import GrantHolder, PoolOwner
 from sequoiadrum.remote_admission import RemoteAdmission
+from sequoiadrum.served_chats import ServedChats
 from sequoiadrum.tasks import Task
 
 if TYPE_CHECKING:
@@ -118,6 +119,7 @@
             self._holder, parts.peers, self._directory, self._outbox, parts.metrics
         )
         self._peer_side = PeerAdmission(self._router_id, self._owner, self._directory)
+        self._served = ServedChats()
         self._leaving = LeavingEndpoints()
         self._poller = EndpointPoller(parts.engines, parts.platform, self.post)
         self._members: Mapping[str, Member] = members
@@ -165,6 +167,20 @@
         refusal = self._owner.refusal(request.fingerprint)
         if refusal is not None:
             return Failure(refusal)
+        # A caller that gives no chat id gets the request id as one, which never returns.
+        may_return = request.chat_id != request.request_id
+        if may_return:
+            hint = self._served.last_endpoint(request.pool, request.chat_id)
+            request = evolve(request, last_endpoint=hint)
+        decision = self._decide(request, excluded)
+        if may_return and isinstance(decision, Success):
+            grant = decision.unwrap()
+            self._served.record(request.pool, request.chat_id, grant.endpoint_id)
+        return decision
+
+    def _decide(
+        self, request: AdmissionRequest, excluded: Collection[str]
+    ) -> Result[Grant, Refusal]:
         local = self._directory.owner_of(request.pool) == self._router_id
         if not local:
             asked = self._remote.acquire(request, excluded)
--- a/src/sequoiadrum/interfaces.py
+++ b/src/sequoiadrum/interfaces.py
@@ -39,6 +39,8 @@
     deadline: float
     """Monotonic seconds."""
     fingerprint: str
+    last_endpoint: str = ""
+    """Endpoint that served the chat last as far as the asking router knows; a hint."""
 
 
 @frozen
--- a/src/sequoiadrum/pool_messages.py
+++ b/src/sequoiadrum/pool_messages.py
@@ -31,6 +31,8 @@
     """Was involved in a crash; gets an engine without another suspect."""
     excluded: frozenset[str] = frozenset()
     """Endpoints that have failed this request."""
+    last_engine: str = ""
+    """Engine that served the chat last as far as its router knows; a hint."""
 
 
 @frozen
--- a/src/sequoiadrum/pool_owner.py
+++ b/src/sequoiadrum/pool_owner.py
@@ -125,6 +125,7 @@
                 fingerprint=request.fingerprint,
                 suspect=self._guard.is_suspect(request.fingerprint, self._wall_clock()),
                 excluded=frozenset(excluded),
+                last_engine=request.last_endpoint,
             )
             outcome = pool.core.acquire(wanted, now)
             if isinstance(outcome, Placed):
--- a/src/sequoiadrum/remote_admission.py
+++ b/src/sequoiadrum/remote_admission.py
@@ -98,6 +98,7 @@
             router_process_id=self._holder.process_id,
             excluded_endpoints=list(excluded),
             forced=forced,
+            last_endpoint=request.last_endpoint or None,
         )
         return self._client.call(address, lambda c: c.acquire(message), remaining_s + _MARGIN_S)
 
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -166,6 +166,28 @@
         pool.release(first[0].grant_id)
         self.assertEqual(pool.pump(_NOW)[0][1].engine_id, first[0].engine_id)
 
+    def test_hint_fills_only_a_missing_entry(self) -> None:
+        """Guards against chats that a new owner loses, and old hints that move chats."""
+        pool = a_pool()
+        home = placed_by(pool, "c").engine_id
+        other = next(e for e in pool.loads() if e != home)
+        self.assertEqual(placed_by(pool, "c", last_engine=other).engine_id, home)
+        new = a_pool()
+        self.assertEqual(placed_by(new, "c", last_engine=other).engine_id, other)
+        self.assertEqual(placed_by(new, "c", last_engine=home).engine_id, other)
+        new.set_healthy(other, False, _NOW)
+        placed_by(new, "d", last_engine=other)
+        new.set_healthy(other, True, _NOW)
+        later = _NOW + SLOW_START_S
+        self.assertEqual(placed_by(new, "d", later, last_engine=home).engine_id, other)
+
+    def test_hints_keep_the_bound(self) -> None:
+        """Guards against hints that all name one engine, or one that does not exist."""
+        pool = a_pool()
+        fill(pool, 100, last_engine="e0")
+        fill(pool, 100, last_engine="no such engine")
+        self.assertLessEqual(max(pool.loads().values()), 1.25 * 200 / 5)
+
     def test_table_of_recent_engines_is_bounded(self) -> None:
         """Guards against memory that grows with every chat ever seen."""
         pool = a_pool(recent=RecentTable(capacity=50))
--- a/tests/test_admission_task.py
+++ b/tests/test_admission_task.py
@@ -135,6 +135,20 @@
         self.tasks[self.third].release(held, GrantOutcome.OK)
         self.eventually(lambda: self.load(self.second) == 1)
 
+    def test_new_owner_is_told_who_served_a_chat(self) -> None:
+        """Guards against prefixes that are missed because a new owner has no placements."""
+        home = self.granted(self.first, chat_id="c").endpoint_id
+        grants = [self.granted(self.third, chat_id="c") for _ in range(11)]
+        spilled = next(g for g in reversed(grants) if g.endpoint_id != home)
+        self.tasks[self.third]._served.record(_POOL, "c", spilled.endpoint_id)
+        for grant in grants:
+            self.tasks[self.third].release(grant, GrantOutcome.OK)
+        self.tasks[self.first].stop()
+        for router_id in (self.second, self.third):
+            self.views[router_id].change(self.first, state=MemberState.DEAD)
+        again = self.granted(self.third, chat_id="c")
+        self.assertEqual((again.owner_id, again.endpoint_id), (self.second, spilled.endpoint_id))
+
     def test_dead_router_leaks_nothing(self) -> None:
         """Guards against load that nobody will ever release."""
         for _ in range(4):
--- a/tools/bench_routing.py
+++ b/tools/bench_routing.py
@@ -13,6 +13,7 @@
 from attrs import evolve
 
 from sequoiadrum.placement import REUSE_WEIGHTED, SKEW_WEIGHTED, BoundPolicy
+from sequoiadrum.served_chats import ServedChats
 from tools.routing_model import (
     DEPLOYMENT_A,
     DEPLOYMENT_B,
@@ -55,6 +56,7 @@
     for deployment in (DEPLOYMENT_A, DEPLOYMENT_B):
         _sweep(deployment, options.seed, options.seconds)
         _owners(deployment, options.seed)
+        _hints(deployment, options.seed)
         _moves(deployment)
     _queue(DEPLOYMENT_A, options.seed)
 
@@ -133,6 +135,28 @@
         print(f"  {name + ': ' + event:62}{_row(outcome, chooser)}", flush=True)
 
 
+def _hints(deployment: Deployment, seed: int) -> None:
+    """Compares a new owner that gets hints with one that gets none."""
+    print(
+        f"Deployment {deployment.name}, mean load 40: hints of the routers to a new owner at 300 s "
+        f"(polls lag 2 s, grants after 0.25 s); measured the {_AFTER_S:g} s from then on; the "
+        "hints of the router that was the owner are lost\n"
+        f"  {'policy, turns at another router than the last':62}{'returning':>10}{'found %':>9}"
+        f"{'+import %':>10}{'spills':>8}{'p50':>7}{'p99':>7}{'max':>7}{'>1.25 %':>9}"
+    )
+    for (name, policy), elsewhere, routers in itertools.product(
+        _POLICIES, (0, 10), (0, deployment.routers)
+    ):
+        chooser = PoolChooser(_unlimited(policy), deployment.engine_ids(), routers)
+        simulation = Simulation(deployment, chooser, 40, seed)
+        simulation.measured_from = 300.0
+        simulation.elsewhere_percent = elsewhere
+        _replace(simulation, chooser, 0.25, 2.0)
+        outcome = simulation.run(300.0 + _AFTER_S)
+        label = f"{name}, {elsewhere} %: {'hints' if routers else 'no hints (before)'}"
+        print(f"  {label:62}{_row(outcome, chooser)}", flush=True)
+
+
 def _split(simulation: Simulation, chooser: PoolChooser) -> None:
     """Half of the routers uses another owner; each owner believes the other half dead."""
 
@@ -164,6 +188,8 @@
 
     def begin(_: None) -> None:
         chooser.owners = [chooser.new_owner(simulation.now)]
+        if chooser.served_by_router:
+            chooser.served_by_router[0] = ServedChats()
         poll(None)
 
     def poll(_: None) -> None:
--- a/tools/routing_model.py
+++ b/tools/routing_model.py
@@ -15,6 +15,7 @@
 from sequoiadrum.admission import PoolAdmission
 from sequoiadrum.hashing import first_ranked, stable_hash
 from sequoiadrum.pool_messages import Placed, PoolRequest, ReportedGrant, Waiting
+from sequoiadrum.served_chats import ServedChats
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Sequence
@@ -165,8 +166,12 @@
 class PoolChooser(Chooser):
     """The real core; may be split over several owners for a time."""
 
-    def __init__(self, policy: BoundPolicy, engines: Sequence[str]) -> None:
+    def __init__(
+        self, policy: BoundPolicy, engines: Sequence[str], routers_with_hints: int = 0
+    ) -> None:
         self.policy = policy
+        self.served_by_router = [ServedChats() for _ in range(routers_with_hints)]
+        """What each router tells a pool owner of its chats; empty: routers tell nothing."""
         self.engines = list(engines)
         self.owner_of_router: Callable[[int], int] = lambda router: 0
         self.owners = [self.new_owner(0.0)]
@@ -191,18 +196,29 @@
                 f"r{turn.router}",
                 1,
                 now + turn.chat.wait_limit_s,
+                last_engine=self._hint(turn),
             ),
             now,
         )
         self.turn_by_request[turn.request_id] = turn
         self._owner_by_request[turn.request_id] = pool
         if isinstance(outcome, Placed):
+            self._served(turn, outcome.engine_id)
             return outcome.engine_id, outcome.kv_source
         if isinstance(outcome, Waiting):
             return None
         del self.turn_by_request[turn.request_id]
         return outcome.reason.value
 
+    def _hint(self, turn: Turn) -> str:
+        if not self.served_by_router:
+            return ""
+        return self.served_by_router[turn.router].last_endpoint("", turn.chat.id)
+
+    def _served(self, turn: Turn, engine_id: str) -> None:
+        if self.served_by_router:
+            self.served_by_router[turn.router].record("", turn.chat.id, engine_id)
+
     def release(self, turn: Turn, now: float) -> None:
         """See `Chooser`."""
         self.turn_by_request.pop(turn.request_id, None)
@@ -210,12 +226,15 @@
 
     def pump(self, now: float) -> list[tuple[Turn, str, str | None]]:
         """See `Chooser`."""
-        return [
+        pumped = [
             (self.turn_by_request[request.request_id], placed.engine_id, placed.kv_source)
             for pool in self.owners
             if len(pool.queue)
             for request, placed in pool.pump(now)
         ]
+        for turn, engine_id, _ in pumped:
+            self._served(turn, engine_id)
+        return pumped
 
     def refused(self, now: float) -> list[Turn]:
         """See `Chooser`."""
@@ -294,6 +313,8 @@
         self.measured_from = 150.0
         self.surge: tuple[float, float, float] = (0.0, 0.0, 1.0)
         """Start, end and factor of a surge of the two largest accounts."""
+        self.elsewhere_percent = 100
+        """Turns that arrive at any router instead of the one that the address answer names."""
         self._rate = mean_load * deployment.engines / _SERVICE_S / _MEAN_TURNS
         self._seed = seed
         self._random = random.Random(seed)
@@ -335,6 +356,9 @@
     def _turn(self, chat: Chat) -> None:
         router = chat.random.randrange(self.deployment.routers)
         request_id = f"{chat.id}.{chat.turns_left}"
+        # Hashed instead of drawn, so that the demand is the same for every percentage.
+        if stable_hash("elsewhere", request_id) % 100 >= self.elsewhere_percent:
+            router = stable_hash("address", chat.id) % self.deployment.routers
         turn = Turn(chat, router, self.now, request_id)
         chosen = self.chooser.choose(turn, self.now)
         if isinstance(chosen, str):
