Keep requests that were never sent from becoming suspects

The relay released a refused connection as FAILED, which is no crash by itself. But when the owner had learned of the crash from another router first, the grant was still in flight there and its request was counted as involved, although it never ran; two such crashes refused it.

The relay now releases with REFUSED, and the owner retracts exactly the crash that it counted against that grant. Clearing as after a completed run was ruled out, because a crashing request would be cleared by each engine that is down.

--- a/src/sequoiadrum/chat_relay.py
+++ b/src/sequoiadrum/chat_relay.py
@@ -251,11 +251,9 @@
 
     def _end_failed_open(self, chat: ChatStream, grant: Grant, failure: EngineFailure) -> None:
         chat.excluded.append(grant.endpoint_id)
-        if failure in (EngineFailure.BUSY, EngineFailure.REJECTED):
+        if failure in (EngineFailure.BUSY, EngineFailure.REJECTED, EngineFailure.UNREACHABLE):
+            # The request did not run, so it has no part in a crash of the engine.
             self.admission.release(grant, GrantOutcome.REFUSED)
-        elif failure is EngineFailure.UNREACHABLE:
-            # Nothing was sent, so this request has not crashed the engine.
-            self.admission.release(grant, GrantOutcome.FAILED)
         else:
             chat.may_have_run = True
             probe = self._engines.resume(grant.address, chat.request.request_id, 0)
--- a/src/sequoiadrum/crash_guard.py
+++ b/src/sequoiadrum/crash_guard.py
@@ -33,12 +33,22 @@
     time_by_event: dict[str, float] = field(factory=dict)
     cleared_at: float = 0.0
     """Crashes up to this time do not count, because a run completed since."""
+    retracted_at_by_event: dict[str, float] = field(factory=dict)
+    """Crashes in which the request had no part; kept against late rumours."""
 
     def prune(self, now: float) -> None:
         first = max(self.cleared_at, now - CRASH_TTL_S)
+        retracted = sorted(
+            (at, event)
+            for event, at in self.retracted_at_by_event.items()
+            if at > now - CRASH_TTL_S
+        )
+        self.retracted_at_by_event = {event: at for at, event in retracted[-_MAX_EVENTS:]}
         time_by_event: dict[str, float] = {}
         last_by_endpoint: dict[str, float] = {}
         for at, event in sorted((at, event) for event, at in self.time_by_event.items()):
+            if event in self.retracted_at_by_event:
+                continue
             endpoint = event.rpartition("@")[0]
             if at > first and at - last_by_endpoint.get(endpoint, -SAME_CRASH_S) >= SAME_CRASH_S:
                 time_by_event[event] = last_by_endpoint[endpoint] = at
@@ -49,8 +59,8 @@
 class CrashGuard:
     """Crash counts by fingerprint; times are Unix seconds, since they travel between routers.
 
-    Records merge by the union of their crashes and the newest completed run, so rumours may
-    arrive repeatedly and in any order.
+    Records merge by the union of their crashes, the union of the retracted ones and the newest
+    completed run, so rumours may arrive repeatedly and in any order.
     """
 
     _record_by_fingerprint: dict[str, _CrashRecord] = field(factory=dict)
@@ -101,11 +111,25 @@
         record.prune(now)
         return True
 
+    def retract(self, event: str, fingerprint: str, now: float) -> bool:
+        """Takes a crash back that a request had no part in; False when it does not count."""
+        record = self._record_by_fingerprint.get(fingerprint)
+        if record is None or event not in record.time_by_event:
+            return False
+        record.retracted_at_by_event[event] = now
+        record.prune(now)
+        return True
+
     def encode(self, fingerprint: str) -> bytes:
         """Gives the payload of the rumour about a fingerprint."""
         record = self._record(fingerprint)
         return json.dumps(
-            {"crashes": record.time_by_event, "cleared": record.cleared_at}, separators=(",", ":")
+            {
+                "crashes": record.time_by_event,
+                "cleared": record.cleared_at,
+                "retracted": record.retracted_at_by_event,
+            },
+            separators=(",", ":"),
         ).encode()
 
     def merge(self, fingerprint: str, payload: bytes, now: float) -> bool:
@@ -114,11 +138,16 @@
             document = json.loads(payload)
             cleared = float(document["cleared"])
             events = {str(event): float(at) for event, at in document["crashes"].items()}
+            retracted = {
+                str(event): min(float(at), now)
+                for event, at in document.get("retracted", {}).items()
+            }
         except (KeyError, TypeError, ValueError, AttributeError):
             return False
         record = self._record(fingerprint)
         record.cleared_at = max(record.cleared_at, min(cleared, now))
         record.time_by_event.update(events)
+        record.retracted_at_by_event.update(retracted)
         record.prune(now)
         return True
 
--- a/src/sequoiadrum/interfaces.py
+++ b/src/sequoiadrum/interfaces.py
@@ -68,7 +68,7 @@
     CANCELLED = "cancelled"
     """The caller went away."""
     REFUSED = "refused"
-    """The endpoint refused it before running it."""
+    """The endpoint refused the request or the connection; the request did not run."""
 
 
 class Admission(ABC):
--- a/src/sequoiadrum/pool_messages.py
+++ b/src/sequoiadrum/pool_messages.py
@@ -65,6 +65,8 @@
     granted_at: float
     confirmed_at: float
     """When the router last said that it holds the grant."""
+    crash: str = ""
+    """Crash of the engine that counts against the request, as it was in flight at that time."""
 
 
 @frozen
--- a/src/sequoiadrum/pool_owner.py
+++ b/src/sequoiadrum/pool_owner.py
@@ -329,6 +329,10 @@
         if outcome is GrantOutcome.OK and grant.fingerprint:
             cleared = self._guard.completed(grant.fingerprint, self._wall_clock())
             return [grant.fingerprint] if cleared else []
+        if outcome is GrantOutcome.REFUSED and grant.crash:
+            # The request was granted before the crash but did not run.
+            retracted = self._guard.retract(grant.crash, grant.fingerprint, self._wall_clock())
+            return [grant.fingerprint] if retracted else []
         if outcome is not GrantOutcome.CRASHED:
             return []
         return self._crashed(pool, grant)
@@ -344,16 +348,15 @@
         event = crash_event(engine_id, self._wall_clock())
         since = known[1] if known is not None else float("-inf")
         # Grants from before the previous crash are those whose routers have not noticed it yet.
-        involved = [
-            held.fingerprint
-            for held in pool.core.in_flight_at(engine_id)
-            if held.granted_at > since
-        ]
+        involved = [held for held in pool.core.in_flight_at(engine_id) if held.granted_at > since]
+        for held in involved:
+            held.crash = event
         now = self._clock()
         pool.crash_by_engine[engine_id] = (event, now)
         pool.core.set_healthy(engine_id, False, now)
         self._metrics.count("endpoint_crashes_total")
-        return self._guard.crashed(event, [grant.fingerprint, *involved], self._wall_clock())
+        fingerprints = [grant.fingerprint, *(held.fingerprint for held in involved)]
+        return self._guard.crashed(event, fingerprints, self._wall_clock())
 
     def _spread_crashes(self, rumors: Iterable[tuple[str, bytes]]) -> None:
         for fingerprint, payload in rumors:
--- a/tests/test_crash_guard.py
+++ b/tests/test_crash_guard.py
@@ -36,6 +36,19 @@
         crash(guard, "e1", _NOW + 6, "good")
         self.assertFalse(guard.is_refused("good", _NOW + 6))
 
+    def test_retracted_crash_does_not_come_back(self) -> None:
+        """Guards against a late rumour about a crash in which the request had no part."""
+        here, there = CrashGuard(), CrashGuard()
+        crash(here, "e0", _NOW, "f")
+        crash(here, "e1", _NOW + 3, "f")
+        late = here.encode("f")
+        self.assertTrue(here.retract(crash_event("e0", _NOW), "f", _NOW + 4))
+        self.assertFalse(here.retract(crash_event("e0", _NOW), "f", _NOW + 4))
+        there.merge("f", here.encode("f"), _NOW + 5)
+        for guard in (here, there):
+            guard.merge("f", late, _NOW + 6)
+            self.assertEqual(guard.count("f", _NOW + 6), 1)
+
     def test_one_crash_seen_by_two_owners_counts_once(self) -> None:
         """Guards against refusing after one crash because two owners counted it."""
         here, there = CrashGuard(), CrashGuard()
--- a/tests/test_pool_owner.py
+++ b/tests/test_pool_owner.py
@@ -106,6 +106,21 @@
         self.assertIsInstance(self.acquire("x"), Success)
         self.assertEqual(self.metrics.value("endpoint_crashes_total"), 1)
 
+    def test_request_that_was_never_sent_is_no_suspect(self) -> None:
+        """Guards against refusing a request whose connection a crashed engine has refused."""
+        for outcome in (GrantOutcome.REFUSED, GrantOutcome.REFUSED, GrantOutcome.CANCELLED):
+            # A completed run would clear the request, so grants at other engines are cancelled.
+            bad, waiting = self.granted("bad"), self.granted("never sent")
+            while waiting.endpoint_id != bad.endpoint_id:
+                self.end(waiting, GrantOutcome.CANCELLED)
+                waiting = self.granted("never sent")
+            self.end(bad, GrantOutcome.CRASHED)
+            self.end(waiting, outcome)
+            self.recover(bad.endpoint_id)
+            self.now += 15
+            self.owner._guard.completed("bad", self.now)
+        self.assertEqual(self.owner._guard.count("never sent", self.now), 1)
+
     def test_poll_from_before_a_crash_does_not_end_the_outage(self) -> None:
         """Guards against new work on a dead engine, whose refusals would count as crashes."""
         started_at = self.now
