List the chats of a pool's former owner for plans

The inspector also asks the router after the owner in the ranking, which owned the pool before the join. Asking all routers was ruled out for its cost.

--- a/src/sequoiadrum/admission_task.py
+++ b/src/sequoiadrum/admission_task.py
@@ -219,6 +219,14 @@
             return None
         return self._directory.address_of(owner)
 
+    def former_owner_address(self, pool: str) -> Address | None:
+        """Gives the peer address of the router that owned a pool before the last join, if any.
+
+        That is this router's own address when it was the owner itself.
+        """
+        former = self._directory.successors_of(pool, 1)
+        return self._directory.address_of(former[0]) if former else None
+
     def inspect_pool(self, pool: str, endpoint_id: str, max_chats: int) -> Any:
         """Answers `Peer.inspect_pool`."""
         return self._peer_side.inspect(pool, endpoint_id, max_chats)
--- a/src/sequoiadrum/pool_directory.py
+++ b/src/sequoiadrum/pool_directory.py
@@ -6,7 +6,7 @@
 import time
 from typing import TYPE_CHECKING, Final
 
-from sequoiadrum.hashing import first_ranked
+from sequoiadrum.hashing import first_ranked, rank
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Mapping
@@ -43,6 +43,14 @@
                 self._owner_by_pool[pool] = first_ranked(_key(pool), usable)
             return self._owner_by_pool[pool]
 
+    def successors_of(self, pool: str, count: int) -> list[str]:
+        """Gives the routers after the owner in the ranking.
+
+        The first of them owned the pool before a router that joined lately took it over.
+        """
+        usable = [m.id for m in self._membership.members().values() if m.is_usable]
+        return rank(_key(pool), usable)[1 : 1 + count]
+
     def owner_to_ask(self, pool: str) -> str | None:
         """Gives the first owner in the ranking that has answered lately, as far as is known."""
         owner = self.owner_of(pool)
--- a/src/sequoiadrum/pool_inspector.py
+++ b/src/sequoiadrum/pool_inspector.py
@@ -15,7 +15,8 @@
     from sequoiadrum._gen.peer.ttypes import PoolReport
     from sequoiadrum.admission_task import AdmissionTask
     from sequoiadrum.interfaces import ConfigSource
-    from sequoiadrum.peer_client import PeerClient
+    from sequoiadrum.messages import Address
+    from sequoiadrum.peer_client import PeerClient, PeerFailure
 
 _TIMEOUT_S: Final = 2.0
 
@@ -59,13 +60,23 @@
         if endpoint is None:
             return ()
         report = self._inspect(endpoint.pool, endpoint_id, limit)
-        return () if report is None else tuple(report.recent_chats)
+        chats = [] if report is None else list(report.recent_chats)
+        # An owner that has just joined knows only the chats that came since.
+        former = self._admission.former_owner_address(endpoint.pool)
+        if former is not None:
+            asked = self._ask(former, endpoint.pool, endpoint_id, limit).value_or(None)
+            chats += [] if asked is None else asked.recent_chats
+        return tuple(dict.fromkeys(chats))[:limit]
 
     def _inspect(self, pool: str, endpoint_id: str, max_chats: int) -> PoolReport | None:
         owner = self._admission.owner_address(pool)
         if owner is None:
             return self._admission.inspect_pool(pool, endpoint_id, max_chats)
-        asked = self._peers.call(
-            owner, lambda c: c.inspect_pool(pool, endpoint_id, max_chats), _TIMEOUT_S
+        return self._ask(owner, pool, endpoint_id, max_chats).value_or(None)
+
+    def _ask(
+        self, router: Address, pool: str, endpoint_id: str, max_chats: int
+    ) -> Result[PoolReport, PeerFailure]:
+        return self._peers.call(
+            router, lambda c: c.inspect_pool(pool, endpoint_id, max_chats), _TIMEOUT_S
         )
-        return asked.value_or(None)
