--- a/schema/peer.thrift
+++ b/schema/peer.thrift
@@ -53,48 +53,54 @@
 
 struct AcquireRequest {
   1: string pool,
-  2: string request_id,
-  3: string chat_id,
-  4: string account,
-  5: i32 priority,
-  6: double cost,
-  7: i32 deadline_ms,
-  8: string fingerprint,
-  9: string router_id,
-  10: i64 router_process_id,
-  11: list<string> excluded_endpoints,
-  12: bool forced,
+  2: string chat_id,
+  3: string account,
+  4: i32 deadline_ms,
+  5: string router_id,
+  6: i64 router_process_id,
+  /** Revision in force at the asking router; see `AcquireReply.host`. */
+  7: i64 config_revision,
+  /** 0: crashes are not counted against the request. */
+  8: optional i64 fingerprint,
+  /** Absent: 1. */
+  9: optional i32 priority,
+  /** Absent: 1. */
+  10: optional double cost,
+  11: optional list<string> excluded_endpoints,
+  12: optional bool forced,
   /** Endpoint that served the chat last as far as the asking router knows. */
   13: optional string last_endpoint,
 }
 
 struct AcquireReply {
   1: AcquireStatus status,
-  2: optional string grant_id,
+  2: optional i64 grant_id,
   3: optional string endpoint_id,
+  /** Absent with the port: as declared at the revision that the asking router named. */
   4: optional string host,
   5: optional i32 port,
   6: optional string kv_source,
   7: optional string reason,
   8: optional i32 retry_after_ms,
+  /** Only with NOT_OWNER. */
   9: optional string owner_id,
 }
 
 enum ReleaseOutcome { OK = 1, FAILED = 2, CRASHED = 3, CANCELLED = 4, REFUSED = 5 }
 
 struct Release {
-  1: string grant_id,
-  2: ReleaseOutcome outcome,
+  1: i64 grant_id,
+  /** Absent: OK. */
+  2: optional ReleaseOutcome outcome,
 }
 
-/** A grant that a router still holds, told to a new pool owner. */
+/** A grant that a router still holds, told to a pool owner that does not know it. */
 struct HeldGrant {
-  1: string grant_id,
+  1: i64 grant_id,
   2: string endpoint_id,
   3: string chat_id,
-  4: string account,
-  5: double cost,
-  6: string fingerprint,
+  4: double cost,
+  5: i64 fingerprint,
 }
 
 enum KeyedState { DONE = 1, NOT_RUN = 2, UNKNOWN = 3, RUNNING = 4, NOT_OWNER = 5 }
@@ -155,8 +161,10 @@
   /** Push-pull of the whole member list. */
   list<MemberReport> sync_members(1: list<MemberReport> members),
   AcquireReply acquire(1: AcquireRequest request),
-  void release(1: string pool, 2: string router_id, 3: list<Release> releases),
+  void release(1: string pool, 2: list<Release> releases),
   void report_grants(1: string pool, 2: string router_id, 3: i64 router_process_id, 4: list<HeldGrant> grants),
+  /** The ids of all grants of a pool that a router holds; gives those that the owner does not know. */
+  list<i64> confirm_grants(1: string pool, 2: string router_id, 3: i64 router_process_id, 4: list<i64> grant_ids),
   /** Loads of a pool that is owned here, and chats that an endpoint (may be empty) served last. */
   PoolReport inspect_pool(1: string pool, 2: string endpoint_id, 3: i32 max_chats),
   /** Changes above a revision, or a snapshot when they are no longer kept. */
--- a/src/sequoiadrum/_gen/peer/Peer.py
+++ b/src/sequoiadrum/_gen/peer/Peer.py
@@ -37,11 +37,10 @@
         """
         pass
 
-    def release(self, pool, router_id, releases):
+    def release(self, pool, releases):
         """
         Parameters:
          - pool
-         - router_id
          - releases
 
         """
@@ -58,6 +57,19 @@
         """
         pass
 
+    def confirm_grants(self, pool, router_id, router_process_id, grant_ids):
+        """
+        The ids of all grants of a pool that a router holds; gives those that the owner does not know.
+
+        Parameters:
+         - pool
+         - router_id
+         - router_process_id
+         - grant_ids
+
+        """
+        pass
+
     def inspect_pool(self, pool, endpoint_id, max_chats):
         """
         Loads of a pool that is owned here, and chats that an endpoint (may be empty) served last.
@@ -197,22 +209,20 @@
             return result.success
         raise TApplicationException(TApplicationException.MISSING_RESULT, "acquire failed: unknown result")
 
-    def release(self, pool, router_id, releases):
+    def release(self, pool, releases):
         """
         Parameters:
          - pool
-         - router_id
          - releases
 
         """
-        self.send_release(pool, router_id, releases)
+        self.send_release(pool, releases)
         self.recv_release()
 
-    def send_release(self, pool, router_id, releases):
+    def send_release(self, pool, releases):
         self._oprot.writeMessageBegin('release', TMessageType.CALL, self._seqid)
         args = release_args()
         args.pool = pool
-        args.router_id = router_id
         args.releases = releases
         args.write(self._oprot)
         self._oprot.writeMessageEnd()
@@ -267,6 +277,46 @@
         iprot.readMessageEnd()
         return
 
+    def confirm_grants(self, pool, router_id, router_process_id, grant_ids):
+        """
+        The ids of all grants of a pool that a router holds; gives those that the owner does not know.
+
+        Parameters:
+         - pool
+         - router_id
+         - router_process_id
+         - grant_ids
+
+        """
+        self.send_confirm_grants(pool, router_id, router_process_id, grant_ids)
+        return self.recv_confirm_grants()
+
+    def send_confirm_grants(self, pool, router_id, router_process_id, grant_ids):
+        self._oprot.writeMessageBegin('confirm_grants', TMessageType.CALL, self._seqid)
+        args = confirm_grants_args()
+        args.pool = pool
+        args.router_id = router_id
+        args.router_process_id = router_process_id
+        args.grant_ids = grant_ids
+        args.write(self._oprot)
+        self._oprot.writeMessageEnd()
+        self._oprot.trans.flush()
+
+    def recv_confirm_grants(self):
+        iprot = self._iprot
+        (fname, mtype, rseqid) = iprot.readMessageBegin()
+        if mtype == TMessageType.EXCEPTION:
+            x = TApplicationException()
+            x.read(iprot)
+            iprot.readMessageEnd()
+            raise x
+        result = confirm_grants_result()
+        result.read(iprot)
+        iprot.readMessageEnd()
+        if result.success is not None:
+            return result.success
+        raise TApplicationException(TApplicationException.MISSING_RESULT, "confirm_grants failed: unknown result")
+
     def inspect_pool(self, pool, endpoint_id, max_chats):
         """
         Loads of a pool that is owned here, and chats that an endpoint (may be empty) served last.
@@ -496,6 +546,7 @@
         self._processMap["acquire"] = Processor.process_acquire
         self._processMap["release"] = Processor.process_release
         self._processMap["report_grants"] = Processor.process_report_grants
+        self._processMap["confirm_grants"] = Processor.process_confirm_grants
         self._processMap["inspect_pool"] = Processor.process_inspect_pool
         self._processMap["fetch_config"] = Processor.process_fetch_config
         self._processMap["submit_keyed"] = Processor.process_submit_keyed
@@ -576,7 +627,7 @@
         iprot.readMessageEnd()
         result = release_result()
         try:
-            self._handler.release(args.pool, args.router_id, args.releases)
+            self._handler.release(args.pool, args.releases)
             msg_type = TMessageType.REPLY
         except TTransport.TTransportException:
             raise
@@ -616,6 +667,29 @@
         oprot.writeMessageEnd()
         oprot.trans.flush()
 
+    def process_confirm_grants(self, seqid, iprot, oprot):
+        args = confirm_grants_args()
+        args.read(iprot)
+        iprot.readMessageEnd()
+        result = confirm_grants_result()
+        try:
+            result.success = self._handler.confirm_grants(args.pool, args.router_id, args.router_process_id, args.grant_ids)
+            msg_type = TMessageType.REPLY
+        except TTransport.TTransportException:
+            raise
+        except TApplicationException as ex:
+            logging.exception('TApplication exception in handler')
+            msg_type = TMessageType.EXCEPTION
+            result = ex
+        except Exception:
+            logging.exception('Unexpected exception in handler')
+            msg_type = TMessageType.EXCEPTION
+            result = TApplicationException(TApplicationException.INTERNAL_ERROR, 'Internal error')
+        oprot.writeMessageBegin("confirm_grants", msg_type, seqid)
+        result.write(oprot)
+        oprot.writeMessageEnd()
+        oprot.trans.flush()
+
     def process_inspect_pool(self, seqid, iprot, oprot):
         args = inspect_pool_args()
         args.read(iprot)
@@ -1071,21 +1145,18 @@
     """
     Attributes:
      - pool
-     - router_id
      - releases
 
     """
 
     __slots__ = (
         'pool',
-        'router_id',
         'releases',
     )
 
 
-    def __init__(self, pool=None, router_id=None, releases=None,):
+    def __init__(self, pool=None, releases=None,):
         self.pool = pool
-        self.router_id = router_id
         self.releases = releases
 
     def read(self, iprot):
@@ -1103,11 +1174,6 @@
                 else:
                     iprot.skip(ftype)
             elif fid == 2:
-                if ftype == TType.STRING:
-                    self.router_id = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                else:
-                    iprot.skip(ftype)
-            elif fid == 3:
                 if ftype == TType.LIST:
                     self.releases = []
                     (_etype52, _size49) = iprot.readListBegin()
@@ -1132,12 +1198,8 @@
             oprot.writeFieldBegin('pool', TType.STRING, 1)
             oprot.writeString(self.pool.encode('utf-8') if sys.version_info[0] == 2 else self.pool)
             oprot.writeFieldEnd()
-        if self.router_id is not None:
-            oprot.writeFieldBegin('router_id', TType.STRING, 2)
-            oprot.writeString(self.router_id.encode('utf-8') if sys.version_info[0] == 2 else self.router_id)
-            oprot.writeFieldEnd()
         if self.releases is not None:
-            oprot.writeFieldBegin('releases', TType.LIST, 3)
+            oprot.writeFieldBegin('releases', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.releases))
             for iter55 in self.releases:
                 iter55.write(oprot)
@@ -1170,8 +1232,7 @@
 release_args.thrift_spec = (
     None,  # 0
     (1, TType.STRING, 'pool', 'UTF8', None, ),  # 1
-    (2, TType.STRING, 'router_id', 'UTF8', None, ),  # 2
-    (3, TType.LIST, 'releases', (TType.STRUCT, [Release, None], False), None, ),  # 3
+    (2, TType.LIST, 'releases', (TType.STRUCT, [Release, None], False), None, ),  # 2
 )
 
 
@@ -1402,6 +1463,206 @@
 )
 
 
+class confirm_grants_args(object):
+    """
+    Attributes:
+     - pool
+     - router_id
+     - router_process_id
+     - grant_ids
+
+    """
+
+    __slots__ = (
+        'pool',
+        'router_id',
+        'router_process_id',
+        'grant_ids',
+    )
+
+
+    def __init__(self, pool=None, router_id=None, router_process_id=None, grant_ids=None,):
+        self.pool = pool
+        self.router_id = router_id
+        self.router_process_id = router_process_id
+        self.grant_ids = grant_ids
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.pool = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.router_id = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I64:
+                    self.router_process_id = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.LIST:
+                    self.grant_ids = []
+                    (_etype66, _size63) = iprot.readListBegin()
+                    for _i67 in range(_size63):
+                        _elem68 = iprot.readI64()
+                        self.grant_ids.append(_elem68)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('confirm_grants_args')
+        if self.pool is not None:
+            oprot.writeFieldBegin('pool', TType.STRING, 1)
+            oprot.writeString(self.pool.encode('utf-8') if sys.version_info[0] == 2 else self.pool)
+            oprot.writeFieldEnd()
+        if self.router_id is not None:
+            oprot.writeFieldBegin('router_id', TType.STRING, 2)
+            oprot.writeString(self.router_id.encode('utf-8') if sys.version_info[0] == 2 else self.router_id)
+            oprot.writeFieldEnd()
+        if self.router_process_id is not None:
+            oprot.writeFieldBegin('router_process_id', TType.I64, 3)
+            oprot.writeI64(self.router_process_id)
+            oprot.writeFieldEnd()
+        if self.grant_ids is not None:
+            oprot.writeFieldBegin('grant_ids', TType.LIST, 4)
+            oprot.writeListBegin(TType.I64, len(self.grant_ids))
+            for iter69 in self.grant_ids:
+                oprot.writeI64(iter69)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+all_structs.append(confirm_grants_args)
+confirm_grants_args.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'pool', 'UTF8', None, ),  # 1
+    (2, TType.STRING, 'router_id', 'UTF8', None, ),  # 2
+    (3, TType.I64, 'router_process_id', None, None, ),  # 3
+    (4, TType.LIST, 'grant_ids', (TType.I64, None, False), None, ),  # 4
+)
+
+
+class confirm_grants_result(object):
+    """
+    Attributes:
+     - success
+
+    """
+
+    __slots__ = (
+        'success',
+    )
+
+
+    def __init__(self, success=None,):
+        self.success = success
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 0:
+                if ftype == TType.LIST:
+                    self.success = []
+                    (_etype73, _size70) = iprot.readListBegin()
+                    for _i74 in range(_size70):
+                        _elem75 = iprot.readI64()
+                        self.success.append(_elem75)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('confirm_grants_result')
+        if self.success is not None:
+            oprot.writeFieldBegin('success', TType.LIST, 0)
+            oprot.writeListBegin(TType.I64, len(self.success))
+            for iter76 in self.success:
+                oprot.writeI64(iter76)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+all_structs.append(confirm_grants_result)
+confirm_grants_result.thrift_spec = (
+    (0, TType.LIST, 'success', (TType.I64, None, False), None, ),  # 0
+)
+
+
 class inspect_pool_args(object):
     """
     Attributes:
--- a/src/sequoiadrum/_gen/peer/ttypes.py
+++ b/src/sequoiadrum/_gen/peer/ttypes.py
@@ -665,15 +665,15 @@
     """
     Attributes:
      - pool
-     - request_id
      - chat_id
      - account
-     - priority
-     - cost
      - deadline_ms
-     - fingerprint
      - router_id
      - router_process_id
+     - config_revision: Revision in force at the asking router; see `AcquireReply.host`.
+     - fingerprint: 0: crashes are not counted against the request.
+     - priority: Absent: 1.
+     - cost: Absent: 1.
      - excluded_endpoints
      - forced
      - last_endpoint: Endpoint that served the chat last as far as the asking router knows.
@@ -682,32 +682,32 @@
 
     __slots__ = (
         'pool',
-        'request_id',
         'chat_id',
         'account',
-        'priority',
-        'cost',
         'deadline_ms',
-        'fingerprint',
         'router_id',
         'router_process_id',
+        'config_revision',
+        'fingerprint',
+        'priority',
+        'cost',
         'excluded_endpoints',
         'forced',
         'last_endpoint',
     )
 
 
-    def __init__(self, pool=None, request_id=None, chat_id=None, account=None, priority=None, cost=None, deadline_ms=None, fingerprint=None, router_id=None, router_process_id=None, excluded_endpoints=None, forced=None, last_endpoint=None,):
+    def __init__(self, pool=None, chat_id=None, account=None, deadline_ms=None, router_id=None, router_process_id=None, config_revision=None, fingerprint=None, priority=None, cost=None, excluded_endpoints=None, forced=None, last_endpoint=None,):
         self.pool = pool
-        self.request_id = request_id
         self.chat_id = chat_id
         self.account = account
-        self.priority = priority
-        self.cost = cost
         self.deadline_ms = deadline_ms
-        self.fingerprint = fingerprint
         self.router_id = router_id
         self.router_process_id = router_process_id
+        self.config_revision = config_revision
+        self.fingerprint = fingerprint
+        self.priority = priority
+        self.cost = cost
         self.excluded_endpoints = excluded_endpoints
         self.forced = forced
         self.last_endpoint = last_endpoint
@@ -728,47 +728,47 @@
                     iprot.skip(ftype)
             elif fid == 2:
                 if ftype == TType.STRING:
-                    self.request_id = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                    self.chat_id = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
             elif fid == 3:
                 if ftype == TType.STRING:
-                    self.chat_id = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                    self.account = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
             elif fid == 4:
-                if ftype == TType.STRING:
-                    self.account = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                if ftype == TType.I32:
+                    self.deadline_ms = iprot.readI32()
                 else:
                     iprot.skip(ftype)
             elif fid == 5:
-                if ftype == TType.I32:
-                    self.priority = iprot.readI32()
+                if ftype == TType.STRING:
+                    self.router_id = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
             elif fid == 6:
-                if ftype == TType.DOUBLE:
-                    self.cost = iprot.readDouble()
+                if ftype == TType.I64:
+                    self.router_process_id = iprot.readI64()
                 else:
                     iprot.skip(ftype)
             elif fid == 7:
-                if ftype == TType.I32:
-                    self.deadline_ms = iprot.readI32()
+                if ftype == TType.I64:
+                    self.config_revision = iprot.readI64()
                 else:
                     iprot.skip(ftype)
             elif fid == 8:
-                if ftype == TType.STRING:
-                    self.fingerprint = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                if ftype == TType.I64:
+                    self.fingerprint = iprot.readI64()
                 else:
                     iprot.skip(ftype)
             elif fid == 9:
-                if ftype == TType.STRING:
-                    self.router_id = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                if ftype == TType.I32:
+                    self.priority = iprot.readI32()
                 else:
                     iprot.skip(ftype)
             elif fid == 10:
-                if ftype == TType.I64:
-                    self.router_process_id = iprot.readI64()
+                if ftype == TType.DOUBLE:
+                    self.cost = iprot.readDouble()
                 else:
                     iprot.skip(ftype)
             elif fid == 11:
@@ -805,42 +805,42 @@
             oprot.writeFieldBegin('pool', TType.STRING, 1)
             oprot.writeString(self.pool.encode('utf-8') if sys.version_info[0] == 2 else self.pool)
             oprot.writeFieldEnd()
-        if self.request_id is not None:
-            oprot.writeFieldBegin('request_id', TType.STRING, 2)
-            oprot.writeString(self.request_id.encode('utf-8') if sys.version_info[0] == 2 else self.request_id)
-            oprot.writeFieldEnd()
         if self.chat_id is not None:
-            oprot.writeFieldBegin('chat_id', TType.STRING, 3)
+            oprot.writeFieldBegin('chat_id', TType.STRING, 2)
             oprot.writeString(self.chat_id.encode('utf-8') if sys.version_info[0] == 2 else self.chat_id)
             oprot.writeFieldEnd()
         if self.account is not None:
-            oprot.writeFieldBegin('account', TType.STRING, 4)
+            oprot.writeFieldBegin('account', TType.STRING, 3)
             oprot.writeString(self.account.encode('utf-8') if sys.version_info[0] == 2 else self.account)
             oprot.writeFieldEnd()
-        if self.priority is not None:
-            oprot.writeFieldBegin('priority', TType.I32, 5)
-            oprot.writeI32(self.priority)
-            oprot.writeFieldEnd()
-        if self.cost is not None:
-            oprot.writeFieldBegin('cost', TType.DOUBLE, 6)
-            oprot.writeDouble(self.cost)
-            oprot.writeFieldEnd()
         if self.deadline_ms is not None:
-            oprot.writeFieldBegin('deadline_ms', TType.I32, 7)
+            oprot.writeFieldBegin('deadline_ms', TType.I32, 4)
             oprot.writeI32(self.deadline_ms)
             oprot.writeFieldEnd()
-        if self.fingerprint is not None:
-            oprot.writeFieldBegin('fingerprint', TType.STRING, 8)
-            oprot.writeString(self.fingerprint.encode('utf-8') if sys.version_info[0] == 2 else self.fingerprint)
-            oprot.writeFieldEnd()
         if self.router_id is not None:
-            oprot.writeFieldBegin('router_id', TType.STRING, 9)
+            oprot.writeFieldBegin('router_id', TType.STRING, 5)
             oprot.writeString(self.router_id.encode('utf-8') if sys.version_info[0] == 2 else self.router_id)
             oprot.writeFieldEnd()
         if self.router_process_id is not None:
-            oprot.writeFieldBegin('router_process_id', TType.I64, 10)
+            oprot.writeFieldBegin('router_process_id', TType.I64, 6)
             oprot.writeI64(self.router_process_id)
             oprot.writeFieldEnd()
+        if self.config_revision is not None:
+            oprot.writeFieldBegin('config_revision', TType.I64, 7)
+            oprot.writeI64(self.config_revision)
+            oprot.writeFieldEnd()
+        if self.fingerprint is not None:
+            oprot.writeFieldBegin('fingerprint', TType.I64, 8)
+            oprot.writeI64(self.fingerprint)
+            oprot.writeFieldEnd()
+        if self.priority is not None:
+            oprot.writeFieldBegin('priority', TType.I32, 9)
+            oprot.writeI32(self.priority)
+            oprot.writeFieldEnd()
+        if self.cost is not None:
+            oprot.writeFieldBegin('cost', TType.DOUBLE, 10)
+            oprot.writeDouble(self.cost)
+            oprot.writeFieldEnd()
         if self.excluded_endpoints is not None:
             oprot.writeFieldBegin('excluded_endpoints', TType.LIST, 11)
             oprot.writeListBegin(TType.STRING, len(self.excluded_endpoints))
@@ -887,12 +887,12 @@
      - status
      - grant_id
      - endpoint_id
-     - host
+     - host: Absent with the port: as declared at the revision that the asking router named.
      - port
      - kv_source
      - reason
      - retry_after_ms
-     - owner_id
+     - owner_id: Only with NOT_OWNER.
 
     """
 
@@ -935,8 +935,8 @@
                 else:
                     iprot.skip(ftype)
             elif fid == 2:
-                if ftype == TType.STRING:
-                    self.grant_id = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                if ftype == TType.I64:
+                    self.grant_id = iprot.readI64()
                 else:
                     iprot.skip(ftype)
             elif fid == 3:
@@ -989,8 +989,8 @@
             oprot.writeI32(self.status)
             oprot.writeFieldEnd()
         if self.grant_id is not None:
-            oprot.writeFieldBegin('grant_id', TType.STRING, 2)
-            oprot.writeString(self.grant_id.encode('utf-8') if sys.version_info[0] == 2 else self.grant_id)
+            oprot.writeFieldBegin('grant_id', TType.I64, 2)
+            oprot.writeI64(self.grant_id)
             oprot.writeFieldEnd()
         if self.endpoint_id is not None:
             oprot.writeFieldBegin('endpoint_id', TType.STRING, 3)
@@ -1049,7 +1049,7 @@
     """
     Attributes:
      - grant_id
-     - outcome
+     - outcome: Absent: OK.
 
     """
 
@@ -1073,8 +1073,8 @@
             if ftype == TType.STOP:
                 break
             if fid == 1:
-                if ftype == TType.STRING:
-                    self.grant_id = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                if ftype == TType.I64:
+                    self.grant_id = iprot.readI64()
                 else:
                     iprot.skip(ftype)
             elif fid == 2:
@@ -1093,8 +1093,8 @@
             return
         oprot.writeStructBegin('Release')
         if self.grant_id is not None:
-            oprot.writeFieldBegin('grant_id', TType.STRING, 1)
-            oprot.writeString(self.grant_id.encode('utf-8') if sys.version_info[0] == 2 else self.grant_id)
+            oprot.writeFieldBegin('grant_id', TType.I64, 1)
+            oprot.writeI64(self.grant_id)
             oprot.writeFieldEnd()
         if self.outcome is not None:
             oprot.writeFieldBegin('outcome', TType.I32, 2)
@@ -1127,13 +1127,12 @@
 
 class HeldGrant(object):
     """
-    A grant that a router still holds, told to a new pool owner.
+    A grant that a router still holds, told to a pool owner that does not know it.
 
     Attributes:
      - grant_id
      - endpoint_id
      - chat_id
-     - account
      - cost
      - fingerprint
 
@@ -1143,17 +1142,15 @@
         'grant_id',
         'endpoint_id',
         'chat_id',
-        'account',
         'cost',
         'fingerprint',
     )
 
 
-    def __init__(self, grant_id=None, endpoint_id=None, chat_id=None, account=None, cost=None, fingerprint=None,):
+    def __init__(self, grant_id=None, endpoint_id=None, chat_id=None, cost=None, fingerprint=None,):
         self.grant_id = grant_id
         self.endpoint_id = endpoint_id
         self.chat_id = chat_id
-        self.account = account
         self.cost = cost
         self.fingerprint = fingerprint
 
@@ -1167,8 +1164,8 @@
             if ftype == TType.STOP:
                 break
             if fid == 1:
-                if ftype == TType.STRING:
-                    self.grant_id = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                if ftype == TType.I64:
+                    self.grant_id = iprot.readI64()
                 else:
                     iprot.skip(ftype)
             elif fid == 2:
@@ -1182,18 +1179,13 @@
                 else:
                     iprot.skip(ftype)
             elif fid == 4:
-                if ftype == TType.STRING:
-                    self.account = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                else:
-                    iprot.skip(ftype)
-            elif fid == 5:
                 if ftype == TType.DOUBLE:
                     self.cost = iprot.readDouble()
                 else:
                     iprot.skip(ftype)
-            elif fid == 6:
-                if ftype == TType.STRING:
-                    self.fingerprint = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+            elif fid == 5:
+                if ftype == TType.I64:
+                    self.fingerprint = iprot.readI64()
                 else:
                     iprot.skip(ftype)
             else:
@@ -1207,8 +1199,8 @@
             return
         oprot.writeStructBegin('HeldGrant')
         if self.grant_id is not None:
-            oprot.writeFieldBegin('grant_id', TType.STRING, 1)
-            oprot.writeString(self.grant_id.encode('utf-8') if sys.version_info[0] == 2 else self.grant_id)
+            oprot.writeFieldBegin('grant_id', TType.I64, 1)
+            oprot.writeI64(self.grant_id)
             oprot.writeFieldEnd()
         if self.endpoint_id is not None:
             oprot.writeFieldBegin('endpoint_id', TType.STRING, 2)
@@ -1218,17 +1210,13 @@
             oprot.writeFieldBegin('chat_id', TType.STRING, 3)
             oprot.writeString(self.chat_id.encode('utf-8') if sys.version_info[0] == 2 else self.chat_id)
             oprot.writeFieldEnd()
-        if self.account is not None:
-            oprot.writeFieldBegin('account', TType.STRING, 4)
-            oprot.writeString(self.account.encode('utf-8') if sys.version_info[0] == 2 else self.account)
-            oprot.writeFieldEnd()
         if self.cost is not None:
-            oprot.writeFieldBegin('cost', TType.DOUBLE, 5)
+            oprot.writeFieldBegin('cost', TType.DOUBLE, 4)
             oprot.writeDouble(self.cost)
             oprot.writeFieldEnd()
         if self.fingerprint is not None:
-            oprot.writeFieldBegin('fingerprint', TType.STRING, 6)
-            oprot.writeString(self.fingerprint.encode('utf-8') if sys.version_info[0] == 2 else self.fingerprint)
+            oprot.writeFieldBegin('fingerprint', TType.I64, 5)
+            oprot.writeI64(self.fingerprint)
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
@@ -2048,15 +2036,15 @@
 AcquireRequest.thrift_spec = (
     None,  # 0
     (1, TType.STRING, 'pool', 'UTF8', None, ),  # 1
-    (2, TType.STRING, 'request_id', 'UTF8', None, ),  # 2
-    (3, TType.STRING, 'chat_id', 'UTF8', None, ),  # 3
-    (4, TType.STRING, 'account', 'UTF8', None, ),  # 4
-    (5, TType.I32, 'priority', None, None, ),  # 5
-    (6, TType.DOUBLE, 'cost', None, None, ),  # 6
-    (7, TType.I32, 'deadline_ms', None, None, ),  # 7
-    (8, TType.STRING, 'fingerprint', 'UTF8', None, ),  # 8
-    (9, TType.STRING, 'router_id', 'UTF8', None, ),  # 9
-    (10, TType.I64, 'router_process_id', None, None, ),  # 10
+    (2, TType.STRING, 'chat_id', 'UTF8', None, ),  # 2
+    (3, TType.STRING, 'account', 'UTF8', None, ),  # 3
+    (4, TType.I32, 'deadline_ms', None, None, ),  # 4
+    (5, TType.STRING, 'router_id', 'UTF8', None, ),  # 5
+    (6, TType.I64, 'router_process_id', None, None, ),  # 6
+    (7, TType.I64, 'config_revision', None, None, ),  # 7
+    (8, TType.I64, 'fingerprint', None, None, ),  # 8
+    (9, TType.I32, 'priority', None, None, ),  # 9
+    (10, TType.DOUBLE, 'cost', None, None, ),  # 10
     (11, TType.LIST, 'excluded_endpoints', (TType.STRING, 'UTF8', False), None, ),  # 11
     (12, TType.BOOL, 'forced', None, None, ),  # 12
     (13, TType.STRING, 'last_endpoint', 'UTF8', None, ),  # 13
@@ -2065,7 +2053,7 @@
 AcquireReply.thrift_spec = (
     None,  # 0
     (1, TType.I32, 'status', None, None, ),  # 1
-    (2, TType.STRING, 'grant_id', 'UTF8', None, ),  # 2
+    (2, TType.I64, 'grant_id', None, None, ),  # 2
     (3, TType.STRING, 'endpoint_id', 'UTF8', None, ),  # 3
     (4, TType.STRING, 'host', 'UTF8', None, ),  # 4
     (5, TType.I32, 'port', None, None, ),  # 5
@@ -2077,18 +2065,17 @@
 all_structs.append(Release)
 Release.thrift_spec = (
     None,  # 0
-    (1, TType.STRING, 'grant_id', 'UTF8', None, ),  # 1
+    (1, TType.I64, 'grant_id', None, None, ),  # 1
     (2, TType.I32, 'outcome', None, None, ),  # 2
 )
 all_structs.append(HeldGrant)
 HeldGrant.thrift_spec = (
     None,  # 0
-    (1, TType.STRING, 'grant_id', 'UTF8', None, ),  # 1
+    (1, TType.I64, 'grant_id', None, None, ),  # 1
     (2, TType.STRING, 'endpoint_id', 'UTF8', None, ),  # 2
     (3, TType.STRING, 'chat_id', 'UTF8', None, ),  # 3
-    (4, TType.STRING, 'account', 'UTF8', None, ),  # 4
-    (5, TType.DOUBLE, 'cost', None, None, ),  # 5
-    (6, TType.STRING, 'fingerprint', 'UTF8', None, ),  # 6
+    (4, TType.DOUBLE, 'cost', None, None, ),  # 4
+    (5, TType.I64, 'fingerprint', None, None, ),  # 5
 )
 all_structs.append(KeyedRequest)
 KeyedRequest.thrift_spec = (
--- a/src/sequoiadrum/admission.py
+++ b/src/sequoiadrum/admission.py
@@ -28,7 +28,7 @@
 """A new owner adds the engines' reported load to its own counts this long: one interval of the
 routers' periodic reports, so that a router that missed the change of the owner is heard."""
 GRANT_LEASE_S: Final = 16.0
-"""A grant that no report confirms for this long is dropped; three report intervals and a margin."""
+"""A grant that no report confirms for this long is dropped; two reports come within this time."""
 MISSING_GRACE_S: Final = 3.0
 """A grant younger than this may be missing in its router's report because it is on its way."""
 
@@ -165,17 +165,10 @@
         Grants of an earlier process of the router are dropped too.
         """
         held = {grant.grant_id: grant for grant in grants}
-        for grant_id, grant in list(self._grant_by_id.items()):
-            if grant.router_id != router_id:
-                continue
-            if grant_id in held:
-                grant.confirmed_at = now
-                continue
-            if grant.router_process_id != process_id or now - grant.granted_at > MISSING_GRACE_S:
-                self.release(grant_id)
-        for grant_id, reported in held.items():
+        for grant_id in self.confirm(router_id, process_id, held, now):
+            reported = held[grant_id]
             engine = self._engine_by_id.get(reported.engine_id)
-            if grant_id not in self._grant_by_id and engine is not None:
+            if engine is not None:
                 self._hold(
                     grant_id,
                     HeldGrant(
@@ -192,6 +185,25 @@
                 engine.foreign = max(0.0, engine.foreign - reported.cost)
                 self.recent.record(stable_hash(reported.chat_id), engine, now)
 
+    def confirm(
+        self, router_id: str, process_id: int, grant_ids: Collection[str], now: float
+    ) -> list[str]:
+        """Takes the ids of all grants that a router holds and drops those that it misses.
+
+        Returns:
+            The ids that are not known here.
+        """
+        held = set(grant_ids)
+        for grant_id, grant in list(self._grant_by_id.items()):
+            if grant.router_id != router_id:
+                continue
+            if grant_id in held:
+                grant.confirmed_at = now
+                continue
+            if grant.router_process_id != process_id or now - grant.granted_at > MISSING_GRACE_S:
+                self.release(grant_id)
+        return [grant_id for grant_id in held if grant_id not in self._grant_by_id]
+
     def drop_router(self, router_id: str, process_id: int | None = None) -> int:
         """Drops what a dead router (or one earlier process of it) holds or waits for.
 
--- a/src/sequoiadrum/admission_task.py
+++ b/src/sequoiadrum/admission_task.py
@@ -116,9 +116,9 @@
             self._holder, parts.peers, self._directory.address_of, parts.metrics
         )
         self._remote = RemoteAdmission(
-            self._holder, parts.peers, self._directory, self._outbox, parts.metrics
+            self._holder, parts.peers, self._directory, self._outbox, parts.config, parts.metrics
         )
-        self._peer_side = PeerAdmission(self._router_id, self._owner, self._directory)
+        self._peer_side = PeerAdmission(self._router_id, self._owner, self._directory, parts.config)
         self._served = ServedChats()
         self._leaving = LeavingEndpoints()
         self._poller = EndpointPoller(parts.engines, parts.platform, self.post)
@@ -202,7 +202,7 @@
         """Answers `Peer.acquire`."""
         return self._peer_side.acquire(request)
 
-    def release_for_peer(self, pool: str, router_id: str, releases: list[Any]) -> None:
+    def release_for_peer(self, pool: str, releases: list[Any]) -> None:
         """Answers `Peer.release`."""
         self._peer_side.release(pool, releases)
 
@@ -212,6 +212,12 @@
         """Answers `Peer.report_grants`."""
         self._peer_side.report(pool, GrantHolder(router_id, router_process_id), grants)
 
+    def confirm_grants(
+        self, pool: str, router_id: str, router_process_id: int, grant_ids: list[int]
+    ) -> list[int]:
+        """Answers `Peer.confirm_grants`."""
+        return self._peer_side.confirm(pool, GrantHolder(router_id, router_process_id), grant_ids)
+
     def owner_address(self, pool: str) -> Address | None:
         """Gives the peer address of the router that decides for a pool; None for this router."""
         owner = self._directory.owner_to_ask(pool)
@@ -364,31 +370,33 @@
     def _report(self, only_new_owners: bool) -> None:
         """Reports the held grants of each pool to its owner.
 
-        An owner that gave grants or got grants reported lately gets two more reports, even when
-        they are empty: they show which releases were lost, and the first one may come within
-        `MISSING_GRACE_S` of the grant.
+        A periodic report carries ids only, and is sent for pools with a grant older than one
+        interval, or with a call that failed: a lost release or answer leaves a grant that only a
+        report ends. An owner that got a report gets one more, even when it is empty, since the
+        first one may come within `MISSING_GRACE_S` of the grant.
         """
         wanted: dict[str, set[str]] = {}
-        for pool in self._outbox.held_by_pool():
+        for pool in self._outbox.held_pools(0.0 if only_new_owners else REPORT_S):
             owner = self._directory.owner_of(pool)
             if owner is not None:
                 wanted.setdefault(owner, set()).add(pool)
         if only_new_owners:
             for owner, pools in wanted.items():
                 known = self._reported.setdefault(owner, set())
-                self._report_to(owner, pools - known)
+                self._report_to(owner, pools - known, ids_only=False)
                 known |= pools
             return
         for owner, pools in self._outbox.take_touched().items():
             wanted.setdefault(owner, set()).update(pools)
         previous, self._reported = self._reported, wanted
         for owner in wanted.keys() | previous.keys():
-            self._report_to(owner, wanted.get(owner, set()) | previous.get(owner, set()))
+            pools = wanted.get(owner, set()) | previous.get(owner, set())
+            self._report_to(owner, pools, ids_only=True)
 
-    def _report_to(self, owner: str, pools: Collection[str]) -> None:
+    def _report_to(self, owner: str, pools: Collection[str], ids_only: bool) -> None:
         for pool in pools:
             if owner != self._router_id:
-                self._outbox.report(owner, pool)
+                self._outbox.report(owner, pool, ids_only)
             else:
                 entries = self._outbox.mark_reported(owner, pool)
                 self._peer_side.report(pool, self._holder, entries)
--- a/src/sequoiadrum/grant_outbox.py
+++ b/src/sequoiadrum/grant_outbox.py
@@ -4,15 +4,15 @@
 
 import threading
 import time
-from collections import defaultdict
 from concurrent.futures import ThreadPoolExecutor
 from functools import partial
 from typing import TYPE_CHECKING, Any, Final
 
 from attrs import define
-from returns.result import Failure
+from returns.result import Success
 
 from sequoiadrum._gen.peer import ttypes
+from sequoiadrum._grant_wire import number_of
 from sequoiadrum.interfaces import GrantOutcome
 
 if TYPE_CHECKING:
@@ -50,6 +50,8 @@
     request: AdmissionRequest
     owners: set[str]
     """Routers that count the grant: the one that gave it and those it was reported to."""
+    held_since: float
+    """Monotonic seconds."""
 
 
 class GrantOutbox:
@@ -82,7 +84,8 @@
         self._held_by_id: dict[str, _Held] = {}
         self._pending: dict[str, dict[str, list[tuple[str, GrantOutcome]]]] = {}
         self._due_by_owner: dict[str, float] = {}
-        self._reports: dict[str, set[str]] = {}
+        self._reports: dict[str, dict[str, bool]] = {}
+        """Whether ids are enough, by owner and pool."""
         self._touched: dict[str, set[str]] = {}
         self._busy: set[str] = set()
         self._stopped = False
@@ -107,8 +110,14 @@
     def hold(self, grant: Grant, request: AdmissionRequest) -> None:
         """Notes a grant that this router has got."""
         with self._condition:
-            self._held_by_id[grant.grant_id] = _Held(grant, request, {grant.owner_id})
-            self._touched.setdefault(grant.owner_id, set()).add(grant.pool)
+            self._held_by_id[grant.grant_id] = _Held(
+                grant, request, {grant.owner_id}, time.monotonic()
+            )
+
+    def touch(self, owner_id: str, pool: str) -> None:
+        """Notes that a call about grants of a pool failed, so that the owner gets a report."""
+        with self._condition:
+            self._touched.setdefault(owner_id, set()).add(pool)
 
     def release(self, grant: Grant, outcome: GrantOutcome) -> bool:
         """Ends a grant; True when this router itself counts it. Never blocks on the network."""
@@ -119,18 +128,20 @@
                 self._queue(owner, grant, outcome)
             return self._holder.router_id in owners
 
-    def held_by_pool(self) -> Mapping[str, list[tuple[Grant, AdmissionRequest]]]:
-        """Lists the grants in flight."""
-        by_pool: dict[str, list[tuple[Grant, AdmissionRequest]]] = defaultdict(list)
+    def held_pools(self, age_s: float) -> set[str]:
+        """Gives the pools with a grant in flight for at least some seconds."""
+        until = time.monotonic() - age_s
         with self._condition:
-            for held in self._held_by_id.values():
-                by_pool[held.grant.pool].append((held.grant, held.request))
-        return by_pool
+            return {h.grant.pool for h in self._held_by_id.values() if h.held_since <= until}
 
-    def report(self, owner_id: str, pool: str) -> None:
-        """Sends the grants of a pool to its owner soon; also those that another router gave."""
+    def report(self, owner_id: str, pool: str, ids_only: bool) -> None:
+        """Sends the grants of a pool to its owner soon; also those that another router gave.
+
+        With `ids_only`, whole grants follow only when the owner does not know all ids.
+        """
         with self._condition:
-            self._reports.setdefault(owner_id, set()).add(pool)
+            reports = self._reports.setdefault(owner_id, {})
+            reports[pool] = ids_only and reports.get(pool, True)
             self._due_by_owner[owner_id] = 0.0
             self._condition.notify()
 
@@ -149,12 +160,11 @@
                     held.owners.add(owner_id)
                     entries.append(
                         ttypes.HeldGrant(
-                            held.grant.grant_id,
+                            number_of(held.grant.grant_id),
                             held.grant.endpoint_id,
                             held.request.chat_id,
-                            held.request.account,
                             held.request.cost,
-                            held.request.fingerprint,
+                            number_of(held.request.fingerprint),
                         )
                     )
             return entries
@@ -163,6 +173,7 @@
         releases = self._pending.setdefault(owner, {}).setdefault(grant.pool, [])
         if len(releases) >= _MAX_PENDING:
             self._metrics.count("releases_lost_total")
+            self._touched.setdefault(owner, set()).add(grant.pool)
             return
         releases.append((grant.grant_id, outcome))
         wait = 0.0 if len(releases) >= BATCH_LIMIT or outcome is GrantOutcome.CRASHED else BATCH_S
@@ -190,16 +201,19 @@
                     del self._due_by_owner[owner]
                     self._busy.add(owner)
                     pending = self._pending.pop(owner, {})
-                    pools = self._reports.pop(owner, set())
+                    pools = self._reports.pop(owner, {})
                     self._pool.submit(self._send, owner, pending, pools)
 
     def _send(
-        self, owner: str, pending: dict[str, list[tuple[str, GrantOutcome]]], pools: set[str]
+        self,
+        owner: str,
+        pending: dict[str, list[tuple[str, GrantOutcome]]],
+        pools: dict[str, bool],
     ) -> None:
         try:
             self._send_releases(owner, pending)
-            for pool in pools:
-                self._send_report(owner, pool)
+            for pool, ids_only in pools.items():
+                self._send_report(owner, pool, ids_only)
         finally:
             with self._condition:
                 self._busy.discard(owner)
@@ -209,31 +223,53 @@
         self, owner: str, pending: Mapping[str, list[tuple[str, GrantOutcome]]]
     ) -> None:
         for pool, releases in pending.items():
-            batch = [ttypes.Release(grant_id, _OUTCOMES[outcome]) for grant_id, outcome in releases]
-            self._call(owner, partial(_release, pool, self._holder.router_id, batch))
+            batch = [
+                ttypes.Release(
+                    number_of(grant_id),
+                    _OUTCOMES[outcome] if outcome is not GrantOutcome.OK else None,
+                )
+                for grant_id, outcome in releases
+            ]
+            self._call(owner, pool, partial(_release, pool, batch))
             self._metrics.count("release_batches_total")
 
-    def _send_report(self, owner: str, pool: str) -> None:
-        entries = self.mark_reported(owner, pool)
+    def _send_report(self, owner: str, pool: str, ids_only: bool) -> None:
         holder = self._holder
+        if ids_only:
+            with self._condition:
+                held = [h for h in self._held_by_id.values() if h.grant.pool == pool]
+                ids = [number_of(h.grant.grant_id) for h in held]
+            unknown = self._call(
+                owner,
+                pool,
+                lambda c: c.confirm_grants(pool, holder.router_id, holder.process_id, ids),
+            )
+            if not unknown:
+                return
+        entries = self.mark_reported(owner, pool)
         self._call(
-            owner, lambda c: c.report_grants(pool, holder.router_id, holder.process_id, entries)
+            owner,
+            pool,
+            lambda c: c.report_grants(pool, holder.router_id, holder.process_id, entries),
         )
 
     def take_touched(self) -> dict[str, set[str]]:
-        """Gives the pools of each router that gave grants since the last call."""
+        """Gives the pools of each owner for which a message was lost since the last call."""
         with self._condition:
             touched, self._touched = self._touched, {}
             return touched
 
-    def _call(self, owner: str, make: Callable[[Any], Any]) -> None:
+    def _call(self, owner: str, pool: str, make: Callable[[Any], Any]) -> Any:
+        """Makes a call; None when it was lost."""
         address = self._address_of(owner)
-        if address is None:
-            self._metrics.count("grant_messages_lost_total")
-            return
-        if isinstance(self._client.call(address, make, _CALL_TIMEOUT_S), Failure):
-            self._metrics.count("grant_messages_lost_total")
+        if address is not None:
+            result = self._client.call(address, make, _CALL_TIMEOUT_S)
+            if isinstance(result, Success):
+                return result.unwrap()
+        self._metrics.count("grant_messages_lost_total")
+        self.touch(owner, pool)
+        return None
 
 
-def _release(pool: str, router_id: str, batch: list[Any], client: Any) -> None:
-    client.release(pool, router_id, batch)
+def _release(pool: str, batch: list[Any], client: Any) -> None:
+    client.release(pool, batch)
--- a/src/sequoiadrum/peer_server.py
+++ b/src/sequoiadrum/peer_server.py
@@ -36,7 +36,7 @@
     membership: Any
     """Answers `sync_members`."""
     admission: Any
-    """Answers `acquire`, `release`, `report_grants` and `inspect_pool`."""
+    """Answers `acquire`, `release`, `report_grants`, `confirm_grants` and `inspect_pool`."""
     config: Any
     """Answers `fetch_config`."""
     keyed: Any
@@ -52,9 +52,9 @@
         """Asks for a grant."""
         return self.admission.acquire_for_peer(request)
 
-    def release(self, pool: str, router_id: str, releases: list[Release]) -> None:
+    def release(self, pool: str, releases: list[Release]) -> None:
         """Ends grants."""
-        self.admission.release_for_peer(pool, router_id, releases)
+        self.admission.release_for_peer(pool, releases)
 
     def report_grants(
         self, pool: str, router_id: str, router_process_id: int, grants: list[HeldGrant]
@@ -62,6 +62,12 @@
         """Tells a new owner which grants a router still holds."""
         self.admission.report_grants(pool, router_id, router_process_id, grants)
 
+    def confirm_grants(
+        self, pool: str, router_id: str, router_process_id: int, grant_ids: list[int]
+    ) -> list[int]:
+        """Takes the ids of all grants that a router holds; gives the unknown ones."""
+        return self.admission.confirm_grants(pool, router_id, router_process_id, grant_ids)
+
     def inspect_pool(self, pool: str, endpoint_id: str, max_chats: int) -> PoolReport:
         """Gives the loads of a pool that is owned here."""
         return self.admission.inspect_pool(pool, endpoint_id, max_chats)
--- a/src/sequoiadrum/pool_owner.py
+++ b/src/sequoiadrum/pool_owner.py
@@ -14,6 +14,7 @@
 from sequoiadrum.admission import PoolAdmission
 from sequoiadrum.crash_guard import CrashGuard, crash_event
 from sequoiadrum.errors import Refusal, RefusalReason
+from sequoiadrum.hashing import stable_hash
 from sequoiadrum.interfaces import Grant, GrantOutcome
 from sequoiadrum.messages import Address, Endpoint, EndpointState
 from sequoiadrum.pool_messages import Placed, PoolRequest
@@ -84,7 +85,8 @@
         self._pools_by_name: dict[str, _Pool] = {}
         self._waiting_by_grant: dict[str, tuple[Future[Decision], str]] = {}
         self._grant_numbers = itertools.count(1)
-        self._grant_prefix = f"{router_id}-{int(wall_clock() * 1e3):x}"
+        # 31 bits that differ between owners of one pool and between processes of a router.
+        self._grant_prefix = stable_hash(router_id, repr(wall_clock())) >> 33 << 32
         self._guard = CrashGuard()
         self._leaving: frozenset[str] = frozenset()
         self._leaving_version = 0
@@ -111,7 +113,8 @@
         now = self._clock()
         with self._lock:
             pool = self._pool(request.pool, now)
-            grant_id = f"{self._grant_prefix}-{next(self._grant_numbers):x}"
+            number = next(self._grant_numbers) & 0xFFFFFFFF
+            grant_id = f"{self._grant_prefix | number:x}"
             wanted = PoolRequest(
                 request_id=request.request_id,
                 grant_id=grant_id,
@@ -178,6 +181,15 @@
             pool.core.report(holder.router_id, holder.process_id, marked, now)
             self._pump(pool, now)
 
+    def confirm(self, pool_name: str, holder: GrantHolder, grant_ids: Collection[str]) -> list[str]:
+        """Takes the ids of all grants of a pool that a router holds; gives the unknown ones."""
+        now = self._clock()
+        with self._lock:
+            pool = self._pool(pool_name, now)
+            unknown = pool.core.confirm(holder.router_id, holder.process_id, grant_ids, now)
+            self._pump(pool, now)
+            return unknown
+
     def drop_router(self, router_id: str, process_id: int | None) -> None:
         """Drops the grants of a dead router, or of one process of it."""
         with self._lock:
--- a/src/sequoiadrum/remote_admission.py
+++ b/src/sequoiadrum/remote_admission.py
@@ -8,6 +8,7 @@
 from returns.result import Failure, Result, Success
 
 from sequoiadrum._gen.peer import ttypes
+from sequoiadrum._grant_wire import grant_id_of, number_of
 from sequoiadrum.errors import Refusal, RefusalReason
 from sequoiadrum.interfaces import Grant
 from sequoiadrum.messages import Address
@@ -18,8 +19,9 @@
 if TYPE_CHECKING:
     from collections.abc import Collection
 
+    from sequoiadrum.configuration import ConfigState
     from sequoiadrum.grant_outbox import GrantOutbox
-    from sequoiadrum.interfaces import AdmissionRequest
+    from sequoiadrum.interfaces import AdmissionRequest, ConfigSource
     from sequoiadrum.metrics import Metrics
     from sequoiadrum.peer_client import PeerClient
     from sequoiadrum.pool_directory import PoolDirectory
@@ -40,12 +42,14 @@
         client: PeerClient,
         directory: PoolDirectory,
         outbox: GrantOutbox,
+        config: ConfigSource,
         metrics: Metrics,
     ) -> None:
         self._holder = holder
         self._client = client
         self._directory = directory
         self._outbox = outbox
+        self._config = config
         self._metrics = metrics
 
     def acquire(
@@ -53,6 +57,7 @@
     ) -> Result[Grant, Refusal] | None:
         """Asks one owner after the other; None when this router is to decide itself."""
         forced = False
+        config = self._config.current()
         for _ in range(_ATTEMPTS):
             owner = self._directory.owner_to_ask(request.pool)
             if owner is None or owner == self._holder.router_id:
@@ -60,16 +65,18 @@
             if excluded:
                 # The owner must know of the failed attempt before it decides the next one.
                 self._outbox.flush(owner)
-            reply = self._call(owner, request, excluded, forced)
+            reply = self._call(owner, request, excluded, config.revision, forced)
             if isinstance(reply, Success) and reply.unwrap().status == _NOT_OWNER:
                 hinted = reply.unwrap().owner_id
                 if hinted == self._holder.router_id:
                     return None
                 self._metrics.count("retries_total", reason="not_owner")
                 owner = hinted if self._directory.address_of(hinted or "") else owner
-                reply = self._call(owner, request, excluded, forced=True)
+                reply = self._call(owner, request, excluded, config.revision, forced=True)
             if isinstance(reply, Success):
-                return self._result(reply.unwrap(), request)
+                return self._result(reply.unwrap(), request, owner, config)
+            # The answer may have been lost after a grant.
+            self._outbox.touch(owner, request.pool)
             if time.monotonic() >= request.deadline:
                 break
             self._directory.avoid(owner)
@@ -79,7 +86,12 @@
         return Failure(Refusal(RefusalReason.OWNER_UNREACHABLE, "no pool owner answered", 1_000))
 
     def _call(
-        self, owner: str, request: AdmissionRequest, excluded: Collection[str], forced: bool
+        self,
+        owner: str,
+        request: AdmissionRequest,
+        excluded: Collection[str],
+        revision: int,
+        forced: bool,
     ) -> Result[Any, PeerFailure]:
         address = self._directory.address_of(owner)
         if address is None:
@@ -87,32 +99,44 @@
         remaining_s = min(MAX_WAIT_S, max(0.0, request.deadline - time.monotonic()))
         message = ttypes.AcquireRequest(
             pool=request.pool,
-            request_id=request.request_id,
             chat_id=request.chat_id,
             account=request.account,
-            priority=request.priority,
-            cost=request.cost,
+            priority=request.priority if request.priority != 1 else None,
+            cost=request.cost if request.cost != 1.0 else None,
             deadline_ms=int(remaining_s * 1e3),
-            fingerprint=request.fingerprint,
+            fingerprint=number_of(request.fingerprint) or None,
             router_id=self._holder.router_id,
             router_process_id=self._holder.process_id,
-            excluded_endpoints=list(excluded),
-            forced=forced,
+            config_revision=revision,
+            excluded_endpoints=list(excluded) or None,
+            forced=forced or None,
             last_endpoint=request.last_endpoint or None,
         )
         return self._client.call(address, lambda c: c.acquire(message), remaining_s + _MARGIN_S)
 
-    def _result(self, reply: Any, request: AdmissionRequest) -> Result[Grant, Refusal]:
+    def _result(
+        self, reply: Any, request: AdmissionRequest, owner: str, config: ConfigState
+    ) -> Result[Grant, Refusal]:
         if reply.status != ttypes.AcquireStatus.GRANTED:
             known = reply.reason in RefusalReason._value2member_map_
             reason = RefusalReason(reply.reason) if known else RefusalReason.NO_ENDPOINT
             return Failure(Refusal(reason, "refused by the pool owner", reply.retry_after_ms))
+        if reply.host is not None:
+            address = Address(reply.host, reply.port)
+        else:
+            endpoint = config.endpoints_by_id.get(reply.endpoint_id)
+            if endpoint is None:
+                # The next report ends the grant, which this router does not hold.
+                self._outbox.touch(owner, request.pool)
+                detail = "the pool owner granted an unknown endpoint"
+                return Failure(Refusal(RefusalReason.NO_ENDPOINT, detail, 1_000))
+            address = endpoint.address
         grant = Grant(
-            reply.grant_id,
+            grant_id_of(reply.grant_id),
             request.pool,
             reply.endpoint_id,
-            Address(reply.host, reply.port),
-            reply.owner_id,
+            address,
+            owner,
             parse_address(reply.kv_source) if reply.kv_source else None,
         )
         self._outbox.hold(grant, request)
--- a/tests/test_admission_task.py
+++ b/tests/test_admission_task.py
@@ -6,11 +6,14 @@
 import time
 import unittest
 from typing import TYPE_CHECKING, Any
+from unittest.mock import patch
 
 from attrs import evolve
 from returns.result import Failure, Success
 
 from sequoiadrum import admission_task
+from sequoiadrum._gen.peer import ttypes
+from sequoiadrum._grant_wire import number_of
 from sequoiadrum.admission_task import AdmissionParts, AdmissionTask
 from sequoiadrum.configuration import ObjectKind
 from sequoiadrum.errors import RefusalReason
@@ -18,7 +21,7 @@
 from sequoiadrum.interfaces import AdmissionRequest, Grant, GrantOutcome
 from sequoiadrum.messages import Address, LoadReport, MemberState
 from sequoiadrum.metrics import Metrics
-from sequoiadrum.peer_client import ThriftPeerClient
+from sequoiadrum.peer_client import PeerFailure, ThriftPeerClient
 from sequoiadrum.peer_server import PeerHandler, create_peer_server
 from sequoiadrum.platform_client import ListedInstance
 from sequoiadrum.timers import TimerService
@@ -31,6 +34,7 @@
 _WAIT_S = 15.0
 _numbers = itertools.count(1)
 _POOL = "assistant"
+_BAD = "f0000000000000ba"
 
 
 def a_request(chat_id: str = "", fingerprint: str = "", wait_s: float = 10.0) -> AdmissionRequest:
@@ -166,6 +170,36 @@
         self.assertEqual(self.load(self.first), 1)
         self.eventually(lambda: self.load(self.first) == 0)
 
+    def test_owner_that_lost_a_grant_gets_it_whole(self) -> None:
+        """Guards against reports of ids that leave an owner without the load behind them."""
+        grant = self.granted(self.third)
+        owner, outbox = self.tasks[self.first], self.tasks[self.third]._outbox
+        outbox.report(self.first, _POOL, True)
+        self.eventually(lambda: "confirm_grants" in self.peers.calls)
+        self.assertNotIn("report_grants", self.peers.calls)
+        owner.release_for_peer(_POOL, [ttypes.Release(number_of(grant.grant_id))])
+        self.assertEqual(self.load(self.first), 0)
+        outbox.report(self.first, _POOL, True)
+        self.eventually(lambda: self.load(self.first) == 1)
+
+    def test_lost_answer_leaks_nothing(self) -> None:
+        """Guards against a grant whose answer is lost and whose router holds nothing."""
+        call = self.peers.call
+        with patch.object(self.peers, "call", lambda *arguments: _lost(call(*arguments))):
+            self.tasks[self.third].acquire(a_request(wait_s=0.0), ())
+        self.assertEqual(self.load(self.first), 1)
+        self.eventually(lambda: self.load(self.first) == 0)
+
+    def test_address_is_sent_when_revisions_differ(self) -> None:
+        """Guards against a request that goes to the address of an older declaration."""
+        task = self.tasks[self.first]
+        revision = self.config.state.revision
+        for asker, expected in ((revision, None), (revision - 1, "127.0.0.1")):
+            request = ttypes.AcquireRequest(
+                _POOL, "c", "a", 1000, self.third, 3, asker, forced=True
+            )
+            self.assertEqual(task.acquire_for_peer(request).host, expected)
+
     def test_own_report_and_list_stop_new_work_everywhere(self) -> None:
         """Guards against new work on a leaving engine, also past a router without a platform."""
         self.platforms[self.first].instances = None
@@ -190,13 +224,13 @@
     def test_crashing_request_is_refused_by_every_router(self) -> None:
         """Guards against a request that is sent again through another router."""
         for router_id in (self.third, self.second):
-            grant = self.granted(router_id, fingerprint="bad")
+            grant = self.granted(router_id, fingerprint=_BAD)
             self.tasks[router_id].release(grant, GrantOutcome.CRASHED)
-            self.eventually(lambda: self.counted("bad"))
+            self.eventually(lambda: self.counted(_BAD))
             time.sleep(0.05)
         for task in self.tasks.values():
-            self.eventually(lambda t=task: t._owner.refusal("bad") is not None)
-        decision = self.tasks[self.first].acquire(a_request(fingerprint="bad"), ())
+            self.eventually(lambda t=task: t._owner.refusal(_BAD) is not None)
+        decision = self.tasks[self.first].acquire(a_request(fingerprint=_BAD), ())
         assert isinstance(decision, Failure)
         self.assertIs(decision.failure().reason, RefusalReason.CRASHES_ENDPOINTS)
 
@@ -245,6 +279,11 @@
         self.assertLess(admission_task.LIST_S + admission_task.POLL_S, 2.0)
 
 
+def _lost(result: Any) -> Any:
+    """Loses the answer of a call that took effect."""
+    return Failure(PeerFailure.BROKEN) if isinstance(result, Success) else result
+
+
 class _Calls:
     """The part of `PeerHandler` that admission answers."""
 
@@ -252,3 +291,4 @@
         self.acquire = task.acquire_for_peer
         self.release = task.release_for_peer
         self.report_grants = task.report_grants
+        self.confirm_grants = task.confirm_grants
--- a/tools/bench_admission_core.py
+++ b/tools/bench_admission_core.py
@@ -7,18 +7,20 @@
 
 import argparse
 import gc
+import math
 import random
 import time
 import tracemalloc
 from typing import TYPE_CHECKING, Any, Final
 
-from attrs import define
+from attrs import define, frozen
 from returns.result import Success
 from thrift.transport.TTransport import TFramedTransport, TMemoryBuffer
 
 from sequoiadrum._gen.peer import Peer, ttypes
 from sequoiadrum._thrift_transport import COMPACT
 from sequoiadrum.admission import PoolAdmission
+from sequoiadrum.admission_task import REPORT_S
 from sequoiadrum.configuration import Change, ConfigState, ObjectKind
 from sequoiadrum.interfaces import AdmissionRequest, ConfigSource, GrantOutcome
 from sequoiadrum.metrics import Metrics
@@ -37,6 +39,7 @@
 """39,000 requests/s for 4 s each."""
 _OPERATIONS: Final = 60_000
 _CHATS: Final = 400_000
+_GRANT_PREFIX: Final = 1 << 61
 
 
 def main() -> None:
@@ -69,7 +72,7 @@
 def _request(number: int, chat: int, source: random.Random) -> PoolRequest:
     return PoolRequest(
         f"request-{number}",
-        f"r17-18c0ffee-{number:x}",
+        f"{_GRANT_PREFIX | number:x}",
         f"chat-{chat:08}",
         f"account-{source.randrange(_ACCOUNTS):05}",
         f"router-{source.randrange(2400):04}",
@@ -88,7 +91,7 @@
         chat = source.randrange(_CHATS)
         pool = pools[chat % len(pools)]
         if isinstance(pool.acquire(_request(number, chat, source), 100.0), Placed):
-            held.append((pool, f"r17-18c0ffee-{number:x}"))
+            held.append((pool, f"{_GRANT_PREFIX | number:x}"))
     requests = [
         (source.randrange(_CHATS), _IN_FLIGHT + number, source.randrange(len(held)))
         for number in range(_OPERATIONS)
@@ -192,7 +195,7 @@
             pool.acquire(_request(number, number, source), 100.0)
 
     both = _bytes(fill)
-    grants = [f"r17-18c0ffee-{number:x}" for number in range(count)]
+    grants = [f"{_GRANT_PREFIX | number:x}" for number in range(count)]
 
     def empty() -> None:
         for grant_id in grants:
@@ -217,30 +220,48 @@
     return tracemalloc.get_traced_memory()[0] - before
 
 
+@frozen
+class _Sizes:
+    """Bytes of the messages of one grant, framed compact protocol, without TCP and IP headers."""
+
+    acquire: float
+    answer: float
+    release: float
+    report: float
+    """Report of no grant."""
+    report_entry: float
+    empty_answer: float
+    """Answer to a release or a report."""
+
+
+_BEFORE: Final = _Sizes(161, 100, 82, 64, 103.0, 26)
+"""Sizes at commit 05095db, which had no hint in `acquire`; its answers are taken as today's."""
+
+
 def _messages() -> None:
     request = ttypes.AcquireRequest(
-        "assistant-large", "01234567-89ab-cdef-0123-456789abcdef", "chat-01234567", "account-01234",
-        1, 1.0, 2000, "0123456789abcdef", "router-0123", 2**61, [], False,
-    )  # fmt: skip
-    reply = ttypes.AcquireReply(
-        ttypes.AcquireStatus.GRANTED, "router-0123-18c0ffee123-1a2b3", "engine-01234",
-        "192.0.2.123", 8000, None, None, None, "router-0123",
-    )  # fmt: skip
-    release = ttypes.Release("router-0123-18c0ffee123-1a2b3", ttypes.ReleaseOutcome.OK)
-    held = ttypes.HeldGrant(
-        "router-0123-18c0ffee123-1a2b3", "engine-01234", "chat-01234567", "account-01234", 1.0,
-        "0123456789abcdef",
+        "assistant-large", "chat-01234567", "account-01234", 2000, "router-0123", 2**61, 123_456,
+        2**61, None, None, None, None, "engine-01234",
     )  # fmt: skip
+    reply = ttypes.AcquireReply(ttypes.AcquireStatus.GRANTED, 2**61, "engine-01234")
+    with_address = ttypes.AcquireReply(
+        ttypes.AcquireStatus.GRANTED, 2**61, "engine-01234", "192.0.2.123", 8000
+    )
+    release = ttypes.Release(2**61)
+    held = ttypes.HeldGrant(2**61, "engine-01234", "chat-01234567", 1.0, 2**61)
     acquire = _call(lambda c: c.send_acquire(request))
     answer = _struct(Peer.acquire_result(reply)) + 20
-    print(f"acquire: call {acquire} bytes, answer {answer} bytes (framed compact protocol)")
+    print(
+        f"acquire with a hint: call {acquire} bytes, answer {answer} bytes, "
+        f"{_struct(Peer.acquire_result(with_address)) + 20} when revisions differ (framed compact "
+        f"protocol; before: {_BEFORE.acquire}, without a hint, and {_BEFORE.answer})"
+    )
+    pool, router = "assistant-large", "router-0123"
     by_name: dict[str, list[int]] = {}
     for name, send in (
-        ("release", lambda c, n: c.send_release("assistant-large", "router-0123", [release] * n)),
-        (
-            "report",
-            lambda c, n: c.send_report_grants("assistant-large", "router-0123", 2**61, [held] * n),
-        ),
+        ("release", lambda c, n: c.send_release(pool, [release] * n)),
+        ("whole report", lambda c, n: c.send_report_grants(pool, router, 2**61, [held] * n)),
+        ("report of ids", lambda c, n: c.send_confirm_grants(pool, router, 2**61, [2**61] * n)),
     ):
         sizes = [_call(lambda c, n=n, s=send: s(c, n)) for n in (0, 1, 64)]  # type: ignore[misc]
         print(
@@ -248,33 +269,59 @@
             f"{sizes[2]} with 64 ({(sizes[2] - sizes[0]) / 64:.1f} per entry)"
         )
         by_name[name] = sizes
-    _control(acquire, answer, by_name["release"][1], by_name["report"][2] / 64)
+    report = by_name["report of ids"]
+    empty = _struct(Peer.confirm_grants_result([])) + 20
+    after = _Sizes(
+        acquire, answer, by_name["release"][1], report[0], (report[2] - report[0]) / 64, empty
+    )
+    _control(after)
 
 
-def _control(call: int, answer: int, release: float, report: float) -> None:
+def _control(after: _Sizes) -> None:
     """Computes control traffic from the sizes of the messages.
 
     Routers share the requests evenly; a mean over routers counts each message at both ends, and
-    each release travels alone.
+    each release travels alone. Arrivals are Poisson, service times those of `routing_model`.
     """
     print(
-        "control traffic computed from these sizes (4 s per request, 487 tokens per request, 120 "
-        "bytes per token event, reports every 5 s)"
+        "control traffic computed from these sizes (4 s per request in the mean, lognormal; 487 "
+        "tokens per request, 120 bytes per token event, reports every 5 s; before: sizes and "
+        "reports of commit 05095db)"
     )
+    source = random.Random(7)
+    services = [source.lognormvariate(math.log(3.2), 0.67) for _ in range(100_000)]
+    beyond_s = sum(max(0.0, s - REPORT_S) for s in services) / len(services)
     for name, routers, requests_s, pools in (
         ("deployment A", 14, 15.0, 1),
         ("fleet in two years", 2_400, 39_000.0, 157),
     ):
         remote = requests_s * (1 - 1 / routers)
-        in_flight = remote * 4.0
-        per_request = call + answer + release
-        grants = remote * per_request + in_flight * report / 5.0
+        rate = remote / routers / pools
+        # Before: each pool with a grant in flight or in one of the last three intervals.
+        reported = 1 - math.exp(-rate * (4.0 + 3 * REPORT_S))
+        # Now: each pool with a grant older than an interval, now or at the last report.
+        old = 1 - math.exp(-2 * rate * beyond_s)
+        messages = {"before": reported, "now": old}
+        print(f"  {name}: {routers} routers, {requests_s:g} requests/s, {pools} pools")
+        for label, sizes in (("before", _BEFORE), ("now", after)):
+            per_request = sizes.acquire + sizes.answer + sizes.release + sizes.empty_answer
+            entries = remote * 4.0 * (1.0 if label == "before" else min(1.0, old + beyond_s / 4.0))
+            reports = (
+                routers * pools * messages[label] * (sizes.report + sizes.empty_answer)
+                + entries * sizes.report_entry
+            ) / REPORT_S
+            grants = remote * per_request
+            total = grants + reports
+            print(
+                f"    owner grants, {label}: mean per router {2 * total / routers / 1e3:.2f} KB/s "
+                f"(grants and releases {2 * grants / routers / 1e3:.2f}, reports "
+                f"{2 * reports / routers / 1e3:.2f}), per pool at its owner "
+                f"{total / pools / 1e3:.1f} KB/s"
+            )
         forwarded = remote * 487 * 120
-        changes = requests_s * 2 * release * (routers - 1)
+        changes = requests_s * 2 * after.release * (routers - 1)
+        in_flight = remote * 4.0
         print(
-            f"  {name}: {routers} routers, {requests_s:g} requests/s, {pools} pools\n"
-            f"    owner grants, mean per router {2 * grants / routers / 1e3:.2f} KB/s, "
-            f"per pool at its owner {grants / pools / 1e3:.1f} KB/s\n"
             f"    owner relays streams, mean per router {2 * forwarded / routers / 1e3:.0f} KB/s, "
             f"per pool at its owner {forwarded / pools / 1e3:.0f} KB/s\n"
             f"    every router tells all others each change, per router "
