Move KV caches to where the pool places their chats

Plans chose the target by another hash than placement, so a moved chat could be placed on an engine without its context; the new driver test showed it ('e2' moved to, 'e3' granted). The move now uses the pool's ranking, and tells the owner where each chat went, which covers pools that place chats by load (core test with cold_choices 0 and 1). Asking the owner for targets beforehand was ruled out, because its answer may be out of date after the import. Without the owner's knowledge (call lost), the chat is imported again as before.

--- a/schema/peer.thrift
+++ b/schema/peer.thrift
@@ -167,6 +167,8 @@
   list<i64> confirm_grants(1: string pool, 2: string router_id, 3: i64 router_process_id, 4: list<i64> grant_ids),
   /** Loads of a pool that is owned here, and chats that an endpoint (may be empty) served last. */
   PoolReport inspect_pool(1: string pool, 2: string endpoint_id, 3: i32 max_chats),
+  /** Where the contexts of chats were moved from an endpoint. */
+  void note_moved(1: string pool, 2: string source_id, 3: map<string, string> target_by_chat),
   /** Changes above a revision, or a snapshot when they are no longer kept. */
   ConfigUpdate fetch_config(1: i64 since_revision),
   KeyedReply submit_keyed(1: KeyedRequest request),
--- a/src/sequoiadrum/_gen/peer/Peer.py
+++ b/src/sequoiadrum/_gen/peer/Peer.py
@@ -82,6 +82,18 @@
         """
         pass
 
+    def note_moved(self, pool, source_id, target_by_chat):
+        """
+        Where the contexts of chats were moved from an endpoint.
+
+        Parameters:
+         - pool
+         - source_id
+         - target_by_chat
+
+        """
+        pass
+
     def fetch_config(self, since_revision):
         """
         Changes above a revision, or a snapshot when they are no longer kept.
@@ -355,6 +367,42 @@
             return result.success
         raise TApplicationException(TApplicationException.MISSING_RESULT, "inspect_pool failed: unknown result")
 
+    def note_moved(self, pool, source_id, target_by_chat):
+        """
+        Where the contexts of chats were moved from an endpoint.
+
+        Parameters:
+         - pool
+         - source_id
+         - target_by_chat
+
+        """
+        self.send_note_moved(pool, source_id, target_by_chat)
+        self.recv_note_moved()
+
+    def send_note_moved(self, pool, source_id, target_by_chat):
+        self._oprot.writeMessageBegin('note_moved', TMessageType.CALL, self._seqid)
+        args = note_moved_args()
+        args.pool = pool
+        args.source_id = source_id
+        args.target_by_chat = target_by_chat
+        args.write(self._oprot)
+        self._oprot.writeMessageEnd()
+        self._oprot.trans.flush()
+
+    def recv_note_moved(self):
+        iprot = self._iprot
+        (fname, mtype, rseqid) = iprot.readMessageBegin()
+        if mtype == TMessageType.EXCEPTION:
+            x = TApplicationException()
+            x.read(iprot)
+            iprot.readMessageEnd()
+            raise x
+        result = note_moved_result()
+        result.read(iprot)
+        iprot.readMessageEnd()
+        return
+
     def fetch_config(self, since_revision):
         """
         Changes above a revision, or a snapshot when they are no longer kept.
@@ -548,6 +596,7 @@
         self._processMap["report_grants"] = Processor.process_report_grants
         self._processMap["confirm_grants"] = Processor.process_confirm_grants
         self._processMap["inspect_pool"] = Processor.process_inspect_pool
+        self._processMap["note_moved"] = Processor.process_note_moved
         self._processMap["fetch_config"] = Processor.process_fetch_config
         self._processMap["submit_keyed"] = Processor.process_submit_keyed
         self._processMap["keyed_status"] = Processor.process_keyed_status
@@ -713,6 +762,29 @@
         oprot.writeMessageEnd()
         oprot.trans.flush()
 
+    def process_note_moved(self, seqid, iprot, oprot):
+        args = note_moved_args()
+        args.read(iprot)
+        iprot.readMessageEnd()
+        result = note_moved_result()
+        try:
+            self._handler.note_moved(args.pool, args.source_id, args.target_by_chat)
+            msg_type = TMessageType.REPLY
+        except TTransport.TTransportException:
+            raise
+        except TApplicationException as ex:
+            logging.exception('TApplication exception in handler')
+            msg_type = TMessageType.EXCEPTION
+            result = ex
+        except Exception:
+            logging.exception('Unexpected exception in handler')
+            msg_type = TMessageType.EXCEPTION
+            result = TApplicationException(TApplicationException.INTERNAL_ERROR, 'Internal error')
+        oprot.writeMessageBegin("note_moved", msg_type, seqid)
+        result.write(oprot)
+        oprot.writeMessageEnd()
+        oprot.trans.flush()
+
     def process_fetch_config(self, seqid, iprot, oprot):
         args = fetch_config_args()
         args.read(iprot)
@@ -1835,6 +1907,168 @@
 )
 
 
+class note_moved_args(object):
+    """
+    Attributes:
+     - pool
+     - source_id
+     - target_by_chat
+
+    """
+
+    __slots__ = (
+        'pool',
+        'source_id',
+        'target_by_chat',
+    )
+
+
+    def __init__(self, pool=None, source_id=None, target_by_chat=None,):
+        self.pool = pool
+        self.source_id = source_id
+        self.target_by_chat = target_by_chat
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.pool = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.source_id = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.MAP:
+                    self.target_by_chat = {}
+                    (_ktype78, _vtype79, _size77) = iprot.readMapBegin()
+                    for _i81 in range(_size77):
+                        _key82 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        _val83 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.target_by_chat[_key82] = _val83
+                    iprot.readMapEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('note_moved_args')
+        if self.pool is not None:
+            oprot.writeFieldBegin('pool', TType.STRING, 1)
+            oprot.writeString(self.pool.encode('utf-8') if sys.version_info[0] == 2 else self.pool)
+            oprot.writeFieldEnd()
+        if self.source_id is not None:
+            oprot.writeFieldBegin('source_id', TType.STRING, 2)
+            oprot.writeString(self.source_id.encode('utf-8') if sys.version_info[0] == 2 else self.source_id)
+            oprot.writeFieldEnd()
+        if self.target_by_chat is not None:
+            oprot.writeFieldBegin('target_by_chat', TType.MAP, 3)
+            oprot.writeMapBegin(TType.STRING, TType.STRING, len(self.target_by_chat))
+            for kiter84, viter85 in self.target_by_chat.items():
+                oprot.writeString(kiter84.encode('utf-8') if sys.version_info[0] == 2 else kiter84)
+                oprot.writeString(viter85.encode('utf-8') if sys.version_info[0] == 2 else viter85)
+            oprot.writeMapEnd()
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+all_structs.append(note_moved_args)
+note_moved_args.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'pool', 'UTF8', None, ),  # 1
+    (2, TType.STRING, 'source_id', 'UTF8', None, ),  # 2
+    (3, TType.MAP, 'target_by_chat', (TType.STRING, 'UTF8', TType.STRING, 'UTF8', False), None, ),  # 3
+)
+
+
+class note_moved_result(object):
+
+    __slots__ = (
+    )
+
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('note_moved_result')
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+all_structs.append(note_moved_result)
+note_moved_result.thrift_spec = (
+)
+
+
 class fetch_config_args(object):
     """
     Attributes:
--- a/src/sequoiadrum/admission.py
+++ b/src/sequoiadrum/admission.py
@@ -245,6 +245,19 @@
         """Lists chats that an engine served last, the most recent first."""
         return self.recent.chats_of(engine_id, limit)
 
+    def note_moved(self, source_id: str, target_by_chat: Mapping[str, str], now: float) -> None:
+        """Takes where the contexts of chats were moved from an engine.
+
+        A chat that was served elsewhere meanwhile stays there.
+        """
+        for chat_id, target_id in target_by_chat.items():
+            chat_hash = stable_hash(chat_id)
+            last = self.recent.last_engine(chat_hash)
+            target = self._engine_by_id.get(target_id)
+            if target is not None and (last is None or last.id == source_id):
+                self.recent.record(chat_hash, target, now)
+                self.recent.list_chat(target_id, chat_id)
+
     def usable_ids(self) -> list[str]:
         """Lists the engines that may get new work."""
         return [engine.id for engine in self._usable]
--- a/src/sequoiadrum/admission_task.py
+++ b/src/sequoiadrum/admission_task.py
@@ -237,6 +237,10 @@
         """Answers `Peer.inspect_pool`."""
         return self._peer_side.inspect(pool, endpoint_id, max_chats)
 
+    def note_moved(self, pool: str, source_id: str, target_by_chat: Mapping[str, str]) -> None:
+        """Answers `Peer.note_moved`."""
+        self._owner.note_moved(pool, source_id, target_by_chat)
+
     def loads(self, pool: str) -> Mapping[str, float]:
         """Gives the load of each engine of a pool, as far as it is decided here."""
         return self._owner.loads(pool)
--- a/src/sequoiadrum/interfaces.py
+++ b/src/sequoiadrum/interfaces.py
@@ -269,6 +269,13 @@
     def recent_chats(self, endpoint_id: str, limit: int) -> Sequence[str]:
         """Lists chats that the endpoint served last, the most recent first."""
 
+    @abstractmethod
+    def note_moved(self, source_id: str, target_by_chat: Mapping[str, str]) -> None:
+        """Tells the pool owner where the contexts of chats were moved; best effort.
+
+        A chat whose move the owner does not learn of is imported again when it returns.
+        """
+
 
 class PlanNotices(ABC):
     """Learns at once of plans that an operator created or aborted on this router."""
--- a/src/sequoiadrum/peer_server.py
+++ b/src/sequoiadrum/peer_server.py
@@ -36,7 +36,7 @@
     membership: Any
     """Answers `sync_members`."""
     admission: Any
-    """Answers `acquire`, `release`, `report_grants`, `confirm_grants` and `inspect_pool`."""
+    """Answers `acquire`, `release`, the reports of grants, `inspect_pool` and `note_moved`."""
     config: Any
     """Answers `fetch_config`."""
     keyed: Any
@@ -72,6 +72,10 @@
         """Gives the loads of a pool that is owned here."""
         return self.admission.inspect_pool(pool, endpoint_id, max_chats)
 
+    def note_moved(self, pool: str, source_id: str, target_by_chat: dict[str, str]) -> None:
+        """Tells the owner where a plan has moved the contexts of chats."""
+        self.admission.note_moved(pool, source_id, target_by_chat)
+
     def fetch_config(self, since_revision: int) -> ConfigUpdate:
         """Gives configuration changes above a revision."""
         return self.config.fetch_config(since_revision)
--- a/src/sequoiadrum/placement.py
+++ b/src/sequoiadrum/placement.py
@@ -4,12 +4,15 @@
 
 import math
 from collections import OrderedDict
-from typing import Final
+from typing import TYPE_CHECKING, Final
 
 from attrs import define, field, frozen
 
 from sequoiadrum.hashing import stable_hash
 
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
 SLOW_START_S: Final = 10.0
 """A cold engine reaches its full cap after this time."""
 DISPLACED_S: Final = 600.0
@@ -122,6 +125,16 @@
     return z ^ (z >> 31)
 
 
+def home_of(chat_id: str, engine_ids: Iterable[str]) -> str | None:
+    """Gives the first engine in a chat's ranking, or None without engines."""
+    chat_hash = stable_hash(chat_id)
+    return max(
+        engine_ids,
+        key=lambda engine_id: chat_score(chat_hash, EngineState.of(engine_id).id_hash),
+        default=None,
+    )
+
+
 @define
 class RecentTable:
     """Bounded table of the engines that last served the chats, least recently used out first."""
--- a/src/sequoiadrum/plan_driver.py
+++ b/src/sequoiadrum/plan_driver.py
@@ -11,8 +11,8 @@
 
 from sequoiadrum.configuration import ChangeConflict, ChangeRequest, InvalidChange, ObjectKind
 from sequoiadrum.engine_client import EngineFailure, EngineOrder
-from sequoiadrum.hashing import first_ranked
 from sequoiadrum.messages import EndpointKind, EndpointState, MemberState
+from sequoiadrum.placement import home_of
 from sequoiadrum.plan_keeper import Advance, Driven, PlanKeeper
 from sequoiadrum.plans import PlanKind, PlanState, StepName, StepState
 
@@ -294,14 +294,18 @@
         if driven.chats is None:
             driven.chats = self._parts.inspector.recent_chats(source.id, _MAX_CHATS)
             driven.chats_tried = driven.chats_moved = 0
+        target_by_chat: dict[str, str] = {}
         began = self._clock()
         for chat in driven.chats[driven.chats_tried : driven.chats_tried + _KV_SLICE_CHATS]:
-            home = engines_by_id[first_ranked(chat, engines_by_id) or ""]
+            home = engines_by_id[home_of(chat, engines_by_id) or ""]
             moved = self._parts.engines.import_kv(home.address, chat, source.address)
             driven.chats_tried += 1
-            driven.chats_moved += isinstance(moved, Success) and moved.unwrap() > 0
+            if isinstance(moved, Success) and moved.unwrap() > 0:
+                driven.chats_moved += 1
+                target_by_chat[chat] = home.id
             if self._clock() - began >= self._lease_s / 4:
                 break
+        self._parts.inspector.note_moved(source.id, target_by_chat)
         driven.note = f"moved {driven.chats_moved} of {len(driven.chats)} chats"
         if driven.chats_tried < len(driven.chats):
             return Advance.PROGRESS
--- a/src/sequoiadrum/pool_inspector.py
+++ b/src/sequoiadrum/pool_inspector.py
@@ -10,7 +10,7 @@
 from sequoiadrum.interfaces import EndpointLoad, PoolInspector, PoolLoad
 
 if TYPE_CHECKING:
-    from collections.abc import Sequence
+    from collections.abc import Mapping, Sequence
 
     from sequoiadrum._gen.peer.ttypes import PoolReport
     from sequoiadrum.admission_task import AdmissionTask
@@ -68,6 +68,18 @@
             chats += [] if asked is None else asked.recent_chats
         return tuple(dict.fromkeys(chats))[:limit]
 
+    def note_moved(self, source_id: str, target_by_chat: Mapping[str, str]) -> None:
+        """See `PoolInspector.note_moved`."""
+        endpoint = self._config.current().endpoints_by_id.get(source_id)
+        if endpoint is None or not target_by_chat:
+            return
+        pool, moved = endpoint.pool, dict(target_by_chat)
+        owner = self._admission.owner_address(pool)
+        if owner is None:
+            self._admission.note_moved(pool, source_id, moved)
+        else:
+            self._peers.call(owner, lambda c: c.note_moved(pool, source_id, moved), _TIMEOUT_S)
+
     def _inspect(self, pool: str, endpoint_id: str, max_chats: int) -> PoolReport | None:
         owner = self._admission.owner_address(pool)
         if owner is None:
--- a/src/sequoiadrum/pool_owner.py
+++ b/src/sequoiadrum/pool_owner.py
@@ -278,6 +278,12 @@
             pool = self._pools_by_name.get(pool_name)
             return pool.core.recent_chats(endpoint_id, limit) if pool is not None else []
 
+    def note_moved(self, pool_name: str, source_id: str, target_by_chat: Mapping[str, str]) -> None:
+        """Takes where a plan has moved the contexts of chats."""
+        now = self._clock()
+        with self._lock:
+            self._pool(pool_name, now).core.note_moved(source_id, target_by_chat, now)
+
     def pools(self) -> list[str]:
         """Lists the pools with state here."""
         with self._lock:
--- a/tests/plan_world.py
+++ b/tests/plan_world.py
@@ -184,6 +184,11 @@
     def __init__(self, config: FakeConfig) -> None:
         self._config = config
         self.in_flight_left: list[float | None] = []
+        self.chats = ["c1", "c2"]
+        self.moved: dict[str, str] = {}
+
+    def note_moved(self, source_id: str, target_by_chat: Any) -> None:
+        self.moved.update(target_by_chat)
 
     def pool_load(self, pool: str) -> Any:
         endpoints = self._config.state.pool_endpoints(pool)
@@ -198,7 +203,7 @@
         return self.in_flight_left.pop(0) if self.in_flight_left else 0.0
 
     def recent_chats(self, endpoint_id: str, limit: int) -> list[str]:
-        return ["c1", "c2"][:limit]
+        return self.chats[:limit]
 
 
 class FakeMembership(MembershipSource):
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -181,6 +181,19 @@
         later = _NOW + SLOW_START_S
         self.assertEqual(placed_by(new, "d", later, last_engine=home).engine_id, other)
 
+    def test_moved_chat_follows_its_context(self) -> None:
+        """Guards against moved contexts that are missed, and late news that undoes a placement."""
+        for choices in (0, 1):
+            pool = a_pool(cold_choices=choices)
+            source = placed_by(pool, "c").engine_id
+            target, other = [e for e in pool.loads() if e != source][:2]
+            placed_by(pool, "elsewhere", last_engine=other)
+            pool.note_moved(source, {"c": target, "elsewhere": target, "x": "unknown"}, _NOW)
+            pool.set_engines({e: e == source for e in pool.loads()}, _NOW)
+            placed = placed_by(pool, "c")
+            self.assertEqual((placed.engine_id, placed.kv_source), (target, None))
+            self.assertEqual(placed_by(pool, "elsewhere").engine_id, other)
+
     def test_hints_keep_the_bound(self) -> None:
         """Guards against hints that all name one engine, or one that does not exist."""
         pool = a_pool()
--- a/tests/test_plan_driver.py
+++ b/tests/test_plan_driver.py
@@ -8,12 +8,15 @@
 from attrs import evolve
 from returns.result import Success
 
+from sequoiadrum.admission import PoolAdmission
 from sequoiadrum.configuration import ChangeRequest, ObjectKind
 from sequoiadrum.engine_client import EngineFailure, EngineOrder
 from sequoiadrum.messages import Address
+from sequoiadrum.placement import BoundPolicy
 from sequoiadrum.plan_keeper import Advance
 from sequoiadrum.plan_store import AbortRefused, PlanStore, with_write_id
 from sequoiadrum.plans import PlanKind, PlanState, StepName, StepState, new_plan
+from sequoiadrum.pool_messages import Placed, PoolRequest
 from tests.builders import a_config, an_endpoint_value
 from tests.plan_world import FakeEngine, Killed, World, a_member
 
@@ -44,6 +47,28 @@
     return world
 
 
+class MoveKvTest(unittest.TestCase):
+    """Chats are moved to where the pool places them."""
+
+    def test_chats_go_where_the_pool_places_them(self) -> None:
+        """Guards against a moved context that is missed because the chat is placed elsewhere."""
+        world = a_world(PlanKind.MOVE)
+        world.inspector.chats = [f"c{n}" for n in range(40)]
+        world.run("r1", "p")
+        name_by_port = {2: "e2", 3: "e3"}
+        imported = {chat: name_by_port[port] for port, chat, _ in world.engines.imports}
+        self.assertEqual(set(imported), set(world.inspector.chats))
+        self.assertEqual(world.inspector.moved, imported)
+        pool = PoolAdmission(BoundPolicy(engine_slots=1e9))
+        pool.set_engines({"e1": True, "e2": False, "e3": False}, 0.0)
+        for chat, engine_id in imported.items():
+            request = PoolRequest(chat, chat, chat, "a", "r1", 1, 1e9)
+            placed = pool.acquire(request, 100.0)
+            pool.release(chat)
+            assert isinstance(placed, Placed)
+            self.assertEqual(placed.engine_id, engine_id)
+
+
 def each_call(checks_fencing: bool = True) -> Iterator[tuple[PlanKind, int]]:
     """Gives every outside call of an undisturbed run of every kind of plan."""
     for kind in KINDS:
