Remove the unused handling of cache events from the recent table

No task reads the events, and reading them would take a second call per engine and poll (128 calls/s more for a pool of 64 engines) to remove entries whose context is lost.

--- a/src/sequoiadrum/placement.py
+++ b/src/sequoiadrum/placement.py
@@ -176,12 +176,6 @@
             if len(self._displaced_by_chat) > self.capacity:
                 del self._displaced_by_chat[next(iter(self._displaced_by_chat))]
 
-    def evicted(self, chat_hash: int, engine_id: str) -> None:
-        """Forgets a chat whose context the engine says it has dropped."""
-        engine = self._engine_by_chat.get(chat_hash)
-        if engine is not None and engine.id == engine_id:
-            del self._engine_by_chat[chat_hash]
-
     def list_chat(self, engine_id: str, chat_id: str) -> None:
         """Notes the name of a chat that an engine serves."""
         chats = self._chats_by_engine.setdefault(engine_id, OrderedDict())
