Report grants at a membership change only to owners that do not count them

Since periodic reports skip young grants, every change of any router's state made each router send its young grants whole to owners that had given them; the new test showed such a report. The outbox knows which owners count a grant, so only those that do not are told, at a change and periodically.

--- a/src/sequoiadrum/admission_task.py
+++ b/src/sequoiadrum/admission_task.py
@@ -379,17 +379,15 @@
         report ends. An owner that got a report gets one more, even when it is empty, since the
         first one may come within `MISSING_GRACE_S` of the grant.
         """
-        wanted: dict[str, set[str]] = {}
-        for pool in self._outbox.held_pools(0.0 if only_new_owners else REPORT_S):
-            owner = self._directory.owner_of(pool)
-            if owner is not None:
-                wanted.setdefault(owner, set()).add(pool)
+        for owner, pools in self._outbox.unreported(self._directory.owner_of).items():
+            self._report_to(owner, pools, ids_only=False)
         if only_new_owners:
-            for owner, pools in wanted.items():
-                known = self._reported.setdefault(owner, set())
-                self._report_to(owner, pools - known, ids_only=False)
-                known |= pools
             return
+        wanted: dict[str, set[str]] = {}
+        for pool in self._outbox.held_pools(REPORT_S):
+            owner_id = self._directory.owner_of(pool)
+            if owner_id is not None:
+                wanted.setdefault(owner_id, set()).add(pool)
         for owner, pools in self._outbox.take_touched().items():
             wanted.setdefault(owner, set()).update(pools)
         previous, self._reported = self._reported, wanted
--- a/src/sequoiadrum/grant_outbox.py
+++ b/src/sequoiadrum/grant_outbox.py
@@ -134,6 +134,16 @@
         with self._condition:
             return {h.grant.pool for h in self._held_by_id.values() if h.held_since <= until}
 
+    def unreported(self, owner_of: Callable[[str], str | None]) -> dict[str, set[str]]:
+        """Gives the pools with a grant that their present owner does not count, by owner."""
+        pools_by_owner: dict[str, set[str]] = {}
+        with self._condition:
+            for held in self._held_by_id.values():
+                owner = owner_of(held.grant.pool)
+                if owner is not None and owner not in held.owners:
+                    pools_by_owner.setdefault(owner, set()).add(held.grant.pool)
+        return pools_by_owner
+
     def report(self, owner_id: str, pool: str, ids_only: bool) -> None:
         """Sends the grants of a pool to its owner soon; also those that another router gave.
 
--- a/tests/test_admission_task.py
+++ b/tests/test_admission_task.py
@@ -182,6 +182,14 @@
         outbox.report(self.first, _POOL, True)
         self.eventually(lambda: self.load(self.first) == 1)
 
+    def test_other_routers_changes_cause_no_report(self) -> None:
+        """Guards against reports from every router at every change of the membership."""
+        self.granted(self.third)
+        self.views[self.third].change(self.second, state=MemberState.DEAD)
+        self.views[self.third].change(self.second, state=MemberState.ALIVE)
+        time.sleep(0.2)
+        self.assertNotIn("report_grants", self.peers.calls)
+
     def test_lost_answer_leaks_nothing(self) -> None:
         """Guards against a grant whose answer is lost and whose router holds nothing."""
         call = self.peers.call
