--- a/src/sequoiadrum/admission_task.py
+++ b/src/sequoiadrum/admission_task.py
@@ -7,7 +7,7 @@
 from concurrent.futures import TimeoutError as FutureTimeoutError
 from typing import TYPE_CHECKING, Any, Final
 
-from attrs import frozen
+from attrs import evolve, frozen
 from returns.result import Failure, Result, Success
 
 from sequoiadrum._peer_admission import PeerAdmission
@@ -29,6 +29,7 @@
 from sequoiadrum.pool_directory import PoolDirectory
 from sequoiadrum.pool_owner import GrantHolder, PoolOwner
 from sequoiadrum.remote_admission import RemoteAdmission
+from sequoiadrum.served_chats import ServedChats
 from sequoiadrum.tasks import Task
 
 if TYPE_CHECKING:
@@ -115,9 +116,10 @@
             self._holder, parts.peers, self._directory.address_of, parts.metrics
         )
         self._remote = RemoteAdmission(
-            self._holder, parts.peers, self._directory, self._outbox, parts.metrics
+            self._holder, parts.peers, self._directory, self._outbox, parts.config, parts.metrics
         )
-        self._peer_side = PeerAdmission(self._router_id, self._owner, self._directory)
+        self._peer_side = PeerAdmission(self._router_id, self._owner, self._directory, parts.config)
+        self._served = ServedChats()
         self._leaving = LeavingEndpoints()
         self._poller = EndpointPoller(parts.engines, parts.platform, self.post)
         self._members: Mapping[str, Member] = members
@@ -165,6 +167,20 @@
         refusal = self._owner.refusal(request.fingerprint)
         if refusal is not None:
             return Failure(refusal)
+        # A caller that gives no chat id gets the request id as one, which never returns.
+        may_return = request.chat_id != request.request_id
+        if may_return:
+            hint = self._served.last_endpoint(request.pool, request.chat_id)
+            request = evolve(request, last_endpoint=hint)
+        decision = self._decide(request, excluded)
+        if may_return and isinstance(decision, Success):
+            grant = decision.unwrap()
+            self._served.record(request.pool, request.chat_id, grant.endpoint_id)
+        return decision
+
+    def _decide(
+        self, request: AdmissionRequest, excluded: Collection[str]
+    ) -> Result[Grant, Refusal]:
         local = self._directory.owner_of(request.pool) == self._router_id
         if not local:
             asked = self._remote.acquire(request, excluded)
@@ -186,7 +202,7 @@
         """Answers `Peer.acquire`."""
         return self._peer_side.acquire(request)
 
-    def release_for_peer(self, pool: str, router_id: str, releases: list[Any]) -> None:
+    def release_for_peer(self, pool: str, releases: list[Any]) -> None:
         """Answers `Peer.release`."""
         self._peer_side.release(pool, releases)
 
@@ -196,6 +212,12 @@
         """Answers `Peer.report_grants`."""
         self._peer_side.report(pool, GrantHolder(router_id, router_process_id), grants)
 
+    def confirm_grants(
+        self, pool: str, router_id: str, router_process_id: int, grant_ids: list[int]
+    ) -> list[int]:
+        """Answers `Peer.confirm_grants`."""
+        return self._peer_side.confirm(pool, GrantHolder(router_id, router_process_id), grant_ids)
+
     def owner_address(self, pool: str) -> Address | None:
         """Gives the peer address of the router that decides for a pool; None for this router."""
         owner = self._directory.owner_to_ask(pool)
@@ -203,10 +225,22 @@
             return None
         return self._directory.address_of(owner)
 
+    def former_owner_address(self, pool: str) -> Address | None:
+        """Gives the peer address of the router that owned a pool before the last join, if any.
+
+        That is this router's own address when it was the owner itself.
+        """
+        former = self._directory.successors_of(pool, 1)
+        return self._directory.address_of(former[0]) if former else None
+
     def inspect_pool(self, pool: str, endpoint_id: str, max_chats: int) -> Any:
         """Answers `Peer.inspect_pool`."""
         return self._peer_side.inspect(pool, endpoint_id, max_chats)
 
+    def note_moved(self, pool: str, source_id: str, target_by_chat: Mapping[str, str]) -> None:
+        """Answers `Peer.note_moved`."""
+        self._owner.note_moved(pool, source_id, target_by_chat)
+
     def loads(self, pool: str) -> Mapping[str, float]:
         """Gives the load of each engine of a pool, as far as it is decided here."""
         return self._owner.loads(pool)
@@ -340,31 +374,31 @@
     def _report(self, only_new_owners: bool) -> None:
         """Reports the held grants of each pool to its owner.
 
-        An owner that gave grants or got grants reported lately gets two more reports, even when
-        they are empty: they show which releases were lost, and the first one may come within
-        `MISSING_GRACE_S` of the grant.
+        A periodic report carries ids only, and is sent for pools with a grant older than one
+        interval, or with a call that failed: a lost release or answer leaves a grant that only a
+        report ends. An owner that got a report gets one more, even when it is empty, since the
+        first one may come within `MISSING_GRACE_S` of the grant.
         """
-        wanted: dict[str, set[str]] = {}
-        for pool in self._outbox.held_by_pool():
-            owner = self._directory.owner_of(pool)
-            if owner is not None:
-                wanted.setdefault(owner, set()).add(pool)
+        for owner, pools in self._outbox.unreported(self._directory.owner_of).items():
+            self._report_to(owner, pools, ids_only=False)
         if only_new_owners:
-            for owner, pools in wanted.items():
-                known = self._reported.setdefault(owner, set())
-                self._report_to(owner, pools - known)
-                known |= pools
             return
+        wanted: dict[str, set[str]] = {}
+        for pool in self._outbox.held_pools(REPORT_S):
+            owner_id = self._directory.owner_of(pool)
+            if owner_id is not None:
+                wanted.setdefault(owner_id, set()).add(pool)
         for owner, pools in self._outbox.take_touched().items():
             wanted.setdefault(owner, set()).update(pools)
         previous, self._reported = self._reported, wanted
         for owner in wanted.keys() | previous.keys():
-            self._report_to(owner, wanted.get(owner, set()) | previous.get(owner, set()))
+            pools = wanted.get(owner, set()) | previous.get(owner, set())
+            self._report_to(owner, pools, ids_only=True)
 
-    def _report_to(self, owner: str, pools: Collection[str]) -> None:
+    def _report_to(self, owner: str, pools: Collection[str], ids_only: bool) -> None:
         for pool in pools:
             if owner != self._router_id:
-                self._outbox.report(owner, pool)
+                self._outbox.report(owner, pool, ids_only)
             else:
                 entries = self._outbox.mark_reported(owner, pool)
                 self._peer_side.report(pool, self._holder, entries)
--- a/src/sequoiadrum/pool_messages.py
+++ b/src/sequoiadrum/pool_messages.py
@@ -31,6 +31,8 @@
     """Was involved in a crash; gets an engine without another suspect."""
     excluded: frozenset[str] = frozenset()
     """Endpoints that have failed this request."""
+    last_engine: str = ""
+    """Engine that served the chat last as far as its router knows; a hint."""
 
 
 @frozen
@@ -63,6 +65,8 @@
     granted_at: float
     confirmed_at: float
     """When the router last said that it holds the grant."""
+    crash: str = ""
+    """Crash of the engine that counts against the request, as it was in flight at that time."""
 
 
 @frozen
--- a/src/sequoiadrum/pool_owner.py
+++ b/src/sequoiadrum/pool_owner.py
@@ -14,6 +14,7 @@
 from sequoiadrum.admission import PoolAdmission
 from sequoiadrum.crash_guard import CrashGuard, crash_event
 from sequoiadrum.errors import Refusal, RefusalReason
+from sequoiadrum.hashing import stable_hash
 from sequoiadrum.interfaces import Grant, GrantOutcome
 from sequoiadrum.messages import Address, Endpoint, EndpointState
 from sequoiadrum.pool_messages import Placed, PoolRequest
@@ -84,7 +85,8 @@
         self._pools_by_name: dict[str, _Pool] = {}
         self._waiting_by_grant: dict[str, tuple[Future[Decision], str]] = {}
         self._grant_numbers = itertools.count(1)
-        self._grant_prefix = f"{router_id}-{int(wall_clock() * 1e3):x}"
+        # 31 bits that differ between owners of one pool and between processes of a router.
+        self._grant_prefix = stable_hash(router_id, repr(wall_clock())) >> 33 << 32
         self._guard = CrashGuard()
         self._leaving: frozenset[str] = frozenset()
         self._leaving_version = 0
@@ -111,7 +113,8 @@
         now = self._clock()
         with self._lock:
             pool = self._pool(request.pool, now)
-            grant_id = f"{self._grant_prefix}-{next(self._grant_numbers):x}"
+            number = next(self._grant_numbers) & 0xFFFFFFFF
+            grant_id = f"{self._grant_prefix | number:x}"
             wanted = PoolRequest(
                 request_id=request.request_id,
                 grant_id=grant_id,
@@ -125,6 +128,7 @@
                 fingerprint=request.fingerprint,
                 suspect=self._guard.is_suspect(request.fingerprint, self._wall_clock()),
                 excluded=frozenset(excluded),
+                last_engine=request.last_endpoint,
             )
             outcome = pool.core.acquire(wanted, now)
             if isinstance(outcome, Placed):
@@ -177,6 +181,15 @@
             pool.core.report(holder.router_id, holder.process_id, marked, now)
             self._pump(pool, now)
 
+    def confirm(self, pool_name: str, holder: GrantHolder, grant_ids: Collection[str]) -> list[str]:
+        """Takes the ids of all grants of a pool that a router holds; gives the unknown ones."""
+        now = self._clock()
+        with self._lock:
+            pool = self._pool(pool_name, now)
+            unknown = pool.core.confirm(holder.router_id, holder.process_id, grant_ids, now)
+            self._pump(pool, now)
+            return unknown
+
     def drop_router(self, router_id: str, process_id: int | None) -> None:
         """Drops the grants of a dead router, or of one process of it."""
         with self._lock:
@@ -265,6 +278,12 @@
             pool = self._pools_by_name.get(pool_name)
             return pool.core.recent_chats(endpoint_id, limit) if pool is not None else []
 
+    def note_moved(self, pool_name: str, source_id: str, target_by_chat: Mapping[str, str]) -> None:
+        """Takes where a plan has moved the contexts of chats."""
+        now = self._clock()
+        with self._lock:
+            self._pool(pool_name, now).core.note_moved(source_id, target_by_chat, now)
+
     def pools(self) -> list[str]:
         """Lists the pools with state here."""
         with self._lock:
@@ -328,6 +347,10 @@
         if outcome is GrantOutcome.OK and grant.fingerprint:
             cleared = self._guard.completed(grant.fingerprint, self._wall_clock())
             return [grant.fingerprint] if cleared else []
+        if outcome is GrantOutcome.REFUSED and grant.crash:
+            # The request was granted before the crash but did not run.
+            retracted = self._guard.retract(grant.crash, grant.fingerprint, self._wall_clock())
+            return [grant.fingerprint] if retracted else []
         if outcome is not GrantOutcome.CRASHED:
             return []
         return self._crashed(pool, grant)
@@ -343,16 +366,15 @@
         event = crash_event(engine_id, self._wall_clock())
         since = known[1] if known is not None else float("-inf")
         # Grants from before the previous crash are those whose routers have not noticed it yet.
-        involved = [
-            held.fingerprint
-            for held in pool.core.in_flight_at(engine_id)
-            if held.granted_at > since
-        ]
+        involved = [held for held in pool.core.in_flight_at(engine_id) if held.granted_at > since]
+        for held in involved:
+            held.crash = event
         now = self._clock()
         pool.crash_by_engine[engine_id] = (event, now)
         pool.core.set_healthy(engine_id, False, now)
         self._metrics.count("endpoint_crashes_total")
-        return self._guard.crashed(event, [grant.fingerprint, *involved], self._wall_clock())
+        fingerprints = [grant.fingerprint, *(held.fingerprint for held in involved)]
+        return self._guard.crashed(event, fingerprints, self._wall_clock())
 
     def _spread_crashes(self, rumors: Iterable[tuple[str, bytes]]) -> None:
         for fingerprint, payload in rumors:
