Let keyed calls wait for the takeover of their shard

A killed owner led to refusals until membership had declared it dead. A call that no router took has not been run, so it is put again every 100 ms for at most 4 s, by at most 64 callers of a router at once. A failed connection makes membership probe that router at once on all paths. Marking it suspect on the hint alone was ruled out: one side of a one-way cut would suspect the healthy.

Connecting takes at most 1.5 s now, so that a machine that is off is out of reach within the wait. A stopped thrift server wakes its blocked accept, which took one more connection and broke it. The log lines of failed connections are dropped; the counter stays.

--- a/src/sequoiadrum/_membership_types.py
+++ b/src/sequoiadrum/_membership_types.py
@@ -14,6 +14,8 @@
     probe_interval_s: float = 1.0
     probe_timeout_s: float = 0.4
     """Then indirect probes are asked for; well above the round trip between regions."""
+    check_gap_s: float = 0.2
+    """Shortest time between two probes on a hint, so that hints cannot flood the network."""
     suspicion_s: float = 2.0
     """Suspicion time at 14 members; it grows with log n."""
     indirect_probes: int = 3
@@ -61,6 +63,8 @@
     target: str
     started: float
     indirect: bool = False
+    is_urgent: bool = False
+    """Made because the target refused a connection."""
 
 
 @define(eq=False)
--- a/src/sequoiadrum/gossip_task.py
+++ b/src/sequoiadrum/gossip_task.py
@@ -98,6 +98,11 @@
     ttl_s: float
 
 
+@frozen
+class _Unreachable:
+    router_id: str
+
+
 @define(eq=False)
 class _Exchange(Ask[list[Member]]):
     members: list[Member]
@@ -168,6 +173,7 @@
             _Leave: self._on_leave,
             _Depart: self._on_depart,
             _Spread: self._on_spread,
+            _Unreachable: self._on_unreachable,
             _Exchange: self._on_exchange,
         }
 
@@ -215,6 +221,10 @@
         """See `MembershipSource.spread`."""
         self.post(_Spread(kind, key, version, payload, ttl_s))
 
+    def report_unreachable(self, router_id: str) -> None:
+        """See `MembershipSource.report_unreachable`."""
+        self.post(_Unreachable(router_id))
+
     def heard_at(self) -> float | None:
         """See `FleetLink.heard_at`."""
         return self._core.last_heard
@@ -301,6 +311,10 @@
         )
         self._flush()
 
+    def _on_unreachable(self, message: _Unreachable) -> None:
+        self._core.check(message.router_id, time.monotonic())
+        self._flush()
+
     def _flush(self) -> None:
         for address, data in self._core.take_outbox():
             try:
--- a/src/sequoiadrum/interfaces.py
+++ b/src/sequoiadrum/interfaces.py
@@ -184,6 +184,10 @@
     def spread(self, kind: str, key: str, version: int, payload: bytes, ttl_s: float) -> None:
         """Spreads a rumour to all routers; a higher version of a key replaces a lower one."""
 
+    def report_unreachable(self, router_id: str) -> None:
+        """Hints that a router does not accept connections; never blocks, may be ignored."""
+        return
+
 
 @frozen
 class ConfigUnavailable:
--- a/src/sequoiadrum/keyed_router.py
+++ b/src/sequoiadrum/keyed_router.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import threading
 import uuid
 from concurrent.futures import TimeoutError as FutureTimeoutError
 from typing import TYPE_CHECKING, Any, Final
@@ -36,6 +37,10 @@
 """The preferred owner, the one that it names, and this router."""
 _STATUS_TIMEOUT_S: Final = 2.0
 _RETRY_PAUSE_S: Final = 0.1
+TAKEOVER_WAIT_S: Final = 4.0
+"""Membership finds a death within 2.9 s in a fleet of 14; the takeover is two platform calls."""
+MAX_WAITING: Final = 64
+"""Calls that wait for a takeover at once; each holds the thread of its caller."""
 _GRACE_S: Final = 0.5
 """Time for a late task before its answer is given up for unknown."""
 _UNDECIDED: Final = (
@@ -50,7 +55,14 @@
     """The call may have reached another router, whose answer was lost."""
 
 
-_Hop = KeyedOutcome | Elsewhere | _Lost
+@frozen
+class _NoOwner:
+    """No router took the call, so it was not run and may be put again."""
+
+    detail: str
+
+
+_Hop = KeyedOutcome | Elsewhere | _Lost | _NoOwner
 
 
 class KeyedRouter(KeyedCalls):
@@ -68,6 +80,7 @@
         self._peers = peers
         self._clock = task.clock
         self._new_id = new_id
+        self._waiting = threading.BoundedSemaphore(MAX_WAITING)
 
     # KeyedCalls
 
@@ -75,13 +88,16 @@
         """See `KeyedCalls.submit`."""
         attempt = self._new_id()
         name = KeyName(call.service, call.account, call.key)
-        outcome = self._visit(
-            self._shard(name),
-            lambda: self._run_here(call, attempt),
-            lambda owner: self._run_there(owner, call, attempt),
-        )
+        outcome = self._run(name, call, attempt)
+        if isinstance(outcome, _NoOwner) and self._waiting.acquire(blocking=False):
+            try:
+                outcome = self._await_owner(name, call, attempt, outcome)
+            finally:
+                self._waiting.release()
         if isinstance(outcome, _Lost):
             return self._find_out(name, call, attempt)
+        if isinstance(outcome, _NoOwner):
+            return not_run(RefusalReason.OWNER_UNREACHABLE, outcome.detail)
         return outcome
 
     def status(self, service: str, account: str, key: str, issued_at_ms: int) -> KeyedOutcome:
@@ -121,12 +137,31 @@
 
     # Routing
 
+    def _run(self, name: KeyName, call: KeyedCall, attempt: str) -> KeyedOutcome | _Lost | _NoOwner:
+        return self._visit(
+            self._shard(name),
+            lambda: self._run_here(call, attempt),
+            lambda owner: self._run_there(owner, call, attempt),
+        )
+
+    def _await_owner(
+        self, name: KeyName, call: KeyedCall, attempt: str, outcome: _NoOwner
+    ) -> KeyedOutcome | _Lost | _NoOwner:
+        """Puts a call again that no router took, until a takeover or the end of its patience."""
+        self._task.metrics.count("keyed_owner_waits_total")
+        until = min(call.deadline, self._clock.now() + TAKEOVER_WAIT_S)
+        found: KeyedOutcome | _Lost | _NoOwner = outcome
+        while isinstance(found, _NoOwner) and self._clock.now() + _RETRY_PAUSE_S < until:
+            self._clock.sleep(_RETRY_PAUSE_S)
+            found = self._run(name, call, attempt)
+        return found
+
     def _shard(self, name: KeyName) -> int:
         return int(key_hash(name.service, name.account, name.key), 16) % self._task.shard_count
 
     def _visit(
         self, shard: int, here: Callable[[], _Hop], there: Callable[[str], _Hop]
-    ) -> KeyedOutcome | _Lost:
+    ) -> KeyedOutcome | _Lost | _NoOwner:
         """Asks the owner; a router that does not hold the shard may name another one, once."""
         owner = self._task.preferred_owner(shard)
         for _ in range(_MAX_HOPS):
@@ -138,7 +173,7 @@
             if named == owner:
                 break
             owner = named
-        return not_run(RefusalReason.OWNER_UNREACHABLE, "the routers disagree on the owner")
+        return _NoOwner("the routers disagree on the owner")
 
     def _run_here(self, call: KeyedCall, attempt: str) -> KeyedOutcome | Elsewhere:
         remaining_s = call.deadline - self._clock.now()
@@ -184,11 +219,12 @@
     def _call_peer(self, owner: str, make: Callable[[Any], KeyedReply], timeout_s: float) -> _Hop:
         member = self._members.members().get(owner)
         if member is None or timeout_s <= 0:
-            return not_run(RefusalReason.OWNER_UNREACHABLE, "the owner is not known")
+            return _NoOwner("the owner is not known")
         result = self._peers.call(member.peer_address, make, timeout_s)
         if isinstance(result, Failure):
             if result.failure() is PeerFailure.UNREACHABLE:
-                return not_run(RefusalReason.OWNER_UNREACHABLE, "the owner cannot be reached")
+                self._members.report_unreachable(owner)
+                return _NoOwner("the owner cannot be reached")
             return _Lost()
         reply = result.unwrap()
         return outcome_from_wire(reply) or Elsewhere(reply.owner_id or "")
@@ -197,7 +233,7 @@
         self, kind: CallKind, name: KeyName, issued_at_ms: int, attempt: str, timeout_s: float
     ) -> KeyedOutcome | _Lost:
         def there(owner: str) -> _Hop:
-            result = self._call_peer(
+            return self._call_peer(
                 owner,
                 lambda client: client.keyed_status(
                     name.service,
@@ -209,15 +245,14 @@
                 ),
                 timeout_s,
             )
-            # A question that was not put says nothing of the key.
-            return _Lost() if _is_unreachable(result) else result
 
         outcome = self._visit(
             self._shard(name),
             lambda: self._look_here(kind, name, issued_at_ms, attempt, timeout_s),
             there,
         )
-        return _Lost() if _is_unreachable(outcome) else outcome
+        # A question that was not put says nothing of the key.
+        return _Lost() if isinstance(outcome, _NoOwner) else outcome
 
     def _find_out(self, name: KeyName, call: KeyedCall, attempt: str) -> KeyedOutcome:
         """Cancels a lost forwarding or waits for its outcome, until the deadline."""
@@ -235,14 +270,6 @@
         return reply_to_wire(result)
 
 
-def _is_unreachable(result: _Hop) -> bool:
-    return (
-        isinstance(result, KeyedOutcome)
-        and result.refusal is not None
-        and result.refusal.reason is RefusalReason.OWNER_UNREACHABLE
-    )
-
-
 def _is_final(outcome: KeyedOutcome) -> bool:
     if outcome.state is KeyedState.RUNNING:
         return False
--- a/src/sequoiadrum/membership.py
+++ b/src/sequoiadrum/membership.py
@@ -79,6 +79,7 @@
     _next_probe: float = 0.0
     _next_dead_probe: float = 0.0
     _next_sync: float = 0.0
+    _next_check: float = 0.0
     _sync_pause_s: float = 1.0
     _last_push: float = -1e9
     _push_wanted: bool = False
@@ -176,6 +177,17 @@
             return False
         return self._hear(rumor, now)
 
+    def check(self, member_id: str, now: float) -> None:
+        """Probes a member at once that seems to be gone; hints in quick succession are dropped."""
+        member = self.members_by_id.get(member_id)
+        if member is None or member_id == self.me.id or now < self._next_check:
+            return
+        pending = any(p.target == member_id and p.is_urgent for p in self._probes.values())
+        if member.state is MemberState.DEAD or member_id in self._suspect_until or pending:
+            return
+        self._next_check = now + self.policy.check_gap_s
+        self._probe(member, now, is_urgent=True)
+
     # Outputs
 
     def take_outbox(self) -> list[tuple[Address, bytes]]:
@@ -210,10 +222,20 @@
         if self._round:
             self._probe_next(now)
 
-    def _probe(self, member: Member, now: float) -> None:
+    def _probe(self, member: Member, now: float, is_urgent: bool = False) -> None:
         self._sequence += 1
-        self._probes[self._sequence] = Probe(member.id, now)
+        probe = self._probes[self._sequence] = Probe(member.id, now, is_urgent=is_urgent)
         self._send(ttypes.DatagramKind.PING, self._sequence, member.peer_address, now, member.id)
+        if is_urgent:
+            self._probe_indirectly(self._sequence, probe, member, now)
+            for witness in self._helpers(member):
+                # Their answers show that this side hears, see `_patience`.
+                self._send(ttypes.DatagramKind.PING, 0, witness.peer_address, now, witness.id)
+
+    def _probe_indirectly(self, sequence: int, probe: Probe, member: Member, now: float) -> None:
+        probe.indirect = True
+        for helper in self._helpers(member):
+            self._send(ttypes.DatagramKind.PING_REQ, sequence, helper.peer_address, now, member.id)
 
     def _probe_dead(self, now: float) -> None:
         dead = [m for m in self.members_by_id.values() if m.state is MemberState.DEAD]
@@ -227,18 +249,20 @@
             member = self.members_by_id.get(probe.target)
             if member is None or member.state is MemberState.DEAD:
                 del self._probes[sequence]
-            elif age >= self.policy.probe_interval_s:
+            elif age >= self._patience(probe):
                 del self._probes[sequence]
                 self._suspect(member, now, probe.started)
             elif age >= self.policy.probe_timeout_s and not probe.indirect:
-                probe.indirect = True
-                for helper in self._helpers(member):
-                    self._send(
-                        ttypes.DatagramKind.PING_REQ, sequence, helper.peer_address, now, member.id
-                    )
+                self._probe_indirectly(sequence, probe, member, now)
         for number in [n for n, relay in self._relays.items() if relay.expires <= now]:
             del self._relays[number]
 
+    def _patience(self, probe: Probe) -> float:
+        # All paths of an urgent probe are tried at once, so one timeout covers them.
+        heard = self.last_heard is not None and self.last_heard >= probe.started
+        short = probe.is_urgent and heard
+        return self.policy.probe_timeout_s if short else self.policy.probe_interval_s
+
     def _suspect(self, member: Member, now: float, probed: float) -> None:
         if member.id in self._suspect_until:
             return
--- a/src/sequoiadrum/peer_client.py
+++ b/src/sequoiadrum/peer_client.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import logging
 import socket
 import threading
 from abc import ABC, abstractmethod
@@ -25,6 +26,11 @@
 T = TypeVar("T")
 
 _IDLE_PER_ADDRESS: Final = 8
+_CONNECT_TIMEOUT_S: Final = 1.5
+"""Covers one lost SYN, which Linux repeats after 1 s; a machine that is off answers nothing."""
+
+# Failed connections are counted as `peer_failures_total`; one log line for each retry adds nothing.
+logging.getLogger("thrift.transport.TSocket").setLevel(logging.CRITICAL)
 
 
 class PeerFailure(Enum):
@@ -50,7 +56,7 @@
         Args:
             address: Peer port of the other router.
             make: Gets a generated client (`Peer.Client`) and makes exactly one call with it.
-            timeout_s: Time for connecting, and again for the answer.
+            timeout_s: Time for connecting, at most 1.5 s of it, and again for the answer.
         """
 
 
@@ -115,7 +121,7 @@
         self, address: Address, timeout_s: float
     ) -> tuple[CountingSocket, Peer.Client] | None:
         transport = CountingSocket(self._metrics, "peer", address.host, address.port)
-        transport.setTimeout(timeout_s * 1e3)
+        transport.setTimeout(min(timeout_s, _CONNECT_TIMEOUT_S) * 1e3)
         try:
             transport.open()
         except (TTransportException, OSError):
--- a/src/sequoiadrum/thrift_server.py
+++ b/src/sequoiadrum/thrift_server.py
@@ -60,6 +60,8 @@
     def stop(self) -> None:
         """Closes the listening socket and all connections."""
         self._stopped = True
+        # Closing alone leaves a blocked `accept` that takes one more connection.
+        _shut(self._listener)
         self._listener.close()
         with self._lock:
             connections = list(self._open)
--- a/tests/test_ledger_task.py
+++ b/tests/test_ledger_task.py
@@ -14,6 +14,7 @@
 from sequoiadrum._ledger_dispatch import Dispatcher
 from sequoiadrum._ledger_types import LedgerPolicy
 from sequoiadrum.configuration import ObjectKind
+from sequoiadrum.errors import RefusalReason
 from sequoiadrum.interfaces import (
     Admission,
     ConfigSource,
@@ -22,7 +23,7 @@
     KeyedState,
     MembershipSource,
 )
-from sequoiadrum.keyed_router import KeyedRouter
+from sequoiadrum.keyed_router import MAX_WAITING, TAKEOVER_WAIT_S, KeyedRouter
 from sequoiadrum.ledger_task import Clock, LedgerTask
 from sequoiadrum.messages import Address, Member, MemberState
 from sequoiadrum.metrics import Metrics
@@ -38,11 +39,15 @@
 )
 from sequoiadrum.timers import TimerService
 from tests.builders import a_config
+from tools.load import run_threads
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Collection, Mapping
 
     from sequoiadrum.tasks import Task
+    from sequoiadrum.thrift_server import ThriftServer
+
+_OWNER_UNREACHABLE = (RefusalReason.OWNER_UNREACHABLE, KeyedState.NOT_RUN)
 
 
 class _Platform(PlatformClient):
@@ -164,6 +169,7 @@
         self.tasks: dict[str, LedgerTask] = {}
         self.routers: dict[str, KeyedRouter] = {}
         self.peers: dict[str, _LossyPeers] = {}
+        self.servers: dict[str, ThriftServer] = {}
         for number, name in enumerate(("r1", "r2")):
             self._start(number, name)
 
@@ -189,6 +195,7 @@
         server = create_peer_server(Address("127.0.0.1", 0), handler, metrics)
         self.view[name] = evolve(self.view[name], peer_port=server.port)
         server.start()
+        self.servers[name] = server
         self.addCleanup(server.stop)
         task.start()
         self.addCleanup(task.stop)
@@ -220,6 +227,36 @@
         self.assertEqual((answer.state, answer.body), (KeyedState.DONE, b"2"))
         self.assertEqual(self.services.executions, ["a:k1", "a:k2"])
 
+    def test_call_waits_for_the_takeover(self) -> None:
+        """Guards against refusals between an owner's death and its discovery."""
+        self._submit("r1", "k1")
+        owner = self._owner()
+        other = next(name for name in self.routers if name != owner)
+        self.servers[owner].stop()
+        dead = evolve(self.view[owner], state=MemberState.DEAD)
+        discovery = threading.Timer(0.5, lambda: self.view.update({owner: dead}))
+        discovery.start()
+        self.assertEqual(self._submit(other, "k2").body, b"2")
+        self.assertEqual(self._owner(), other)
+
+    def test_waiting_calls_are_bounded(self) -> None:
+        """Guards against an owner out of reach that holds the threads of all callers."""
+        self._submit("r1", "k1")
+        owner = self._owner()
+        other = next(name for name in self.routers if name != owner)
+        self.servers[owner].stop()
+        answers: list[Any] = []
+
+        def call(number: int) -> None:
+            answer = self._submit(other, f"n{number}")
+            answers.append((time.monotonic() - started, answer.refusal.reason, answer.state))
+
+        started = time.monotonic()
+        run_threads(MAX_WAITING + 8, call)
+        self.assertEqual({a[1:] for a in answers}, {_OWNER_UNREACHABLE})
+        self.assertGreaterEqual(sum(a[0] < TAKEOVER_WAIT_S / 2 for a in answers), 8)
+        self.assertEqual(self.services.executions, ["a:k1"])
+
     def test_outage(self) -> None:
         """Guards against hanging calls and forgotten answers while the platform is down."""
         self._submit("r1", "k1")
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -23,6 +23,10 @@
     return bus
 
 
+def _is_dead(bus: Bus, observer: str, subject: str) -> bool:
+    return bus.nodes[observer].members_by_id[subject].state is MemberState.DEAD
+
+
 class ConvergenceTest(unittest.TestCase):
     """All members agree again after each kind of fault."""
 
@@ -37,6 +41,24 @@
         bus.kill("router-5")
         self.assertTrue(bus.run(10, bus.agree))
 
+    def test_hint_speeds_up_detection(self) -> None:
+        """Guards against hints without effect, and against a healthy member hurt by false ones."""
+        times = {}
+        for is_hinted in (False, True):
+            bus = _grown()
+            killed = bus.now
+            bus.kill("router-5")
+            if is_hinted:
+                bus.nodes["router-3"].check("router-5", bus.now)
+            self.assertTrue(bus.run(20, lambda bus=bus: _is_dead(bus, "router-3", "router-5")))
+            times[is_hinted] = bus.now - killed
+        self.assertLess(times[True], times[False] - 0.5)
+        for _ in range(30):
+            bus.nodes["router-3"].check("router-4", bus.now)
+            bus.run(0.1)
+        bus.run(10)
+        self.assertEqual([seen for seen in bus.dead_seen if seen[2] == "router-4"], [])
+
     def test_freeze_and_resume(self) -> None:
         """Guards against a resumed member that stays dead or declares the others dead."""
         bus = _grown()
