Keep a starting router from taking the shards of owners it has not heard of

A router that serves before its first exchange of members knew no owner, took each unknown one for dead, and turned the claims in flight there into unknown. It ran nothing twice.

An owner that is not known counts as alive for the first 5 s of a router; calls for its shard wait meanwhile. Waiting with the readiness for the first exchange was ruled out: a router whose seeds are gone would never serve.

--- a/src/sequoiadrum/ledger_task.py
+++ b/src/sequoiadrum/ledger_task.py
@@ -44,6 +44,11 @@
 _IO_THREADS: Final = 16
 _DISPATCH_THREADS: Final = 64
 _MAX_NAMES: Final = 20_000
+_VIEW_SETTLES_S: Final = 5.0
+"""A router that starts may not know a live owner yet, and would turn its claims into `unknown`.
+
+Until then an owner that is not known counts as alive. The first exchange of members takes a second.
+"""
 _POST_TRIES: Final = 1_200
 _POST_PAUSE_S: Final = 0.05
 
@@ -162,6 +167,7 @@
         super().__init__("ledger", metrics, on_invariant)
         self.shard_count: Final = shards
         self.clock: Final = clock or Clock()
+        self._started_at = self.clock.now()
         self._members = members
         self._platform = platform
         self._dispatcher = dispatcher
@@ -240,7 +246,9 @@
     def is_gone(self, router: str, process_id: int) -> bool:
         """Whether a router's process is dead in the view of this router."""
         member = self._members.members().get(router)
-        return member is None or member.state is MemberState.DEAD or member.process_id != process_id
+        if member is None:
+            return self.clock.now() - self._started_at >= _VIEW_SETTLES_S
+        return member.state is MemberState.DEAD or member.process_id != process_id
 
     def _should_own(self, shard: int) -> bool:
         return self._ranked(shard) == self._members.self_id()
--- a/tests/test_ledger_task.py
+++ b/tests/test_ledger_task.py
@@ -168,15 +168,17 @@
         self.view: dict[str, Member] = {}
         self.tasks: dict[str, LedgerTask] = {}
         self.routers: dict[str, KeyedRouter] = {}
+        self.members: dict[str, _Members] = {}
         self.peers: dict[str, _LossyPeers] = {}
         self.servers: dict[str, ThriftServer] = {}
         for number, name in enumerate(("r1", "r2")):
             self._start(number, name)
 
     def _start(self, number: int, name: str) -> None:
+        self.members[name] = _Members(name, self.view)
         metrics = Metrics()
         self.view[name] = Member(name, "127.0.0.1", 0, 0, "d1", "r", number, 0, MemberState.ALIVE)
-        members = _Members(name, self.view)
+        members = self.members[name]
         peers = self.peers[name] = _LossyPeers(metrics)
         self.addCleanup(peers.close)
         dispatcher = Dispatcher(_Config(), _Admission(), self.services, peers, Clock())
@@ -257,6 +259,26 @@
         self.assertGreaterEqual(sum(a[0] < TAKEOVER_WAIT_S / 2 for a in answers), 8)
         self.assertEqual(self.services.executions, ["a:k1"])
 
+    def test_unknown_owner_keeps_its_shard(self) -> None:
+        """Guards against a starting router that makes a live owner's calls `unknown`."""
+        self._submit("r1", "k0")
+        owner = self._owner()
+        other = next(name for name in self.routers if name != owner)
+        self.services.gate.clear()
+        answers: list[Any] = []
+        caller = threading.Thread(target=lambda: answers.append(self._submit(owner, "k1")))
+        caller.start()
+        while len(self.services.executions) < 2:
+            time.sleep(0.01)
+        self.members[other].view = {other: self.view[other]}
+        self.tasks[other].note_owner(0, "")
+        answer = self._submit(other, "k1", timeout_s=1.0)
+        self.assertEqual((answer.refusal.reason, answer.state), _OWNER_UNREACHABLE)
+        self.assertEqual(self._owner(), owner)
+        self.services.gate.set()
+        caller.join(20.0)
+        self.assertIs(answers[0].state, KeyedState.DONE)
+
     def test_outage(self) -> None:
         """Guards against hanging calls and forgotten answers while the platform is down."""
         self._submit("r1", "k1")
