Name the owner of a key's shard first in address answers

Nearly every keyed call was forwarded, since its address was ranked by the key and its owner by the shard. The owner that the asked router knows, or the one that would take the shard over, now comes first while it is alive; any other case gives the former ranking, so an answer never names a router that is gone. Ranking addresses by shard alone was ruled out: the holder keeps its shard when the ranking changes.

--- a/src/sequoiadrum/directory.py
+++ b/src/sequoiadrum/directory.py
@@ -25,7 +25,7 @@
         self._membership = membership
         self._cached: tuple[object, dict[str, Address]] = (None, {})
 
-    def address_for(self, key: str) -> tuple[Address, ...]:
+    def address_for(self, key: str, preferred: str = "") -> tuple[Address, ...]:
         """See `Directory.address_for`."""
         members = self._membership.members()
         snapshot, candidates = self._cached
@@ -33,7 +33,11 @@
             candidates = _candidates(members)
             # One assignment, so that a concurrent reader sees a consistent pair.
             self._cached = (members, candidates)
-        return tuple(candidates[name] for name in rank(key, candidates)[:ADDRESSES])
+        ranked = rank(key, candidates)
+        if preferred in candidates:
+            ranked.remove(preferred)
+            ranked.insert(0, preferred)
+        return tuple(candidates[name] for name in ranked[:ADDRESSES])
 
 
 def _candidates(members: Mapping[str, Member]) -> dict[str, Address]:
--- a/src/sequoiadrum/http_front.py
+++ b/src/sequoiadrum/http_front.py
@@ -178,7 +178,11 @@
         query = request.query()
         operation = query.get("operation", "chat")
         key = query.get("chat", "") if operation == "chat" else query.get("key", "")
-        addresses = self._parts.directory.address_for(f"{operation}:{key}")
+        preferred = ""
+        if operation != "chat" and key:
+            account = query.get("account") or request.header("X-Account")
+            preferred = self._parts.keyed.router_for(operation, account, key)
+        addresses = self._parts.directory.address_for(f"{operation}:{key}", preferred)
         if not addresses:
             refusal = Refusal(RefusalReason.NOT_READY, "no router is known", 500)
             return refuse(self._metrics, start_response, refusal)
--- a/src/sequoiadrum/interfaces.py
+++ b/src/sequoiadrum/interfaces.py
@@ -144,6 +144,10 @@
     def status(self, service: str, account: str, key: str, issued_at_ms: int) -> KeyedOutcome:
         """Tells what is known of a key."""
 
+    def router_for(self, service: str, account: str, key: str) -> str:
+        """Names the router that answers a key without forwarding, or nothing; never blocks."""
+        return ""
+
 
 class ConfigSource(ABC):
     """The configuration in force on this router."""
@@ -161,8 +165,13 @@
     """Routers that callers may use."""
 
     @abstractmethod
-    def address_for(self, key: str) -> tuple[Address, ...]:
-        """Gives callers' addresses for a chat or an idempotency key, the preferred one first."""
+    def address_for(self, key: str, preferred: str = "") -> tuple[Address, ...]:
+        """Gives callers' addresses for a chat or an idempotency key, the best one first.
+
+        Args:
+            key: What the calls have in common.
+            preferred: Id of a router that should come first if it is alive.
+        """
 
 
 class MembershipSource(ABC):
--- a/src/sequoiadrum/keyed_router.py
+++ b/src/sequoiadrum/keyed_router.py
@@ -108,6 +108,10 @@
             return outcome
         return unknown(RefusalReason.OWNER_UNREACHABLE, "the owner of the key does not answer")
 
+    def router_for(self, service: str, account: str, key: str) -> str:
+        """See `KeyedCalls.router_for`."""
+        return self._task.preferred_owner(self._shard(KeyName(service, account, key)))
+
     # Calls of `schema/peer.thrift`
 
     def submit_keyed(self, request: KeyedRequest) -> KeyedReply:
@@ -214,7 +218,10 @@
         # A part is kept for finding out what became of a lost forwarding.
         forwarded_s = remaining_s - min(1.0, 0.2 * remaining_s)
         request = request_to_wire(call, attempt, forwarded_s)
-        return self._call_peer(owner, lambda client: client.submit_keyed(request), forwarded_s)
+        result = self._call_peer(owner, lambda client: client.submit_keyed(request), forwarded_s)
+        if not isinstance(result, _NoOwner):
+            self._task.metrics.count("keyed_forwards_total")
+        return result
 
     def _call_peer(self, owner: str, make: Callable[[Any], KeyedReply], timeout_s: float) -> _Hop:
         member = self._members.members().get(owner)
--- a/tests/test_ledger_task.py
+++ b/tests/test_ledger_task.py
@@ -219,6 +219,8 @@
         self.assertEqual(self.services.executions, ["a:k1"])
         status = self.routers["r2"].status("orders", "a", "k1", int(time.time() * 1e3))
         self.assertEqual((status.state, status.body), (KeyedState.DONE, b"1"))
+        named = {router.router_for("orders", "a", "k1") for router in self.routers.values()}
+        self.assertEqual(named, {self._owner()})
 
     def test_lost_forwarding_is_found_out(self) -> None:
         """Guards against "not run" when only the answer of the owner was lost."""
--- a/tools/demo.py
+++ b/tools/demo.py
@@ -156,16 +156,23 @@
     outcomes = Counter(report.outcomes_by_key.values())
     print(f"confirmations by outcome: {dict(sorted(outcomes.items()))}")
     print(f"refusals seen by callers: {dict(sorted(report.refusals_by_reason.items()))}")
+    keyed: Counter[str] = Counter()
     for router_id, router in fleet.routers_by_id.items():
         if router.popen.poll() is not None:
             continue
         values = parse_metrics(router.address)
         sent = sum(v for k, v in values.items() if "control_bytes" in k and '"sent"' in k)
         calls = sum(v for k, v in values.items() if "platform_calls" in k)
+        for name in ("keyed_calls_total", "keyed_forwards_total"):
+            keyed[name] += int(sum(v for k, v in values.items() if name in k))
         print(
             f"{router_id}: {sent / elapsed_s / 1e3:.2f} KB/s control sent, "
             f"{calls / elapsed_s:.2f} platform calls/s"
         )
+    print(
+        f"keyed calls at these routers: {keyed['keyed_calls_total']}, "
+        f"forwardings: {keyed['keyed_forwards_total']}"
+    )
 
 
 if __name__ == "__main__":
