Bound the forwarded calls that a router runs at once

Each holds a thread of the peer server until its outcome, and 256 of them would have kept membership, grants and releases out. Beyond 96 a call is refused as ledger_busy, not run. A pool of its own was ruled out: the thrift server ties a thread to each connection. The test fills the bound, asks for a status over the same server, and sees exactly 96 calls run.

--- a/src/sequoiadrum/keyed_router.py
+++ b/src/sequoiadrum/keyed_router.py
@@ -41,6 +41,11 @@
 """Membership finds a death within 2.9 s in a fleet of 14; the takeover is two platform calls."""
 MAX_WAITING: Final = 64
 """Calls that wait for a takeover at once; each holds the thread of its caller."""
+MAX_FORWARDED: Final = 96
+"""Calls of peers at once; each holds one of the 256 threads of the peer server until its outcome.
+
+The others stay free for membership, grants and releases, and for idle connections.
+"""
 _GRACE_S: Final = 0.5
 """Time for a late task before its answer is given up for unknown."""
 _UNDECIDED: Final = (
@@ -81,6 +86,7 @@
         self._clock = task.clock
         self._new_id = new_id
         self._waiting = threading.BoundedSemaphore(MAX_WAITING)
+        self._forwarded = threading.BoundedSemaphore(MAX_FORWARDED)
 
     # KeyedCalls
 
@@ -116,8 +122,14 @@
 
     def submit_keyed(self, request: KeyedRequest) -> KeyedReply:
         """Runs a forwarded call if its shard is held here or to be taken over."""
-        call = request_from_wire(request, self._clock.now())
-        return self._reply(self._run_here(call, request.attempt_id))
+        if not self._forwarded.acquire(blocking=False):
+            detail = "too many forwarded calls at the owner"
+            return self._reply(not_run(RefusalReason.LEDGER_BUSY, detail, 200))
+        try:
+            call = request_from_wire(request, self._clock.now())
+            return self._reply(self._run_here(call, request.attempt_id))
+        finally:
+            self._forwarded.release()
 
     def keyed_status(
         self, service: str, account: str, key: str, issued_at_ms: int, cancel: bool, attempt: str
--- a/tests/test_ledger_task.py
+++ b/tests/test_ledger_task.py
@@ -23,7 +23,7 @@
     KeyedState,
     MembershipSource,
 )
-from sequoiadrum.keyed_router import MAX_WAITING, TAKEOVER_WAIT_S, KeyedRouter
+from sequoiadrum.keyed_router import MAX_FORWARDED, MAX_WAITING, TAKEOVER_WAIT_S, KeyedRouter
 from sequoiadrum.ledger_task import Clock, LedgerTask
 from sequoiadrum.messages import Address, Member, MemberState
 from sequoiadrum.metrics import Metrics
@@ -261,6 +261,30 @@
         self.assertGreaterEqual(sum(a[0] < TAKEOVER_WAIT_S / 2 for a in answers), 8)
         self.assertEqual(self.services.executions, ["a:k1"])
 
+    def test_forwarded_calls_are_bounded(self) -> None:
+        """Guards against forwarded calls that take the threads of all other peer calls."""
+        self._submit("r1", "k0")
+        other = next(name for name in self.routers if name != self._owner())
+        self.services.gate.clear()
+        answers: list[Any] = []
+
+        def call(number: int) -> None:
+            answers.append(self._submit(other, f"n{number}", 40.0))
+
+        crowd = threading.Thread(target=run_threads, args=(MAX_FORWARDED + 8, call))
+        crowd.start()
+        while len(answers) < 8:
+            time.sleep(0.01)
+        busy = {(a.state, a.refusal.reason) for a in answers}
+        self.assertEqual(busy, {(KeyedState.NOT_RUN, RefusalReason.LEDGER_BUSY)})
+        status = self.routers[other].status("orders", "a", "k0", int(time.time() * 1e3))
+        self.assertIs(status.state, KeyedState.DONE)
+        self.services.gate.set()
+        crowd.join(60.0)
+        done = [a for a in answers if a.state is KeyedState.DONE]
+        self.assertEqual(len(done), MAX_FORWARDED)
+        self.assertEqual(len(self.services.executions), 1 + MAX_FORWARDED)
+
     def test_unknown_owner_keeps_its_shard(self) -> None:
         """Guards against a starting router that makes a live owner's calls `unknown`."""
         self._submit("r1", "k0")
