--- a/tests/test_ledger_task.py
+++ b/tests/test_ledger_task.py
@@ -14,6 +14,7 @@
 from sequoiadrum._ledger_dispatch import Dispatcher
 from sequoiadrum._ledger_types import LedgerPolicy
 from sequoiadrum.configuration import ObjectKind
+from sequoiadrum.errors import RefusalReason
 from sequoiadrum.interfaces import (
     Admission,
     ConfigSource,
@@ -22,7 +23,7 @@
     KeyedState,
     MembershipSource,
 )
-from sequoiadrum.keyed_router import KeyedRouter
+from sequoiadrum.keyed_router import MAX_FORWARDED, MAX_WAITING, TAKEOVER_WAIT_S, KeyedRouter
 from sequoiadrum.ledger_task import Clock, LedgerTask
 from sequoiadrum.messages import Address, Member, MemberState
 from sequoiadrum.metrics import Metrics
@@ -38,11 +39,15 @@
 )
 from sequoiadrum.timers import TimerService
 from tests.builders import a_config
+from tools.load import run_threads
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Collection, Mapping
 
     from sequoiadrum.tasks import Task
+    from sequoiadrum.thrift_server import ThriftServer
+
+_OWNER_UNREACHABLE = (RefusalReason.OWNER_UNREACHABLE, KeyedState.NOT_RUN)
 
 
 class _Platform(PlatformClient):
@@ -163,14 +168,17 @@
         self.view: dict[str, Member] = {}
         self.tasks: dict[str, LedgerTask] = {}
         self.routers: dict[str, KeyedRouter] = {}
+        self.members: dict[str, _Members] = {}
         self.peers: dict[str, _LossyPeers] = {}
+        self.servers: dict[str, ThriftServer] = {}
         for number, name in enumerate(("r1", "r2")):
             self._start(number, name)
 
     def _start(self, number: int, name: str) -> None:
+        self.members[name] = _Members(name, self.view)
         metrics = Metrics()
         self.view[name] = Member(name, "127.0.0.1", 0, 0, "d1", "r", number, 0, MemberState.ALIVE)
-        members = _Members(name, self.view)
+        members = self.members[name]
         peers = self.peers[name] = _LossyPeers(metrics)
         self.addCleanup(peers.close)
         dispatcher = Dispatcher(_Config(), _Admission(), self.services, peers, Clock())
@@ -189,6 +197,7 @@
         server = create_peer_server(Address("127.0.0.1", 0), handler, metrics)
         self.view[name] = evolve(self.view[name], peer_port=server.port)
         server.start()
+        self.servers[name] = server
         self.addCleanup(server.stop)
         task.start()
         self.addCleanup(task.stop)
@@ -210,6 +219,8 @@
         self.assertEqual(self.services.executions, ["a:k1"])
         status = self.routers["r2"].status("orders", "a", "k1", int(time.time() * 1e3))
         self.assertEqual((status.state, status.body), (KeyedState.DONE, b"1"))
+        named = {router.router_for("orders", "a", "k1") for router in self.routers.values()}
+        self.assertEqual(named, {self._owner()})
 
     def test_lost_forwarding_is_found_out(self) -> None:
         """Guards against "not run" when only the answer of the owner was lost."""
@@ -220,6 +231,80 @@
         self.assertEqual((answer.state, answer.body), (KeyedState.DONE, b"2"))
         self.assertEqual(self.services.executions, ["a:k1", "a:k2"])
 
+    def test_call_waits_for_the_takeover(self) -> None:
+        """Guards against refusals between an owner's death and its discovery."""
+        self._submit("r1", "k1")
+        owner = self._owner()
+        other = next(name for name in self.routers if name != owner)
+        self.servers[owner].stop()
+        dead = evolve(self.view[owner], state=MemberState.DEAD)
+        discovery = threading.Timer(0.5, lambda: self.view.update({owner: dead}))
+        discovery.start()
+        self.assertEqual(self._submit(other, "k2").body, b"2")
+        self.assertEqual(self._owner(), other)
+
+    def test_waiting_calls_are_bounded(self) -> None:
+        """Guards against an owner out of reach that holds the threads of all callers."""
+        self._submit("r1", "k1")
+        owner = self._owner()
+        other = next(name for name in self.routers if name != owner)
+        self.servers[owner].stop()
+        answers: list[Any] = []
+
+        def call(number: int) -> None:
+            answer = self._submit(other, f"n{number}")
+            answers.append((time.monotonic() - started, answer.refusal.reason, answer.state))
+
+        started = time.monotonic()
+        run_threads(MAX_WAITING + 8, call)
+        self.assertEqual({a[1:] for a in answers}, {_OWNER_UNREACHABLE})
+        self.assertGreaterEqual(sum(a[0] < TAKEOVER_WAIT_S / 2 for a in answers), 8)
+        self.assertEqual(self.services.executions, ["a:k1"])
+
+    def test_forwarded_calls_are_bounded(self) -> None:
+        """Guards against forwarded calls that take the threads of all other peer calls."""
+        self._submit("r1", "k0")
+        other = next(name for name in self.routers if name != self._owner())
+        self.services.gate.clear()
+        answers: list[Any] = []
+
+        def call(number: int) -> None:
+            answers.append(self._submit(other, f"n{number}", 40.0))
+
+        crowd = threading.Thread(target=run_threads, args=(MAX_FORWARDED + 8, call))
+        crowd.start()
+        while len(answers) < 8:
+            time.sleep(0.01)
+        busy = {(a.state, a.refusal.reason) for a in answers}
+        self.assertEqual(busy, {(KeyedState.NOT_RUN, RefusalReason.LEDGER_BUSY)})
+        status = self.routers[other].status("orders", "a", "k0", int(time.time() * 1e3))
+        self.assertIs(status.state, KeyedState.DONE)
+        self.services.gate.set()
+        crowd.join(60.0)
+        done = [a for a in answers if a.state is KeyedState.DONE]
+        self.assertEqual(len(done), MAX_FORWARDED)
+        self.assertEqual(len(self.services.executions), 1 + MAX_FORWARDED)
+
+    def test_unknown_owner_keeps_its_shard(self) -> None:
+        """Guards against a starting router that makes a live owner's calls `unknown`."""
+        self._submit("r1", "k0")
+        owner = self._owner()
+        other = next(name for name in self.routers if name != owner)
+        self.services.gate.clear()
+        answers: list[Any] = []
+        caller = threading.Thread(target=lambda: answers.append(self._submit(owner, "k1")))
+        caller.start()
+        while len(self.services.executions) < 2:
+            time.sleep(0.01)
+        self.members[other].view = {other: self.view[other]}
+        self.tasks[other].note_owner(0, "")
+        answer = self._submit(other, "k1", timeout_s=1.0)
+        self.assertEqual((answer.refusal.reason, answer.state), _OWNER_UNREACHABLE)
+        self.assertEqual(self._owner(), owner)
+        self.services.gate.set()
+        caller.join(20.0)
+        self.assertIs(answers[0].state, KeyedState.DONE)
+
     def test_outage(self) -> None:
         """Guards against hanging calls and forgotten answers while the platform is down."""
         self._submit("r1", "k1")
