Give gauges the prefix of the other metrics

Cause: the exposition writes counters and histograms as sequoiadrum_NAME, but gauges as NAME, so that a reader that asks for sequoiadrum_config_revision or sequoiadrum_requests_in_flight finds nothing. Seen when a new gauge read as 0 on all of 5 routers. No page or test reads a gauge without prefix.

--- a/src/sequoiadrum/metrics.py
+++ b/src/sequoiadrum/metrics.py
@@ -64,7 +64,7 @@
                     values[series] = histogram.get_value_at_percentile(quantile) / 1e6
                 values[f"{name}_count"] = float(histogram.get_total_count())
             gauges = dict(self._gauges_by_name)
-        values.update({name: read() for name, read in gauges.items()})
+        values.update({_series(name, ()): read() for name, read in gauges.items()})
         return values
 
     def exposition(self) -> str:
