Wait until the routers of a fleet see each other

Cause: Fleet.wait_ready ends when each router serves, while for about a second more several routers each decide for the same pool with counts of their own. A plan that moves chats knows only those of one of them, and the load bound is rounded once for each.

wait_converged compares the new gauge routers_alive of every running router with their number. All routers join by the same running one: with several seeds, the first router, which has none, stayed alone for over 20 s in 1 of 8 starts, because the others had found each other and did not look for it before the next read of the list.

Ports for routers come from below the ephemeral range: in 1 of 4 starts an outgoing connection had taken a port between its choice and the start of the router, which then ended.

--- a/src/sequoiadrum/gossip_task.py
+++ b/src/sequoiadrum/gossip_task.py
@@ -156,6 +156,7 @@
         self._pool = ThreadPoolExecutor(2, thread_name_prefix="gossip-io")
         self._stopped = False
         self._reader = threading.Thread(target=self._read, name="gossip-read", daemon=True)
+        metrics.gauge("routers_alive", lambda: float(self._alive()))
 
     def handlers(self) -> dict[type, Callable[[Any], None]]:
         """See `Task.handlers`."""
@@ -323,6 +324,9 @@
                 self.metrics.count("superseded_total")
                 _log.error("instance_id_in_use", instance=self.self_id())
 
+    def _alive(self) -> int:
+        return sum(m.state is MemberState.ALIVE for m in self._members.values())
+
     def _publish(self) -> None:
         core = self._core
         changed = core.version != self._version
--- a/tests/test_operator_whole_path.py
+++ b/tests/test_operator_whole_path.py
@@ -26,7 +26,7 @@
         self.new_engine = self.fleet.start_engine("e2", "--token-ms=1")
         for router_id in ("r1", "r2"):
             self.fleet.start_router(router_id)
-        self.fleet.wait_ready()
+        self.fleet.wait_converged()
         routers = self.fleet.routers_by_id.values()
         self.environment = {
             **os.environ,
--- a/tests/test_whole_path.py
+++ b/tests/test_whole_path.py
@@ -25,7 +25,7 @@
         cls.fleet.write_config(cls.fleet.default_config(accounts=1))
         for router_id in ("r1", "r2"):
             cls.fleet.start_router(router_id)
-        cls.fleet.wait_ready()
+        cls.fleet.wait_converged()
 
     def test_chat_returns_whole_answer(self) -> None:
         """Guards against an answer that loses tokens on its way through the router."""
--- a/tools/demo.py
+++ b/tools/demo.py
@@ -116,7 +116,7 @@
         fleet.write_config(fleet.default_config(ACCOUNTS))
         for number in range(ROUTERS):
             fleet.start_router(f"r{number + 1}", f"d{number % 4 + 1}")
-        fleet.wait_ready()
+        fleet.wait_converged()
         print(
             f"{ROUTERS} routers, {ENGINES} engines, 2 order services, {CALLERS} callers with "
             f"{CHATS_PER_CALLER} chats each, {RUN_S:g} s, seed {SEED}"
--- a/tools/fleet.py
+++ b/tools/fleet.py
@@ -4,6 +4,7 @@
 
 import contextlib
 import json
+import random
 import signal
 import socket
 import subprocess
@@ -25,6 +26,9 @@
 _HOST: Final = "127.0.0.1"
 _PROGRAM: Final = (sys.executable, "-m", "sequoiadrum")
 _START_TIMEOUT_S: Final = 30.0
+_PORTS: Final = (10_000, 32_000)
+"""Below the ephemeral ports of Linux, which a connection may take before the router binds."""
+_given_ports: set[int] = set()
 
 
 @define(eq=False)
@@ -37,6 +41,8 @@
     """Where it answers callers."""
     operator_address: Address | None = None
     """Where a router answers operators."""
+    peer_address: Address | None = None
+    """Where a router answers other routers."""
 
     def kill(self) -> None:
         """Ends the process at once (SIGKILL)."""
@@ -66,8 +72,6 @@
     engines_by_id: dict[str, Process] = field(factory=dict)
     services_by_id: dict[str, Process] = field(factory=dict)
     routers_by_id: dict[str, Process] = field(factory=dict)
-    seed: str = ""
-    """Peer address of the first router, by which the others join."""
 
     def __enter__(self) -> Fleet:
         return self
@@ -89,27 +93,46 @@
         process = self.services_by_id[service_id] = self._stand_in("service", service_id)
         return process
 
-    def start_router(self, router_id: str, failure_domain: str = "d1", *flags: str) -> Process:
-        """Starts a router without waiting until it is ready."""
+    def start_router(
+        self,
+        router_id: str,
+        failure_domain: str = "d1",
+        *flags: str,
+        platform: Address | None = None,
+    ) -> Process:
+        """Starts a router without waiting until it is ready.
+
+        Args:
+            router_id: Its instance id; it may be that of a process that has ended.
+            failure_domain: Its failure domain.
+            flags: Flags for this router only.
+            platform: Where it reaches the platform, if not at the stand-in's own address.
+        """
         http_port, peer_port, operator_port = free_ports(3)
+        # All join by the same router; the first one has no seed and would not find the others.
+        running = (r for r in self.routers_by_id.values() if r.popen.poll() is None)
+        seed = next((str(router.peer_address) for router in running), "")
         arguments = [
             *_PROGRAM,
             "serve",
             f"--instance-id={router_id}",
             f"--host={_HOST}",
             f"--failure-domain={failure_domain}",
-            f"--platform={self.platform_address()}",
+            f"--platform={platform or self.platform_address()}",
             f"--http-port={http_port}",
             f"--peer-port={peer_port}",
             f"--operator-port={operator_port}",
-            *([f"--seeds={self.seed}"] if self.seed else []),
+            *([f"--seeds={seed}"] if seed else []),
             *self.router_flags,
             *flags,
         ]
         popen = subprocess.Popen(arguments, stderr=subprocess.DEVNULL, text=True)
-        self.seed = self.seed or f"{_HOST}:{peer_port}"
         process = Process(
-            router_id, popen, Address(_HOST, http_port), Address(_HOST, operator_port)
+            router_id,
+            popen,
+            Address(_HOST, http_port),
+            Address(_HOST, operator_port),
+            Address(_HOST, peer_port),
         )
         self.routers_by_id[router_id] = process
         return process
@@ -121,8 +144,26 @@
             TimeoutError: A router did not become ready in time.
         """
         for router in self.routers_by_id.values():
+            if router.popen.returncode is not None:
+                continue  # It was ended on purpose.
             wait_until_ready(router.address.host, router.address.port, router.popen)
 
+    def wait_converged(self) -> None:
+        """Waits until every router serves and sees all the running ones, and no other, as alive.
+
+        Until then several routers may decide for the same pool, each with its own counts.
+
+        Raises:
+            TimeoutError: The views did not converge in time.
+        """
+        self.wait_ready()
+        running = [r for r in self.routers_by_id.values() if r.popen.poll() is None]
+        deadline = time.monotonic() + _START_TIMEOUT_S
+        while any(routers_alive(router.address) != len(running) for router in running):
+            if time.monotonic() > deadline:
+                raise TimeoutError("the routers do not agree on which of them are alive")
+            time.sleep(0.05)
+
     def platform_address(self) -> Address:
         """Gives the address of the running platform stand-in."""
         assert self.platform is not None
@@ -193,11 +234,16 @@
 
 
 def free_ports(count: int) -> list[int]:
-    """Finds TCP ports that are free now."""
-    sockets = [socket.create_server((_HOST, 0)) for _ in range(count)]
-    ports = [int(s.getsockname()[1]) for s in sockets]
-    for s in sockets:
-        s.close()
+    """Finds TCP ports that are free now and that no outgoing connection takes later."""
+    ports: list[int] = []
+    while len(ports) < count:
+        port = random.SystemRandom().randrange(*_PORTS)
+        if port in _given_ports:
+            continue
+        with contextlib.suppress(OSError):
+            socket.create_server((_HOST, port)).close()
+            _given_ports.add(port)
+            ports.append(port)
     return ports
 
 
@@ -216,6 +262,14 @@
     return {name: float(value) for name, _, value in (line.rpartition(" ") for line in lines)}
 
 
+def routers_alive(address: Address) -> int:
+    """Gives how many routers a router sees as alive, itself included; 0 without an answer."""
+    try:
+        return int(parse_metrics(address).get("sequoiadrum_routers_alive", 0))
+    except (OSError, HTTPException):
+        return 0
+
+
 def wait_until_ready(host: str, port: int, popen: subprocess.Popen[Any]) -> None:
     """Waits until a router serves.
 
