--- a/tools/load.py
+++ b/tools/load.py
@@ -39,6 +39,8 @@
     refusals_by_reason: Counter[str] = field(factory=Counter)
     outcomes_by_key: dict[str, str] = field(factory=dict)
     """Last outcome that the caller of each idempotency key was told."""
+    answers_by_key: dict[str, list[str]] = field(factory=dict)
+    """What each submission of a key was told, for the search for causes."""
     first_token_s: list[float] = field(factory=list)
 
     def count(self, name: str) -> None:
@@ -123,38 +125,83 @@
             "Idempotency-Key": key,
             "Idempotency-Issued-At": str(int(time.time() * 1000)),
         }
-        if also_at_another:
-            second = threading.Thread(
-                target=self._submit, args=(self.rng.choice(list(self.entry)), document, headers)
+        second: list[tuple[str, float]] = []
+        thread = threading.Thread(
+            target=lambda: second.append(
+                (
+                    self._submit(self.rng.choice(list(self.entry)), document, headers),
+                    time.monotonic(),
+                )
             )
-            second.start()
-        outcome = "unknown"
+        )
+        if also_at_another:
+            thread.start()
+        outcome, lost = "unknown", False
         for attempt in range(_ATTEMPTS):
             addresses = self.addresses("orders", key)
+            sent_at = time.monotonic()
             outcome = self._submit(addresses[min(attempt, len(addresses) - 1)], document, headers)
             if outcome in ("done", "unknown"):
                 break
             if outcome == "lost":
+                lost = True
                 self.forget("orders", key)
             time.sleep(_REFUSED_PAUSE_S)
+        if outcome == "not_run" and lost:
+            # A refusal speaks of its own request only, not of the one whose answer was lost.
+            outcome = self._query(key, headers)
         if also_at_another:
-            second.join()
+            thread.join()
+            # A refusal says nothing of a call whose answer came after the refused one was sent.
+            if outcome == "not_run" and second[0][1] > sent_at:
+                outcome = second[0][0]
         with self.report.lock:
             self.report.outcomes_by_key[f"{self.account}:{key}"] = outcome
         return outcome
 
+    def _query(self, key: str, headers: dict[str, str]) -> str:
+        """Asks for the outcome of a key until it is known."""
+        path = f"/v1/calls/orders?key={key}&issued_at={headers['Idempotency-Issued-At']}"
+        for _ in range(_ATTEMPTS):
+            router = self.addresses("orders", key)[0]
+            try:
+                answer = call_json(router, "GET", path, headers={"X-Account": self.account})[1]
+            except (OSError, HTTPException):
+                self.forget("orders", key)
+                continue
+            outcome = str(answer.get("outcome"))
+            reason = answer.get("error", {}).get("type")
+            if outcome in ("done", "not_run") or (outcome == "unknown" and not _is_open(reason)):
+                return outcome
+            time.sleep(2 * _REFUSED_PAUSE_S)
+        return "unknown"
+
     def _submit(self, router: Address, document: object, headers: dict[str, str]) -> str:
+        sent_at = time.monotonic()
+        outcome, detail = self._ask(router, document, headers)
+        key = f"{self.account}:{headers['Idempotency-Key']}"
+        line = f"{sent_at:.3f}-{time.monotonic():.3f} at {router}: {outcome} {detail}"
+        with self.report.lock:
+            self.report.answers_by_key.setdefault(key, []).append(line)
+        return outcome
+
+    def _ask(self, router: Address, document: object, headers: dict[str, str]) -> tuple[str, str]:
         try:
             status, answer = call_json(
                 router, "POST", "/v1/services/orders/confirm", document, headers, _TIMEOUT_S
             )
-        except (OSError, HTTPException):
-            return "lost"
+        except (OSError, HTTPException) as failure:
+            return "lost", type(failure).__name__
         if status < 300:
-            return "done"
+            return "done", ""
         error = answer.get("error", {}) if isinstance(answer, dict) else {}
         self.report.refused(str(error.get("type")))
-        return {"no": "not_run", "yes": "done"}.get(str(error.get("ran")), "unknown")
+        outcome = {"no": "not_run", "yes": "done"}.get(str(error.get("ran")), "unknown")
+        return outcome, f"{error.get('type')}: {error.get('message')}"
+
+
+def _is_open(reason: object) -> bool:
+    return reason in ("owner_unreachable", "ledger_unavailable", "ledger_busy", "stopping")
 
 
 class _StreamReader:
