Let standbys begin a plan whose driver is cut off from the platform

Cause: only the first router in the ranking of a plan drives it. A router that the others see as alive but that does not reach the platform never gives the plan to another one, so that an accepted drain did not begin, and the engine got new requests.

The next two routers in the ranking now watch an open plan, and take it when it has no holder 0.8 s and 1.6 s after they heard of it, or when its lease expired. Conditional writes leave one driver when two act. Ruled out: suspecting a router that reports no platform contact, which needs a new gossip field; having the accepting router write the drain itself, which leaves the rest of the plan behind. The price is two more readers of each open plan, each one read in a quarter of the lease time.

--- a/src/sequoiadrum/plan_task.py
+++ b/src/sequoiadrum/plan_task.py
@@ -31,6 +31,10 @@
     from sequoiadrum.timers import TimerService
 
 TICK_S: Final = 1.0
+DRIVERS: Final = 3
+"""The first router in the ranking and its standbys, which act when it does not reach the platform."""
+STANDBY_S: Final = 0.8
+"""Each standby waits this much longer, so that an accepted drain begins within 3 s."""
 SCAN_S: Final = 10.0
 """Between two listings of the plans by a scout."""
 DRIFT_S: Final = 30.0
@@ -246,12 +250,23 @@
             self._consider(plan_id)
 
     def _consider(self, plan_id: str) -> None:
-        if plan_id not in self._driven_by_id and self._is_first(plan_id):
+        if plan_id in self._driven_by_id:
+            return
+        position = self._position(plan_id)
+        if position == 0:
             self._read(plan_id)
+        elif position is not None:
+            due = self._clock() + position * STANDBY_S
+            self._next_read_by_id.setdefault(plan_id, due)
 
     def _is_first(self, plan_id: str) -> bool:
         return first_ranked(plan_id, self._usable) == self._self_id
 
+    def _position(self, plan_id: str) -> int | None:
+        """Gives the place of this router among the driver and its standbys."""
+        drivers = rank(plan_id, self._usable)[:DRIVERS]
+        return drivers.index(self._self_id) if self._self_id in drivers else None
+
     def _read(self, plan_id: str) -> None:
         store = self._parts.store
         self._submit(plan_id, lambda: _Read(plan_id, store.get(plan_id)))
@@ -268,7 +283,7 @@
         if stored.plan.state.is_final:
             self._forget(plan_id)
             self._remember_final(plan_id, stored.version)
-        elif not self._is_first(plan_id):
+        elif self._position(plan_id) is None:
             self._next_read_by_id.pop(plan_id, None)
             self._observer.forget(stored.plan.name)
         elif self._may_take(stored) and len(self._driven_by_id) < MAX_DRIVEN:
