Replay traces beside their calm run, with skew and control traffic

It now replays the load without faults first, and adds skew, the last new request at a leaving engine, refusals by reason, control bytes and platform calls. A short trace for the tests is added.

Faults of the tool: it counted a key as falsely not run when the same key, sent at once to a second router, was answered there later; a refusal says nothing of a call that is answered after it. The stand-in of the platform did not count the calls that an outage refuses, and printed a trace for each reader that left.

--- a/src/sequoiadrum/standin_platform.py
+++ b/src/sequoiadrum/standin_platform.py
@@ -69,10 +69,14 @@
         }
         self._instance_lists: list[tuple[float, list[dict[str, Any]]]] = [(0.0, [])]
 
-    def admit(self, kind: str) -> bool:
-        """Counts a call and takes it from the budget of its kind."""
+    def count(self, kind: str) -> None:
+        """Counts a call, also one that an outage refuses."""
         with self.changed:
             self.calls_by_kind[kind] = self.calls_by_kind.get(kind, 0) + 1
+
+    def admit(self, kind: str) -> bool:
+        """Takes a call from the budget of its kind."""
+        with self.changed:
             admitted = self._budgets[kind].take()
             if not admitted:
                 self.calls_by_kind["limited"] = self.calls_by_kind.get("limited", 0) + 1
@@ -154,6 +158,9 @@
     daemon_threads = True
     request_queue_size = 256
 
+    def handle_error(self, request: object, client_address: object) -> None:
+        """Keeps the console quiet when a caller goes away."""
+
 
 class _Handler(BaseHTTPRequestHandler):
     store: PlatformStore
@@ -234,6 +241,7 @@
 
     def _admitted(self, kind: str) -> bool:
         faults = self.store.faults
+        self.store.count(kind)
         if faults.slow_ms:
             time.sleep(faults.slow_ms / 1e3)
         if faults.outage:
--- a/tools/load.py
+++ b/tools/load.py
@@ -39,6 +39,8 @@
     refusals_by_reason: Counter[str] = field(factory=Counter)
     outcomes_by_key: dict[str, str] = field(factory=dict)
     """Last outcome that the caller of each idempotency key was told."""
+    answers_by_key: dict[str, list[str]] = field(factory=dict)
+    """What each submission of a key was told, for the search for causes."""
     first_token_s: list[float] = field(factory=list)
 
     def count(self, name: str) -> None:
@@ -123,14 +125,21 @@
             "Idempotency-Key": key,
             "Idempotency-Issued-At": str(int(time.time() * 1000)),
         }
-        if also_at_another:
-            second = threading.Thread(
-                target=self._submit, args=(self.rng.choice(list(self.entry)), document, headers)
+        second: list[tuple[str, float]] = []
+        thread = threading.Thread(
+            target=lambda: second.append(
+                (
+                    self._submit(self.rng.choice(list(self.entry)), document, headers),
+                    time.monotonic(),
+                )
             )
-            second.start()
+        )
+        if also_at_another:
+            thread.start()
         outcome = "unknown"
         for attempt in range(_ATTEMPTS):
             addresses = self.addresses("orders", key)
+            sent_at = time.monotonic()
             outcome = self._submit(addresses[min(attempt, len(addresses) - 1)], document, headers)
             if outcome in ("done", "unknown"):
                 break
@@ -138,23 +147,36 @@
                 self.forget("orders", key)
             time.sleep(_REFUSED_PAUSE_S)
         if also_at_another:
-            second.join()
+            thread.join()
+            # A refusal says nothing of a call whose answer came after the refused one was sent.
+            if outcome == "not_run" and second[0][1] > sent_at:
+                outcome = second[0][0]
         with self.report.lock:
             self.report.outcomes_by_key[f"{self.account}:{key}"] = outcome
         return outcome
 
     def _submit(self, router: Address, document: object, headers: dict[str, str]) -> str:
+        sent_at = time.monotonic()
+        outcome, detail = self._ask(router, document, headers)
+        key = f"{self.account}:{headers['Idempotency-Key']}"
+        line = f"{sent_at:.3f}-{time.monotonic():.3f} at {router}: {outcome} {detail}"
+        with self.report.lock:
+            self.report.answers_by_key.setdefault(key, []).append(line)
+        return outcome
+
+    def _ask(self, router: Address, document: object, headers: dict[str, str]) -> tuple[str, str]:
         try:
             status, answer = call_json(
                 router, "POST", "/v1/services/orders/confirm", document, headers, _TIMEOUT_S
             )
-        except (OSError, HTTPException):
-            return "lost"
+        except (OSError, HTTPException) as failure:
+            return "lost", type(failure).__name__
         if status < 300:
-            return "done"
+            return "done", ""
         error = answer.get("error", {}) if isinstance(answer, dict) else {}
         self.report.refused(str(error.get("type")))
-        return {"no": "not_run", "yes": "done"}.get(str(error.get("ran")), "unknown")
+        outcome = {"no": "not_run", "yes": "done"}.get(str(error.get("ran")), "unknown")
+        return outcome, f"{error.get('type')}: {error.get('message')}"
 
 
 class _StreamReader:
--- a/tools/replay.py
+++ b/tools/replay.py
@@ -5,33 +5,33 @@
 done, did not run), `wrong_answers`, `failed_chats`, `unknown_keys`, `late_grants` (requests that a
 leaving engine got more than 3 s after it said so) and `reuse_at_least` (share of returning turns
 that found their prefix).
+
+The same load without the faults is replayed first, as the calm run to compare with.
 """
 
 from __future__ import annotations
 
-import contextlib
 import random
 import sys
 import threading
 import time
 from collections import Counter, defaultdict
 from concurrent.futures import Future, ThreadPoolExecutor
-from http.client import HTTPException
 from pathlib import Path
 from typing import TYPE_CHECKING, Any, Final
 
-from attrs import define, field
+from attrs import define, evolve, field
 
 from tools.fleet import Fleet, call_json
 from tools.load import Caller, LoadReport
 from tools.operator_cli import run_operator_command
+from tools.replay_figures import ControlTraffic, EngineSampler
 from tools.traces import FAULTS, Trace, read_trace
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
 _CALLER_THREADS: Final = 96
-_LEAVING_GRACE_S: Final = 3.0
 
 
 @define(eq=False)
@@ -48,17 +48,22 @@
     _turns_by_chat: Counter[str] = field(factory=Counter)
     _lost_executions: Counter[str] = field(factory=Counter)
     _lost_stats: Counter[str] = field(factory=Counter)
-    _requests_at_leave: dict[str, int] = field(factory=dict)
     _timers: list[threading.Timer] = field(factory=list)
+    _sampler: EngineSampler = field(init=False)
 
     def run(self) -> dict[str, float]:
         """Replays all events and gives the outcomes."""
         self._start_fleet()
+        sampler = EngineSampler(self.fleet)
+        traffic = ControlTraffic(self.fleet)
+        self._sampler = sampler
         entry = [router.address for router in self.fleet.routers_by_id.values()]
         for number in range(self.trace.accounts):
             account = f"account-{number}"
             rng = random.Random(f"{self.trace.name}:{account}")
             self._callers_by_account[account] = Caller(entry, account, self.report, rng)
+        sampler.start()
+        traffic.begin()
         started = time.monotonic()
         pending: list[Future[Any]] = []
         with ThreadPoolExecutor(_CALLER_THREADS) as pool:
@@ -69,7 +74,9 @@
                 future.result()
         for timer in self._timers:
             timer.join()
-        return self._outcomes()
+        figures = traffic.figures()
+        sampler.stop()
+        return {**self._outcomes(), **sampler.figures(), **figures}
 
     def _start_fleet(self) -> None:
         self.fleet.start_platform()
@@ -81,7 +88,7 @@
         for number in range(self.trace.routers):
             domain = f"d{number % self.trace.failure_domains + 1}"
             self.fleet.start_router(f"r{number + 1}", domain)
-        self.fleet.wait_ready()
+        self.fleet.wait_converged()
 
     def _perform(self, event: dict[str, Any]) -> None:
         kind = event["do"]
@@ -121,6 +128,7 @@
 
     def _kill_engine(self, event: dict[str, Any]) -> None:
         engine = self.fleet.engines_by_id[event["id"]]
+        # Its counters end with it.
         self._lost_stats.update(call_json(engine.address, "GET", "/_stats")[1])
         engine.kill()
 
@@ -133,26 +141,13 @@
     def _engine_leaves(self, event: dict[str, Any]) -> None:
         engine = self.fleet.engines_by_id[event["id"]]
         call_json(engine.address, "POST", "/_faults", {"leaving": True})
-        self._watch_leaving(event["id"])
+        self._sampler.note_leaving(event["id"])
 
     def _drain_engine(self, event: dict[str, Any]) -> None:
         run_operator_command(
             self.fleet, "plan", "drain", event["id"], "--id", f"drain-{event['id']}"
         )
-        self._watch_leaving(event["id"])
-
-    def _watch_leaving(self, engine_id: str) -> None:
-        def note() -> None:
-            with contextlib.suppress(OSError, HTTPException):
-                self._requests_at_leave[engine_id] = self._engine_requests(engine_id)
-
-        timer = threading.Timer(_LEAVING_GRACE_S, note)
-        timer.start()
-        self._timers.append(timer)
-
-    def _engine_requests(self, engine_id: str) -> int:
-        address = self.fleet.engines_by_id[engine_id].address
-        return int(call_json(address, "GET", "/_stats")[1].get("requests", 0))
+        self._sampler.note_leaving(event["id"])
 
     def _platform(self, event: dict[str, Any]) -> None:
         call_json(self.fleet.platform_address(), "POST", "/_faults", event["faults"])
@@ -170,6 +165,10 @@
         for service in self.fleet.services_by_id.values():
             executions.update(call_json(service.address, "GET", "/_stats")[1]["executions"])
         told = self.report.outcomes_by_key
+        for key, outcome in told.items():
+            if executions[key] > 1 or (outcome == "not_run" and executions[key]):
+                history = "; ".join(self.report.answers_by_key.get(key, ()))
+                print(f"  {key} ran {executions[key]} times and was told: {history}")
         stats = Counter(self._lost_stats)
         for engine in self.fleet.engines_by_id.values():
             stats.update(call_json(engine.address, "GET", "/_stats")[1])
@@ -178,6 +177,12 @@
         return {
             "doubles": sum(times > 1 for times in executions.values()),
             "false_not_run": sum(o == "not_run" and executions[k] > 0 for k, o in told.items()),
+            "false_not_run after a lost answer": sum(
+                o == "not_run"
+                and executions[k] > 0
+                and any(": lost " in line for line in self.report.answers_by_key[k])
+                for k, o in told.items()
+            ),
             "false_done": sum(o == "done" and not executions[k] for k, o in told.items()),
             "unknown_keys": sum(o in ("unknown", "lost") for o in told.values()),
             "done_keys": sum(o == "done" for o in told.values()),
@@ -185,10 +190,6 @@
             "failed_chats": self.report.failed_chats,
             "whole_answers": self.report.whole_answers + self.report.resumed_answers,
             "resumed_answers": self.report.resumed_answers,
-            "late_grants": sum(
-                self._engine_requests(engine_id) - known
-                for engine_id, known in self._requests_at_leave.items()
-            ),
             "reuse": min(1.0, stats["cache_hits"] / max(1, returning)),
         }
 
@@ -208,28 +209,63 @@
     return lines
 
 
+def replay(trace: Trace) -> dict[str, float]:
+    """Replays a trace against a fleet of its own; gives the outcomes."""
+    with Fleet(["--address-ttl-s=2"]) as fleet:
+        run = Replay(trace, fleet)
+        outcomes = run.run()
+    refusals = sorted(run.report.refusals_by_reason.items())
+    return {**outcomes, **{f"refused {reason}": float(count) for reason, count in refusals}}
+
+
+def calm(trace: Trace) -> Trace:
+    """Gives the load of a trace without its faults."""
+    return evolve(trace, events=[event for event in trace.events if event["do"] not in FAULTS])
+
+
 def main(paths: list[str]) -> int:
     """Replays each trace; gives 1 when a stated outcome does not hold."""
     failed = False
     for path in paths:
         trace = read_trace(Path(path))
+        faults = [event for event in trace.events if event["do"] in FAULTS]
+        print(f"python -m tools.replay {path}")
         print(
             f"{trace.name}: {trace.routers} routers in {trace.failure_domains} domains, "
-            f"{trace.engines} engines, {trace.services} services, {len(trace.events)} events"
-        )
-        with Fleet(["--address-ttl-s=2"]) as fleet:
-            replay = Replay(trace, fleet)
-            outcomes = replay.run()
-        for name, value in outcomes.items():
-            print(f"  {name}: {value:.3f}" if name == "reuse" else f"  {name}: {value:g}")
-        print(
-            f"  refusals seen by callers: {dict(sorted(replay.report.refusals_by_reason.items()))}"
+            f"{trace.engines} engines, {trace.services} services, {trace.accounts} accounts, "
+            f"{len(trace.events) - len(faults)} requests in {trace.events[-1]['at']:.0f} s, "
+            f"address time to live 2 s"
         )
-        for line in violations(outcomes, trace.expected):
-            failed = True
-            print(f"  BROKEN {line}")
+        for event in faults:
+            details = " ".join(f"{k}={v}" for k, v in event.items() if k not in ("at", "do"))
+            print(f"  fault at {event['at']:g} s: {event['do']} {details}")
+        without, with_faults = replay(calm(trace)), replay(trace)
+        print(f"  {'outcome':34} {'calm':>9} {'faults':>9}  stated")
+        for name in {**with_faults, **without}:
+            print(
+                f"  {name:34} {_text(without, name):>9} {_text(with_faults, name):>9}"
+                f"  {_stated(trace, name)}"
+            )
+        for label, outcomes in (("calm", without), ("faults", with_faults)):
+            for line in violations(outcomes, trace.expected):
+                failed = True
+                print(f"  BROKEN ({label}) {line}")
     return 1 if failed else 0
 
 
+def _text(outcomes: dict[str, float], name: str) -> str:
+    value = outcomes.get(name)
+    if value is None:
+        return "0" if name.startswith("refused") else "-"
+    return f"{value:.0f}" if value == int(value) else f"{value:.3f}"
+
+
+def _stated(trace: Trace, name: str) -> str:
+    if name in trace.expected:
+        return f"at most {trace.expected[name]:g}"
+    least = trace.expected.get(f"{name}_at_least")
+    return "" if least is None else f"at least {least:g}"
+
+
 if __name__ == "__main__":
     sys.exit(main(sys.argv[1:] or [str(p) for p in sorted(Path("tests/traces").glob("*.jsonl"))]))
--- a/tools/traces.py
+++ b/tools/traces.py
@@ -160,7 +160,24 @@
         {"at": 9.0, "do": "engine_leaves", "id": "e7"},
         {"at": 9.5, "do": "platform", "faults": {"slow_ms": 0}},
     ]
-    expected = {"doubles": 0, "false_not_run": 0, "wrong_answers": 0, "failed_chats": 0}
+    expected: dict[str, float] = dict.fromkeys(
+        ("doubles", "false_not_run", "wrong_answers", "failed_chats", "late_grants"), 0
+    )
+    short = generate_traffic(
+        TrafficShape(13, 8.0, 20.0, 6.0, chats=40, accounts=10, large_accounts=2)
+    )
+    short_faults = [
+        {"at": 1.0, "do": "drain_engine", "id": "e3"},
+        {"at": 2.5, "do": "kill_router", "id": "r4"},
+        {"at": 3.5, "do": "platform", "faults": {"outage": True}},
+        {"at": 4.0, "do": "kill_engine", "id": "e2"},
+        {"at": 5.5, "do": "platform", "faults": {"outage": False}},
+        {"at": 6.0, "do": "start_engine", "id": "e2"},
+    ]
+    write_trace(
+        folder / "short.jsonl",
+        Trace("short", 5, 3, 3, 2, 10, expected, _by_time(short + short_faults)),
+    )
     write_trace(
         folder / "order-rush.jsonl",
         Trace(
