Prove failure behaviour with real processes

Four fleets cover leaving endpoints with the pool owner cut off the platform, planned stop, killed and frozen routers, deleted accounts with and without an outage, a race of two operators, and a request that crashes engines.

--- /dev/null
+++ b/tests/test_failures.py
@@ -0,0 +1,388 @@
+"""Real processes under the failures of docs/design.md, section 2.5."""
+
+from __future__ import annotations
+
+import json
+import subprocess
+import sys
+import threading
+import time
+import unittest
+from collections import Counter
+from concurrent.futures import ThreadPoolExecutor
+from http.client import HTTPConnection, HTTPException
+from typing import TYPE_CHECKING, Any, Final
+
+from sequoiadrum.standin_engine import token_text
+from tests.builders import a_chat_body
+from tests.forwarder import Forwarder
+from tools.fleet import Fleet, call_json, is_ready
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from sequoiadrum.messages import Address
+
+DEADLINE_S: Final = 30.0
+GRACE_S: Final = 3.0
+"""A leaving endpoint gets no new request after this time."""
+
+
+class FleetTestCase(unittest.TestCase):
+    """Calls that the tests share; each class starts one fleet."""
+
+    fleet: Fleet
+
+    def router(self, router_id: str) -> Address:
+        return self.fleet.routers_by_id[router_id].address
+
+    def chat(self, router_id: str, chat_id: str, account: str = "account-0", **body: Any) -> Any:
+        headers = {"X-Account": account, "X-Chat-Id": chat_id}
+        path = "/v1/chat/completions"
+        return call_json(self.router(router_id), "POST", path, a_chat_body(**body), headers)
+
+    def assert_whole(self, answer: tuple[int, Any], tokens: int = 4) -> None:
+        self.assertEqual(answer[0], 200, answer)
+        self.assertEqual(len(answer[1]["choices"][0]["message"]["content"].split()), tokens)
+
+    def command(self, *arguments: str) -> subprocess.CompletedProcess[str]:
+        routers = self.fleet.routers_by_id.values()
+        addresses = ",".join(str(r.operator_address) for r in routers if r.popen.poll() is None)
+        return subprocess.run(
+            [sys.executable, "-m", "sequoiadrum", *arguments, f"--router={addresses}"],
+            capture_output=True,
+            text=True,
+            timeout=60,
+            check=False,
+        )
+
+    def must(self, *arguments: str) -> Any:
+        done = self.command(*arguments, "--json")
+        self.assertEqual(done.returncode, 0, done.stderr)
+        return json.loads(done.stdout)
+
+    def owner(self) -> str:
+        owner = self.must("pool", "assistant")["owner_id"]
+        assert isinstance(owner, str)
+        return owner
+
+    def platform(self, path: str, document: Any) -> None:
+        call_json(self.fleet.platform_address(), "POST", path, document)
+
+    def wait_until(self, holds: Callable[[], bool], what: str) -> float:
+        started = time.monotonic()
+        while not holds():
+            self.assertLess(time.monotonic(), started + DEADLINE_S, what)
+            time.sleep(0.05)
+        return time.monotonic() - started
+
+
+def read_stream(
+    router: Address, headers: dict[str, str], body: Any = None, resume: str = ""
+) -> tuple[str, str, list[int], bool]:
+    """Reads a stream until it ends or breaks.
+
+    Returns:
+        Request id, last event id, offsets of tokens with the expected text, whether it was whole.
+    """
+    connection = HTTPConnection(router.host, router.port, timeout=20)
+    if resume:
+        path, extra = f"/v1/streams/{resume.split('.')[0]}", {"Last-Event-ID": resume}
+        connection.request("GET", path, headers={**headers, **extra})
+    else:
+        connection.request("POST", "/v1/chat/completions", json.dumps(body), headers)
+    offsets, event_id, whole, request_id = [], resume, False, ""
+    try:
+        response = connection.getresponse()
+        if response.status != 200:
+            return "", resume, [], False
+        request_id = response.getheader("X-Request-Id") or ""
+        for raw in response:
+            line = raw.strip().decode()
+            if line.startswith("id: "):
+                event_id = line[4:]
+            elif line == "data: [DONE]":
+                whole = True
+            elif line.startswith("data: "):
+                offset = int(event_id.rsplit(".", 1)[1])
+                text = json.loads(line[6:])["choices"][0]["delta"]["content"]
+                offsets.append(offset if text == token_text(request_id, offset) else -1)
+    except (OSError, HTTPException):
+        whole = False
+    finally:
+        connection.close()
+    return request_id, event_id, offsets, whole
+
+
+class LeavingEndpointTest(FleetTestCase):
+    """Endpoints leave while the router that decides for their pool is cut off the platform."""
+
+    @classmethod
+    def setUpClass(cls) -> None:
+        cls.fleet = cls.enterClassContext(Fleet())
+        cls.fleet.start_platform()
+        for number in range(5):
+            cls.fleet.start_engine(f"e{number}", "--token-ms=1")
+        cls.fleet.write_config(cls.fleet.default_config(accounts=1))
+        forwarders = {}
+        for router_id in ("r1", "r2", "r3"):
+            forwarders[router_id] = Forwarder(cls.fleet.platform_address())
+            cls.fleet.start_router(router_id, platform=forwarders[router_id].address)
+        cls.fleet.wait_converged()
+        cls.cut_off = cls.owner(cls())
+        forwarders[cls.cut_off].cut()
+
+    def requests_at(self, engine_id: str) -> int:
+        address = self.fleet.engines_by_id[engine_id].address
+        return int(call_json(address, "GET", "/_stats")[1].get("requests", 0))
+
+    def leaves(self, engine_id: str, announce: Callable[[], object]) -> None:
+        stop = threading.Event()
+
+        def call(router_id: str) -> list[int]:
+            statuses = []
+            while not stop.wait(0.02):
+                statuses.append(self.chat(router_id, f"{engine_id}-{len(statuses)}")[0])
+            return statuses
+
+        with ThreadPoolExecutor(3) as pool:
+            calls = [pool.submit(call, router_id) for router_id in self.fleet.routers_by_id]
+            try:
+                self.wait_until(lambda: self.requests_at(engine_id) > 0, "the engine gets no work")
+                announce()
+                time.sleep(GRACE_S)
+                before = self.requests_at(engine_id)
+                time.sleep(1.5)
+                after = self.requests_at(engine_id)
+            finally:
+                stop.set()
+        self.assertEqual(after, before)
+        for done in calls:
+            statuses = done.result()
+            self.assertGreater(len(statuses), 20)
+            self.assertEqual(set(statuses), {200}, Counter(statuses))
+
+    def test_drain_by_operator(self) -> None:
+        """Guards against new work for a drained engine from a router that missed the drain."""
+        self.leaves("e0", lambda: self.must("plan", "drain", "e0", "--id=drain-e0"))
+
+    def test_own_report(self) -> None:
+        """Guards against new work for an engine that says it is leaving."""
+        address = self.fleet.engines_by_id["e1"].address
+        self.leaves("e1", lambda: call_json(address, "POST", "/_faults", {"leaving": True}))
+
+    def test_platform_list(self) -> None:
+        """Guards against new work by an owner that cannot read the platform's list."""
+        address = self.fleet.engines_by_id["e2"].address
+        line = {"id": "e2", "role": "engine", "host": address.host, "port": address.port}
+        self.leaves("e2", lambda: self.platform("/_instances", [{**line, "leaving": True}]))
+
+
+class RouterFailureTest(FleetTestCase):
+    """Routers end as planned, are killed, and are frozen."""
+
+    def setUp(self) -> None:
+        self.fleet = self.enterContext(Fleet(["--address-ttl-s=3"]))
+        self.fleet.start_platform()
+        for number in range(3):
+            self.fleet.start_engine(f"e{number}", "--token-ms=30")
+        self.fleet.start_service("s1")
+        self.fleet.write_config(self.fleet.default_config(accounts=2))
+        for number in range(4):
+            self.fleet.start_router(f"r{number + 1}", f"d{number + 1}")
+        self.fleet.wait_converged()
+
+    def stream(self, router_id: str, chat_id: str, tokens: int) -> tuple[str, str, list[int], bool]:
+        headers = {"X-Account": "account-0", "X-Chat-Id": chat_id}
+        body = a_chat_body(max_tokens=tokens, stream=True)
+        return read_stream(self.router(router_id), headers, body)
+
+    def keyed(self, router_id: str, key: str) -> Any:
+        headers = {
+            "X-Account": "account-0",
+            "Idempotency-Key": key,
+            "Idempotency-Issued-At": str(int(time.time() * 1000)),
+        }
+        path = "/v1/services/orders/confirm"
+        return call_json(self.router(router_id), "POST", path, {"n": 1}, headers)
+
+    def test_planned_stop_cuts_nothing_off(self) -> None:
+        """Guards against a planned stop that breaks streams or turns kept addresses away."""
+        tokens = 200  # 6 s, longer than the time to live of the address.
+        with ThreadPoolExecutor(16) as pool:
+            long = [pool.submit(self.stream, "r4", f"long-{n}", tokens) for n in range(8)]
+            time.sleep(1.0)
+            self.fleet.routers_by_id["r4"].terminate()
+            kept = [self.chat("r4", f"kept-{n}") for n in range(8)]
+            for answer in kept:
+                self.assert_whole(answer)
+            for done in long:
+                self.assertEqual(done.result()[2:], (list(range(tokens)), True))
+        self.assertEqual(self.fleet.routers_by_id["r4"].popen.wait(60), 0)
+
+    def test_streams_of_killed_router_resume_elsewhere(self) -> None:
+        """Guards against tokens that are lost or repeated when a caller changes the router."""
+        tokens = 100
+        with ThreadPoolExecutor(8) as pool:
+            begun = [pool.submit(self.stream, "r3", f"chat-{n}", tokens) for n in range(8)]
+            time.sleep(1.0)
+            self.fleet.routers_by_id["r3"].kill()
+            broken = [done.result() for done in begun]
+        for _, event_id, offsets, whole in broken:
+            self.assertTrue(offsets)
+            self.assertFalse(whole)
+            headers = {"X-Account": "account-0"}
+            _, _, rest, whole = read_stream(self.router("r1"), headers, resume=event_id)
+            self.assertEqual((offsets + rest, whole), (list(range(tokens)), True))
+
+    def test_frozen_router_returns_without_stale_state(self) -> None:
+        """Guards against a resumed router that uses a deleted account or runs a key again."""
+        frozen = self.owner()
+        others = [router_id for router_id in self.fleet.routers_by_id if router_id != frozen]
+        keys = [f"key-{number}" for number in range(12)]
+        first = [self.keyed(frozen, key) for key in keys]
+        self.assertEqual({status for status, _ in first}, {201})
+        self.assert_whole(self.chat(frozen, "c", "account-1"))
+        process = self.fleet.routers_by_id[frozen]
+        process.freeze()
+        thawed_at = time.monotonic() + 6.0
+        # An account is a customer: the revision that deletes it must win over the frozen view.
+        self.fleet.routers_by_id.pop(frozen)
+        self.must("account", "delete", "account-1")
+        statuses: Counter[int] = Counter()
+        while time.monotonic() < thawed_at:
+            for router_id in others:
+                statuses[self.chat(router_id, "c")[0]] += 1
+        for key in keys:
+            self.assertEqual(self.keyed(others[0], key), first[keys.index(key)])
+        self.fleet.routers_by_id[frozen] = process
+        process.resume()
+        stale = []
+        until = time.monotonic() + 3.0
+        while time.monotonic() < until:
+            stale.append(self.chat(frozen, "c", "account-1")[0])
+        self.assertNotIn(200, stale)
+        self.wait_until(lambda: self.chat(frozen, "c")[0] == 200, "it does not serve again")
+        self.fleet.wait_converged()
+        for key, answer in zip(keys, first, strict=True):
+            self.assertEqual(self.keyed(frozen, key), answer)
+        service = self.fleet.services_by_id["s1"].address
+        executions = call_json(service, "GET", "/_stats")[1]["executions"]
+        self.assertEqual(set(executions.values()), {1})
+        print(f"\nwhile the owner was frozen: {dict(statuses)}")
+        self.assertGreater(statuses[200], 0)
+
+
+class ConfigurationTest(FleetTestCase):
+    """Changes of the configuration, with the platform and without it."""
+
+    @classmethod
+    def setUpClass(cls) -> None:
+        cls.fleet = cls.enterClassContext(Fleet())
+        cls.fleet.start_platform()
+        cls.fleet.start_engine("e1", "--token-ms=1")
+        cls.fleet.write_config(cls.fleet.default_config(accounts=4))
+        for number in range(5):
+            cls.fleet.start_router(f"r{number + 1}")
+        cls.fleet.wait_converged()
+
+    def refused_everywhere(self, account: str) -> bool:
+        answers = [self.chat(router_id, "c", account) for router_id in self.fleet.routers_by_id]
+        return all(status == 403 or status == 404 or status == 401 for status, _ in answers)
+
+    def delete(self, account: str) -> float:
+        for router_id in self.fleet.routers_by_id:
+            self.assert_whole(self.chat(router_id, "c", account))
+        self.must("account", "delete", account)
+        return time.monotonic()
+
+    def test_deleted_account_is_refused_everywhere(self) -> None:
+        """Guards against a router that goes on serving a deleted account."""
+        accepted = self.delete("account-1")
+        self.wait_until(lambda: self.refused_everywhere("account-1"), "a router still serves it")
+        print(f"\nin force on 5 routers after {time.monotonic() - accepted:.2f} s")
+
+    def test_deletion_holds_through_platform_outage(self) -> None:
+        """Guards against a change that is lost or undone when the platform fails after it."""
+        self.addCleanup(self.platform, "/_faults", {"outage": False})
+        accepted = self.delete("account-2")
+        self.platform("/_faults", {"outage": True})
+        self.wait_until(lambda: self.refused_everywhere("account-2"), "a router still serves it")
+        print(f"\nin force on 5 routers after {time.monotonic() - accepted:.2f} s, platform down")
+        self.fleet.routers_by_id["r5"].kill()
+        self.fleet.start_router("r5")
+        statuses = set()
+
+        def ready() -> bool:
+            try:
+                statuses.add(self.chat("r5", "c", "account-2")[0])
+            except (OSError, HTTPException):
+                return False
+            return is_ready(self.router("r5"))
+
+        self.wait_until(ready, "r5 does not start without the platform")
+        statuses.add(self.chat("r5", "c", "account-2")[0])
+        self.assertNotIn(200, statuses)
+        self.assert_whole(self.chat("r5", "c", "account-0"))
+
+    def test_race_of_two_operators_has_one_winner(self) -> None:
+        """Guards against two accepted changes of one version, or a loser who is told nothing."""
+        version = self.must("account", "get", "account-3")["version"]
+        put = ("account", "put", "account-3")
+        with ThreadPoolExecutor(2) as pool:
+            done = list(
+                pool.map(
+                    lambda n: self.command(
+                        *put,
+                        json.dumps({"requests_per_s": n, "burst": n}),
+                        f"--expected-version={version}",
+                        f"--change-id=operator-{n}",
+                    ),
+                    (100, 200),
+                )
+            )
+        self.assertEqual(sorted(d.returncode for d in done), [0, 3], [d.stderr for d in done])
+        winner, loser = (100, 200) if done[0].returncode == 0 else (200, 100)
+        self.assertIn(f"operator-{winner}", done[loser == 200].stderr)
+        self.wait_until(
+            lambda: self.must("account", "get", "account-3")["change_id"] == f"operator-{winner}",
+            "the winner's change is not in force",
+        )
+
+
+class CrashTest(FleetTestCase):
+    """A request that ends each engine process that runs it."""
+
+    @classmethod
+    def setUpClass(cls) -> None:
+        cls.fleet = cls.enterClassContext(Fleet())
+        cls.fleet.start_platform()
+        for number in range(5):
+            cls.fleet.start_engine(f"e{number}", "--token-ms=20")
+        cls.fleet.write_config(cls.fleet.default_config(accounts=1))
+        for number in range(3):
+            cls.fleet.start_router(f"r{number + 1}")
+        cls.fleet.wait_converged()
+
+    def test_crashing_request_is_refused_after_two_crashes(self) -> None:
+        """Guards against a request that takes down one engine after another."""
+        routers = list(self.fleet.routers_by_id)
+        with ThreadPoolExecutor(5) as pool:
+            # One on each engine, so that each crash hits one of them.
+            healthy = [
+                pool.submit(self.chat, routers[n % 3], f"chat-{n}", text=f"{n}", max_tokens=250)
+                for n in range(5)
+            ]
+            time.sleep(1.0)
+
+            def refused(router_id: str) -> bool:
+                status, answer = self.chat(router_id, "bad", text="crash-endpoint")
+                self.assertNotEqual(status, 200)
+                return bool(answer["error"]["type"] == "crashes_endpoints")
+
+            for router_id in routers:
+                self.wait_until(lambda r=router_id: refused(r), f"{router_id} still runs it")
+            for done in healthy:
+                self.assert_whole(done.result(), 250)
+        ended = [e.popen.poll() for e in self.fleet.engines_by_id.values()]
+        self.assertEqual(Counter(ended), Counter({None: 3, 70: 2}))
