Share one fleet among the router failure tests

Purpose: a start of a fleet takes about 8 s. The three tests end or freeze different routers, so one fleet of 6 does. Ruled out: sharing across classes, whose engines and settings differ.

--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -181,16 +181,17 @@
 class RouterFailureTest(FleetTestCase):
     """Routers end as planned, are killed, and are frozen."""
 
-    def setUp(self) -> None:
-        self.fleet = self.enterContext(Fleet(["--address-ttl-s=3"]))
-        self.fleet.start_platform()
+    @classmethod
+    def setUpClass(cls) -> None:
+        cls.fleet = cls.enterClassContext(Fleet(["--address-ttl-s=3"]))
+        cls.fleet.start_platform()
         for number in range(3):
-            self.fleet.start_engine(f"e{number}", "--token-ms=30")
-        self.fleet.start_service("s1")
-        self.fleet.write_config(self.fleet.default_config(accounts=2))
-        for number in range(4):
-            self.fleet.start_router(f"r{number + 1}", f"d{number + 1}")
-        self.fleet.wait_converged()
+            cls.fleet.start_engine(f"e{number}", "--token-ms=30")
+        cls.fleet.start_service("s1")
+        cls.fleet.write_config(cls.fleet.default_config(accounts=2))
+        for number in range(6):
+            cls.fleet.start_router(f"r{number + 1}", f"d{number % 4 + 1}")
+        cls.fleet.wait_converged()
 
     def stream(self, router_id: str, chat_id: str, tokens: int) -> tuple[str, str, list[int], bool]:
         headers = {"X-Account": "account-0", "X-Chat-Id": chat_id}
@@ -210,23 +211,23 @@
         """Guards against a planned stop that breaks streams or turns kept addresses away."""
         tokens = 200  # 6 s, longer than the time to live of the address.
         with ThreadPoolExecutor(16) as pool:
-            long = [pool.submit(self.stream, "r4", f"long-{n}", tokens) for n in range(8)]
+            long = [pool.submit(self.stream, "r6", f"long-{n}", tokens) for n in range(8)]
             time.sleep(1.0)
-            self.fleet.routers_by_id["r4"].terminate()
-            kept = [self.chat("r4", f"kept-{n}") for n in range(8)]
+            self.fleet.routers_by_id["r6"].terminate()
+            kept = [self.chat("r6", f"kept-{n}") for n in range(8)]
             for answer in kept:
                 self.assert_whole(answer)
             for done in long:
                 self.assertEqual(done.result()[2:], (list(range(tokens)), True))
-        self.assertEqual(self.fleet.routers_by_id["r4"].popen.wait(60), 0)
+        self.assertEqual(self.fleet.routers_by_id["r6"].popen.wait(60), 0)
 
     def test_streams_of_killed_router_resume_elsewhere(self) -> None:
         """Guards against tokens that are lost or repeated when a caller changes the router."""
         tokens = 100
         with ThreadPoolExecutor(8) as pool:
-            begun = [pool.submit(self.stream, "r3", f"chat-{n}", tokens) for n in range(8)]
+            begun = [pool.submit(self.stream, "r5", f"chat-{n}", tokens) for n in range(8)]
             time.sleep(1.0)
-            self.fleet.routers_by_id["r3"].kill()
+            self.fleet.routers_by_id["r5"].kill()
             broken = [done.result() for done in begun]
         for _, event_id, offsets, whole in broken:
             self.assertTrue(offsets)
