--- a/tests/test_fleet_control.py
+++ b/tests/test_fleet_control.py
@@ -52,7 +52,7 @@
         settings = a_settings(
             instance_id="writer",
             platform=str(fleet.platform.address),
-            seeds=fleet.seed,
+            seeds=fleet.seed(),
             address_ttl_s=0.2,
         )
         self.router = Router(settings)
@@ -128,7 +128,7 @@
         with Fleet(["--address-ttl-s=0.2"]) as fleet:
             fleet.start_platform()
             fleet.start_router("r0")
-            host, port = fleet.seed.split(":")
+            host, port = fleet.seed().split(":")
             line = {"id": "r0", "host": host, "port": int(port), "role": "router", "leaving": False}
             call_json(fleet.platform.address, "POST", "/_instances", [line])
             settings = a_settings(platform=str(fleet.platform.address), address_ttl_s=0.2)
--- a/tools/bench_control.py
+++ b/tools/bench_control.py
@@ -102,7 +102,7 @@
             http_port=http_port,
             peer_port=peer_port,
             operator_port=operator_port,
-            seeds=fleet.seed,
+            seeds=fleet.seed(),
             max_streams=8,
             address_ttl_s=0.1,
         )
--- a/tools/fleet.py
+++ b/tools/fleet.py
@@ -113,9 +113,7 @@
             platform: Where it reaches the platform, if not at the stand-in's own address.
         """
         http_port, peer_port, operator_port = free_ports(3)
-        # All join by the same router; the first one has no seed and would not find the others.
-        running = (r for r in self.routers_by_id.values() if r.popen.poll() is None)
-        seed = next((str(router.peer_address) for router in running), "")
+        seed = self.seed()
         arguments = [
             *_PROGRAM,
             "serve",
@@ -143,6 +141,11 @@
         self.routers_by_id[router_id] = process
         return process
 
+    def seed(self) -> str:
+        """Gives the peer address by which all others join: that of the first running router."""
+        running = (r for r in self.routers_by_id.values() if r.popen.poll() is None)
+        return next((str(router.peer_address) for router in running), "")
+
     def wait_ready(self) -> None:
         """Waits until every router serves.
 
