Say 'not run' of a key only when the key was looked up

The refusal spoke of its own request only. The field ran is now not_by_this_request unless the key was looked up; callers repeat or query the outcome.

Ruled out: telling unknown in all these cases, since unknown means that the system knows of a claim; the two need different reactions of the caller.

--- a/src/sequoiadrum/_wsgi.py
+++ b/src/sequoiadrum/_wsgi.py
@@ -111,13 +111,38 @@
     )
 
 
+_KEY_CHECKED_REASONS: Final = frozenset(
+    {
+        RefusalReason.CANCELLED,
+        RefusalReason.CRASHES_ENDPOINTS,
+        RefusalReason.ENDPOINT_FAILED,
+        RefusalReason.NO_ENDPOINT,
+        RefusalReason.NOT_FOUND,
+        RefusalReason.POOL_FULL,
+    }
+)
+"""Given for a keyed call only after its key was looked up, so that "no" holds for the key.
+
+With any other reason an earlier request with the same key may have run.
+"""
+
+
+def told_as_run(refusal: Refusal) -> str:
+    """Gives the value of the field `ran`: `yes`, `no`, `not_by_this_request` or `unknown`."""
+    if refusal.ran is None:
+        return "unknown"
+    if refusal.ran:
+        return "yes"
+    return "no" if refusal.reason in _KEY_CHECKED_REASONS else "not_by_this_request"
+
+
 def refusal_document(refusal: Refusal) -> dict[str, Any]:
     """Gives the typed error that callers see."""
     return {
         "error": {
             "type": refusal.reason.value,
             "message": refusal.detail or refusal.reason.value.replace("_", " "),
-            "ran": {True: "yes", False: "no", None: "unknown"}[refusal.ran],
+            "ran": told_as_run(refusal),
             "retry_after_ms": refusal.retry_after_ms,
         }
     }
--- a/tests/test_ledger_processes.py
+++ b/tests/test_ledger_processes.py
@@ -25,6 +25,8 @@
 _CALLS: Final = 8
 _PATIENCE_S: Final = 40.0
 
+_STATE_BY_RAN: Final = {"no": "not_run", "yes": "done", "not_by_this_request": "refused"}
+
 
 @define(eq=False)
 class _Told:
@@ -111,7 +113,7 @@
             time.sleep(answer["error"]["retry_after_ms"] / 1e3)
             return self._submit(router, key)
         ran = answer["error"]["ran"]
-        state = {"no": "not_run", "yes": "done"}.get(ran, "unknown")
+        state = _STATE_BY_RAN.get(ran, "unknown")
         self.told.add(key, state)
         return state
 
--- a/tools/load.py
+++ b/tools/load.py
@@ -24,6 +24,7 @@
 _ATTEMPTS: Final = 12
 _TIMEOUT_S: Final = 20.0
 _REFUSED_PAUSE_S: Final = 0.2
+_OUTCOME_BY_RAN: Final = {"no": "not_run", "yes": "done", "not_by_this_request": "refused"}
 
 
 @define
@@ -147,8 +148,8 @@
                 lost = True
                 self.forget("orders", key)
             time.sleep(_REFUSED_PAUSE_S)
-        if outcome == "not_run" and lost:
-            # A refusal speaks of its own request only, not of the one whose answer was lost.
+        if outcome == "refused" or (outcome == "not_run" and lost):
+            # A refusal may speak of its own request only, not of earlier ones with the key.
             outcome = self._query(key, headers)
         if also_at_another:
             thread.join()
@@ -196,7 +197,7 @@
             return "done", ""
         error = answer.get("error", {}) if isinstance(answer, dict) else {}
         self.report.refused(str(error.get("type")))
-        outcome = {"no": "not_run", "yes": "done"}.get(str(error.get("ran")), "unknown")
+        outcome = _OUTCOME_BY_RAN.get(str(error.get("ran")), "unknown")
         return outcome, f"{error.get('type')}: {error.get('message')}"
 
 
