--- a/src/sequoiadrum/standin_engine.py
+++ b/src/sequoiadrum/standin_engine.py
@@ -18,12 +18,13 @@
 from collections import OrderedDict, deque
 from hashlib import blake2b
 from http.client import HTTPConnection
-from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
 from typing import TYPE_CHECKING, Any, Final
 from urllib.parse import parse_qs, quote, unquote, urlsplit
 
 from attrs import define, field, frozen
 
+from sequoiadrum._standin_server import StandInHandler, StandInServer
+
 if TYPE_CHECKING:
     from collections.abc import Callable
 
@@ -162,7 +163,7 @@
             del self.events[:-1000]
 
 
-class EngineServer:
+class EngineServer(StandInServer):
     """The HTTP server of the stand-in."""
 
     def __init__(
@@ -173,19 +174,7 @@
         crash: Callable[[], None] | None = None,
     ) -> None:
         self.state = EngineState(options, crash or self._crash)
-        handler = type("Handler", (_Handler,), {"state": self.state})
-        self._server = _Server((host, port), handler)
-        self.port: Final[int] = self._server.server_address[1]
-        self._thread = threading.Thread(target=self._server.serve_forever, daemon=True)
-
-    def start(self) -> None:
-        """Serves in a thread of its own."""
-        self._thread.start()
-
-    def stop(self) -> None:
-        """Closes the listening socket."""
-        self._server.shutdown()
-        self._server.server_close()
+        super().__init__(host, port, _Handler, self.state)
 
     def _crash(self) -> None:
         """Breaks all streams and forgets everything, as a process that was restarted."""
@@ -197,21 +186,8 @@
             self.state.cache.clear()
 
 
-class _Server(ThreadingHTTPServer):
-    daemon_threads = True
-    request_queue_size = 512
-
-    def handle_error(self, request: object, client_address: object) -> None:
-        """Keeps the console quiet when a reader goes away."""
-
-
-class _Handler(BaseHTTPRequestHandler):
+class _Handler(StandInHandler):
     state: EngineState
-    protocol_version = "HTTP/1.1"
-    disable_nagle_algorithm = True
-
-    def log_message(self, format: str, *args: object) -> None:
-        """Keeps the console quiet."""
 
     def do_GET(self) -> None:
         """Load, resume, cache events, KV export and counters."""
@@ -240,7 +216,7 @@
 
     def do_POST(self) -> None:
         """Chat completions, cancel, KV import, orders and faults."""
-        body = self.rfile.read(int(self.headers.get("Content-Length") or 0))
+        body = self.read_body()
         if self.path == "/_faults":
             self.state.faults.update(json.loads(body))
             self._json(200, {})
@@ -405,12 +381,7 @@
         self._json(200, {})
 
     def _json(self, status: int, document: object) -> None:
-        body = json.dumps(document).encode()
-        self.send_response(status)
-        self.send_header("Content-Type", "application/json")
-        self.send_header("Content-Length", str(len(body)))
-        self.end_headers()
-        self.wfile.write(body)
+        self.send_body(status, json.dumps(document).encode())
 
 
 def token_text(seed: str, index: int) -> str:
@@ -442,7 +413,4 @@
 
 def serve(host: str, port: int, options: EngineOptions, announce: Callable[[str], None]) -> None:
     """Runs the stand-in until the process ends; a crash request ends it with status 70."""
-    server = EngineServer(host, port, options, crash=lambda: os._exit(70))
-    server.start()
-    announce(f"engine stand-in on {host}:{server.port}")
-    threading.Event().wait()
+    EngineServer(host, port, options, crash=lambda: os._exit(70)).run("engine", announce)
--- a/src/sequoiadrum/standin_platform.py
+++ b/src/sequoiadrum/standin_platform.py
@@ -10,12 +10,13 @@
 import json
 import threading
 import time
-from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
 from typing import TYPE_CHECKING, Any, Final
 from urllib.parse import parse_qs, unquote, urlsplit
 
 from attrs import Factory, define
 
+from sequoiadrum._standin_server import StandInHandler, StandInServer
+
 if TYPE_CHECKING:
     from collections.abc import Callable
 
@@ -132,56 +133,31 @@
             return [lst for at, lst in self._instance_lists if at <= horizon][-1]
 
 
-class PlatformServer:
+class PlatformServer(StandInServer):
     """The HTTP server of the stand-in."""
 
     def __init__(
         self, host: str, port: int, reads_per_s: float = 2000.0, writes_per_s: float = 300.0
     ) -> None:
         self.store = PlatformStore(reads_per_s, writes_per_s)
-        handler = type("Handler", (_Handler,), {"store": self.store})
-        self._server = _Server((host, port), handler)
-        self.port: Final[int] = self._server.server_address[1]
-        self._thread = threading.Thread(target=self._server.serve_forever, daemon=True)
-
-    def start(self) -> None:
-        """Serves in a thread of its own."""
-        self._thread.start()
-
-    def stop(self) -> None:
-        """Closes the listening socket."""
-        self._server.shutdown()
-        self._server.server_close()
-
+        super().__init__(host, port, _Handler, self.store)
 
-class _Server(ThreadingHTTPServer):
-    daemon_threads = True
-    request_queue_size = 256
 
-    def handle_error(self, request: object, client_address: object) -> None:
-        """Keeps the console quiet when a caller goes away."""
-
-
-class _Handler(BaseHTTPRequestHandler):
-    store: PlatformStore
-    protocol_version = "HTTP/1.1"
-    disable_nagle_algorithm = True
-
-    def log_message(self, format: str, *args: object) -> None:
-        """Keeps the console quiet."""
+class _Handler(StandInHandler):
+    state: PlatformStore
 
     def do_GET(self) -> None:
         """Reads, lists and watches."""
         path = urlsplit(self.path)
         query = {key: values[0] for key, values in parse_qs(path.query).items()}
         if path.path == "/_stats":
-            self._json(dict(self.store.calls_by_kind))
+            self._json(dict(self.state.calls_by_kind))
         elif self._admitted("read"):
             self._read(path.path, query)
 
     def do_PUT(self) -> None:
         """Writes under the expected version."""
-        value = self._body()
+        value = self.read_body()
         if len(value) > MAX_VALUE_BYTES:
             self._send(413)
         elif self._admitted("write"):
@@ -194,44 +170,44 @@
 
     def do_POST(self) -> None:
         """Sets faults and the instance list."""
-        document = json.loads(self._body() or b"{}")
+        document = json.loads(self.read_body() or b"{}")
         if self.path == "/_faults":
-            with self.store.changed:
+            with self.state.changed:
                 for name, value in document.items():
-                    setattr(self.store.faults, name, value)
-                self.store.changed.notify_all()
+                    setattr(self.state.faults, name, value)
+                self.state.changed.notify_all()
         elif self.path == "/_instances":
-            self.store.publish_instances(document)
+            self.state.publish_instances(document)
         self._send(204)
 
     def _read(self, path: str, query: dict[str, str]) -> None:
         if path.startswith("/objects/"):
-            found = self.store.get(unquote(path.removeprefix("/objects/")))
+            found = self.state.get(unquote(path.removeprefix("/objects/")))
             self._send_object(found, missing=404)
         elif path.startswith("/watch/"):
             name = unquote(path.removeprefix("/watch/"))
             timeout_s = int(query["timeout_ms"]) / 1e3
-            found = self.store.watch(name, int(query["version"]), timeout_s)
-            if self.store.faults.outage:
+            found = self.state.watch(name, int(query["version"]), timeout_s)
+            if self.state.faults.outage:
                 self._send(503)
             else:
                 self._send_object(found, missing=204)
         elif path == "/list":
-            self._json(self.store.names(query.get("prefix", "")))
+            self._json(self.state.names(query.get("prefix", "")))
         elif path == "/instances":
-            self._json(self.store.instances())
+            self._json(self.state.instances())
         else:
             self._send(404)
 
     def _write(self, value: bytes | None) -> None:
         name = unquote(self.path.removeprefix("/objects/"))
         expected = self.headers.get("If-Match")
-        version = self.store.put(
+        version = self.state.put(
             name, value, None if expected is None else int(expected.strip('"'))
         )
-        with self.store.changed:
-            lost = self.store.faults.lose_answers > 0 and version is not None
-            self.store.faults.lose_answers -= lost
+        with self.state.changed:
+            lost = self.state.faults.lose_answers > 0 and version is not None
+            self.state.faults.lose_answers -= lost
         if lost:
             self.close_connection = True
         elif version is None:
@@ -240,21 +216,18 @@
             self._send(200, version=version)
 
     def _admitted(self, kind: str) -> bool:
-        faults = self.store.faults
-        self.store.count(kind)
+        faults = self.state.faults
+        self.state.count(kind)
         if faults.slow_ms:
             time.sleep(faults.slow_ms / 1e3)
         if faults.outage:
             self._send(503)
-        elif not self.store.admit(kind):
+        elif not self.state.admit(kind):
             self._send(429)
         else:
             return True
         return False
 
-    def _body(self) -> bytes:
-        return self.rfile.read(int(self.headers.get("Content-Length") or 0))
-
     def _json(self, document: object) -> None:
         self._send(200, json.dumps(document).encode())
 
@@ -277,7 +250,4 @@
 
 def serve(host: str, port: int, announce: Callable[[str], None]) -> None:
     """Runs the stand-in until the process ends."""
-    server = PlatformServer(host, port)
-    server.start()
-    announce(f"platform stand-in on {host}:{server.port}")
-    threading.Event().wait()
+    PlatformServer(host, port).run("platform", announce)
--- a/src/sequoiadrum/standin_service.py
+++ b/src/sequoiadrum/standin_service.py
@@ -10,11 +10,12 @@
 import json
 import threading
 import time
-from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
-from typing import TYPE_CHECKING, Any, Final
+from typing import TYPE_CHECKING, Any
 
 from attrs import define, field
 
+from sequoiadrum._standin_server import StandInHandler, StandInServer
+
 if TYPE_CHECKING:
     from collections.abc import Callable
 
@@ -38,41 +39,16 @@
             return left > 0
 
 
-class ServiceServer:
+class ServiceServer(StandInServer):
     """The HTTP server of the stand-in."""
 
     def __init__(self, host: str, port: int) -> None:
         self.state = ServiceState()
-        handler = type("Handler", (_Handler,), {"state": self.state})
-        self._server = _Server((host, port), handler)
-        self.port: Final[int] = self._server.server_address[1]
-        self._thread = threading.Thread(target=self._server.serve_forever, daemon=True)
-
-    def start(self) -> None:
-        """Serves in a thread of its own."""
-        self._thread.start()
-
-    def stop(self) -> None:
-        """Closes the listening socket."""
-        self._server.shutdown()
-        self._server.server_close()
-
-
-class _Server(ThreadingHTTPServer):
-    daemon_threads = True
-    request_queue_size = 256
+        super().__init__(host, port, _Handler, self.state)
 
-    def handle_error(self, request: object, client_address: object) -> None:
-        """Keeps the console quiet when a caller goes away."""
 
-
-class _Handler(BaseHTTPRequestHandler):
+class _Handler(StandInHandler):
     state: ServiceState
-    protocol_version = "HTTP/1.1"
-    disable_nagle_algorithm = True
-
-    def log_message(self, format: str, *args: object) -> None:
-        """Keeps the console quiet."""
 
     def do_GET(self) -> None:
         """Load, counters and plain reads."""
@@ -93,7 +69,7 @@
 
     def do_POST(self) -> None:
         """Executes a call, or sets faults."""
-        body = self.rfile.read(int(self.headers.get("Content-Length") or 0))
+        body = self.read_body()
         if self.path == "/_faults":
             with self.state.lock:
                 self.state.faults.update(json.loads(body))
@@ -123,18 +99,17 @@
 
     def _json(self, status: int, document: object, cut: bool = False) -> None:
         body = json.dumps(document).encode()
+        if not cut:
+            self.send_body(status, body)
+            return
         self.send_response(status)
         self.send_header("Content-Type", "application/json")
         self.send_header("Content-Length", str(len(body)))
         self.end_headers()
-        self.wfile.write(body[: len(body) // 2] if cut else body)
-        if cut:
-            self.close_connection = True
+        self.wfile.write(body[: len(body) // 2])
+        self.close_connection = True
 
 
 def serve(host: str, port: int, announce: Callable[[str], None]) -> None:
     """Runs the stand-in until the process ends."""
-    server = ServiceServer(host, port)
-    server.start()
-    announce(f"service stand-in on {host}:{server.port}")
-    threading.Event().wait()
+    ServiceServer(host, port).run("service", announce)
