Share quantiles and process figures between the measuring tools

Three tools had their own quantile, two their own reading of processor time and memory; tools/figures.py has one of each. Settings.loggable and PoolAdmission.usable_ids were called by nothing and are gone. Ruled out for now: one builder for the fleets of the process tests, whose shapes differ.

--- a/src/sequoiadrum/admission.py
+++ b/src/sequoiadrum/admission.py
@@ -258,10 +258,6 @@
                 self.recent.record(chat_hash, target, now)
                 self.recent.list_chat(target_id, chat_id)
 
-    def usable_ids(self) -> list[str]:
-        """Lists the engines that may get new work."""
-        return [engine.id for engine in self._usable]
-
     def is_healthy(self, engine_id: str) -> bool:
         """Whether an engine is believed to work."""
         engine = self._engine_by_id.get(engine_id)
--- a/src/sequoiadrum/settings.py
+++ b/src/sequoiadrum/settings.py
@@ -6,7 +6,7 @@
 from typing import TYPE_CHECKING, Annotated, Any, Final
 
 import cappa
-from attrs import fields, frozen
+from attrs import frozen
 
 from sequoiadrum.messages import Address
 
@@ -140,10 +140,6 @@
         """Gives the peers to join by; the settings must have no problems."""
         return [parse_address(seed) for seed in self.seeds.split(",") if seed]
 
-    def loggable(self) -> dict[str, Any]:
-        """Gives all values by name."""
-        return {attribute.name: getattr(self, attribute.name) for attribute in fields(Settings)}
-
 
 def parse_address(text: str) -> Address:
     """Reads IP:port.
--- a/tools/bench_control.py
+++ b/tools/bench_control.py
@@ -5,18 +5,17 @@
 
 from __future__ import annotations
 
-import re
 import statistics
 import sys
 import time
 from http.client import HTTPException
-from pathlib import Path
 from typing import TYPE_CHECKING, Final
 
 from sequoiadrum.app import Router
 from sequoiadrum.cli import configure_logs
 from sequoiadrum.configuration import ChangeRequest, ObjectKind
 from sequoiadrum.settings import Settings
+from tools.figures import cpu_seconds, status
 from tools.fleet import Fleet, call_json, free_ports, parse_metrics
 
 if TYPE_CHECKING:
@@ -25,7 +24,6 @@
 SIZES: Final = (14, 28, 56)
 CHANGES: Final = 20
 IDLE_S: Final = 15.0
-_TICKS_PER_S: Final = 100
 
 
 def _metrics(address: Address) -> dict[str, float]:
@@ -45,20 +43,12 @@
 
 
 def _cpu_s(fleet: Fleet) -> float:
-    total = 0
-    for process in fleet.routers_by_id.values():
-        entries = Path(f"/proc/{process.popen.pid}/stat").read_text().rsplit(")", 1)[1].split()
-        total += int(entries[11]) + int(entries[12])
-    return total / _TICKS_PER_S
+    return sum(cpu_seconds(process) for process in fleet.routers_by_id.values())
 
 
 def _memory_mb(fleet: Fleet) -> float:
-    sizes = []
-    for process in fleet.routers_by_id.values():
-        status = Path(f"/proc/{process.popen.pid}/status").read_text()
-        match = re.search(r"VmRSS:\s+(\d+)", status)
-        sizes.append(int(match[1]) / 1024 if match else 0.0)
-    return statistics.mean(sizes)
+    routers = fleet.routers_by_id.values()
+    return statistics.mean(status(process, "VmRSS:") / 1024 for process in routers)
 
 
 def _platform_calls(fleet: Fleet) -> int:
--- a/tools/bench_membership.py
+++ b/tools/bench_membership.py
@@ -12,6 +12,7 @@
 from typing import TYPE_CHECKING, Final
 
 from tests.virtual_bus import Bus, a_member
+from tools.figures import quantile
 
 if TYPE_CHECKING:
     from sequoiadrum.membership import Membership
@@ -21,11 +22,6 @@
 LOSS: Final = 0.01
 
 
-def _quantile(values: list[float], share: float) -> float:
-    ordered = sorted(values)
-    return ordered[min(len(ordered) - 1, int(share * len(ordered)))] if ordered else float("nan")
-
-
 def _steady(size: int) -> str:
     seconds = 10.0 if size > 1_000 else 20.0 if size > 200 else 120.0
     tracemalloc.start()
@@ -62,7 +58,7 @@
         seen = {o: t - killed for t, o, s in reversed(bus.dead_seen) if s == victim}
         delays.extend(seen.values())
         missed += len(bus.nodes) - len(seen)
-    shares = " ".join(f"{_quantile(delays, share):6.2f}" for share in (0.5, 0.99, 1.0))
+    shares = " ".join(f"{quantile(delays, share):6.2f}" for share in (0.5, 0.99, 1.0))
     return f"{shares} {missed:6d}"
 
 
@@ -79,7 +75,7 @@
         nodes = bus.nodes.values()
         done = bus.run(10, partial(_all_have_revision, list(nodes)))
         delays.append(bus.now - begun if done else float("inf"))
-    return f"{_quantile(delays, 0.5):6.2f} {max(delays):6.2f}"
+    return f"{quantile(delays, 0.5):6.2f} {max(delays):6.2f}"
 
 
 def _all_have_revision(nodes: list[Membership]) -> bool:
--- a/tools/bench_relay.py
+++ b/tools/bench_relay.py
@@ -16,11 +16,11 @@
 import time
 import timeit
 from http.client import HTTPConnection
-from pathlib import Path
 from typing import TYPE_CHECKING, Any, Final
 
 from sequoiadrum.metrics import Metrics
 from tools._stream_load import request_bytes
+from tools.figures import cpu_seconds, quantile, status
 from tools.fleet import Fleet, Process
 
 if TYPE_CHECKING:
@@ -31,25 +31,6 @@
 _CLIENTS: Final = 2
 _ENGINES: Final = 4
 _ANSWER_TOKENS: Final = 16
-_TICKS_PER_S: Final = os.sysconf("SC_CLK_TCK")
-
-
-def quantile(values: Sequence[float], share: float) -> float:
-    """Gives the value at a share of the sorted values."""
-    ordered = sorted(values)
-    return ordered[min(len(ordered) - 1, int(share * len(ordered)))]
-
-
-def cpu_seconds(process: Process) -> float:
-    """Gives the processor time that a process has used."""
-    fields = Path(f"/proc/{process.popen.pid}/stat").read_text().rsplit(")", 1)[1].split()
-    return (int(fields[11]) + int(fields[12])) / _TICKS_PER_S
-
-
-def status(process: Process, name: str) -> int:
-    """Reads one number of a process's status."""
-    text = Path(f"/proc/{process.popen.pid}/status").read_text()
-    return int(next(line.split()[1] for line in text.splitlines() if line.startswith(name)))
 
 
 def timed_chat(address: Address, number: int, streaming: bool) -> tuple[float, float]:
--- a/tools/bench_routing.py
+++ b/tools/bench_routing.py
@@ -14,6 +14,7 @@
 
 from sequoiadrum.placement import REUSE_WEIGHTED, SKEW_WEIGHTED, BoundPolicy
 from sequoiadrum.served_chats import ServedChats
+from tools.figures import quantile
 from tools.routing_model import (
     DEPLOYMENT_A,
     DEPLOYMENT_B,
@@ -28,7 +29,6 @@
     Simulation,
     Turn,
     TwoChoicesChooser,
-    quantile_of,
 )
 
 if TYPE_CHECKING:
@@ -291,7 +291,7 @@
             refused = sum(outcome.refused.get(a, 0) for a in names)
             print(
                 f"  {name:12}{label:22}{len(waits) + refused:9}{refused:9}"
-                f"{quantile_of(waits, 0.5):11.3f}{quantile_of(waits, 0.99):9.3f}"
+                f"{quantile(waits, 0.5):11.3f}{quantile(waits, 0.99):9.3f}"
             )
 
 
--- a/tools/routing_model.py
+++ b/tools/routing_model.py
@@ -16,6 +16,7 @@
 from sequoiadrum.hashing import first_ranked, stable_hash
 from sequoiadrum.pool_messages import Placed, PoolRequest, ReportedGrant, Waiting
 from sequoiadrum.served_chats import ServedChats
+from tools.figures import quantile
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Sequence
@@ -281,22 +282,15 @@
         """Gives the percentage of returning chats."""
         return 100 * value / max(1, self.returning)
 
-    def ratio(self, quantile: float) -> float:
+    def ratio(self, share: float) -> float:
         """Gives a quantile of max over mean."""
-        return quantile_of(self.ratios, quantile)
+        return quantile(self.ratios, share)
 
     def above(self) -> float:
         """Gives the percentage of samples above 1.25."""
         return 100 * sum(r > 1.25 + 1e-9 for r in self.ratios) / max(1, len(self.ratios))
 
 
-def quantile_of(values: Sequence[float], quantile: float) -> float:
-    """Gives a quantile, NaN without values."""
-    if not values:
-        return math.nan
-    return sorted(values)[min(len(values) - 1, int(quantile * len(values)))]
-
-
 class Simulation:
     """Runs chats against a chooser; demand does not depend on the chooser."""
 
