--- a/src/sequoiadrum/_cli_base.py
+++ b/src/sequoiadrum/_cli_base.py
@@ -12,6 +12,7 @@
 from returns.result import Failure, Result
 
 from sequoiadrum._tables import to_json
+from sequoiadrum.addressing import parse_address
 from sequoiadrum.operator_client import (
     CONFIRM_S,
     CallConflict,
@@ -20,7 +21,6 @@
     CallUnavailable,
     OperatorClient,
 )
-from sequoiadrum.settings import parse_address
 
 if TYPE_CHECKING:
     from collections.abc import Callable
--- a/src/sequoiadrum/_front_server.py
+++ b/src/sequoiadrum/_front_server.py
@@ -57,7 +57,7 @@
         self.write(body)
 
 
-class _Channel(HTTPChannel):
+class BoundedChannel(HTTPChannel):
     """One connection, with the times at which it stopped making progress."""
 
     error_task_class = _TypedErrorTask
@@ -107,7 +107,7 @@
 class FrontServer(TcpWSGIServer):
     """Serves a WSGI application on a bounded number of threads and connections."""
 
-    channel_class = _Channel
+    channel_class = BoundedChannel
 
     def __init__(self, application: Any, settings: Settings, metrics: Metrics) -> None:
         """Binds the socket.
--- /dev/null
+++ b/src/sequoiadrum/gateway/app.py
@@ -0,0 +1,183 @@
+"""The composition root of a gateway: wires its parts, starts and stops them."""
+
+from __future__ import annotations
+
+import logging
+import signal
+import threading
+import time
+from typing import TYPE_CHECKING, Final
+
+from attrs import frozen
+
+from sequoiadrum import __version__
+from sequoiadrum.gateway.caller_app import (
+    DIRECTORY_LIFETIME_S,
+    CallerApp,
+    ControlApp,
+    ServingState,
+)
+from sequoiadrum.gateway.configuration import ConfigurationHolder
+from sequoiadrum.gateway.crash_news import CrashNews
+from sequoiadrum.gateway.event_log import EventLog
+from sequoiadrum.gateway.exchange import EndpointConnections
+from sequoiadrum.gateway.fleet import (
+    PeerNews,
+    RouterDirectory,
+    StoreInstanceList,
+    create_member_server,
+)
+from sequoiadrum.gateway.front import ServerGroup
+from sequoiadrum.gateway.pool import EndpointPool
+from sequoiadrum.gateway.relay import Relay
+from sequoiadrum.gateway.stop_plan import StopPlan
+from sequoiadrum.gateway.store_sync import ConfigSync, EndpointSync, StoreLink
+from sequoiadrum.gossip_task import GossipTask
+from sequoiadrum.messages import Address
+from sequoiadrum.metrics import Metrics
+from sequoiadrum.peer_client import ThriftPeerClient
+from sequoiadrum.timers import TimerService
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from sequoiadrum.gateway.ports import DirectoryWire, Documents, Store, Wire
+    from sequoiadrum.gateway.settings import GatewaySettings
+
+_POLL_S: Final = 0.1
+
+_waitress_log = logging.getLogger("waitress")
+
+
+@frozen
+class Adapter:
+    """What connects a gateway to the platform that it runs on."""
+
+    wire: Wire
+    directory: DirectoryWire
+    documents: Documents
+    store: Callable[[Metrics], Store]
+    """Makes the client of the store."""
+
+
+class Gateway:
+    """One running gateway."""
+
+    def __init__(self, settings: GatewaySettings, adapter: Adapter) -> None:
+        """Binds all ports.
+
+        Raises:
+            OSError: An address is in use or not local.
+        """
+        self.settings: Final = settings
+        self.metrics: Final = Metrics()
+        self.log: Final = EventLog(settings.instance_id, self.metrics)
+        self.timers: Final = TimerService()
+        self._stop_requested = threading.Event()
+        self._reload_requested = False
+        self._failed = False
+        self._store = adapter.store(self.metrics)
+        self._link = StoreLink(self.log, self.metrics)
+        self._instances = StoreInstanceList(self._store, settings, self.log)
+        self._peers = ThriftPeerClient(self.metrics)
+        self.gossip: Final = GossipTask(
+            settings, self._instances, self._peers, self.metrics, self._invariant_broken
+        )
+        self.gossip.set_http_port(settings.http_port)
+        self.directory: Final = RouterDirectory(self.gossip, settings)
+        self.configuration: Final = ConfigurationHolder(
+            self._store, adapter.documents, self.gossip.announce_revision, self.metrics, self.log
+        )
+        self.crashes: Final = CrashNews(self.gossip.spread)
+        self.news: Final = PeerNews(
+            self.crashes, self.configuration, self.metrics, self.log, self._invariant_broken
+        )
+        self.gossip.subscribe(self.news)
+        self.gossip.subscribe_revisions(self.news)
+        self.pool: Final = EndpointPool(settings.bounds, self.directory.count)
+        self.connections: Final = EndpointConnections(adapter.wire)
+        self.state: Final = ServingState(self.configuration)
+        self._syncs = (
+            ConfigSync(self._store, adapter.documents, self.configuration, self._link, self.log),
+            EndpointSync(
+                self._store,
+                adapter.documents,
+                self.pool,
+                self.connections,
+                self._link,
+                self.metrics,
+                self.log,
+            ),
+        )
+        relay = Relay(
+            adapter.wire,
+            self.pool,
+            self.connections,
+            self.crashes,
+            settings.failure_domain,
+            self.metrics,
+            self.log,
+        )
+        self.servers: Final = self._create_servers(adapter, relay)
+        self._peer_server = create_member_server(
+            settings, self.gossip, self.metrics, Address(settings.host, settings.peer_port)
+        )
+
+    def start(self) -> None:
+        """Starts all parts."""
+        self.log.start()
+        # Failed requests have their own lines; waitress would write tracebacks to standard error.
+        _waitress_log.setLevel(logging.CRITICAL)
+        self.log.notable("started", version=__version__, settings=str(self.settings))
+        self.timers.start()
+        self.servers.start()
+        for sync in self._syncs:
+            sync.start()
+        self._peer_server.start()
+        self.news.start()
+        self.gossip.run_on(self.timers)
+        self._instances.start()
+
+    def run(self) -> int:
+        """Serves until SIGTERM or SIGINT, then stops as planned; gives the exit status."""
+        for number in (signal.SIGTERM, signal.SIGINT):
+            signal.signal(number, lambda *_: self._stop_requested.set())
+        signal.signal(signal.SIGHUP, lambda *_: self._note_reload())
+        self.start()
+        self._stop_requested.wait()
+        self.stop()
+        return 1 if self._failed else 0
+
+    def stop(self) -> None:
+        """Planned stop: leaves the directory, serves kept addresses out, finishes, then ends."""
+        plan = StopPlan(time.monotonic(), self.settings.bounds.stop_grace_s)
+        self.state.stop_plan = plan
+        self.log.notable("stopping", in_flight=self.servers.active())
+        self.gossip.leave()
+        self._instances.withdraw()
+        while not plan.may_exit(self.servers.active(), DIRECTORY_LIFETIME_S, time.monotonic()):
+            time.sleep(_POLL_S)
+        self.log.notable("stopped", in_flight=self.servers.active())
+        self.gossip.stop()
+        self.log.stop()
+        self.servers.stop()
+
+    def _create_servers(self, adapter: Adapter, relay: Relay) -> ServerGroup:
+        listeners = self.settings.listeners
+        servers = ServerGroup(self.settings.max_descriptors, self.metrics)
+        callers = CallerApp(
+            adapter.wire, self.configuration, relay, self.state, self.metrics, self.log
+        )
+        control = ControlApp(adapter.directory, self.state, self.directory, self.metrics)
+        servers.add_callers(callers, listeners.callers)
+        servers.add_control(control, listeners.readiness)
+        servers.add_control(control, listeners.directory)
+        servers.add_control(control, Address(self.settings.host, self.settings.metrics_port))
+        return servers
+
+    def _note_reload(self) -> None:
+        self._reload_requested = True
+
+    def _invariant_broken(self) -> None:
+        self._failed = True
+        self._stop_requested.set()
--- /dev/null
+++ b/src/sequoiadrum/gateway/configuration.py
@@ -0,0 +1,123 @@
+"""The configuration in force and how certain it is that it is the newest."""
+
+from __future__ import annotations
+
+import threading
+import time
+from typing import TYPE_CHECKING, Final
+
+from returns.result import Failure
+
+from sequoiadrum.gateway.model import StoreFailure
+from sequoiadrum.gateway.routing import RoutingTable
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from sequoiadrum.gateway.event_log import EventLog
+    from sequoiadrum.gateway.model import GatewayConfig, StoredItem
+    from sequoiadrum.gateway.ports import Documents, Store
+    from sequoiadrum.metrics import Metrics
+
+CONFIRM_GAP_S: Final = 0.2
+"""Shortest time between two failed reads on request, so that an outage costs few calls."""
+
+
+class ConfigurationHolder:
+    """Holds the newest version seen; it never goes back; safe to use from any thread."""
+
+    def __init__(
+        self,
+        store: Store,
+        documents: Documents,
+        announce: Callable[[int], None],
+        metrics: Metrics,
+        log: EventLog,
+    ) -> None:
+        """Takes the function that tells the peers which version is in force here."""
+        self._store = store
+        self._documents = documents
+        self._announce = announce
+        self._metrics = metrics
+        self._log = log
+        self._lock = threading.Lock()
+        self._confirm_lock = threading.Lock()
+        self._routing: RoutingTable | None = None
+        self._confirmed_at = float("-inf")
+        self._failed_at = float("-inf")
+        metrics.gauge("config_version", lambda: float(self.version()))
+        metrics.gauge("config_age_seconds", lambda: min(1e9, self.age_s()))
+
+    def routing(self) -> RoutingTable | None:
+        """Gives the version in force; None before the first one is known."""
+        return self._routing
+
+    def version(self) -> int:
+        """Gives the number of the version in force; 0 before the first one."""
+        routing = self._routing
+        return routing.config.version if routing is not None else 0
+
+    def age_s(self) -> float:
+        """Gives the seconds since the store last showed that this is the newest version."""
+        return time.monotonic() - self._confirmed_at
+
+    def accept(self, item: StoredItem, source: str) -> None:
+        """Puts a version in force unless a newer one is."""
+        decoded = self._documents.decode_config(item)
+        if isinstance(decoded, Failure):
+            self._metrics.count("malformed_entries_total", kind="config")
+            self._log.notable("config_malformed", revision=item.revision, detail=decoded.failure())
+            return
+        config = decoded.unwrap()
+        if self._swap(config):
+            self._metrics.count("config_changes_total", source=source)
+            self._log.notable(
+                "config_in_force",
+                version=config.version,
+                revision=item.revision,
+                source=source,
+                routes=len(config.routes),
+                keys=len(config.account_by_key),
+            )
+            self._announce(config.version)
+
+    def note_confirmed(self, asked_at: float) -> None:
+        """Notes that the store showed everything that it had acknowledged up to a moment."""
+        self._confirmed_at = max(self._confirmed_at, asked_at)
+
+    def confirm(self, since: float) -> bool:
+        """Makes sure that all versions acknowledged up to a moment are known here.
+
+        Reads the store unless that is known already. Callers at the same time share one read.
+
+        Args:
+            since: Monotonic seconds.
+
+        Returns:
+            False when the store cannot be read; a newer version may exist.
+        """
+        if self._confirmed_at >= since:
+            return True
+        with self._confirm_lock:
+            if self._confirmed_at >= since:
+                return True
+            asked_at = time.monotonic()
+            if asked_at - self._failed_at < CONFIRM_GAP_S:
+                return False
+            result = self._store.get(self._documents.config_kind, self._documents.config_name)
+            self._metrics.count("config_reads_on_request_total")
+            if isinstance(result, Failure):
+                if result.failure() is not StoreFailure.NOT_FOUND:
+                    self._log.notable("config_not_confirmed", why=result.failure().value)
+                self._failed_at = time.monotonic()
+                return False
+            self.accept(result.unwrap(), "read_on_request")
+            self.note_confirmed(asked_at)
+            return True
+
+    def _swap(self, config: GatewayConfig) -> bool:
+        with self._lock:
+            if config.version <= self.version():
+                return False
+            self._routing = RoutingTable(config)
+            return True
--- /dev/null
+++ b/src/sequoiadrum/gateway/fleet.py
@@ -0,0 +1,207 @@
+"""Finds the other routers through the store and follows them by the membership protocol."""
+
+from __future__ import annotations
+
+import random
+import threading
+import time
+from typing import TYPE_CHECKING, Any, Final
+
+from returns.result import Failure, Result, Success
+
+from sequoiadrum._gen.peer import Peer
+from sequoiadrum._thrift_transport import COMPACT
+from sequoiadrum.gateway.model import StoreFailure
+from sequoiadrum.messages import MembersChanged, MemberState, RevisionHeard, RumorHeard
+from sequoiadrum.platform_client import InstanceList, ListedInstance, PlatformFailure
+from sequoiadrum.tasks import Task
+from sequoiadrum.thrift_server import ThriftServer
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Sequence
+
+    from sequoiadrum._gen.peer.ttypes import MemberReport
+    from sequoiadrum.gateway.configuration import ConfigurationHolder
+    from sequoiadrum.gateway.crash_news import CrashNews
+    from sequoiadrum.gateway.event_log import EventLog
+    from sequoiadrum.gateway.ports import AddressQuestion, Store
+    from sequoiadrum.gateway.settings import GatewaySettings
+    from sequoiadrum.gossip_task import GossipTask
+    from sequoiadrum.messages import Address, Member
+    from sequoiadrum.metrics import Metrics
+
+ROUTER_KIND: Final = "sequoiadrum-routers"
+"""Objects in the store that name the routers; one write at each start and planned stop."""
+MAX_ADDRESSES: Final = 64
+"""Callers read so many addresses of an answer."""
+ENOUGH_NEAR: Final = 2
+"""Routers of the caller's failure domain that are answered without any others."""
+_PEER_CONNECTIONS: Final = 32
+_REGISTER_RETRY_S: Final = 0.5
+_FAILURES: Final = {
+    StoreFailure.NOT_FOUND: PlatformFailure.NOT_FOUND,
+    StoreFailure.RATE_LIMITED: PlatformFailure.RATE_LIMITED,
+}
+
+
+class StoreInstanceList(InstanceList):
+    """The routers that have registered in the store; some may be gone."""
+
+    def __init__(self, store: Store, settings: GatewaySettings, log: EventLog) -> None:
+        self._store = store
+        self._settings = settings
+        self._log = log
+        self._stopped = threading.Event()
+        self._thread = threading.Thread(target=self._register, name="register", daemon=True)
+
+    def start(self) -> None:
+        """Registers this router in the background."""
+        self._thread.start()
+
+    def withdraw(self) -> None:
+        """Removes the registration before a planned stop; others find out anyway if that fails."""
+        self._stopped.set()
+        result = self._store.delete(ROUTER_KIND, self._settings.instance_id)
+        self._log.notable("registration_withdrawn", outcome=_outcome(result))
+
+    def list_instances(self) -> Result[Sequence[ListedInstance], PlatformFailure]:
+        """See `InstanceList.list_instances`."""
+        listed = self._store.list(ROUTER_KIND)
+        if isinstance(listed, Failure):
+            return Failure(_FAILURES.get(listed.failure(), PlatformFailure.UNREACHABLE))
+        found = []
+        for item in listed.unwrap().items:
+            document: Any = item.document
+            try:
+                host, port = str(document["host"]), int(document["peer_port"])
+            except (KeyError, TypeError, ValueError) as error:
+                self._log.notable("router_entry_malformed", name=item.name, detail=repr(error))
+                continue
+            found.append(ListedInstance(item.name, host, port, "router", leaving=False))
+        return Success(found)
+
+    def _register(self) -> None:
+        document = {"host": self._settings.host, "peer_port": self._settings.peer_port}
+        while not self._stopped.is_set():
+            name = self._settings.instance_id
+            result = self._store.create(ROUTER_KIND, name, document)
+            if isinstance(result, Failure) and result.failure() is StoreFailure.CONFLICT:
+                result = self._store.replace(ROUTER_KIND, name, document)
+            if isinstance(result, Success):
+                self._log.notable("registered", host=self._settings.host)
+                return
+            self._log.notable("registration_failed", why=result.failure().value)
+            self._stopped.wait(_REGISTER_RETRY_S)
+
+
+class MembershipHandler:
+    """Answers the peer calls of a gateway; the calls of other parts of a router are refused."""
+
+    def __init__(self, gossip: GossipTask) -> None:
+        self._gossip = gossip
+
+    def sync_members(self, members: list[MemberReport]) -> list[MemberReport]:
+        """Exchanges the whole member list."""
+        return self._gossip.sync_members(members)
+
+
+def create_member_server(
+    settings: GatewaySettings, gossip: GossipTask, metrics: Metrics, address: Address
+) -> ThriftServer:
+    """Serves peers on the listener that the membership has bound."""
+    return ThriftServer(
+        "peer",
+        address,
+        Peer.Processor(MembershipHandler(gossip)),
+        COMPACT,
+        metrics,
+        _PEER_CONNECTIONS,
+        gossip.listener,
+    )
+
+
+class PeerNews(Task):
+    """Takes what peers tell: crashing requests, newer configurations, changes of the fleet."""
+
+    def __init__(
+        self,
+        crashes: CrashNews,
+        configuration: ConfigurationHolder,
+        metrics: Metrics,
+        log: EventLog,
+        on_invariant: Callable[[], None],
+    ) -> None:
+        self._crashes = crashes
+        self._configuration = configuration
+        self._log = log
+        self._states_by_id: dict[str, str] = {}
+        super().__init__("peer-news", metrics, on_invariant)
+
+    def handlers(self) -> dict[type, Callable[[Any], None]]:
+        """See `Task.handlers`."""
+        return {
+            RumorHeard: self._crashes.hear,
+            RevisionHeard: self._on_revision,
+            MembersChanged: self._on_members,
+        }
+
+    def _on_revision(self, message: RevisionHeard) -> None:
+        if message.revision <= self._configuration.version():
+            return
+        self._log.notable(
+            "peer_has_newer_config",
+            version=message.revision,
+            own_version=self._configuration.version(),
+            peer=message.address.host,
+        )
+        # The watch may have fallen silent; a read tells.
+        self._configuration.confirm(time.monotonic())
+
+    def _on_members(self, message: MembersChanged) -> None:
+        states = {member.id: member.state.name for member in message.members_by_id.values()}
+        for member_id, state in states.items():
+            if self._states_by_id.get(member_id) != state:
+                self._log.notable("router_state", router=member_id, state=state)
+        self._states_by_id = states
+
+
+class RouterDirectory:
+    """Tells callers which routers to use."""
+
+    def __init__(self, gossip: GossipTask, settings: GatewaySettings) -> None:
+        self._gossip = gossip
+        self._settings = settings
+        self._rng = random.Random()
+
+    def answer(self, question: AddressQuestion, is_serving: bool) -> list[Address]:
+        """Gives addresses, those of the caller's failure domain alone when there are enough.
+
+        Args:
+            question: Where the caller is.
+            is_serving: Whether this router itself may be named.
+        """
+        own_id = self._settings.instance_id
+        alive = [
+            member
+            for member in self._gossip.members().values()
+            if member.state is MemberState.ALIVE and (member.id != own_id or is_serving)
+        ]
+        if not alive:
+            # Suspects are better than no answer.
+            alive = [m for m in self._gossip.members().values() if m.is_usable and m.id != own_id]
+        near = [m for m in alive if m.failure_domain == question.failure_domain]
+        named = near if len(near) >= ENOUGH_NEAR else alive
+        return [member.http_address for member in self._sampled(named)]
+
+    def count(self) -> int:
+        """Gives the number of routers that share budgets, this one included."""
+        return max(1, sum(m.state is not MemberState.DEAD for m in self._gossip.members().values()))
+
+    def _sampled(self, members: list[Member]) -> list[Member]:
+        if len(members) <= MAX_ADDRESSES:
+            return members
+        return self._rng.sample(members, MAX_ADDRESSES)
+
+
+def _outcome(result: Result[None, StoreFailure]) -> str:
+    return result.failure().value if isinstance(result, Failure) else "done"
--- /dev/null
+++ b/src/sequoiadrum/gateway/front.py
@@ -0,0 +1,237 @@
+"""The HTTP servers of a gateway: callers, readiness, directory and metrics."""
+
+from __future__ import annotations
+
+import threading
+import time
+from concurrent.futures import ThreadPoolExecutor
+from typing import TYPE_CHECKING, Any, ClassVar, Final
+
+from waitress import wasyncore
+from waitress.adjustments import Adjustments
+from waitress.parser import HTTPRequestParser, ParsingError
+from waitress.server import TcpWSGIServer
+from waitress.task import WSGITask
+
+from sequoiadrum._front_server import BoundedChannel
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from sequoiadrum.errors import RefusalReason
+    from sequoiadrum.messages import Address
+    from sequoiadrum.metrics import Metrics
+
+ARRIVED_AT: Final = "sequoiadrum.arrived_at"
+"""Key in the WSGI environment: monotonic seconds at the first byte of the request."""
+CLOSE_AFTER: Final = "sequoiadrum.close_after"
+"""Key in the WSGI environment: a function that closes the connection after the answer."""
+CALLER_THREADS: Final = 192
+"""Requests in work at once; threads are made when they are needed, at about 0.1 MB each."""
+CONTROL_THREADS: Final = 4
+"""For readiness, directory and metrics, so that callers cannot crowd them out."""
+MAX_WAITING: Final = 64
+"""Requests that wait for a thread; more are refused at once."""
+IDLE_S: Final = 60
+"""An idle connection of a caller is closed after this time; callers use theirs for 12 s."""
+STALL_S: Final = 10.0
+"""A caller that does not read for this long is dropped."""
+ARRIVAL_S: Final = 20.0
+"""A request that has not arrived whole after this time is dropped with its connection."""
+MAX_HEADER_BYTES: Final = 65_536
+MAX_BODY_BYTES: Final = 16_000_000
+"""Far above what callers may send; larger bodies are cut off."""
+OUTPUT_BUFFER_BYTES: Final = 262_144
+"""Output kept for a slow reader before its thread waits."""
+FD_RESERVE: Final = 200
+"""Descriptors that are kept for files."""
+_OVERLOAD_ANSWER: Final = (
+    b"HTTP/1.1 503 Service Unavailable\r\nConnection: close\r\nRetry-After: 0.25\r\n"
+    b"Content-Type: text/plain\r\nContent-Length: 11\r\n\r\noverloaded\n"
+)
+
+
+class _Parser(HTTPRequestParser):
+    """Notes when a request began to arrive, and refuses ambiguous framing."""
+
+    def __init__(self, adjustments: Adjustments) -> None:
+        super().__init__(adjustments)
+        self.arrived_at = time.monotonic()
+
+    def parse_header(self, header_plus: bytes) -> None:
+        """See `HTTPRequestParser.parse_header`."""
+        super().parse_header(header_plus)
+        if self.chunked and "CONTENT_LENGTH" in self.headers:
+            raise ParsingError("Content-Length beside Transfer-Encoding")
+        if not self.chunked and "TRANSFER_ENCODING" in self.headers:
+            raise ParsingError("Transfer-Encoding needs HTTP/1.1")
+
+
+class _Task(WSGITask):
+    """Tells the application about its connection."""
+
+    def get_environment(self) -> dict[str, Any]:
+        """See `WSGITask.get_environment`."""
+        environ: dict[str, Any] = super().get_environment()
+        environ[ARRIVED_AT] = self.request.arrived_at
+        environ[CLOSE_AFTER] = self.set_close_on_finish
+        return environ
+
+
+class _Channel(BoundedChannel):
+    parser_class = _Parser
+    task_class = _Task
+
+
+class PoolDispatcher:
+    """Runs the requests of waitress on a pool that makes threads only when they are needed."""
+
+    def __init__(self, threads: int, name: str) -> None:
+        self._threads = threads
+        self._pool = ThreadPoolExecutor(threads, thread_name_prefix=name)
+        self._lock = threading.Lock()
+        self._active = 0
+
+    def waiting(self) -> int:
+        """Gives the number of requests without a thread."""
+        return max(0, self._active - self._threads)
+
+    def active(self) -> int:
+        """Gives the number of requests in work or waiting."""
+        return self._active
+
+    def add_task(self, task: Any) -> None:
+        """Runs a task of waitress."""
+        with self._lock:
+            self._active += 1
+        self._pool.submit(self._run, task)
+
+    def shutdown(self, cancel_pending: bool = True, timeout: float = 0) -> bool:
+        """Takes no more tasks."""
+        self._pool.shutdown(wait=False, cancel_futures=cancel_pending)
+        return True
+
+    def _run(self, task: Any) -> None:
+        try:
+            task.service()
+        finally:
+            with self._lock:
+                self._active -= 1
+
+
+class GatewayServer(TcpWSGIServer):
+    """One listener; several share an event loop and a dispatcher."""
+
+    channel_class = _Channel
+    stall_s: ClassVar[float] = STALL_S
+    arrival_s: ClassVar[float] = ARRIVAL_S
+
+    def __init__(
+        self,
+        application: Any,
+        address: Address,
+        loop_map: dict[int, Any],
+        dispatcher: PoolDispatcher,
+        max_connections: int,
+        metrics: Metrics,
+    ) -> None:
+        """Binds the socket.
+
+        Raises:
+            OSError: The address is in use or not local.
+        """
+        self.metrics = metrics
+        self._dispatcher = dispatcher
+        adjustments = Adjustments(
+            host=address.host,
+            port=address.port,
+            connection_limit=max_connections,
+            backlog=1024,
+            channel_request_lookahead=1,
+            max_request_body_size=MAX_BODY_BYTES,
+            # Instances have no disk, so bodies and answers must never overflow into files.
+            inbuf_overflow=2 * MAX_BODY_BYTES,
+            outbuf_overflow=64_000_000,
+            max_request_header_size=MAX_HEADER_BYTES,
+            outbuf_high_watermark=OUTPUT_BUFFER_BYTES,
+            channel_timeout=IDLE_S,
+            cleanup_interval=2,
+            # `select` fails on descriptors above 1023.
+            asyncore_use_poll=True,
+            log_socket_errors=False,
+            clear_untrusted_proxy_headers=False,
+            ident=None,
+        )
+        super().__init__(application, map=loop_map, dispatcher=dispatcher, adj=adjustments)
+
+    def add_task(self, task: Any) -> None:
+        """Runs a channel's request, or refuses it when too many wait."""
+        if self._dispatcher.waiting() < MAX_WAITING:
+            self._dispatcher.add_task(task)
+            return
+        self.metrics.count("refusals_total", reason="overloaded")
+        task.refuse(_OVERLOAD_ANSWER)
+
+    def maintenance(self, now: float) -> None:
+        """Drops idle connections, stalled readers and requests that do not arrive."""
+        super().maintenance(now)
+        steady = time.monotonic()
+        for channel in list(self.active_channels.values()):
+            reason = channel.overdue(steady)
+            if reason is not None:
+                self.metrics.count("connections_dropped_total", reason=reason)
+                channel.will_close = True
+                channel.handle_close()
+
+    def count(self, reason: RefusalReason) -> None:
+        """Counts a refusal that the application does not see."""
+        self.metrics.count("refusals_total", reason=reason.value)
+
+
+class ServerGroup:
+    """The servers of a gateway on one event loop."""
+
+    def __init__(self, max_descriptors: int, metrics: Metrics) -> None:
+        self._map: dict[int, Any] = {}
+        self._metrics = metrics
+        # Each request in work may hold one connection to an endpoint.
+        self._max_connections = max(64, (max_descriptors - FD_RESERVE - CALLER_THREADS) // 2)
+        self._callers = PoolDispatcher(CALLER_THREADS, "caller")
+        self._control = PoolDispatcher(CONTROL_THREADS, "control")
+        self._thread = threading.Thread(target=self._run, name="front", daemon=True)
+        self._stopped = False
+
+    def add_callers(self, application: Callable[..., Any], address: Address) -> None:
+        """Serves callers."""
+        self._add(application, address, self._callers)
+
+    def add_control(self, application: Callable[..., Any], address: Address) -> None:
+        """Serves short questions."""
+        self._add(application, address, self._control)
+
+    def start(self) -> None:
+        """Starts the event loop."""
+        self._thread.start()
+
+    def active(self) -> int:
+        """Gives the number of requests of callers in work."""
+        return self._callers.active()
+
+    def stop(self) -> None:
+        """Closes all sockets."""
+        self._stopped = True
+        self._thread.join(1.5)
+        wasyncore.close_all(self._map, ignore_all=True)
+        self._callers.shutdown()
+        self._control.shutdown()
+
+    def _add(
+        self, application: Callable[..., Any], address: Address, dispatcher: PoolDispatcher
+    ) -> None:
+        GatewayServer(
+            application, address, self._map, dispatcher, self._max_connections, self._metrics
+        )
+
+    def _run(self) -> None:
+        while not self._stopped:
+            wasyncore.loop(timeout=1.0, use_poll=True, map=self._map, count=1)
--- /dev/null
+++ b/src/sequoiadrum/gateway/placing.py
@@ -0,0 +1,128 @@
+"""Chooses the endpoint of a request, without I/O.
+
+Load it answers: returning chats whose prompts share long parts, on engines that read a part again
+when it is not in their memory, and short calls on plain services with few slots.
+"""
+
+from __future__ import annotations
+
+import math
+from enum import Enum
+from typing import TYPE_CHECKING, Final
+
+from attrs import frozen
+
+from sequoiadrum.hashing import stable_hash
+from sequoiadrum.placement import chat_score
+
+if TYPE_CHECKING:
+    from collections.abc import Collection
+
+    from sequoiadrum.gateway.endpoints import Endpoint
+    from sequoiadrum.gateway.model import CallHead, Service
+
+SPILL_MULTIPLE: Final = 1.5
+"""An engine above this multiple of the mean gets no request of another home; below the operators'
+bound of 2, since each instance sees only its own share of the load."""
+SPILL_ALLOWANCE: Final = 2
+"""Requests that an engine may always carry of this instance; rounding exceeds any multiple."""
+LOCAL_IN_FLIGHT: Final = 2
+"""A plain endpoint of the same failure domain is preferred up to this number of requests."""
+PROBE_INTERVAL_S: Final = 1.0
+"""A failing endpoint gets one request that can be repeated in this time."""
+
+
+class NoPlace(Enum):
+    """Why no endpoint can take a request."""
+
+    UNKNOWN_SERVICE = "unknown_service"
+    """No endpoint of the service is listed as ready."""
+    UNREACHABLE = "unreachable"
+    """All endpoints were unreachable just now."""
+    FULL = "full"
+    """All endpoints refused requests just now because they were full."""
+
+
+@frozen
+class Placing:
+    """What decides about the place of one request."""
+
+    service: Service
+    call: CallHead
+    failure_domain: str
+    """Of this instance."""
+    is_repeatable: bool
+    """Whether the request may be used to try a failing endpoint again."""
+    excluded: Collection[str] = ()
+    """Ids of endpoints that failed the request already."""
+
+
+def prompt_key(call: CallHead) -> str:
+    """Gives the name of the longest part of a prompt that other requests share.
+
+    The last part is the request's own. Without a shared part it is the only key there is.
+    """
+    if not call.prompt:
+        return call.request_id
+    shared = call.prompt[:-1] or call.prompt
+    return shared[-1].id
+
+
+def choose(endpoints: list[Endpoint], placing: Placing, now: float) -> Endpoint | NoPlace:
+    """Picks the endpoint for a request.
+
+    Args:
+        endpoints: All endpoints of the service.
+        placing: The request and its circumstances.
+        now: Monotonic seconds.
+    """
+    listed = [e for e in endpoints if e.may_serve(now) and e.id not in placing.excluded]
+    if not listed:
+        return NoPlace.UNKNOWN_SERVICE
+    open_ones = [e for e in listed if not e.is_suspended(now)]
+    if not open_ones:
+        is_full = any(now < e.full_until for e in listed)
+        return NoPlace.FULL if is_full else NoPlace.UNREACHABLE
+    sound = [e for e in open_ones if not e.is_failing(now)]
+    if placing.is_repeatable:
+        for endpoint in open_ones:
+            if endpoint not in sound and now >= endpoint.next_probe_at:
+                endpoint.next_probe_at = now + PROBE_INTERVAL_S
+                return endpoint
+    candidates = sound or open_ones
+    if placing.service.batch_slots is None:
+        return _least_loaded(candidates, placing, now)
+    return _home(candidates, placing, now)
+
+
+def _home(candidates: list[Endpoint], placing: Placing, now: float) -> Endpoint:
+    key = stable_hash("prompt", prompt_key(placing.call))
+    ranked = sorted(candidates, key=lambda e: chat_score(key, e.id_hash), reverse=True)
+    own_bound = _bound([e.in_flight for e in candidates])
+    told = {e.id: e.told_load(now) for e in candidates}
+    known = [load for load in told.values() if load is not None]
+    told_bound = _bound(known) if len(known) == len(candidates) else math.inf
+    for endpoint in ranked:
+        load = told[endpoint.id]
+        if endpoint.in_flight + 1 <= own_bound and (load is None or load + 1 <= told_bound):
+            return endpoint
+    return min(ranked, key=lambda e: e.in_flight)
+
+
+def _bound(loads: list[int]) -> float:
+    return SPILL_MULTIPLE * (sum(loads) + 1) / len(loads) + SPILL_ALLOWANCE
+
+
+def _least_loaded(candidates: list[Endpoint], placing: Placing, now: float) -> Endpoint:
+    spread = stable_hash("spread", placing.call.request_id)
+
+    def order(endpoint: Endpoint) -> tuple[bool, float, int]:
+        is_near = (
+            endpoint.entry.failure_domain == placing.failure_domain
+            and endpoint.in_flight < LOCAL_IN_FLIGHT
+        )
+        load = endpoint.in_flight / endpoint.entry.slots
+        # The same order on all instances would make them agree on one endpoint.
+        return (not is_near, load, chat_score(spread, endpoint.id_hash))
+
+    return min(candidates, key=order)
--- /dev/null
+++ b/src/sequoiadrum/gateway/pool.py
@@ -0,0 +1,137 @@
+"""The endpoints as all threads of the process share them."""
+
+from __future__ import annotations
+
+import threading
+import time
+from typing import TYPE_CHECKING
+
+from attrs import define
+
+from sequoiadrum.gateway.endpoints import Endpoint, EndpointTable
+from sequoiadrum.gateway.placing import NoPlace, Placing, choose
+from sequoiadrum.gateway.retry_budget import RetryBudget
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Iterable
+
+    from sequoiadrum.gateway.model import AnswerHead, EndpointEntry
+    from sequoiadrum.gateway.settings import Bounds
+
+
+@define(eq=False)
+class Place:
+    """A request's place at an endpoint, held until it is released."""
+
+    endpoint: Endpoint
+    in_flight: int
+    """Requests of this instance at the endpoint when the place was taken, this one included."""
+    is_released: bool = False
+
+
+class EndpointPool:
+    """Guards the endpoint table and the retry budgets with one lock.
+
+    Decisions take microseconds, so that a lock costs less than a message to an owning task.
+    """
+
+    def __init__(self, bounds: Bounds, instances: Callable[[], int]) -> None:
+        self._bounds = bounds
+        self._instances = instances
+        self._lock = threading.Lock()
+        self._table = EndpointTable()
+        self._budget_by_service: dict[str, RetryBudget] = {}
+
+    def take(self, placing: Placing) -> Place | NoPlace:
+        """Places a request; the place must be released."""
+        now = time.monotonic()
+        with self._lock:
+            endpoints = self._table.of_service(placing.service.name)
+            chosen = choose(endpoints, placing, now)
+            if isinstance(chosen, NoPlace):
+                return chosen
+            chosen.in_flight += 1
+            chosen.started_since_load += 1
+            return Place(chosen, chosen.in_flight)
+
+    def release(self, place: Place) -> None:
+        """Ends the use of a place; doing so again changes nothing."""
+        with self._lock:
+            if not place.is_released:
+                place.is_released = True
+                place.endpoint.in_flight -= 1
+
+    def note_unreachable(self, place: Place) -> None:
+        """Notes that no connection could be made."""
+        now = time.monotonic()
+        with self._lock:
+            place.endpoint.note_unreachable(now)
+            place.endpoint.note_result(failed=True, now=now)
+
+    def note_answer(self, place: Place, head: AnswerHead, failed: bool) -> None:
+        """Notes what an answer shows of its endpoint."""
+        now = time.monotonic()
+        with self._lock:
+            if head.load is not None:
+                place.endpoint.note_load(head.load, now)
+            if head.is_not_executed:
+                place.endpoint.note_full(now)
+            else:
+                place.endpoint.note_result(failed, now)
+
+    def note_broken(self, place: Place) -> None:
+        """Notes that an exchange broke off."""
+        with self._lock:
+            place.endpoint.note_result(failed=True, now=time.monotonic())
+
+    def note_misdirected(self, place: Place) -> None:
+        """Notes that another endpoint answers at the address."""
+        with self._lock:
+            place.endpoint.is_listed = False
+            place.endpoint.keep_until = 0.0
+
+    def note_request(self, service: str) -> None:
+        """Counts a client's request for the retry budget of a service."""
+        with self._lock:
+            self._budget(service).note_request(time.monotonic())
+
+    def spend_repeat(self, service: str) -> bool:
+        """Takes a repeated send from the budget; False when it is used up."""
+        with self._lock:
+            return self._budget(service).spend(time.monotonic(), self._instances())
+
+    def apply(self, entry: EndpointEntry) -> bool:
+        """See `EndpointTable.apply`."""
+        with self._lock:
+            return self._table.apply(entry)
+
+    def remove(self, instance_id: str, revision: int, outage_ended: float) -> bool:
+        """See `EndpointTable.remove`."""
+        with self._lock:
+            return self._table.remove(instance_id, revision, time.monotonic(), outage_ended)
+
+    def replace_all(
+        self,
+        entries: Iterable[EndpointEntry],
+        names: set[str],
+        revision: int,
+        outage_ended: float,
+    ) -> list[str]:
+        """See `EndpointTable.replace_all`."""
+        with self._lock:
+            now = time.monotonic()
+            return self._table.replace_all(entries, names, revision, now, outage_ended)
+
+    def expire(self) -> None:
+        """Forgets what is gone for good."""
+        with self._lock:
+            self._table.expire(time.monotonic())
+
+    def _budget(self, service: str) -> RetryBudget:
+        budget = self._budget_by_service.get(service)
+        if budget is None:
+            bounds = self._bounds
+            budget = self._budget_by_service[service] = RetryBudget(
+                bounds.retry_ratio, bounds.retry_slack, bounds.retry_window_s
+            )
+        return budget
--- /dev/null
+++ b/src/sequoiadrum/gateway/routing.py
@@ -0,0 +1,55 @@
+"""Selects the route and the account of a request, without I/O."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from sequoiadrum.hashing import stable_hash
+
+if TYPE_CHECKING:
+    from sequoiadrum.gateway.model import Account, GatewayConfig, Route
+
+_HASH_RANGE = 1 << 64
+
+
+class RoutingTable:
+    """One version of the configuration, indexed for look-ups."""
+
+    def __init__(self, config: GatewayConfig) -> None:
+        self.config = config
+        self._routes_by_host: dict[str, list[Route]] = {}
+        for route in config.routes:
+            self._routes_by_host.setdefault(route.host.lower(), []).append(route)
+        for routes in self._routes_by_host.values():
+            routes.sort(key=lambda route: len(route.path_prefix), reverse=True)
+
+    def route(self, host: str, path: str) -> Route | None:
+        """Finds the route with the longest prefix of the path; None if no route matches.
+
+        Args:
+            host: Value of the `Host` header; a port is left out of the comparison.
+            path: Path as received, without the query.
+        """
+        name = host.rpartition(":")[0] if ":" in host else host
+        for route in self._routes_by_host.get(name.lower(), ()):
+            if path.startswith(route.path_prefix):
+                return route
+        return None
+
+    def account(self, key: str) -> Account | None:
+        """Finds the account that holds a key."""
+        return self.config.account_by_key.get(key)
+
+    @staticmethod
+    def service(route: Route, request_id: str) -> str:
+        """Picks the service of a request by the weights of its route.
+
+        The choice depends only on the request id, so that repetitions stay with one service.
+        """
+        total = sum(share.weight for share in route.services)
+        point = stable_hash("service", request_id) / _HASH_RANGE * total
+        for share in route.services:
+            point -= share.weight
+            if point < 0:
+                return share.service
+        return route.services[-1].service
--- a/src/sequoiadrum/gossip_task.py
+++ b/src/sequoiadrum/gossip_task.py
@@ -34,8 +34,8 @@
     from sequoiadrum._gen.peer.ttypes import MemberReport
     from sequoiadrum.metrics import Metrics
     from sequoiadrum.peer_client import PeerClient
-    from sequoiadrum.platform_client import PlatformClient
-    from sequoiadrum.settings import Settings
+    from sequoiadrum.platform_client import InstanceList
+    from sequoiadrum.settings import MemberSettings
     from sequoiadrum.timers import TimerService
 
 TICK_S: Final = 0.1
@@ -122,8 +122,8 @@
 
     def __init__(
         self,
-        settings: Settings,
-        platform: PlatformClient,
+        settings: MemberSettings,
+        platform: InstanceList,
         peers: PeerClient,
         metrics: Metrics,
         on_invariant: Callable[[], None],
--- /dev/null
+++ b/src/sequoiadrum/platform/headers.py
@@ -0,0 +1,204 @@
+"""Header names of the platform, and the translation of requests and answers."""
+
+from __future__ import annotations
+
+from http import HTTPStatus
+from typing import TYPE_CHECKING, Any, Final
+
+from returns.result import Failure, Result, Success
+
+from sequoiadrum.gateway.model import AnswerHead, CallHead, EngineLoad, PromptPart
+from sequoiadrum.gateway.ports import Wire
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable, Mapping
+
+REQUEST_ID: Final = "Sequoiadrum-Request-Id"
+DEADLINE_MS: Final = "Sequoiadrum-Deadline-Ms"
+PROMPT_PARTS: Final = "Sequoiadrum-Prefix-Hash"
+TOKEN_COUNTS: Final = "Sequoiadrum-Token-Usage"
+LAST_EVENT_ID: Final = "Last-Event-Id"
+API_KEY: Final = "Sequoiadrum-Key"
+ACCOUNT: Final = "Sequoiadrum-Tenant"
+ENDPOINT_ID: Final = "Sequoiadrum-Target-Instance"
+ANSWERING_ENDPOINT_ID: Final = "Sequoiadrum-Instance-Id"
+PRIORITY: Final = "Sequoiadrum-Request-Priority"
+NOT_EXECUTED: Final = "Sequoiadrum-Not-Executed"
+SEAL: Final = "Sequoiadrum-Response-Seal"
+LOAD: Final = "Sequoiadrum-Server-Load"
+
+_HOP_BY_HOP: Final = frozenset(
+    {
+        "connection",
+        "keep-alive",
+        "proxy-authenticate",
+        "proxy-authorization",
+        "proxy-connection",
+        "te",
+        "trailer",
+        "trailers",
+        "transfer-encoding",
+        "upgrade",
+    }
+)
+_SET_BY_GATEWAY: Final = frozenset(
+    name.lower()
+    for name in (
+        API_KEY,
+        ACCOUNT,
+        DEADLINE_MS,
+        ENDPOINT_ID,
+        PRIORITY,
+        LAST_EVENT_ID,
+        "Sequoiadrum-Expected-Version",
+        "Sequoiadrum-Pin-Ms",
+        "Sequoiadrum-Hold",
+        "Sequoiadrum-Kv-Backup",
+        "Kv-From",
+        "Kv-Fetch",
+    )
+)
+"""Never taken over from a client as they are."""
+_FRAMING: Final = frozenset({"content-length", "expect"})
+_MAX_DEADLINE_MS: Final = 3_600_000
+"""Longer waits count as one hour."""
+
+
+class PlatformWire(Wire):
+    """Translates between HTTP headers and the types of the gateway."""
+
+    def decode_call(self, environ: Mapping[str, Any]) -> Result[CallHead, str]:
+        """See `Wire.decode_call`."""
+        target = str(environ["REQUEST_URI"])
+        host = str(environ.get("HTTP_HOST", ""))
+        request_id = str(environ.get(_key(REQUEST_ID), ""))
+        if not request_id:
+            return Failure("the request id is missing")
+        if not target.startswith("/") or not target.isascii():
+            return Failure("the target is not an absolute path")
+        try:
+            prompt = _decode_prompt(str(environ.get(_key(PROMPT_PARTS), "")))
+            prompt_tokens, output_tokens = _decode_pair(str(environ.get(_key(TOKEN_COUNTS), "")))
+            deadline_s = _decode_deadline(environ.get(_key(DEADLINE_MS)))
+        except ValueError as error:
+            return Failure(f"a header cannot be read: {error}")
+        return Success(
+            CallHead(
+                request_id=request_id,
+                method=str(environ["REQUEST_METHOD"]),
+                target=target,
+                host=host,
+                path=target.partition("?")[0],
+                deadline_s=deadline_s,
+                key=environ.get(_key(API_KEY)),
+                prompt=prompt,
+                prompt_tokens=prompt_tokens,
+                output_tokens=output_tokens,
+                last_event_id=environ.get(_key(LAST_EVENT_ID)),
+                headers=tuple(_end_to_end(_request_headers(environ), _SET_BY_GATEWAY | _FRAMING)),
+            )
+        )
+
+    def encode_call(
+        self,
+        call: CallHead,
+        endpoint_id: str,
+        account: str | None,
+        priority: int,
+        time_left_s: float,
+        last_event_id: str | None,
+    ) -> list[tuple[str, str]]:
+        """See `Wire.encode_call`."""
+        headers = list(call.headers)
+        headers.append((ENDPOINT_ID, endpoint_id))
+        headers.append((DEADLINE_MS, str(max(1, int(time_left_s * 1e3)))))
+        if account is not None:
+            headers.append((ACCOUNT, account))
+        if call.prompt:
+            headers.append((PRIORITY, str(priority)))
+        if last_event_id is not None:
+            headers.append((LAST_EVENT_ID, last_event_id))
+        return headers
+
+    def decode_answer(
+        self, status: int, reason: str, headers: Iterable[tuple[str, str]]
+    ) -> AnswerHead:
+        """See `Wire.decode_answer`."""
+        pairs = list(headers)
+        by_name = {name.lower(): value for name, value in pairs}
+        return AnswerHead(
+            status=status,
+            reason=reason,
+            request_id=by_name.get(REQUEST_ID.lower()),
+            instance_id=by_name.get(ANSWERING_ENDPOINT_ID.lower()),
+            # A misdirected request was not executed either.
+            is_not_executed=NOT_EXECUTED.lower() in by_name
+            or status == HTTPStatus.MISDIRECTED_REQUEST,
+            is_sealed=SEAL.lower() in by_name,
+            load=_decode_load(by_name.get(LOAD.lower(), "")),
+            idle_timeout_s=_decode_keep_alive(by_name.get("keep-alive", "")),
+            headers=tuple(_end_to_end(pairs, frozenset({"content-length"}))),
+        )
+
+
+def _key(name: str) -> str:
+    return "HTTP_" + name.upper().replace("-", "_")
+
+
+def _request_headers(environ: Mapping[str, Any]) -> Iterable[tuple[str, str]]:
+    for key, value in environ.items():
+        if key.startswith("HTTP_"):
+            yield "-".join(word.capitalize() for word in key[5:].split("_")), str(value)
+    if environ.get("CONTENT_TYPE"):
+        yield "Content-Type", str(environ["CONTENT_TYPE"])
+
+
+def _end_to_end(
+    headers: Iterable[tuple[str, str]], dropped: frozenset[str]
+) -> Iterable[tuple[str, str]]:
+    pairs = list(headers)
+    named = {
+        word.strip().lower()
+        for name, value in pairs
+        if name.lower() == "connection"
+        for word in value.split(",")
+    }
+    unwanted = _HOP_BY_HOP | named | dropped
+    return [(name, value) for name, value in pairs if name.lower() not in unwanted]
+
+
+def _decode_prompt(text: str) -> tuple[PromptPart, ...]:
+    parts = []
+    for entry in text.split(",") if text else ():
+        part_id, _, tokens = entry.strip().partition(":")
+        parts.append(PromptPart(part_id, int(tokens)))
+    return tuple(parts)
+
+
+def _decode_pair(text: str) -> tuple[int, int]:
+    if not text:
+        return 0, 0
+    first, _, second = text.partition(",")
+    return int(first), int(second)
+
+
+def _decode_deadline(text: str | None) -> float | None:
+    if text is None:
+        return None
+    return min(max(int(text), 0), _MAX_DEADLINE_MS) / 1e3
+
+
+def _decode_load(text: str) -> EngineLoad | None:
+    try:
+        running, waiting, slots = (int(word) for word in text.split(","))
+    except ValueError:
+        return None
+    return EngineLoad(running, waiting, slots)
+
+
+def _decode_keep_alive(text: str) -> float | None:
+    for word in text.split(","):
+        name, _, value = word.strip().partition("=")
+        if name.lower() == "timeout" and value.isdigit():
+            return float(value)
+    return None
--- /dev/null
+++ b/src/sequoiadrum/platform/launch.py
@@ -0,0 +1,56 @@
+"""Starts a gateway on the platform."""
+
+from __future__ import annotations
+
+import os
+import sys
+from pathlib import Path
+from typing import Final
+
+from returns.result import Failure
+
+from sequoiadrum.gateway.app import Adapter, Gateway
+from sequoiadrum.gateway.ports import Documents
+from sequoiadrum.platform import documents
+from sequoiadrum.platform.directory_answer import PlatformDirectoryWire
+from sequoiadrum.platform.headers import PlatformWire
+from sequoiadrum.platform.node_settings import PATH_VARIABLE, load_settings
+from sequoiadrum.platform.store_client import HttpStore
+
+EXIT_USAGE: Final = 2
+
+
+class PlatformDocuments(Documents):
+    """The kinds and the formats of the platform's objects."""
+
+    config_kind = documents.CONFIG_KIND
+    config_name = documents.CONFIG_NAME
+    endpoint_kind = documents.ENDPOINT_KIND
+    decode_config = staticmethod(documents.decode_config)
+    decode_endpoint = staticmethod(documents.decode_endpoint)
+
+
+def main() -> int:
+    """Runs a gateway with the settings file that the platform names; gives the exit status."""
+    path = os.environ.get(PATH_VARIABLE)
+    if not path:
+        sys.stderr.write(f"sequoiadrum: {PATH_VARIABLE} does not name a settings file\n")
+        return EXIT_USAGE
+    loaded = load_settings(Path(path))
+    if isinstance(loaded, Failure):
+        problem = loaded.failure()
+        sys.stderr.write(f"sequoiadrum: settings file {problem.path}: {problem.detail}\n")
+        return EXIT_USAGE
+    settings = loaded.unwrap()
+    problems = settings.problems()
+    for text in problems:
+        sys.stderr.write(f"sequoiadrum: settings: {text}\n")
+    if problems:
+        return EXIT_USAGE
+    adapter = Adapter(
+        wire=PlatformWire(),
+        directory=PlatformDirectoryWire(),
+        documents=PlatformDocuments(),
+        store=lambda metrics: HttpStore(settings.store, metrics),
+    )
+    return Gateway(settings, adapter).run()
--- a/src/sequoiadrum/platform_client.py
+++ b/src/sequoiadrum/platform_client.py
@@ -50,7 +50,15 @@
     leaving: bool
 
 
-class PlatformClient(ABC):
+class InstanceList(ABC):
+    """Where a router finds others when it knows none."""
+
+    @abstractmethod
+    def list_instances(self) -> Result[Sequence[ListedInstance], PlatformFailure]:
+        """Reads the lagging list of live and leaving instances."""
+
+
+class PlatformClient(InstanceList):
     """Conditional object store with watches and a list of instances.
 
     All calls block up to their timeout and give outcomes as values.
@@ -93,7 +101,3 @@
         Returns:
             The object, or None when nothing changed within the timeout.
         """
-
-    @abstractmethod
-    def list_instances(self) -> Result[Sequence[ListedInstance], PlatformFailure]:
-        """Reads the lagging list of live and leaving instances."""
--- a/src/sequoiadrum/remote_admission.py
+++ b/src/sequoiadrum/remote_admission.py
@@ -9,12 +9,12 @@
 
 from sequoiadrum._gen.peer import ttypes
 from sequoiadrum._grant_wire import grant_id_of, number_of
+from sequoiadrum.addressing import parse_address
 from sequoiadrum.errors import Refusal, RefusalReason
 from sequoiadrum.interfaces import Grant
 from sequoiadrum.messages import Address
 from sequoiadrum.peer_client import PeerFailure
 from sequoiadrum.pool_owner import MAX_WAIT_S
-from sequoiadrum.settings import parse_address
 
 if TYPE_CHECKING:
     from collections.abc import Collection
--- a/src/sequoiadrum/settings.py
+++ b/src/sequoiadrum/settings.py
@@ -3,16 +3,18 @@
 from __future__ import annotations
 
 import ipaddress
-from typing import TYPE_CHECKING, Annotated, Any, Final
+from typing import TYPE_CHECKING, Annotated, Any, Final, Protocol
 
 import cappa
 from attrs import frozen
 
-from sequoiadrum.messages import Address
+from sequoiadrum.addressing import parse_address
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from sequoiadrum.messages import Address
+
 ENVIRONMENT_PREFIX: Final = "SEQUOIADRUM_"
 
 
@@ -38,6 +40,37 @@
         return f"{self.flag}: {self.value!r} is not allowed, expected {self.allowed}"
 
 
+class MemberSettings(Protocol):
+    """What the membership needs to know of its router."""
+
+    @property
+    def instance_id(self) -> str:
+        """Unique in the fleet."""
+
+    @property
+    def host(self) -> str:
+        """Numeric address."""
+
+    @property
+    def failure_domain(self) -> str:
+        """Name of the group of instances that can fail together."""
+
+    @property
+    def region(self) -> str:
+        """Name of the region."""
+
+    @property
+    def http_port(self) -> int:
+        """TCP port of the caller interface."""
+
+    @property
+    def peer_port(self) -> int:
+        """TCP and UDP port for the other routers."""
+
+    def seed_addresses(self) -> list[Address]:
+        """Gives the peers to join by."""
+
+
 @frozen(kw_only=True)
 class Settings:
     """Everything that a router is told at start."""
@@ -141,19 +174,6 @@
         return [parse_address(seed) for seed in self.seeds.split(",") if seed]
 
 
-def parse_address(text: str) -> Address:
-    """Reads IP:port.
-
-    Raises:
-        ValueError: The text is something else.
-    """
-    host, _, port = text.rpartition(":")
-    ipaddress.ip_address(host.strip("[]"))
-    if not 0 < int(port) < 65_536:
-        raise ValueError(f"port out of range: {text}")
-    return Address(host.strip("[]"), int(port))
-
-
 def _is_address(text: str) -> bool:
     try:
         parse_address(text)
--- a/tools/load.py
+++ b/tools/load.py
@@ -11,7 +11,7 @@
 
 from attrs import define, field
 
-from sequoiadrum.settings import parse_address
+from sequoiadrum.addressing import parse_address
 from sequoiadrum.standin_engine import token_text
 from tools.fleet import call_json
 
