--- a/deploy/gateway.py
+++ b/deploy/gateway.py
@@ -7,7 +7,7 @@
 
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent / "src"))
 
-from sequoiadrum.platform.launch import main  # noqa: E402
+from sequoiadrum.platform.launch import main
 
 if __name__ == "__main__":
     sys.exit(main())
--- a/src/sequoiadrum/gateway/app.py
+++ b/src/sequoiadrum/gateway/app.py
@@ -4,9 +4,10 @@
 
 import logging
 import signal
+import sys
 import threading
 import time
-from typing import TYPE_CHECKING, Final
+from typing import TYPE_CHECKING, Final, TextIO
 
 from attrs import frozen
 
@@ -63,19 +64,22 @@
 class Gateway:
     """One running gateway."""
 
-    def __init__(self, settings: GatewaySettings, adapter: Adapter) -> None:
-        """Binds all ports.
+    def __init__(
+        self, settings: GatewaySettings, adapter: Adapter, output: TextIO = sys.stdout
+    ) -> None:
+        """Binds all ports; the log goes to `output`.
 
         Raises:
             OSError: An address is in use or not local.
         """
         self.settings: Final = settings
         self.metrics: Final = Metrics()
-        self.log: Final = EventLog(settings.instance_id, self.metrics)
+        self.log: Final = EventLog(settings.instance_id, self.metrics, output)
         self.timers: Final = TimerService()
         self._stop_requested = threading.Event()
         self._reload_requested = False
         self._failed = False
+        self._is_ended = False
         self._store = adapter.store(self.metrics)
         self._link = StoreLink(self.log, self.metrics)
         self._instances = StoreInstanceList(self._store, settings, self.log)
@@ -158,9 +162,22 @@
         while not plan.may_exit(self.servers.active(), DIRECTORY_LIFETIME_S, time.monotonic()):
             time.sleep(_POLL_S)
         self.log.notable("stopped", in_flight=self.servers.active())
+        self.kill()
+
+    def kill(self) -> None:
+        """Ends at once, with whatever is in work; doing so again changes nothing."""
+        if self._is_ended:
+            return
+        self._is_ended = True
+        for sync in self._syncs:
+            sync.stop()
         self.gossip.stop()
-        self.log.stop()
+        self.news.stop()
+        self._peer_server.stop()
+        self._peers.close()
+        self.timers.stop()
         self.servers.stop()
+        self.log.stop()
 
     def _create_servers(self, adapter: Adapter, relay: Relay) -> ServerGroup:
         listeners = self.settings.listeners
--- a/src/sequoiadrum/gateway/event_log.py
+++ b/src/sequoiadrum/gateway/event_log.py
@@ -8,7 +8,7 @@
 import time
 from collections import deque
 from enum import IntEnum
-from typing import TYPE_CHECKING, Any, Final
+from typing import TYPE_CHECKING, Any, Final, TextIO
 
 import structlog
 
@@ -41,7 +41,8 @@
     `QUEUE_LINES` lines wait already. Both losses are counted and reported by a line of their own.
     """
 
-    def __init__(self, instance_id: str, metrics: Metrics) -> None:
+    def __init__(self, instance_id: str, metrics: Metrics, output: TextIO) -> None:
+        self._output = output
         self._instance_id = instance_id
         self._metrics = metrics
         self._lines: deque[str] = deque()
@@ -135,8 +136,8 @@
         if not lines:
             return
         try:
-            sys.stdout.write("\n".join(lines) + "\n")
-            sys.stdout.flush()
+            self._output.write("\n".join(lines) + "\n")
+            self._output.flush()
         except (OSError, ValueError):
             # Nobody reads the log; the counter is the only place left to say so.
             self._metrics.count("log_lines_dropped_total", len(lines), reason="output_closed")
--- a/src/sequoiadrum/gateway/front.py
+++ b/src/sequoiadrum/gateway/front.py
@@ -43,6 +43,8 @@
 """Far above what callers may send; larger bodies are cut off."""
 OUTPUT_BUFFER_BYTES: Final = 262_144
 """Output kept for a slow reader before its thread waits."""
+LOOP_WAIT_S: Final = 1.0
+"""Longest wait of the event loop; idle connections are looked at this often."""
 FD_RESERVE: Final = 200
 """Descriptors that are kept for files."""
 _OVERLOAD_ANSWER: Final = (
@@ -199,6 +201,7 @@
         self._callers = PoolDispatcher(CALLER_THREADS, "caller")
         self._control = PoolDispatcher(CONTROL_THREADS, "control")
         self._thread = threading.Thread(target=self._run, name="front", daemon=True)
+        self._servers: list[GatewayServer] = []
         self._stopped = False
 
     def add_callers(self, application: Callable[..., Any], address: Address) -> None:
@@ -220,7 +223,9 @@
     def stop(self) -> None:
         """Closes all sockets."""
         self._stopped = True
-        self._thread.join(1.5)
+        for server in self._servers:
+            server.trigger.pull_trigger()
+        self._thread.join(LOOP_WAIT_S)
         wasyncore.close_all(self._map, ignore_all=True)
         self._callers.shutdown()
         self._control.shutdown()
@@ -228,10 +233,12 @@
     def _add(
         self, application: Callable[..., Any], address: Address, dispatcher: PoolDispatcher
     ) -> None:
-        GatewayServer(
-            application, address, self._map, dispatcher, self._max_connections, self._metrics
+        self._servers.append(
+            GatewayServer(
+                application, address, self._map, dispatcher, self._max_connections, self._metrics
+            )
         )
 
     def _run(self) -> None:
         while not self._stopped:
-            wasyncore.loop(timeout=1.0, use_poll=True, map=self._map, count=1)
+            wasyncore.loop(timeout=LOOP_WAIT_S, use_poll=True, map=self._map, count=1)
--- a/src/sequoiadrum/gateway/pool.py
+++ b/src/sequoiadrum/gateway/pool.py
@@ -122,6 +122,12 @@
             now = time.monotonic()
             return self._table.replace_all(entries, names, revision, now, outage_ended)
 
+    def knows(self, instance_id: str) -> bool:
+        """Tells whether an endpoint can get requests."""
+        with self._lock:
+            endpoint = self._table.by_id.get(instance_id)
+            return endpoint is not None and endpoint.may_serve(time.monotonic())
+
     def expire(self) -> None:
         """Forgets what is gone for good."""
         with self._lock:
--- /dev/null
+++ b/tests/gateway/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the gateway."""
--- /dev/null
+++ b/tests/gateway/scripted_endpoint.py
@@ -0,0 +1,173 @@
+"""An endpoint that answers with scripted bytes over real sockets."""
+
+from __future__ import annotations
+
+import socket
+import threading
+import time
+from collections.abc import Callable
+
+from sequoiadrum.messages import Address
+
+Script = Callable[["Connection", "Received"], None]
+
+
+class Received:
+    """One request as it arrived."""
+
+    def __init__(self, head: bytes, body: bytes) -> None:
+        lines = head.decode("latin-1").split("\r\n")
+        self.line = lines[0]
+        self.headers = {
+            name.lower(): value.strip()
+            for name, _, value in (line.partition(":") for line in lines[1:] if line)
+        }
+        self.body = body
+
+    @property
+    def request_id(self) -> str:
+        """Id of the request."""
+        return self.headers["sequoiadrum-request-id"]
+
+
+class Connection:
+    """The endpoint's side of a connection."""
+
+    def __init__(self, sock: socket.socket) -> None:
+        self.sock = sock
+        self._rest = b""
+
+    def read(self) -> Received | None:
+        """Reads a request; None at the end of the connection."""
+        while b"\r\n\r\n" not in self._rest:
+            data = self._receive()
+            if not data:
+                return None
+            self._rest += data
+        head, _, self._rest = self._rest.partition(b"\r\n\r\n")
+        received = Received(head, b"")
+        length = int(received.headers.get("content-length", "0"))
+        while len(self._rest) < length:
+            data = self._receive()
+            if not data:
+                return None
+            self._rest += data
+        received.body, self._rest = self._rest[:length], self._rest[length:]
+        return received
+
+    def send(self, data: bytes) -> None:
+        """Sends bytes."""
+        self.sock.sendall(data)
+
+    def reset(self) -> None:
+        """Ends the connection with a reset."""
+        self.sock.setsockopt(
+            socket.SOL_SOCKET, socket.SO_LINGER, b"\x01\x00\x00\x00\x00\x00\x00\x00"
+        )
+        self.sock.close()
+
+    def wait_for_end(self, timeout_s: float = 5.0) -> bool:
+        """Waits until the other side closes; False when it does not."""
+        self.sock.settimeout(timeout_s)
+        try:
+            return self.sock.recv(1) == b""
+        except TimeoutError:
+            return False
+        except OSError:
+            return True
+
+    def _receive(self) -> bytes:
+        try:
+            return self.sock.recv(65_536)
+        except OSError:
+            return b""
+
+
+class ScriptedEndpoint:
+    """Runs a script for each request; keeps what it received."""
+
+    def __init__(self, script: Script) -> None:
+        self.script = script
+        self.received: list[Received] = []
+        self.connections = 0
+        self._listener = socket.create_server(("127.0.0.1", 0))
+        self.address = Address("127.0.0.1", self._listener.getsockname()[1])
+        threading.Thread(target=self._accept, daemon=True).start()
+
+    def stop(self) -> None:
+        """Closes the listener."""
+        self._listener.close()
+
+    def _accept(self) -> None:
+        while True:
+            try:
+                sock, _ = self._listener.accept()
+            except OSError:
+                return
+            self.connections += 1
+            threading.Thread(target=self._serve, args=(Connection(sock),), daemon=True).start()
+
+    def _serve(self, connection: Connection) -> None:
+        try:
+            while (request := connection.read()) is not None:
+                self.received.append(request)
+                self.script(connection, request)
+        except OSError:
+            return
+        finally:
+            connection.sock.close()
+
+
+def answer(
+    request: Received,
+    body: bytes = b"done",
+    status: str = "200 OK",
+    headers: str = "",
+    request_id: str | None = None,
+    is_sealed: bool = True,
+) -> bytes:
+    """Makes a whole answer with a length."""
+    seal = "Sequoiadrum-Response-Seal: s.1\r\n" if is_sealed else ""
+    echoed = request.request_id if request_id is None else request_id
+    return (
+        f"HTTP/1.1 {status}\r\nSequoiadrum-Request-Id: {echoed}\r\n{seal}{headers}"
+        f"Content-Length: {len(body)}\r\n\r\n"
+    ).encode() + body
+
+
+def ok(connection: Connection, request: Received) -> None:
+    """Script: answers 200."""
+    connection.send(answer(request))
+
+
+def stream_head(request: Received) -> bytes:
+    """Makes the head of a chunked stream."""
+    return (
+        f"HTTP/1.1 200 OK\r\nSequoiadrum-Request-Id: {request.request_id}\r\n"
+        "Sequoiadrum-Response-Seal: s.1\r\nContent-Type: text/event-stream\r\n"
+        "Transfer-Encoding: chunked\r\n\r\n"
+    ).encode()
+
+
+def event(number: int) -> bytes:
+    """Makes one event."""
+    return b"id: %d\ndata: token%d\n\n" % (number, number)
+
+
+def chunk(data: bytes) -> bytes:
+    """Makes one chunk; an empty one ends the body."""
+    return b"%x\r\n%b\r\n" % (len(data), data)
+
+
+def stream(first: int, last: int, pause_s: float = 0.0) -> Script:
+    """Makes a script that sends events, continuing after the id that it is given."""
+
+    def script(connection: Connection, request: Received) -> None:
+        start = int(request.headers.get("last-event-id", first - 1)) + 1
+        connection.send(stream_head(request))
+        for number in range(start, last + 1):
+            connection.send(chunk(event(number)))
+            time.sleep(pause_s)
+        connection.send(chunk(b""))
+
+    return script
--- /dev/null
+++ b/tests/gateway/test_endpoints.py
@@ -0,0 +1,93 @@
+"""Tests of `gateway.endpoints`."""
+
+from __future__ import annotations
+
+import unittest
+
+from sequoiadrum.gateway.endpoints import EndpointTable
+from sequoiadrum.gateway.model import EndpointState, EngineLoad
+from tests.gateway.builders import an_entry
+
+NEVER = float("-inf")
+
+
+class EndpointTableTest(unittest.TestCase):
+    """The table follows revisions and never goes back."""
+
+    def test_older_entry_is_ignored(self) -> None:
+        """Guards against a stale read that makes a draining endpoint ready again."""
+        table = EndpointTable()
+        table.apply(an_entry(revision=7, state=EndpointState.DRAINING))
+        self.assertFalse(table.apply(an_entry(revision=5)))
+        self.assertFalse(table.by_id["e1"].may_serve(0.0))
+
+    def test_removed_endpoint_gets_nothing(self) -> None:
+        """Guards against new work for an endpoint that left without a sign before."""
+        table = EndpointTable()
+        table.apply(an_entry(revision=3))
+        self.assertTrue(table.remove("e1", 3, 10.0, NEVER))
+        self.assertFalse(table.by_id["e1"].may_serve(10.0))
+        self.assertFalse(table.apply(an_entry(revision=3)))
+
+    def test_entry_that_lapsed_in_an_outage_serves_on(self) -> None:
+        """Guards against a service without endpoints just after an outage of the store."""
+        table = EndpointTable()
+        table.apply(an_entry(revision=3))
+        table.replace_all([], set(), 9, now=100.0, outage_ended=100.0)
+        self.assertTrue(table.by_id["e1"].may_serve(102.0))
+        self.assertFalse(table.by_id["e1"].may_serve(102.6))
+        self.assertTrue(table.apply(an_entry(revision=11)))
+        self.assertTrue(table.by_id["e1"].may_serve(110.0))
+
+    def test_recreated_entry_in_one_batch_stays(self) -> None:
+        """Guards against a removal that hides the entry created right after it."""
+        table = EndpointTable()
+        table.apply(an_entry(revision=3))
+        table.remove("e1", 4, 1.0, NEVER)
+        self.assertTrue(table.apply(an_entry(revision=5)))
+        self.assertTrue(table.by_id["e1"].may_serve(1.0))
+
+    def test_malformed_entry_keeps_what_is_known(self) -> None:
+        """Guards against an endpoint that is dropped because its entry could not be read."""
+        table = EndpointTable()
+        table.apply(an_entry(revision=3))
+        table.replace_all([], {"e1"}, 9, now=1.0, outage_ended=NEVER)
+        self.assertTrue(table.by_id["e1"].may_serve(1.0))
+
+    def test_restart_under_the_same_id_forgets_results(self) -> None:
+        """Guards against a fresh process that inherits the failures of the one before."""
+        table = EndpointTable()
+        table.apply(an_entry(revision=3))
+        for _ in range(5):
+            table.by_id["e1"].note_result(failed=True, now=1.0)
+        self.assertTrue(table.by_id["e1"].is_failing(1.0))
+        table.apply(an_entry(revision=4, started_ms=2))
+        self.assertFalse(table.by_id["e1"].is_failing(1.0))
+
+    def test_failures_fade(self) -> None:
+        """Guards against an endpoint that is avoided for ever after a bad moment."""
+        table = EndpointTable()
+        table.apply(an_entry())
+        endpoint = table.by_id["e1"]
+        for _ in range(6):
+            endpoint.note_result(failed=True, now=0.0)
+        self.assertTrue(endpoint.is_failing(0.0))
+        self.assertFalse(endpoint.is_failing(20.0))
+
+    def test_regular_errors_do_not_condemn(self) -> None:
+        """Guards against avoiding a service whose endpoints answer one in seven with an error."""
+        table = EndpointTable()
+        table.apply(an_entry())
+        endpoint = table.by_id["e1"]
+        for n in range(70):
+            endpoint.note_result(failed=n % 7 == 0, now=n * 0.1)
+        self.assertFalse(endpoint.is_failing(7.0))
+
+    def test_told_load_grows_old(self) -> None:
+        """Guards against decisions on a load that an endpoint told long ago."""
+        table = EndpointTable()
+        table.apply(an_entry())
+        endpoint = table.by_id["e1"]
+        endpoint.note_load(EngineLoad(3, 1, 8), 5.0)
+        self.assertEqual(endpoint.told_load(5.5), 4)
+        self.assertIsNone(endpoint.told_load(8.0))
--- /dev/null
+++ b/tests/gateway/test_retry_budget.py
@@ -0,0 +1,31 @@
+"""Tests of `gateway.retry_budget`."""
+
+from __future__ import annotations
+
+import unittest
+
+from sequoiadrum.gateway.retry_budget import RetryBudget
+
+
+class RetryBudgetTest(unittest.TestCase):
+    """Repeats stay within the share that all instances have together."""
+
+    def test_all_instances_together_keep_the_bound(self) -> None:
+        """Guards against a slack that each of 14 instances spends in full."""
+        budgets = [RetryBudget(0.2, 108.0, 10.0) for _ in range(14)]
+        spent = 0
+        for budget in budgets:
+            for _ in range(10):
+                budget.note_request(1.0)
+            spent += sum(budget.spend(1.0, 14) for _ in range(100))
+        self.assertLessEqual(spent, 0.2 * 140 + 108)
+        self.assertGreater(spent, 50)
+
+    def test_window_slides(self) -> None:
+        """Guards against a budget that is never given back after a burst."""
+        budget = RetryBudget(0.0, 14.0, 10.0)
+        self.assertTrue(budget.spend(0.0, 1))
+        while budget.spend(0.0, 1):
+            pass
+        self.assertFalse(budget.spend(9.9, 1))
+        self.assertTrue(budget.spend(10.1, 1))
--- /dev/null
+++ b/tests/gateway/test_stop_plan.py
@@ -0,0 +1,28 @@
+"""Tests of `gateway.stop_plan`."""
+
+from __future__ import annotations
+
+import unittest
+
+from sequoiadrum.gateway.model import RequestKind
+from sequoiadrum.gateway.stop_plan import StopPlan
+
+
+class StopPlanTest(unittest.TestCase):
+    """A planned stop finishes what it accepts."""
+
+    def test_accepts_only_what_can_be_finished(self) -> None:
+        """Guards against a stream that is accepted shortly before the process is killed."""
+        plan = StopPlan(began_at=100.0, grace_s=8.0)
+        self.assertTrue(plan.accepts(RequestKind.STREAM, 102.9))
+        self.assertFalse(plan.accepts(RequestKind.RESUMABLE_STREAM, 103.1))
+        self.assertTrue(plan.accepts(RequestKind.NON_IDEMPOTENT, 106.0))
+        self.assertFalse(plan.accepts(RequestKind.IDEMPOTENT, 107.0))
+
+    def test_exits_when_addresses_have_run_out(self) -> None:
+        """Guards against a process that is gone while callers still keep its address."""
+        plan = StopPlan(began_at=100.0, grace_s=8.0)
+        self.assertFalse(plan.may_exit(0, 2.0, 105.9))
+        self.assertTrue(plan.may_exit(0, 2.0, 106.1))
+        self.assertFalse(plan.may_exit(1, 2.0, 107.0))
+        self.assertTrue(plan.may_exit(1, 2.0, 107.7))
--- /dev/null
+++ b/tests/gateway/test_whole_path.py
@@ -0,0 +1,377 @@
+"""Requests through a whole gateway, before endpoints that misbehave."""
+
+from __future__ import annotations
+
+import socket
+import time
+import unittest
+
+from tests.gateway.scripted_endpoint import (
+    Connection,
+    Received,
+    ScriptedEndpoint,
+    answer,
+    chunk,
+    event,
+    ok,
+    stream,
+    stream_head,
+)
+from tests.gateway.world import World, config_document, eventually
+
+
+class _WorldTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.world = World().start()
+        self.addCleanup(self.world.stop)
+
+
+class ForwardTest(_WorldTest):
+    """What reaches the endpoint and the client."""
+
+    def test_request_and_answer_pass_unchanged(self) -> None:
+        """Guards against a changed method, path, query, body or header, and a key that leaks."""
+        endpoint = ScriptedEndpoint(
+            lambda c, r: c.send(answer(r, b"\x00\xff", headers="X-Own: 1\r\n"))
+        )
+        self.world.add("e1", endpoint)
+        status, headers, body = self.world.call(
+            "/read/a%20b?x=%31", body=b"\x01\x02", headers={"X-Mine": "7", "Kv-From": "evil"}
+        )
+        self.assertEqual((status, body), (200, b"\x00\xff"))
+        self.assertEqual(headers["x-own"], "1")
+        self.assertEqual(headers["sequoiadrum-response-seal"], "s.1")
+        got = endpoint.received[0]
+        self.assertEqual(got.line, "POST /read/a%20b?x=%31 HTTP/1.1")
+        self.assertEqual(got.body, b"\x01\x02")
+        self.assertEqual(got.headers["x-mine"], "7")
+        self.assertEqual(got.headers["sequoiadrum-tenant"], "acme")
+        self.assertEqual(got.headers["sequoiadrum-target-instance"], "e1")
+        self.assertNotIn("sequoiadrum-key", got.headers)
+        self.assertNotIn("kv-from", got.headers)
+        self.assertLessEqual(int(got.headers["sequoiadrum-deadline-ms"]), 3000)
+
+    def test_account_of_the_client_is_not_believed(self) -> None:
+        """Guards against a client that names another account than that of its key."""
+        endpoint = ScriptedEndpoint(ok)
+        self.world.add("e1", endpoint)
+        self.world.call("/read/x", headers={"Sequoiadrum-Tenant": "other"})
+        self.assertEqual(endpoint.received[0].headers["sequoiadrum-tenant"], "acme")
+
+    def test_connections_are_kept(self) -> None:
+        """Guards against a new endpoint connection for each request."""
+        endpoint = ScriptedEndpoint(ok)
+        self.world.add("e1", endpoint)
+        for n in range(5):
+            self.assertEqual(self.world.call("/read/x", f"q{n}")[0], 200)
+        self.assertEqual(endpoint.connections, 1)
+
+    def test_ambiguous_framing_reaches_nobody(self) -> None:
+        """Guards against a request that is smuggled behind two lengths."""
+        endpoint = ScriptedEndpoint(ok)
+        self.world.add("e1", endpoint)
+        smuggled = b"POST /order/x HTTP/1.1\r\nHost: shop.example\r\n\r\n"
+        with socket.create_connection(("127.0.0.1", self.world.ports[0]), 5) as client:
+            client.sendall(
+                b"POST /read/x HTTP/1.1\r\nHost: shop.example\r\n"
+                b"Sequoiadrum-Request-Id: q1\r\nSequoiadrum-Key: k1\r\n"
+                b"Content-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n" + smuggled
+            )
+            client.settimeout(5)
+            self.assertIn(b" 400 ", client.recv(65_536))
+        self.assertEqual(endpoint.received, [])
+
+
+class FailureTest(_WorldTest):
+    """Endpoints that fail; what may be repeated is, and nothing else."""
+
+    def test_order_is_never_sent_twice(self) -> None:
+        """Guards against a second run of an order whose answer was lost."""
+        first = ScriptedEndpoint(lambda c, r: c.reset())
+        second = ScriptedEndpoint(lambda c, r: c.reset())
+        self.world.add("e1", first)
+        self.world.add("e2", second)
+        status, _, _ = self.world.call("/order/x")
+        self.assertEqual(status, 502)
+        self.assertEqual(len(first.received) + len(second.received), 1)
+
+    def test_read_is_repeated_elsewhere(self) -> None:
+        """Guards against a failed read although another endpoint could answer."""
+        bad = ScriptedEndpoint(lambda c, r: c.reset())
+        good = ScriptedEndpoint(ok)
+        self.world.add("e1", bad)
+        self.world.add("e2", good)
+        statuses = [self.world.call("/read/x", f"q{n}")[0] for n in range(6)]
+        self.assertEqual(statuses, [200] * 6)
+
+    def test_order_goes_to_another_endpoint_when_the_first_refuses_connections(self) -> None:
+        """Guards against a lost order although no byte of it had left."""
+        gone = ScriptedEndpoint(ok)
+        gone.stop()
+        time.sleep(0.05)
+        self.world.register("e0", gone.address)
+        self.world.add("e1", ScriptedEndpoint(ok))
+        for n in range(4):
+            self.assertEqual(self.world.call("/order/x", f"q{n}")[0], 200)
+
+    def test_rejection_of_all_endpoints_is_told_with_a_pause(self) -> None:
+        """Guards against a 502 for an order that provably did not run."""
+        full = ScriptedEndpoint(
+            lambda c, r: c.send(
+                answer(r, b"", "503 Service Unavailable", "Sequoiadrum-Not-Executed: 1\r\n")
+            )
+        )
+        self.world.add("e1", full)
+        status, headers, _ = self.world.call("/order/x")
+        self.assertEqual(status, 503)
+        self.assertGreater(float(headers["retry-after"]), 0)
+
+    def test_other_instance_at_the_address_is_news(self) -> None:
+        """Guards against requests that go on to an address that another service took over."""
+        other = ScriptedEndpoint(
+            lambda c, r: c.send(answer(r, b"", "421 Misdirected Request", is_sealed=False))
+        )
+        self.world.add("e1", other)
+        good = ScriptedEndpoint(ok)
+        self.world.add("e2", good)
+        for n in range(6):
+            self.assertEqual(self.world.call("/order/x", f"q{n}")[0], 200)
+        self.assertLessEqual(len(other.received), 1)
+
+    def test_cut_answer_is_not_passed_off_as_whole(self) -> None:
+        """Guards against a client that gets half an answer as a success."""
+
+        def cut(connection: Connection, request: Received) -> None:
+            connection.send(answer(request, b"0123456789")[:-4])
+            connection.sock.close()
+
+        self.world.add("e1", ScriptedEndpoint(cut))
+        self.assertEqual(self.world.call("/order/x")[0], 502)
+
+    def test_late_answer_to_another_request_is_skipped(self) -> None:
+        """Guards against a client that gets the answer to somebody else's request."""
+
+        def extra(connection: Connection, request: Received) -> None:
+            connection.send(answer(request, b"old", request_id="someone-else"))
+            connection.send(answer(request, b"own"))
+
+        self.world.add("e1", ScriptedEndpoint(extra))
+        status, _, body = self.world.call("/order/x")
+        self.assertEqual((status, body), (200, b"own"))
+
+    def test_extra_answer_spoils_the_connection_only(self) -> None:
+        """Guards against bytes after an answer that become the answer to the next request."""
+
+        def double(connection: Connection, request: Received) -> None:
+            connection.send(answer(request, b"own") + answer(request, b"own"))
+
+        endpoint = ScriptedEndpoint(double)
+        self.world.add("e1", endpoint)
+        for n in range(3):
+            status, _, body = self.world.call("/order/x", f"q{n}")
+            self.assertEqual((status, body), (200, b"own"))
+        self.assertEqual(endpoint.connections, 3)
+
+    def test_unsealed_success_is_not_delivered(self) -> None:
+        """Guards against a success that no endpoint has signed."""
+        self.world.add(
+            "e1", ScriptedEndpoint(lambda c, r: c.send(answer(r, b"x", is_sealed=False)))
+        )
+        self.assertEqual(self.world.call("/order/x")[0], 502)
+
+    def test_deadline_ends_the_wait(self) -> None:
+        """Guards against a client that hears nothing after its time is over."""
+        self.world.add("e1", ScriptedEndpoint(lambda c, r: time.sleep(3)))
+        started = time.monotonic()
+        status, _, _ = self.world.call("/order/x", headers={"Sequoiadrum-Deadline-Ms": "400"})
+        self.assertEqual(status, 504)
+        self.assertLess(time.monotonic() - started, 2.5)
+
+    def test_no_endpoint_is_refused_at_once(self) -> None:
+        """Guards against a request that waits for its deadline although nobody can serve it."""
+        started = time.monotonic()
+        status, headers, _ = self.world.call("/order/x")
+        self.assertEqual(status, 503)
+        self.assertIn("retry-after", headers)
+        self.assertLess(time.monotonic() - started, 2.0)
+
+    def test_request_that_crashes_endpoints_is_stopped(self) -> None:
+        """Guards against one request that takes down endpoint after endpoint."""
+        endpoints = [ScriptedEndpoint(lambda c, r: c.reset()) for _ in range(6)]
+        for n, endpoint in enumerate(endpoints):
+            self.world.add(f"e{n}", endpoint)
+        statuses = [self.world.call("/order/x", f"q{n}", b"poison")[0] for n in range(20)]
+        self.assertEqual(statuses[-1], 503)
+        # Crashes of one endpoint within 2 s count once, so a few more may get through.
+        self.assertLess(sum(len(endpoint.received) for endpoint in endpoints), 12)
+        self.assertEqual(self.world.call("/order/x", "other", b"healthy")[0], 502)
+
+
+class StreamTest(_WorldTest):
+    """Streams pass as they come and are continued only where that is allowed."""
+
+    def test_stream_passes_whole(self) -> None:
+        """Guards against lost, doubled or reordered events."""
+        self.world.add("m1", ScriptedEndpoint(stream(1, 20)), "model")
+        status, _, body = self.world.call("/draft/x")
+        self.assertEqual((status, body), (200, b"".join(event(n) for n in range(1, 21))))
+
+    def test_first_event_passes_before_the_last(self) -> None:
+        """Guards against a stream that is held back until it is whole."""
+        self.world.add("m1", ScriptedEndpoint(stream(1, 5, pause_s=0.3)), "model")
+        connection = self.world.connect()
+        self.addCleanup(connection.close)
+        connection.request("POST", "/tag/x", b"", self.world.headers())
+        started = time.monotonic()
+        response = connection.getresponse()
+        self.assertEqual(response.read1(1000), event(1))
+        self.assertLess(time.monotonic() - started, 1.2)
+        self.assertEqual(response.read(), b"".join(event(n) for n in range(2, 6)))
+
+    def test_broken_resumable_stream_continues_elsewhere(self) -> None:
+        """Guards against a gap, a doubled event or a cut one where a stream is continued."""
+
+        def breaks(connection: Connection, request: Received) -> None:
+            connection.send(stream_head(request))
+            connection.send(chunk(event(1)) + chunk(event(2)) + chunk(event(3)[:7]))
+            time.sleep(0.05)
+            connection.sock.close()
+
+        first = ScriptedEndpoint(breaks)
+        self.world.add("m1", first, "model")
+        second = ScriptedEndpoint(breaks)
+        self.world.add("m2", second, "model")
+
+        def second_script(connection: Connection, request: Received) -> None:
+            script = stream(1, 6) if "last-event-id" in request.headers else breaks
+            script(connection, request)
+
+        first.script = second.script = second_script
+        status, _, body = self.world.call("/draft/x")
+        self.assertEqual((status, body), (200, b"".join(event(n) for n in range(1, 7))))
+        received = first.received + second.received
+        self.assertEqual(len(received), 2)
+        self.assertEqual(
+            [r.headers["last-event-id"] for r in received if "last-event-id" in r.headers], ["2"]
+        )
+
+    def test_broken_stream_does_not_look_whole(self) -> None:
+        """Guards against a client that takes the first half of a draft for all of it."""
+
+        def breaks(connection: Connection, request: Received) -> None:
+            connection.send(stream_head(request) + chunk(event(1)))
+            time.sleep(0.05)
+            connection.reset()
+
+        self.world.add("m1", ScriptedEndpoint(breaks), "model")
+        with self.assertRaises(Exception):  # noqa: B017 (http.client has several)
+            self.world.call("/tag/x")
+        self.assertEqual(len(self.world.endpoints["m1"].received), 1)
+
+    def test_endpoint_is_told_when_the_client_leaves(self) -> None:
+        """Guards against an engine that goes on generating for nobody."""
+        ended: list[bool] = []
+
+        def endless(connection: Connection, request: Received) -> None:
+            connection.send(stream_head(request) + chunk(event(1)))
+            ended.append(connection.wait_for_end())
+
+        self.world.add("m1", ScriptedEndpoint(endless), "model")
+        connection = self.world.connect()
+        connection.request("POST", "/tag/x", b"", self.world.headers())
+        response = connection.getresponse()
+        response.read1(1000)
+        response.close()
+        connection.close()
+        eventually(lambda: ended, "the endpoint's connection has ended")
+        self.assertEqual(ended, [True])
+
+
+class BeliefTest(_WorldTest):
+    """What the gateway answers when its knowledge may be old."""
+
+    def test_unknown_key_is_refused_only_after_a_look_at_the_store(self) -> None:
+        """Guards against a 401 for a key that a newer configuration holds."""
+        self.world.store.mutes_watches = True
+        self.world.store.put(
+            "config",
+            "main",
+            config_document(2, tenants=[{"name": "acme", "api_keys": ["k1", "k2"]}]),
+        )
+        status, _, _ = self.world.call("/read/x", headers={"Sequoiadrum-Key": "k2"})
+        self.assertEqual(status, 503)  # There is no endpoint; the key is known by now.
+        self.assertEqual(self.world.gateway.configuration.version(), 2)
+
+    def test_nothing_is_denied_while_the_store_is_away(self) -> None:
+        """Guards against a 404 or 401 from a router that may be behind."""
+        self.world.store.status = 503
+        self.assertEqual(self.world.call("/nowhere/x")[0], 503)
+        self.assertEqual(self.world.call("/read/x", headers={"Sequoiadrum-Key": "k9"})[0], 503)
+        self.world.store.status = None
+        eventually(lambda: self.world.call("/nowhere/x")[0] == 404, "the store is read again")
+
+    def test_older_configuration_is_ignored(self) -> None:
+        """Guards against a route or key that comes back with an old version."""
+        self.world.store.put("config", "main", config_document(5))
+        eventually(lambda: self.world.gateway.configuration.version() == 5, "version 5 in force")
+        self.world.store.put("config", "main", config_document(4))
+        time.sleep(0.2)
+        self.assertEqual(self.world.gateway.configuration.version(), 5)
+
+    def test_leaving_endpoint_gets_no_new_request(self) -> None:
+        """Guards against new work for an endpoint that drains, also after a lost history."""
+        leaving = ScriptedEndpoint(ok)
+        self.world.add("e1", leaving)
+        self.world.add("e2", ScriptedEndpoint(ok))
+        self.world.store.mutes_watches = True
+        self.world.register("e1", leaving.address, state="draining")
+        self.world.store.mutes_watches = False
+        self.world.store.forget_history()
+        eventually(lambda: not self.world.gateway.pool.knows("e1"), "e1 is known to drain")
+        count = len(leaving.received)
+        for n in range(5):
+            self.assertEqual(self.world.call("/read/x", f"q{n}")[0], 200)
+        self.assertEqual(len(leaving.received), count)
+
+    def test_garbage_entries_name_no_endpoint(self) -> None:
+        """Guards against one unreadable entry that takes the others with it."""
+        for n, spec in enumerate(
+            [None, 7, {"service": "shop"}, {"service": 3, "address": "x", "slots": "a"}]
+        ):
+            self.world.store.put("servers", f"a{n}", spec)
+        self.world.add("e1", ScriptedEndpoint(ok))
+        self.assertEqual(self.world.call("/read/x")[0], 200)
+
+    def test_control_addresses(self) -> None:
+        """Guards against a directory without this router, and metrics without refusals."""
+        self.world.call("/order/x")
+        self.assertEqual(self.world.ask_control(1, "/ready")[0], 200)
+        status, body = self.world.ask_control(2, "/resolve?name=h&region=r&zone=z1")
+        self.assertEqual(status, 200)
+        self.assertIn(f"127.0.0.1:{self.world.ports[0]}".encode(), body)
+        status, body = self.world.ask_control(3, "/metrics")
+        self.assertIn(b'refusals_total{reason="no_endpoint"}', body)
+
+
+class StopTest(_WorldTest):
+    """A planned stop."""
+
+    def test_request_in_work_is_finished(self) -> None:
+        """Guards against an order that is cut off by a planned stop."""
+        import threading
+
+        self.world.add("e1", ScriptedEndpoint(lambda c, r: (time.sleep(0.6), c.send(answer(r)))[1]))
+        results: list[int] = []
+        caller = threading.Thread(target=lambda: results.append(self.world.call("/order/x")[0]))
+        caller.start()
+        eventually(lambda: self.world.endpoints["e1"].received, "the order has begun")
+        stopper = threading.Thread(target=self.world.gateway.stop)
+        stopper.start()
+        eventually(lambda: not self.world.gateway.state.is_ready(), "not ready")
+        self.assertEqual(self.world.ask_control(1, "/ready")[0], 503)
+        status, headers, _ = self.world.call("/order/x", "q2")
+        self.assertEqual(status, 200)
+        self.assertEqual(headers["connection"], "close")
+        caller.join()
+        stopper.join()
+        self.assertEqual(results, [200])
--- /dev/null
+++ b/tests/gateway/world.py
@@ -0,0 +1,213 @@
+"""A whole gateway on loopback, before a store stand-in and scripted endpoints."""
+
+from __future__ import annotations
+
+import http.client
+import io
+import socket
+import time
+from typing import TYPE_CHECKING, Any
+
+from sequoiadrum.gateway.app import Adapter, Gateway
+from sequoiadrum.platform.directory_answer import PlatformDirectoryWire
+from sequoiadrum.platform.headers import PlatformWire
+from sequoiadrum.platform.launch import PlatformDocuments
+from sequoiadrum.platform.store_client import HttpStore
+from tests.gateway.builders import settings
+from tests.platform.store_stand_in import StoreStandIn
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from sequoiadrum.gateway.settings import GatewaySettings
+    from sequoiadrum.messages import Address
+    from tests.gateway.scripted_endpoint import ScriptedEndpoint
+
+WAIT_S: float = 10.0
+"""Longest wait for something that takes milliseconds on an idle machine."""
+
+
+def eventually(condition: Callable[[], Any], what: str) -> None:
+    """Waits until a condition holds.
+
+    Raises:
+        AssertionError: It does not hold in time.
+    """
+    until = time.monotonic() + WAIT_S
+    while not condition():
+        if time.monotonic() > until:
+            raise AssertionError(f"not in time: {what}")
+        time.sleep(0.01)
+
+
+def free_ports(count: int) -> list[int]:
+    """Finds ports that are free now."""
+    held: list[socket.socket] = []
+    ports: list[int] = []
+    while len(ports) < count:
+        listener = socket.create_server(("127.0.0.1", 0))
+        port = listener.getsockname()[1]
+        datagrams = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        held += [listener, datagrams]
+        try:
+            datagrams.bind(("127.0.0.1", port))
+        except OSError:  # The same number is in use for UDP, which the peers need too.
+            continue
+        ports.append(port)
+    for each in held:
+        each.close()
+    return ports
+
+
+def route_document(
+    kind: str, service: str, prefix: str, resumable: bool = False, **changes: Any
+) -> dict[str, Any]:
+    """Makes a route as the operator writes it."""
+    return {
+        "name": f"r-{prefix.strip('/')}",
+        "host": "shop.example",
+        "path_prefix": prefix,
+        "type": kind,
+        "timeout_ms": 3000,
+        "goal_ms": 300,
+        "priority": 1,
+        "service": service,
+        "max_attempts": 2,
+        "public": False,
+        "sticky": kind == "streaming",
+        "resumable": resumable,
+        **changes,
+    }
+
+
+def config_document(version: int = 1, **changes: Any) -> dict[str, Any]:
+    """Makes a configuration as the operator writes it."""
+    return {
+        "version": version,
+        "routes": [
+            route_document("idempotent", "shop", "/read/"),
+            route_document("non_idempotent", "shop", "/order/", max_attempts=1),
+            route_document("streaming", "model", "/draft/", resumable=True),
+            route_document("streaming", "model", "/tag/", max_attempts=1),
+        ],
+        "services": [
+            {"name": "shop", "health_path": "/health", "max_conns": 100},
+            {
+                "name": "model",
+                "health_path": "/health",
+                "max_conns": 100,
+                "engine": {"slots": 128, "kv_capacity_tokens": 1000},
+            },
+        ],
+        "limits": {"idle_timeout_ms": 15000},
+        "tenants": [{"name": "acme", "api_keys": ["k1"]}],
+        **changes,
+    }
+
+
+class World:
+    """Starts everything; `stop` ends it."""
+
+    def __init__(self, **setting_changes: Any) -> None:
+        self.store = StoreStandIn()
+        self.output = io.StringIO()
+        """The gateway's log."""
+        self.ports = free_ports(5)
+        self.endpoints: dict[str, ScriptedEndpoint] = {}
+        self.settings: GatewaySettings = settings(self.store.address, self.ports, **setting_changes)
+        self.gateway = Gateway(
+            self.settings,
+            Adapter(
+                wire=PlatformWire(),
+                directory=PlatformDirectoryWire(),
+                documents=PlatformDocuments(),
+                store=lambda metrics: HttpStore(self.store.address, metrics),
+            ),
+            self.output,
+        )
+
+    def start(self, document: dict[str, Any] | None = None) -> World:
+        """Writes a configuration and starts the gateway."""
+        self.store.put("config", "main", document or config_document())
+        self.gateway.start()
+        eventually(self.gateway.state.is_ready, "the gateway is ready")
+        return self
+
+    def stop(self) -> None:
+        """Ends everything at once."""
+        self.gateway.kill()
+        self.store.stop()
+        for endpoint in self.endpoints.values():
+            endpoint.stop()
+
+    def add(self, name: str, endpoint: ScriptedEndpoint, service: str = "shop") -> None:
+        """Registers an endpoint and waits until the gateway knows it."""
+        self.endpoints[name] = endpoint
+        self.register(name, endpoint.address, service)
+        eventually(lambda: self.gateway.pool.knows(name), f"{name} is known")
+
+    def register(
+        self, name: str, address: Address, service: str = "shop", state: str = "ready"
+    ) -> int:
+        """Writes the entry of an endpoint."""
+        return self.store.put(
+            "servers",
+            name,
+            {
+                "service": service,
+                "address": f"{address.host}:{address.port}",
+                "zone": "z1",
+                "version": "v1",
+                "slots": 6,
+                "state": state,
+                "cold_left_ms": 0,
+                "seq": 1,
+                "born": 1,
+            },
+        )
+
+    def connect(self, timeout_s: float = WAIT_S) -> http.client.HTTPConnection:
+        """Opens a client's connection."""
+        return http.client.HTTPConnection("127.0.0.1", self.ports[0], timeout=timeout_s)
+
+    def call(
+        self,
+        path: str,
+        request_id: str = "q1",
+        body: bytes | None = b"hello",
+        method: str = "POST",
+        headers: dict[str, str] | None = None,
+    ) -> tuple[int, dict[str, str], bytes]:
+        """Makes one request; gives status, headers in lower case, and body."""
+        connection = self.connect()
+        try:
+            connection.request(method, path, body, {**self.headers(request_id), **(headers or {})})
+            response = connection.getresponse()
+            data = response.read()
+            return (
+                response.status,
+                {name.lower(): value for name, value in response.getheaders()},
+                data,
+            )
+        finally:
+            connection.close()
+
+    @staticmethod
+    def headers(request_id: str = "q1") -> dict[str, str]:
+        """Gives the headers of an ordinary request."""
+        return {
+            "Host": "shop.example",
+            "Sequoiadrum-Request-Id": request_id,
+            "Sequoiadrum-Deadline-Ms": "3000",
+            "Sequoiadrum-Key": "k1",
+        }
+
+    def ask_control(self, port: int, path: str) -> tuple[int, bytes]:
+        """Asks the readiness, directory or metrics address."""
+        connection = http.client.HTTPConnection("127.0.0.1", self.ports[port], timeout=WAIT_S)
+        try:
+            connection.request("GET", path)
+            response = connection.getresponse()
+            return response.status, response.read()
+        finally:
+            connection.close()
--- /dev/null
+++ b/tests/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the adapter to the platform."""
--- /dev/null
+++ b/tests/platform/store_stand_in.py
@@ -0,0 +1,206 @@
+"""A stand-in of the platform's store that speaks its protocol, with faults."""
+
+from __future__ import annotations
+
+import json
+import threading
+import time
+from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
+from typing import Any
+from urllib.parse import parse_qs, unquote, urlsplit
+
+from sequoiadrum.messages import Address
+
+PAGE: int = 3
+"""Objects in one page of a list; small, so that tests meet several pages."""
+
+
+class StoreStandIn:
+    """Objects by kind and name, one revision counter, lists in pages and watches."""
+
+    def __init__(self) -> None:
+        self._changed = threading.Condition()
+        self._objects: dict[str, dict[str, dict[str, Any]]] = {}
+        self._history: list[tuple[int, str, dict[str, Any], bool]] = []
+        self._revision = 1
+        self._oldest = 1
+        self.status: int | None = None
+        """Answers every call with this status."""
+        self.is_silent = False
+        """Takes calls and never answers them."""
+        self.loses_answers = False
+        """Carries calls out and breaks the connection."""
+        self.mutes_watches = False
+        """Watches see no changes."""
+        self.calls: list[tuple[str, str]] = []
+        self.stopped = False
+        outer = self
+
+        class Handler(_Handler):
+            store = outer
+
+        self._server = ThreadingHTTPServer(("127.0.0.1", 0), Handler)
+        self._server.daemon_threads = True
+        self.address = Address("127.0.0.1", self._server.server_address[1])
+        threading.Thread(target=self._server.serve_forever, daemon=True).start()
+
+    def stop(self) -> None:
+        """Closes the listener and ends all waits."""
+        self.stopped = True
+        with self._changed:
+            self._changed.notify_all()
+        self._server.shutdown()
+        self._server.server_close()
+
+    def put(self, kind: str, name: str, spec: Any) -> int:
+        """Writes an object; gives its revision."""
+        with self._changed:
+            self._revision += 1
+            item = {
+                "metadata": {"name": name, "revision": self._revision, "created": 1},
+                "spec": spec,
+                "status": None,
+            }
+            self._objects.setdefault(kind, {})[name] = item
+            self._history.append((self._revision, kind, item, False))
+            self._changed.notify_all()
+            return self._revision
+
+    def delete(self, kind: str, name: str) -> bool:
+        """Removes an object; False when there is none."""
+        with self._changed:
+            item = self._objects.get(kind, {}).pop(name, None)
+            if item is None:
+                return False
+            self._revision += 1
+            gone = {**item, "metadata": {**item["metadata"], "revision": self._revision}}
+            self._history.append((self._revision, kind, gone, True))
+            self._changed.notify_all()
+            return True
+
+    def forget_history(self) -> None:
+        """Drops the history and ends the watches."""
+        with self._changed:
+            self._oldest = self._revision + 1
+            self._history.clear()
+            self._changed.notify_all()
+
+    def has(self, kind: str, name: str) -> bool:
+        """Tells whether an object exists."""
+        with self._changed:
+            return name in self._objects.get(kind, {})
+
+    def list(self, kind: str, after: str) -> dict[str, Any]:
+        """Gives one page."""
+        with self._changed:
+            names = sorted(n for n in self._objects.get(kind, {}) if n > after)
+            items = [self._objects[kind][n] for n in names[:PAGE]]
+            return {"items": items, "more": len(names) > PAGE, "at": self._revision}
+
+    def get(self, kind: str, name: str) -> dict[str, Any] | None:
+        """Gives one object."""
+        with self._changed:
+            return self._objects.get(kind, {}).get(name)
+
+    def watch(self, kind: str, revision: int, wait_s: float) -> dict[str, Any] | None:
+        """Waits for changes; None when the history is gone."""
+        until = time.monotonic() + wait_s
+        with self._changed:
+            while True:
+                if revision + 1 < self._oldest:
+                    return None
+                events = [
+                    {"object": item, "deleted": is_deleted}
+                    for at, of_kind, item, is_deleted in self._history
+                    if at > revision and of_kind == kind and not self.mutes_watches
+                ]
+                left = until - time.monotonic()
+                if events or left <= 0 or self.stopped:
+                    return {"events": events, "at": self._revision}
+                self._changed.wait(left)
+
+
+class _Handler(BaseHTTPRequestHandler):
+    """Speaks the store's HTTP calls."""
+
+    store: StoreStandIn
+    protocol_version = "HTTP/1.1"
+    disable_nagle_algorithm = True
+
+    def do_GET(self) -> None:
+        """Lists, reads or watches."""
+        kind, name, query = self._target()
+        if not self._is_served():
+            return
+        if name:
+            item = self.store.get(kind, name)
+            self._answer(200 if item else 404, item or {"error": "not found"})
+        elif "watch" in query:
+            wait_s = int(query.get("wait_ms", "0")) / 1e3
+            found = self.store.watch(kind, int(query["watch"]), wait_s)
+            self._answer(200 if found else 410, found or {"error": "gone"})
+        else:
+            self._answer(200, self.store.list(kind, query.get("after", "")))
+
+    def do_POST(self) -> None:
+        """Creates."""
+        kind, _, _ = self._target()
+        body = self._body()
+        if not self._is_served():
+            return
+        name = body["metadata"]["name"]
+        if self.store.has(kind, name):
+            self._answer(409, self.store.get(kind, name))
+            return
+        self.store.put(kind, name, body["spec"])
+        self._answer(201, self.store.get(kind, name))
+
+    def do_PUT(self) -> None:
+        """Replaces."""
+        kind, name, _ = self._target()
+        body = self._body()
+        if not self._is_served():
+            return
+        if not self.store.has(kind, name):
+            self._answer(404, {"error": "not found"})
+            return
+        self.store.put(kind, name, body["spec"])
+        self._answer(200, self.store.get(kind, name))
+
+    def do_DELETE(self) -> None:
+        """Removes."""
+        kind, name, _ = self._target()
+        if self._is_served():
+            self._answer(200 if self.store.delete(kind, name) else 404, {})
+
+    def log_message(self, *_: Any) -> None:
+        """Writes nothing."""
+
+    def _target(self) -> tuple[str, str, dict[str, str]]:
+        parts = urlsplit(self.path)
+        self.store.calls.append((self.command, self.path))
+        words = [unquote(word) for word in parts.path.split("/")[2:]]
+        query = {key: values[0] for key, values in parse_qs(parts.query).items()}
+        return words[0], words[1] if len(words) > 1 else "", query
+
+    def _body(self) -> Any:
+        return json.loads(self.rfile.read(int(self.headers["Content-Length"])))
+
+    def _is_served(self) -> bool:
+        while self.store.is_silent and not self.store.stopped:
+            time.sleep(0.02)
+        if self.store.status is not None:
+            self._answer(self.store.status, {"error": "refused"})
+            return False
+        return True
+
+    def _answer(self, status: int, document: Any) -> None:
+        if self.store.loses_answers:
+            self.close_connection = True
+            return
+        data = json.dumps(document).encode()
+        self.send_response(status)
+        self.send_header("Content-Type", "application/json")
+        self.send_header("Content-Length", str(len(data)))
+        self.end_headers()
+        self.wfile.write(data)
--- /dev/null
+++ b/tests/platform/test_headers.py
@@ -0,0 +1,115 @@
+"""Tests of `platform.headers`."""
+
+from __future__ import annotations
+
+import unittest
+from typing import Any
+
+from returns.result import Failure
+
+from sequoiadrum.gateway.model import EngineLoad, PromptPart
+from sequoiadrum.platform.headers import PlatformWire
+
+
+def an_environ(**changes: Any) -> dict[str, Any]:
+    """Makes the WSGI environment of a generation."""
+    return {
+        "REQUEST_METHOD": "POST",
+        "REQUEST_URI": "/a/b?x=1",
+        "HTTP_HOST": "h.example",
+        "HTTP_SEQUOIADRUM_REQUEST_ID": "q1",
+        "HTTP_SEQUOIADRUM_DEADLINE_MS": "1500",
+        "HTTP_SEQUOIADRUM_KEY": "k1",
+        "HTTP_SEQUOIADRUM_PREFIX_HASH": "aa:800,bb:410",
+        "HTTP_SEQUOIADRUM_TOKEN_USAGE": "1210,80",
+        **changes,
+    }
+
+
+class DecodeCallTest(unittest.TestCase):
+    """Requests of clients."""
+
+    def setUp(self) -> None:
+        self.wire = PlatformWire()
+
+    def test_fields(self) -> None:
+        """Guards against a header that is read into the wrong field."""
+        call = self.wire.decode_call(an_environ()).unwrap()
+        self.assertEqual((call.path, call.target, call.deadline_s), ("/a/b", "/a/b?x=1", 1.5))
+        self.assertEqual(call.prompt, (PromptPart("aa", 800), PromptPart("bb", 410)))
+        self.assertEqual((call.prompt_tokens, call.output_tokens, call.key), (1210, 80, "k1"))
+
+    def test_malformed_headers_are_told(self) -> None:
+        """Guards against a crash of the thread, and against a request without an id."""
+        for changes in (
+            {"HTTP_SEQUOIADRUM_PREFIX_HASH": "aa"},
+            {"HTTP_SEQUOIADRUM_TOKEN_USAGE": "x,y"},
+            {"HTTP_SEQUOIADRUM_DEADLINE_MS": "soon"},
+            {"HTTP_SEQUOIADRUM_REQUEST_ID": ""},
+            {"REQUEST_URI": "http://other.example/"},
+        ):
+            with self.subTest(changes):
+                self.assertIsInstance(self.wire.decode_call(an_environ(**changes)), Failure)
+
+    def test_only_end_to_end_headers_pass(self) -> None:
+        """Guards against hop-by-hop headers, keys and headers of the gateway from a client."""
+        environ = an_environ(
+            HTTP_CONNECTION="keep-alive, X-Hop",
+            HTTP_X_HOP="1",
+            HTTP_X_END="2",
+            HTTP_SEQUOIADRUM_TENANT="evil",
+            HTTP_SEQUOIADRUM_HOLD="evil",
+            HTTP_SEQUOIADRUM_TARGET_INSTANCE="evil",
+            HTTP_KV_FROM="evil",
+        )
+        call = self.wire.decode_call(environ).unwrap()
+        names = {name for name, _ in call.headers}
+        self.assertIn("X-End", names)
+        self.assertIn("Sequoiadrum-Prefix-Hash", names)
+        self.assertNotIn("X-Hop", names)
+        self.assertFalse([value for _, value in call.headers if value in ("evil", "k1")])
+
+    def test_deadline_is_what_is_left(self) -> None:
+        """Guards against an endpoint that gets the client's whole time again."""
+        call = self.wire.decode_call(an_environ()).unwrap()
+        headers = dict(self.wire.encode_call(call, "e1", "acme", 2, 0.7004, "17"))
+        self.assertEqual(headers["Sequoiadrum-Deadline-Ms"], "700")
+        self.assertEqual(headers["Sequoiadrum-Tenant"], "acme")
+        self.assertEqual(headers["Last-Event-Id"], "17")
+        self.assertEqual(headers["Sequoiadrum-Request-Priority"], "2")
+
+
+class DecodeAnswerTest(unittest.TestCase):
+    """Answers of endpoints."""
+
+    def test_fields(self) -> None:
+        """Guards against a rejection, load or idle time that goes unseen."""
+        head = PlatformWire().decode_answer(
+            503,
+            "Service Unavailable",
+            [
+                ("Sequoiadrum-Not-Executed", "1"),
+                ("Sequoiadrum-Server-Load", "3,1,8"),
+                ("Keep-Alive", "timeout=5, max=9"),
+                ("Content-Length", "3"),
+                ("X-Own", "1"),
+            ],
+        )
+        self.assertTrue(head.is_not_executed)
+        self.assertFalse(head.is_sealed)
+        self.assertEqual(head.load, EngineLoad(3, 1, 8))
+        self.assertEqual(head.idle_timeout_s, 5.0)
+        self.assertIn(("X-Own", "1"), head.headers)
+        self.assertNotIn("content-length", {name.lower() for name, _ in head.headers})
+
+    def test_misdirected_was_not_executed(self) -> None:
+        """Guards against a request that is given up although nobody ran it."""
+        self.assertTrue(PlatformWire().decode_answer(421, "", []).is_not_executed)
+
+    def test_garbage_is_left_out(self) -> None:
+        """Guards against a crash on a malformed load or idle time."""
+        head = PlatformWire().decode_answer(
+            200, "OK", [("Sequoiadrum-Server-Load", "x"), ("Keep-Alive", "timeout=soon")]
+        )
+        self.assertIsNone(head.load)
+        self.assertIsNone(head.idle_timeout_s)
--- a/tests/test_architecture.py
+++ b/tests/test_architecture.py
@@ -36,7 +36,7 @@
 
     def test_starts_no_process(self) -> None:
         """Guards against a module of the program that could start another process."""
-        for path in _PACKAGE.glob("*.py"):
+        for path in _PACKAGE.rglob("*.py"):
             with self.subTest(path.name):
                 self.assertFalse(imported_roots(path) & _PROCESS_MODULES)
                 calls = {
