--- a/src/sequoiadrum/gateway/app.py
+++ b/src/sequoiadrum/gateway/app.py
@@ -31,6 +31,7 @@
 from sequoiadrum.gateway.front import ServerGroup
 from sequoiadrum.gateway.pool import EndpointPool
 from sequoiadrum.gateway.relay import Relay
+from sequoiadrum.gateway.settings_watch import SettingsWatch
 from sequoiadrum.gateway.stop_plan import StopPlan
 from sequoiadrum.gateway.store_sync import ConfigSync, EndpointSync, StoreLink
 from sequoiadrum.gossip_task import GossipTask
@@ -42,6 +43,8 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from returns.result import Result
+
     from sequoiadrum.gateway.ports import DirectoryWire, Documents, Store, Wire
     from sequoiadrum.gateway.settings import GatewaySettings
 
@@ -59,6 +62,8 @@
     documents: Documents
     store: Callable[[Metrics], Store]
     """Makes the client of the store."""
+    load_settings: Callable[[], Result[GatewaySettings, str]]
+    """Reads the settings again."""
 
 
 class Gateway:
@@ -72,12 +77,12 @@
         Raises:
             OSError: An address is in use or not local.
         """
-        self.settings: Final = settings
+        self.settings = settings
+        """The settings in force; changes of ports and addresses need a new process."""
         self.metrics: Final = Metrics()
         self.log: Final = EventLog(settings.instance_id, self.metrics, output)
         self.timers: Final = TimerService()
         self._stop_requested = threading.Event()
-        self._reload_requested = False
         self._failed = False
         self._is_ended = False
         self._store = adapter.store(self.metrics)
@@ -123,6 +128,9 @@
             self.log,
         )
         self.servers: Final = self._create_servers(adapter, relay)
+        self._settings_watch = SettingsWatch(
+            adapter.load_settings, settings, self._apply_settings, self.metrics, self.log
+        )
         self._peer_server = create_member_server(
             settings, self.gossip, self.metrics, Address(settings.host, settings.peer_port)
         )
@@ -141,12 +149,13 @@
         self.news.start()
         self.gossip.run_on(self.timers)
         self._instances.start()
+        self._settings_watch.start()
 
     def run(self) -> int:
         """Serves until SIGTERM or SIGINT, then stops as planned; gives the exit status."""
         for number in (signal.SIGTERM, signal.SIGINT):
             signal.signal(number, lambda *_: self._stop_requested.set())
-        signal.signal(signal.SIGHUP, lambda *_: self._note_reload())
+        signal.signal(signal.SIGHUP, lambda *_: self._settings_watch.request())
         self.start()
         self._stop_requested.wait()
         self.stop()
@@ -169,6 +178,7 @@
         if self._is_ended:
             return
         self._is_ended = True
+        self._settings_watch.stop()
         for sync in self._syncs:
             sync.stop()
         self.gossip.stop()
@@ -192,8 +202,9 @@
         servers.add_control(control, Address(self.settings.host, self.settings.metrics_port))
         return servers
 
-    def _note_reload(self) -> None:
-        self._reload_requested = True
+    def _apply_settings(self, settings: GatewaySettings) -> None:
+        self.settings = settings
+        self.pool.set_bounds(settings.bounds)
 
     def _invariant_broken(self) -> None:
         self._failed = True
--- a/src/sequoiadrum/gateway/endpoints.py
+++ b/src/sequoiadrum/gateway/endpoints.py
@@ -37,6 +37,8 @@
 
     entry: EndpointEntry
     id_hash: int
+    joined_at: float = float("-inf")
+    """When its entry appeared, in monotonic seconds; long ago for those of the first list."""
     in_flight: int = 0
     """Requests of this instance that it works on."""
     is_listed: bool = True
@@ -72,7 +74,11 @@
 
     def is_suspended(self, now: float) -> bool:
         """Whether it was unreachable or full just now."""
-        return now < self.suspended_until or now < self.full_until
+        return self.is_unreachable(now) or now < self.full_until
+
+    def is_unreachable(self, now: float) -> bool:
+        """Whether it could not be reached just now, or its entry is gone."""
+        return now < self.suspended_until or not (self.is_listed or now < self.keep_until)
 
     def failure_share(self, now: float) -> float:
         """Gives the share of recent requests that it failed, in [0, 1)."""
@@ -138,8 +144,13 @@
     _revision_by_id: dict[str, int] = field(factory=dict)
     """Of the last change or removal; kept for entries that are gone."""
 
-    def apply(self, entry: EndpointEntry) -> bool:
-        """Takes an entry; False when it is not newer than what is known."""
+    def apply(self, entry: EndpointEntry, joined_at: float = float("-inf")) -> bool:
+        """Takes an entry; False when it is not newer than what is known.
+
+        Args:
+            entry: The entry.
+            joined_at: Noted if the endpoint is new.
+        """
         if entry.revision <= self._revision_by_id.get(entry.instance_id, 0):
             return False
         self._revision_by_id[entry.instance_id] = entry.revision
@@ -151,7 +162,8 @@
             return True
         if known is not None:
             self._forget(known)
-        self.by_id[entry.instance_id] = Endpoint(entry, stable_hash("engine", entry.instance_id))
+        id_hash = stable_hash("engine", entry.instance_id)
+        self.by_id[entry.instance_id] = Endpoint(entry, id_hash, joined_at)
         self._ids_by_service.setdefault(entry.service, set()).add(entry.instance_id)
         return True
 
@@ -195,7 +207,8 @@
             now: Monotonic seconds.
             outage_ended: See `remove`.
         """
-        changed = [entry.instance_id for entry in entries if self.apply(entry)]
+        joined_at = now if self.by_id else float("-inf")
+        changed = [entry.instance_id for entry in entries if self.apply(entry, joined_at)]
         for instance_id in list(self.by_id):
             if instance_id not in names and self.remove(instance_id, revision, now, outage_ended):
                 changed.append(instance_id)
--- a/src/sequoiadrum/gateway/placing.py
+++ b/src/sequoiadrum/gateway/placing.py
@@ -32,6 +32,12 @@
 """A failing endpoint gets one request that can be repeated in this time."""
 
 
+NEWCOMER_S: Final = 10.0
+"""An engine that joined within this time lacks the contexts of its chats; most return sooner."""
+MIN_SHARED_PARTS: Final = 2
+"""A prompt of fewer parts shares nothing."""
+
+
 class NoPlace(Enum):
     """Why no endpoint can take a request."""
 
@@ -95,6 +101,34 @@
     return _home(candidates, placing, now)
 
 
+def context_source(
+    endpoints: list[Endpoint], chosen: Endpoint, placing: Placing, now: float
+) -> Endpoint | None:
+    """Finds the engine that has the shared parts of a prompt when the chosen one lacks them.
+
+    That is the home of the prompt when the request went elsewhere, or the home before when the
+    chosen engine has just joined. A transfer costs a tenth of reading the parts again.
+
+    Returns:
+        None when the chosen engine has the parts already, or nobody has.
+    """
+    if placing.service.batch_slots is None or len(placing.call.prompt) < MIN_SHARED_PARTS:
+        return None
+    holders = [
+        e
+        for e in endpoints
+        if e is not chosen and now - e.joined_at > NEWCOMER_S and not e.is_unreachable(now)
+    ]
+    if not holders:
+        return None
+    key = stable_hash("prompt", prompt_key(placing.call))
+    best = max(holders, key=lambda e: chat_score(key, e.id_hash))
+    is_newcomer = now - chosen.joined_at <= NEWCOMER_S
+    if is_newcomer or chat_score(key, best.id_hash) > chat_score(key, chosen.id_hash):
+        return best
+    return None
+
+
 def _home(candidates: list[Endpoint], placing: Placing, now: float) -> Endpoint:
     key = stable_hash("prompt", prompt_key(placing.call))
     ranked = sorted(candidates, key=lambda e: chat_score(key, e.id_hash), reverse=True)
--- a/src/sequoiadrum/gateway/pool.py
+++ b/src/sequoiadrum/gateway/pool.py
@@ -9,7 +9,7 @@
 from attrs import define
 
 from sequoiadrum.gateway.endpoints import Endpoint, EndpointTable
-from sequoiadrum.gateway.placing import NoPlace, Placing, choose
+from sequoiadrum.gateway.placing import NoPlace, Placing, choose, context_source
 from sequoiadrum.gateway.retry_budget import RetryBudget
 
 if TYPE_CHECKING:
@@ -26,6 +26,8 @@
     endpoint: Endpoint
     in_flight: int
     """Requests of this instance at the endpoint when the place was taken, this one included."""
+    context_source: Endpoint | None = None
+    """Has parts of the prompt that the endpoint lacks."""
     is_released: bool = False
 
 
@@ -52,7 +54,8 @@
                 return chosen
             chosen.in_flight += 1
             chosen.started_since_load += 1
-            return Place(chosen, chosen.in_flight)
+            source = context_source(endpoints, chosen, placing, now)
+            return Place(chosen, chosen.in_flight, source)
 
     def release(self, place: Place) -> None:
         """Ends the use of a place; doing so again changes nothing."""
@@ -103,7 +106,7 @@
     def apply(self, entry: EndpointEntry) -> bool:
         """See `EndpointTable.apply`."""
         with self._lock:
-            return self._table.apply(entry)
+            return self._table.apply(entry, time.monotonic())
 
     def remove(self, instance_id: str, revision: int, outage_ended: float) -> bool:
         """See `EndpointTable.remove`."""
@@ -128,6 +131,15 @@
             endpoint = self._table.by_id.get(instance_id)
             return endpoint is not None and endpoint.may_serve(time.monotonic())
 
+    def set_bounds(self, bounds: Bounds) -> None:
+        """Puts other bounds in force; budgets that were spent stay spent."""
+        with self._lock:
+            self._bounds = bounds
+            for budget in self._budget_by_service.values():
+                budget.ratio = bounds.retry_ratio
+                budget.slack = bounds.retry_slack
+                budget.window_s = bounds.retry_window_s
+
     def expire(self) -> None:
         """Forgets what is gone for good."""
         with self._lock:
--- a/src/sequoiadrum/gateway/ports.py
+++ b/src/sequoiadrum/gateway/ports.py
@@ -41,6 +41,7 @@
         priority: int,
         time_left_s: float,
         last_event_id: str | None,
+        context_source: Address | None,
     ) -> list[tuple[str, str]]:
         """Gives the headers of a request to an endpoint.
 
@@ -51,6 +52,7 @@
             priority: 0 to 9, 0 is admitted first.
             time_left_s: When the endpoint stops working, in seconds from now.
             last_event_id: Id of the last event that the client has; None starts from the first.
+            context_source: Engine from which the endpoint copies parts of the prompt that it lacks.
         """
 
     @abstractmethod
--- a/src/sequoiadrum/gateway/relay.py
+++ b/src/sequoiadrum/gateway/relay.py
@@ -152,6 +152,7 @@
             run.priority(),
             run.time_left(),
             last_event_id,
+            place.context_source.entry.address if place.context_source is not None else None,
         )
         started = time.monotonic()
         result = self._connections.send(
@@ -398,6 +399,7 @@
             route=run.route.name,
             endpoint=place.endpoint.id,
             in_flight=place.in_flight,
+            context_from=place.context_source.id if place.context_source is not None else None,
             entry_revision=place.endpoint.entry.revision,
             attempts=run.attempts,
             status=head.status,
--- a/src/sequoiadrum/platform/headers.py
+++ b/src/sequoiadrum/platform/headers.py
@@ -13,6 +13,7 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable, Mapping
 
+    from sequoiadrum.messages import Address
 REQUEST_ID: Final = "Sequoiadrum-Request-Id"
 DEADLINE_MS: Final = "Sequoiadrum-Deadline-Ms"
 PROMPT_PARTS: Final = "Sequoiadrum-Prefix-Hash"
@@ -23,6 +24,7 @@
 ENDPOINT_ID: Final = "Sequoiadrum-Target-Instance"
 ANSWERING_ENDPOINT_ID: Final = "Sequoiadrum-Instance-Id"
 PRIORITY: Final = "Sequoiadrum-Request-Priority"
+CONTEXT_SOURCE: Final = "Kv-Fetch"
 NOT_EXECUTED: Final = "Sequoiadrum-Not-Executed"
 SEAL: Final = "Sequoiadrum-Response-Seal"
 LOAD: Final = "Sequoiadrum-Server-Load"
@@ -55,7 +57,7 @@
         "Sequoiadrum-Hold",
         "Sequoiadrum-Kv-Backup",
         "Kv-From",
-        "Kv-Fetch",
+        CONTEXT_SOURCE,
     )
 )
 """Never taken over from a client as they are."""
@@ -107,6 +109,7 @@
         priority: int,
         time_left_s: float,
         last_event_id: str | None,
+        context_source: Address | None,
     ) -> list[tuple[str, str]]:
         """See `Wire.encode_call`."""
         headers = list(call.headers)
@@ -118,6 +121,8 @@
             headers.append((PRIORITY, str(priority)))
         if last_event_id is not None:
             headers.append((LAST_EVENT_ID, last_event_id))
+        if context_source is not None:
+            headers.append((CONTEXT_SOURCE, f"{context_source.host}:{context_source.port}"))
         return headers
 
     def decode_answer(
--- a/src/sequoiadrum/platform/launch.py
+++ b/src/sequoiadrum/platform/launch.py
@@ -52,5 +52,6 @@
         directory=PlatformDirectoryWire(),
         documents=PlatformDocuments(),
         store=lambda metrics: HttpStore(settings.store, metrics),
+        load_settings=lambda: load_settings(Path(path)).alt(lambda problem: problem.detail),
     )
     return Gateway(settings, adapter).run()
--- a/tests/gateway/test_placing.py
+++ b/tests/gateway/test_placing.py
@@ -7,7 +7,13 @@
 
 from sequoiadrum.gateway.endpoints import Endpoint, EndpointTable
 from sequoiadrum.gateway.model import EngineLoad
-from sequoiadrum.gateway.placing import NoPlace, Placing, choose, prompt_key
+from sequoiadrum.gateway.placing import (
+    NoPlace,
+    Placing,
+    choose,
+    context_source,
+    prompt_key,
+)
 from tests.gateway.builders import a_call, a_service, an_entry
 
 
@@ -82,6 +88,59 @@
         self.assertIs(choose(engines, _placing(), 2.0), home)
 
 
+class ContextSourceTest(unittest.TestCase):
+    """An engine that lacks a context is told who has it."""
+
+    def test_home_has_its_contexts(self) -> None:
+        """Guards against transfers for chats that are served where they always are."""
+        engines = _engines(5)
+        home = choose(engines, _placing(), 100.0)
+        assert isinstance(home, Endpoint)
+        self.assertIsNone(context_source(engines, home, _placing(), 100.0))
+
+    def test_spilled_chat_copies_from_its_home(self) -> None:
+        """Guards against a long context that is read again by an engine that helps out."""
+        engines = _engines(5)
+        home = choose(engines, _placing(), 100.0)
+        assert isinstance(home, Endpoint)
+        home.in_flight = 50
+        other = choose(engines, _placing(), 100.0)
+        assert isinstance(other, Endpoint)
+        self.assertIsNot(other, home)
+        self.assertIs(context_source(engines, other, _placing(), 100.0), home)
+
+    def test_newcomer_copies_from_the_home_before(self) -> None:
+        """Guards against reading all contexts again that move to an engine that has joined."""
+        table = EndpointTable()
+        for n in range(5):
+            table.apply(an_entry(f"e{n}", service="model", slots=128))
+        before = choose(table.of_service("model"), _placing(), 100.0)
+        for n in range(5, 60):
+            table.apply(an_entry(f"e{n}", service="model", slots=128), joined_at=99.0)
+        engines = table.of_service("model")
+        after = choose(engines, _placing(), 100.0)
+        assert isinstance(after, Endpoint)
+        self.assertIsNot(after, before)
+        self.assertIs(context_source(engines, after, _placing(), 100.0), before)
+        self.assertIsNone(context_source(engines, after, _placing(), 200.0))
+
+    def test_nobody_copies_from_an_engine_that_is_gone(self) -> None:
+        """Guards against a request that waits for a copy from a crashed engine."""
+        engines = _engines(2)
+        home = choose(engines, _placing(), 100.0)
+        assert isinstance(home, Endpoint)
+        home.note_unreachable(100.0)
+        other = choose(engines, _placing(), 100.1)
+        assert isinstance(other, Endpoint)
+        self.assertIsNone(context_source(engines, other, _placing(), 100.1))
+
+    def test_plain_services_copy_nothing(self) -> None:
+        """Guards against engine headers on calls of plain services."""
+        engines = _engines(2)
+        placing = _placing(service=a_service())
+        self.assertIsNone(context_source(engines, engines[0], placing, 100.0))
+
+
 class AvoidanceTest(unittest.TestCase):
     """Endpoints that fail are left out, and tried again with care."""
 
--- a/tests/gateway/world.py
+++ b/tests/gateway/world.py
@@ -8,6 +8,8 @@
 import time
 from typing import TYPE_CHECKING, Any
 
+from returns.result import Success
+
 from sequoiadrum.gateway.app import Adapter, Gateway
 from sequoiadrum.platform.directory_answer import PlatformDirectoryWire
 from sequoiadrum.platform.headers import PlatformWire
@@ -122,6 +124,7 @@
                 directory=PlatformDirectoryWire(),
                 documents=PlatformDocuments(),
                 store=lambda metrics: HttpStore(self.store.address, metrics),
+                load_settings=lambda: Success(self.settings),
             ),
             self.output,
         )
--- a/tests/platform/test_headers.py
+++ b/tests/platform/test_headers.py
@@ -72,7 +72,7 @@
     def test_deadline_is_what_is_left(self) -> None:
         """Guards against an endpoint that gets the client's whole time again."""
         call = self.wire.decode_call(an_environ()).unwrap()
-        headers = dict(self.wire.encode_call(call, "e1", "acme", 2, 0.7004, "17"))
+        headers = dict(self.wire.encode_call(call, "e1", "acme", 2, 0.7004, "17", None))
         self.assertEqual(headers["Sequoiadrum-Deadline-Ms"], "700")
         self.assertEqual(headers["Sequoiadrum-Tenant"], "acme")
         self.assertEqual(headers["Last-Event-Id"], "17")
