--- a/src/sequoiadrum/cli.py
+++ b/src/sequoiadrum/cli.py
@@ -13,6 +13,7 @@
 from sequoiadrum import __version__, standin_engine, standin_platform, standin_service
 from sequoiadrum.app import Router
 from sequoiadrum.cli_operator import OperatorCommands  # noqa: TC001 (cappa evaluates it)
+from sequoiadrum.gateway.explain import explain
 from sequoiadrum.settings import Settings
 
 if TYPE_CHECKING:
@@ -103,12 +104,25 @@
     command: cappa.Subcommands[StandInPlatform | StandInEngine | StandInService]
 
 
+@cappa.command(name="explain", help="Explain a request from log lines on standard input.")
+@define
+class Explain:
+    """Explains what happened to one request of a gateway."""
+
+    request_id: Annotated[str, cappa.Arg(help="Id that the client sent")]
+
+    def __call__(self) -> int:
+        """Writes the explanation."""
+        sys.stdout.write(explain(self.request_id, sys.stdin).text())
+        return EXIT_OK
+
+
 @cappa.command(name="sequoiadrum", help="A router fleet for chats that return.")
 @define
 class Program:
     """The whole program."""
 
-    command: cappa.Subcommands[Serve | StandIn | OperatorCommands]
+    command: cappa.Subcommands[Serve | Explain | StandIn | OperatorCommands]
 
 
 def run(arguments: Sequence[str]) -> int:
--- a/src/sequoiadrum/gateway/app.py
+++ b/src/sequoiadrum/gateway/app.py
@@ -12,6 +12,7 @@
 from attrs import frozen
 
 from sequoiadrum import __version__
+from sequoiadrum.gateway import clock
 from sequoiadrum.gateway.caller_app import (
     DIRECTORY_LIFETIME_S,
     CallerApp,
@@ -163,12 +164,12 @@
 
     def stop(self) -> None:
         """Planned stop: leaves the directory, serves kept addresses out, finishes, then ends."""
-        plan = StopPlan(time.monotonic(), self.settings.bounds.stop_grace_s)
+        plan = StopPlan(clock.now(), self.settings.bounds.stop_grace_s)
         self.state.stop_plan = plan
         self.log.notable("stopping", in_flight=self.servers.active())
         self.gossip.leave()
         self._instances.withdraw()
-        while not plan.may_exit(self.servers.active(), DIRECTORY_LIFETIME_S, time.monotonic()):
+        while not plan.may_exit(self.servers.active(), DIRECTORY_LIFETIME_S, clock.now()):
             time.sleep(_POLL_S)
         self.log.notable("stopped", in_flight=self.servers.active())
         self.kill()
--- a/src/sequoiadrum/gateway/caller_app.py
+++ b/src/sequoiadrum/gateway/caller_app.py
@@ -2,12 +2,12 @@
 
 from __future__ import annotations
 
-import time
 from http import HTTPStatus
 from typing import TYPE_CHECKING, Any, Final
 
 from returns.result import Failure
 
+from sequoiadrum.gateway import clock
 from sequoiadrum.gateway.front import ARRIVED_AT, CLOSE_AFTER
 from sequoiadrum.gateway.model import Route
 from sequoiadrum.gateway.request_run import Caller, Refused, Reply, refusal
@@ -95,7 +95,7 @@
         if isinstance(account, Reply):
             return account
         plan = self._state.stop_plan
-        if plan is not None and not plan.accepts(route.kind, time.monotonic()):
+        if plan is not None and not plan.accepts(route.kind, clock.now()):
             return self._refuse(call.request_id, Refused.STOPPING, "", STOPPING_PAUSE_S)
         routing = self._configuration.routing()
         assert routing is not None
--- a/src/sequoiadrum/gateway/configuration.py
+++ b/src/sequoiadrum/gateway/configuration.py
@@ -3,11 +3,11 @@
 from __future__ import annotations
 
 import threading
-import time
 from typing import TYPE_CHECKING, Final
 
 from returns.result import Failure
 
+from sequoiadrum.gateway import clock
 from sequoiadrum.gateway.model import StoreFailure
 from sequoiadrum.gateway.routing import RoutingTable
 
@@ -59,7 +59,7 @@
 
     def age_s(self) -> float:
         """Gives the seconds since the store last showed that this is the newest version."""
-        return time.monotonic() - self._confirmed_at
+        return clock.now() - self._confirmed_at
 
     def accept(self, item: StoredItem, source: str) -> None:
         """Puts a version in force unless a newer one is."""
@@ -101,7 +101,7 @@
         with self._confirm_lock:
             if self._confirmed_at >= since:
                 return True
-            asked_at = time.monotonic()
+            asked_at = clock.now()
             if asked_at - self._failed_at < CONFIRM_GAP_S:
                 return False
             result = self._store.get(self._documents.config_kind, self._documents.config_name)
@@ -109,7 +109,7 @@
             if isinstance(result, Failure):
                 if result.failure() is not StoreFailure.NOT_FOUND:
                     self._log.notable("config_not_confirmed", why=result.failure().value)
-                self._failed_at = time.monotonic()
+                self._failed_at = clock.now()
                 return False
             self.accept(result.unwrap(), "read_on_request")
             self.note_confirmed(asked_at)
--- a/src/sequoiadrum/gateway/event_log.py
+++ b/src/sequoiadrum/gateway/event_log.py
@@ -12,6 +12,8 @@
 
 import structlog
 
+from sequoiadrum.gateway import clock
+
 if TYPE_CHECKING:
     from collections.abc import MutableMapping
 
@@ -88,7 +90,7 @@
 
     def _add(self, weight: Weight, event: str, fields: dict[str, Any]) -> None:
         # The time of day may jump; the steady clock orders the lines of one process.
-        steady = time.monotonic()
+        steady = clock.now()
         with self._lock:
             if weight is Weight.ROUTINE and not self._has_room_for_routine(steady):
                 self._drop("routine_rate")
--- a/src/sequoiadrum/gateway/exchange.py
+++ b/src/sequoiadrum/gateway/exchange.py
@@ -4,12 +4,12 @@
 
 import http.client
 import threading
-import time
 from enum import Enum
 from typing import TYPE_CHECKING, Final
 
 from attrs import define, frozen
 
+from sequoiadrum.gateway import clock
 from sequoiadrum.gateway._sockets import GuardedStream, connect_stream
 
 if TYPE_CHECKING:
@@ -250,7 +250,7 @@
                     return None
                 entry = entries.pop()
             # Bytes that nobody asked for, or an end: nothing may be sent on such a connection.
-            if entry.until > time.monotonic() and entry.stream.is_quiet():
+            if entry.until > clock.now() and entry.stream.is_quiet():
                 return entry.stream
             entry.stream.close()
 
@@ -259,7 +259,7 @@
         with self._lock:
             entries = self._idle_by_endpoint.setdefault(endpoint_id, [])
             if keep_s > 0 and len(entries) < MAX_IDLE_PER_ENDPOINT and stream.is_quiet():
-                entries.append(_Idle(stream, time.monotonic() + keep_s))
+                entries.append(_Idle(stream, clock.now() + keep_s))
                 return
         stream.close()
 
--- a/src/sequoiadrum/gateway/fleet.py
+++ b/src/sequoiadrum/gateway/fleet.py
@@ -4,13 +4,13 @@
 
 import random
 import threading
-import time
 from typing import TYPE_CHECKING, Any, Final
 
 from returns.result import Failure, Result, Success
 
 from sequoiadrum._gen.peer import Peer
 from sequoiadrum._thrift_transport import COMPACT
+from sequoiadrum.gateway import clock
 from sequoiadrum.gateway.model import StoreFailure
 from sequoiadrum.messages import MembersChanged, MemberState, RevisionHeard, RumorHeard
 from sequoiadrum.platform_client import InstanceList, ListedInstance, PlatformFailure
@@ -155,7 +155,7 @@
             peer=message.address.host,
         )
         # The watch may have fallen silent; a read tells.
-        self._configuration.confirm(time.monotonic())
+        self._configuration.confirm(clock.now())
 
     def _on_members(self, message: MembersChanged) -> None:
         states = {member.id: member.state.name for member in message.members_by_id.values()}
--- a/src/sequoiadrum/gateway/front.py
+++ b/src/sequoiadrum/gateway/front.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import threading
-import time
 from concurrent.futures import ThreadPoolExecutor
 from typing import TYPE_CHECKING, Any, ClassVar, Final
 
@@ -14,6 +13,7 @@
 from waitress.task import WSGITask
 
 from sequoiadrum._front_server import BoundedChannel
+from sequoiadrum.gateway import clock
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -58,7 +58,7 @@
 
     def __init__(self, adjustments: Adjustments) -> None:
         super().__init__(adjustments)
-        self.arrived_at = time.monotonic()
+        self.arrived_at = clock.now()
 
     def parse_header(self, header_plus: bytes) -> None:
         """See `HTTPRequestParser.parse_header`."""
@@ -177,7 +177,7 @@
     def maintenance(self, now: float) -> None:
         """Drops idle connections, stalled readers and requests that do not arrive."""
         super().maintenance(now)
-        steady = time.monotonic()
+        steady = clock.now()
         for channel in list(self.active_channels.values()):
             reason = channel.overdue(steady)
             if reason is not None:
--- a/src/sequoiadrum/gateway/pool.py
+++ b/src/sequoiadrum/gateway/pool.py
@@ -3,11 +3,11 @@
 from __future__ import annotations
 
 import threading
-import time
 from typing import TYPE_CHECKING
 
 from attrs import define
 
+from sequoiadrum.gateway import clock
 from sequoiadrum.gateway.endpoints import Endpoint, EndpointTable
 from sequoiadrum.gateway.placing import NoPlace, Placing, choose, context_source
 from sequoiadrum.gateway.retry_budget import RetryBudget
@@ -46,7 +46,7 @@
 
     def take(self, placing: Placing) -> Place | NoPlace:
         """Places a request; the place must be released."""
-        now = time.monotonic()
+        now = clock.now()
         with self._lock:
             endpoints = self._table.of_service(placing.service.name)
             chosen = choose(endpoints, placing, now)
@@ -66,14 +66,14 @@
 
     def note_unreachable(self, place: Place) -> None:
         """Notes that no connection could be made."""
-        now = time.monotonic()
+        now = clock.now()
         with self._lock:
             place.endpoint.note_unreachable(now)
             place.endpoint.note_result(failed=True, now=now)
 
     def note_answer(self, place: Place, head: AnswerHead, failed: bool) -> None:
         """Notes what an answer shows of its endpoint."""
-        now = time.monotonic()
+        now = clock.now()
         with self._lock:
             if head.load is not None:
                 place.endpoint.note_load(head.load, now)
@@ -85,7 +85,7 @@
     def note_broken(self, place: Place) -> None:
         """Notes that an exchange broke off."""
         with self._lock:
-            place.endpoint.note_result(failed=True, now=time.monotonic())
+            place.endpoint.note_result(failed=True, now=clock.now())
 
     def note_misdirected(self, place: Place) -> None:
         """Notes that another endpoint answers at the address."""
@@ -96,22 +96,22 @@
     def note_request(self, service: str) -> None:
         """Counts a client's request for the retry budget of a service."""
         with self._lock:
-            self._budget(service).note_request(time.monotonic())
+            self._budget(service).note_request(clock.now())
 
     def spend_repeat(self, service: str) -> bool:
         """Takes a repeated send from the budget; False when it is used up."""
         with self._lock:
-            return self._budget(service).spend(time.monotonic(), self._instances())
+            return self._budget(service).spend(clock.now(), self._instances())
 
     def apply(self, entry: EndpointEntry) -> bool:
         """See `EndpointTable.apply`."""
         with self._lock:
-            return self._table.apply(entry, time.monotonic())
+            return self._table.apply(entry, clock.now())
 
     def remove(self, instance_id: str, revision: int, outage_ended: float) -> bool:
         """See `EndpointTable.remove`."""
         with self._lock:
-            return self._table.remove(instance_id, revision, time.monotonic(), outage_ended)
+            return self._table.remove(instance_id, revision, clock.now(), outage_ended)
 
     def replace_all(
         self,
@@ -122,14 +122,14 @@
     ) -> list[str]:
         """See `EndpointTable.replace_all`."""
         with self._lock:
-            now = time.monotonic()
+            now = clock.now()
             return self._table.replace_all(entries, names, revision, now, outage_ended)
 
     def knows(self, instance_id: str) -> bool:
         """Tells whether an endpoint can get requests."""
         with self._lock:
             endpoint = self._table.by_id.get(instance_id)
-            return endpoint is not None and endpoint.may_serve(time.monotonic())
+            return endpoint is not None and endpoint.may_serve(clock.now())
 
     def set_bounds(self, bounds: Bounds) -> None:
         """Puts other bounds in force; budgets that were spent stay spent."""
@@ -143,7 +143,7 @@
     def expire(self) -> None:
         """Forgets what is gone for good."""
         with self._lock:
-            self._table.expire(time.monotonic())
+            self._table.expire(clock.now())
 
     def _budget(self, service: str) -> RetryBudget:
         budget = self._budget_by_service.get(service)
--- a/src/sequoiadrum/gateway/relay.py
+++ b/src/sequoiadrum/gateway/relay.py
@@ -2,10 +2,10 @@
 
 from __future__ import annotations
 
-import time
 from http import HTTPStatus
 from typing import TYPE_CHECKING, Final
 
+from sequoiadrum.gateway import clock
 from sequoiadrum.gateway.exchange import (
     Broken,
     Exchange,
@@ -154,7 +154,7 @@
             last_event_id,
             place.context_source.entry.address if place.context_source is not None else None,
         )
-        started = time.monotonic()
+        started = clock.now()
         result = self._connections.send(
             entry.instance_id,
             entry.address,
@@ -163,7 +163,7 @@
             run.body,
             self._guard(run, started),
         )
-        self._metrics.record_seconds("endpoint_first_byte_seconds", time.monotonic() - started)
+        self._metrics.record_seconds("endpoint_first_byte_seconds", clock.now() - started)
         if not isinstance(result, NotSent):
             run.attempts += 1
             run.was_sent = True
@@ -179,7 +179,7 @@
         watches_caller = run.kind is not RequestKind.NON_IDEMPOTENT
 
         def check() -> None:
-            now = time.monotonic()
+            now = clock.now()
             if now >= run.deadline:
                 raise InterruptedWaitError(Interrupt.DEADLINE)
             if watches_caller and run.caller.is_gone():
@@ -191,7 +191,7 @@
 
     def _guard_body(self, run: RequestRun) -> Callable[[], None]:
         def check() -> None:
-            if time.monotonic() >= run.deadline:
+            if clock.now() >= run.deadline:
                 raise InterruptedWaitError(Interrupt.DEADLINE)
             if run.kind is not RequestKind.NON_IDEMPOTENT and run.caller.is_gone():
                 raise InterruptedWaitError(Interrupt.CALLER_GONE)
@@ -390,7 +390,7 @@
         return refusal(reason, detail, retry_after_s)
 
     def _served(self, run: RequestRun, place: Place, head: AnswerHead) -> None:
-        age_s = time.monotonic() - run.caller.arrived_at
+        age_s = clock.now() - run.caller.arrived_at
         self._metrics.count("requests_total", status=str(head.status))
         self._metrics.record_seconds("request_seconds", age_s)
         self._log.routine(
--- a/src/sequoiadrum/gateway/request_run.py
+++ b/src/sequoiadrum/gateway/request_run.py
@@ -2,13 +2,13 @@
 
 from __future__ import annotations
 
-import time
 from enum import Enum
 from http import HTTPStatus
 from typing import TYPE_CHECKING, Final
 
 from attrs import define, field, frozen
 
+from sequoiadrum.gateway import clock
 from sequoiadrum.hashing import stable_hash
 
 if TYPE_CHECKING:
@@ -102,11 +102,11 @@
 
     def time_left(self) -> float:
         """Gives the seconds until the deadline."""
-        return self.deadline - time.monotonic()
+        return self.deadline - clock.now()
 
     def age_ms(self) -> int:
         """Gives the milliseconds since the request arrived."""
-        return int((time.monotonic() - self.caller.arrived_at) * 1e3)
+        return int((clock.now() - self.caller.arrived_at) * 1e3)
 
     def priority(self) -> int:
         """Gives the rank at the endpoint, 0 to 9; 0 is admitted first."""
--- a/src/sequoiadrum/gateway/store_sync.py
+++ b/src/sequoiadrum/gateway/store_sync.py
@@ -4,12 +4,12 @@
 
 import random
 import threading
-import time
 from abc import ABC, abstractmethod
 from typing import TYPE_CHECKING, Final
 
 from returns.result import Failure
 
+from sequoiadrum.gateway import clock
 from sequoiadrum.gateway.model import StoreFailure
 
 if TYPE_CHECKING:
@@ -47,7 +47,7 @@
         with self._lock:
             if self._lost_at is None:
                 return
-            now = time.monotonic()
+            now = clock.now()
             lasted_s = now - self._lost_at
             self._lost_at = None
             self.outage_ended = now
@@ -58,7 +58,7 @@
         with self._lock:
             is_new = self._lost_at is None
             if is_new:
-                self._lost_at = time.monotonic()
+                self._lost_at = clock.now()
         if is_new:
             self._metrics.count("store_outages_total", why=why.value)
             self._log.notable("store_lost", why=why.value, kind=kind)
@@ -103,7 +103,7 @@
 
     def _follow(self) -> bool:
         """Lists and watches until something fails or a new list is due; False on a failure."""
-        asked_at = time.monotonic()
+        asked_at = clock.now()
         listed = self._store.list(self._kind)
         if isinstance(listed, Failure):
             return self._failed(listed.failure())
@@ -112,8 +112,8 @@
         self.apply_page(page, asked_at)
         revision = page.revision
         verify_at = asked_at + VERIFY_S * random.uniform(0.8, 1.2)
-        while not self._stopped.is_set() and time.monotonic() < verify_at:
-            asked_at = time.monotonic()
+        while not self._stopped.is_set() and clock.now() < verify_at:
+            asked_at = clock.now()
             watched = self._store.watch(self._kind, revision, WATCH_WAIT_S)
             if isinstance(watched, Failure):
                 if watched.failure() is StoreFailure.HISTORY_GONE:
@@ -193,7 +193,7 @@
         for instance_id in changed:
             self._changed(instance_id, entry_by_id.get(instance_id), page.revision, "list")
         self._pool.expire()
-        self._connections.expire(time.monotonic())
+        self._connections.expire(clock.now())
 
     def apply_changes(self, changes: WatchResult, asked_at: float) -> None:
         """See `KindSync.apply_changes`."""
--- a/src/sequoiadrum/platform/store_client.py
+++ b/src/sequoiadrum/platform/store_client.py
@@ -5,7 +5,6 @@
 import http.client
 import json
 import threading
-import time
 from http import HTTPStatus
 from typing import TYPE_CHECKING, Any, Final
 from urllib.parse import quote, urlencode
@@ -14,6 +13,7 @@
 from attrs import frozen
 from returns.result import Failure, Result, Success
 
+from sequoiadrum.gateway import clock
 from sequoiadrum.gateway._sockets import connect_stream
 from sequoiadrum.gateway.model import (
     StoredItem,
@@ -125,7 +125,7 @@
     def _call(
         self, method: str, path: str, body: object, timeout_s: float
     ) -> Result[_Reply, StoreFailure]:
-        started = time.monotonic()
+        started = clock.now()
         try:
             connection = self._connection(timeout_s)
             payload = None if body is None else json.dumps(body).encode()
@@ -141,7 +141,7 @@
             self._metrics.count("store_calls_total", outcome="unreachable")
             _log.debug("store_call_failed", path=path, error=repr(error)[:200])
             return Failure(StoreFailure.UNREACHABLE)
-        self._metrics.record_seconds("store_call_seconds", time.monotonic() - started)
+        self._metrics.record_seconds("store_call_seconds", clock.now() - started)
         self._metrics.count("store_calls_total", outcome=str(response.status))
         if response.status >= HTTPStatus.BAD_REQUEST:
             return Failure(_FAILURE_BY_STATUS.get(response.status, StoreFailure.MALFORMED))
