--- a/src/sequoiadrum/_front_server.py
+++ b/src/sequoiadrum/_front_server.py
@@ -4,7 +4,6 @@
 
 from typing import TYPE_CHECKING, Any, Final
 
-import structlog
 from waitress.adjustments import Adjustments
 from waitress.channel import HTTPChannel
 from waitress.server import TcpWSGIServer
@@ -12,6 +11,7 @@
 
 from sequoiadrum._wsgi import raw_refusal, refusal_headers, refusal_status
 from sequoiadrum.errors import Refusal, RefusalReason
+from sequoiadrum.logs import get_logger
 
 if TYPE_CHECKING:
     from sequoiadrum.metrics import Metrics
@@ -35,7 +35,7 @@
     500: RefusalReason.INTERNAL,
 }
 
-_log = structlog.get_logger(__name__)
+_log = get_logger(__name__)
 
 
 class _TypedErrorTask(ErrorTask):
--- a/src/sequoiadrum/gateway/event_log.py
+++ b/src/sequoiadrum/gateway/event_log.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import logging
 import sys
 import threading
 import time
@@ -10,9 +11,8 @@
 from enum import IntEnum
 from typing import TYPE_CHECKING, Any, Final, TextIO
 
-import structlog
-
 from sequoiadrum.gateway import clock
+from sequoiadrum.logs import configure_on_first_use
 
 if TYPE_CHECKING:
     from collections.abc import MutableMapping
@@ -57,13 +57,8 @@
         self._thread = threading.Thread(target=self._run, name="event-log", daemon=True)
 
     def start(self) -> None:
-        """Starts the thread and sends the lines of structlog through it."""
-        structlog.configure(
-            processors=[structlog.processors.add_log_level, self._take],
-            wrapper_class=structlog.make_filtering_bound_logger(20),
-            logger_factory=structlog.ReturnLoggerFactory(),
-            cache_logger_on_first_use=True,
-        )
+        """Starts the thread; lines of structlog come through it too."""
+        configure_on_first_use(self._configure_structlog)
         self._thread.start()
 
     def stop(self) -> None:
@@ -80,13 +75,26 @@
         """Logs a refusal, a failure or a change of belief."""
         self._add(Weight.NOTABLE, event, fields)
 
-    def _take(self, _logger: Any, _method: str, fields: MutableMapping[str, Any]) -> str:
+    def _configure_structlog(self) -> None:
+        import structlog
+
+        def take(_logger: Any, _method: str, fields: MutableMapping[str, Any]) -> str:
+            self._take(dict(fields))
+            raise structlog.DropEvent
+
+        structlog.configure(
+            processors=[structlog.processors.add_log_level, take],
+            wrapper_class=structlog.make_filtering_bound_logger(logging.INFO),
+            logger_factory=structlog.ReturnLoggerFactory(),
+            cache_logger_on_first_use=True,
+        )
+
+    def _take(self, fields: dict[str, Any]) -> None:
         event = str(fields.pop("event", ""))
         exception = fields.pop("exc_info", None)
         if exception:
             fields["exception"] = repr(sys.exc_info()[1] if exception is True else exception)
-        self._add(Weight.NOTABLE, event, dict(fields))
-        raise structlog.DropEvent
+        self._add(Weight.NOTABLE, event, fields)
 
     def _add(self, weight: Weight, event: str, fields: dict[str, Any]) -> None:
         # The time of day may jump; the steady clock orders the lines of one process.
--- a/src/sequoiadrum/gossip_task.py
+++ b/src/sequoiadrum/gossip_task.py
@@ -11,12 +11,12 @@
 from types import MappingProxyType
 from typing import TYPE_CHECKING, Any, Final
 
-import structlog
 from attrs import define, evolve, frozen
 from returns.result import Success
 
 from sequoiadrum._gossip_wire import from_reports, to_reports
 from sequoiadrum.interfaces import FleetLink
+from sequoiadrum.logs import get_logger
 from sequoiadrum.membership import Membership, RevisionSeen, Superseded, SyncWanted
 from sequoiadrum.messages import (
     Address,
@@ -51,7 +51,7 @@
 _MAX_READ_BYTES: Final = 2_048
 _RECEIVE_BUFFER_BYTES: Final = 1 << 20
 
-_log = structlog.get_logger(__name__)
+_log = get_logger(__name__)
 
 
 @frozen
--- a/src/sequoiadrum/platform/store_client.py
+++ b/src/sequoiadrum/platform/store_client.py
@@ -9,7 +9,6 @@
 from typing import TYPE_CHECKING, Any, Final
 from urllib.parse import quote, urlencode
 
-import structlog
 from attrs import frozen
 from returns.result import Failure, Result, Success
 
@@ -23,6 +22,7 @@
     WatchResult,
 )
 from sequoiadrum.gateway.ports import Store
+from sequoiadrum.logs import get_logger
 
 if TYPE_CHECKING:
     from sequoiadrum.messages import Address
@@ -43,7 +43,7 @@
     HTTPStatus.SERVICE_UNAVAILABLE: StoreFailure.UNAVAILABLE,
 }
 
-_log = structlog.get_logger(__name__)
+_log = get_logger(__name__)
 
 
 @frozen
--- a/src/sequoiadrum/tasks.py
+++ b/src/sequoiadrum/tasks.py
@@ -8,10 +8,10 @@
 from concurrent.futures import Future
 from typing import TYPE_CHECKING, Any, Final, Generic, TypeVar
 
-import structlog
 from attrs import define, field
 
 from sequoiadrum.errors import InvariantError
+from sequoiadrum.logs import get_logger
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -23,7 +23,7 @@
 MAILBOX_LIMIT: Final = 10_000
 """Messages a mailbox holds before new ones are refused."""
 
-_log = structlog.get_logger(__name__)
+_log = get_logger(__name__)
 
 
 class MailboxFullError(Exception):
--- a/src/sequoiadrum/thrift_server.py
+++ b/src/sequoiadrum/thrift_server.py
@@ -7,10 +7,10 @@
 from concurrent.futures import ThreadPoolExecutor
 from typing import TYPE_CHECKING, Any, Final
 
-import structlog
 from thrift.transport.TTransport import TFramedTransport, TTransportException
 
 from sequoiadrum._thrift_transport import MAX_FRAME_BYTES, CountingSocket
+from sequoiadrum.logs import get_logger
 
 if TYPE_CHECKING:
     from sequoiadrum.messages import Address
@@ -20,7 +20,7 @@
 _BACKLOG: Final = 512
 _MALFORMED_TYPES: Final = (TTransportException.NEGATIVE_SIZE, TTransportException.SIZE_LIMIT)
 
-_log = structlog.get_logger(__name__)
+_log = get_logger(__name__)
 
 
 class ThriftServer:
