Copy system prompts between engines

A router now remembers which engine it sent a first part to within 30 s and names it as the source for the next one.

--- a/src/sequoiadrum/gateway/pool.py
+++ b/src/sequoiadrum/gateway/pool.py
@@ -9,7 +9,14 @@
 
 from sequoiadrum.gateway import clock
 from sequoiadrum.gateway.endpoints import Endpoint, EndpointTable
-from sequoiadrum.gateway.placing import NoPlace, Placing, choose, context_source
+from sequoiadrum.gateway.part_memory import PartMemory
+from sequoiadrum.gateway.placing import (
+    MIN_SHARED_PARTS,
+    NoPlace,
+    Placing,
+    choose,
+    context_source,
+)
 from sequoiadrum.gateway.retry_budget import RetryBudget
 
 if TYPE_CHECKING:
@@ -42,6 +49,7 @@
         self._instances = instances
         self._lock = threading.Lock()
         self._table = EndpointTable()
+        self._parts = PartMemory()
         self._budget_by_service: dict[str, RetryBudget] = {}
 
     def take(self, placing: Placing) -> Place | NoPlace:
@@ -54,7 +62,7 @@
                 return chosen
             chosen.in_flight += 1
             chosen.started_since_load += 1
-            source = context_source(endpoints, chosen, placing, now)
+            source = self._context_source(endpoints, chosen, placing, now)
             return Place(chosen, chosen.in_flight, source)
 
     def release(self, place: Place) -> None:
@@ -145,6 +153,15 @@
         with self._lock:
             self._table.expire(clock.now())
 
+    def _context_source(
+        self, endpoints: list[Endpoint], chosen: Endpoint, placing: Placing, now: float
+    ) -> Endpoint | None:
+        prompt = placing.call.prompt
+        if placing.service.batch_slots is None or len(prompt) < MIN_SHARED_PARTS:
+            return None
+        first_part = self._parts.source_for(prompt[0].id, chosen, endpoints, now)
+        return context_source(endpoints, chosen, placing, now) or first_part
+
     def _budget(self, service: str) -> RetryBudget:
         budget = self._budget_by_service.get(service)
         if budget is None:
