Deny revoked keys without a read of the store for each request

A configuration that was the newest within the second before the request now decides; the operators' bound is 2 s. The two tests of denials wait until the version read at the start is older than that second.

--- a/src/sequoiadrum/gateway/caller_app.py
+++ b/src/sequoiadrum/gateway/caller_app.py
@@ -26,6 +26,9 @@
 
     StartResponse = Callable[..., object]
 
+CERTAIN_S: Final = 1.0
+"""A route or key is denied by a configuration that was the newest so long before the request; half
+of the time in which operators expect a change to be in force."""
 UNCERTAIN_PAUSE_S: Final = 0.4
 """Told to clients when the configuration cannot be confirmed."""
 STOPPING_PAUSE_S: Final = 0.05
@@ -113,7 +116,7 @@
         if route is not None:
             return route
         # Only the newest configuration can tell that a route does not exist.
-        is_certain = self._configuration.confirm(caller.arrived_at)
+        is_certain = self._configuration.confirm(caller.arrived_at - CERTAIN_S)
         routing = self._configuration.routing()
         if routing is None:
             return self._refuse(call.request_id, Refused.NO_CONFIGURATION, "", UNCERTAIN_PAUSE_S)
@@ -128,7 +131,7 @@
         found = self._find_account(call, route)
         if not isinstance(found, Refused):
             return found
-        is_certain = self._configuration.confirm(caller.arrived_at)
+        is_certain = self._configuration.confirm(caller.arrived_at - CERTAIN_S)
         found = self._find_account(call, route)
         if not isinstance(found, Refused):
             return found
--- a/src/sequoiadrum/gateway/explain.py
+++ b/src/sequoiadrum/gateway/explain.py
@@ -12,6 +12,17 @@
 
 AROUND_S: Final = 5.0
 """Changes of belief so long before a request's first line can have decided about it."""
+MAX_OTHERS: Final = 10
+"""Lines about other requests that are shown."""
+_FAILURES: Final = frozenset(
+    {
+        "answer_unsealed",
+        "endpoint_error_repeated",
+        "endpoint_rejected",
+        "endpoint_unreachable",
+        "exchange_broken",
+    }
+)
 _BELIEFS: Final = frozenset(
     {
         "config_in_force",
@@ -59,6 +70,8 @@
     """Lines that name the request, in the order of time."""
     beliefs: list[dict[str, Any]] = field(factory=list)
     """Changes of belief on the same router shortly before."""
+    others: list[dict[str, Any]] = field(factory=list)
+    """What happened to other requests at the endpoints that failed this one, on any router."""
 
     def text(self) -> str:
         """Writes the explanation for a person."""
@@ -72,6 +85,11 @@
         if self.beliefs:
             lines.append(f"what its router had learned in the {AROUND_S:g} s before:")
             lines += [_show(line) for line in self.beliefs]
+        if self.others:
+            lines.append(f"other requests at the same endpoints, {AROUND_S:g} s before and after:")
+            lines += [_show(line) for line in self.others[:MAX_OTHERS]]
+            if len(self.others) > MAX_OTHERS:
+                lines.append(f"  and {len(self.others) - MAX_OTHERS} more")
         return "\n".join(lines) + "\n"
 
     def conclusion(self) -> str:
@@ -112,6 +130,18 @@
             ),
             key=_time,
         )
+        failed = {r["endpoint"] for r in own if r["event"] in _FAILURES}
+        explanation.others = sorted(
+            (
+                r
+                for r in records
+                if r.get("endpoint") in failed
+                and r.get("request") != request_id
+                and (r["event"] in _FAILURES or r["event"] == "endpoint_changed")
+                and first - AROUND_S <= _time(r) <= last + AROUND_S
+            ),
+            key=_time,
+        )
     return explanation
 
 
--- a/src/sequoiadrum/gateway/relay.py
+++ b/src/sequoiadrum/gateway/relay.py
@@ -386,6 +386,8 @@
             tried=run.tried,
             age_ms=run.age_ms(),
             left_ms=int(run.time_left() * 1e3),
+            timeout_ms=int(run.route.timeout_s * 1e3),
+            client_wait_ms=int(run.call.deadline_s * 1e3) if run.call.deadline_s else None,
         )
         return refusal(reason, detail, retry_after_s)
 
--- a/tests/gateway/test_explain.py
+++ b/tests/gateway/test_explain.py
@@ -42,6 +42,19 @@
         self.assertEqual([r["event"] for r in found.own], ["exchange_broken", "request_served"])
         self.assertIn("served with status 200 by endpoint e2", found.conclusion())
 
+    def test_failure_is_compared_with_other_requests(self) -> None:
+        """Guards against a crashed endpoint that looks like the fault of one request."""
+        lines = [
+            a_line(1.0, "exchange_broken", request="q1", endpoint="e1", detail="reset"),
+            a_line(1.0, "request_refused", request="q1", reason="endpoint_failed"),
+            a_line(1.1, "exchange_broken", instance="g2", request="q2", endpoint="e1"),
+            a_line(1.1, "exchange_broken", instance="g2", request="q3", endpoint="e2"),
+            a_line(2.0, "endpoint_changed", instance="g3", endpoint="e1", state="removed"),
+        ]
+        found = explain("q1", lines)
+        self.assertEqual([line["instance"] for line in found.others], ["g2", "g3"])
+        self.assertIn("state=removed", found.text())
+
     def test_unknown_request_is_told(self) -> None:
         """Guards against an empty answer to the id of a request without lines."""
         self.assertIn("no line names it", explain("q1", []).text())
--- a/tests/gateway/test_whole_path.py
+++ b/tests/gateway/test_whole_path.py
@@ -293,6 +293,7 @@
     def test_unknown_key_is_refused_only_after_a_look_at_the_store(self) -> None:
         """Guards against a 401 for a key that a newer configuration holds."""
         self.world.store.mutes_watches = True
+        time.sleep(1.2)  # Until then the version that was read at the start is certain enough.
         self.world.store.put(
             "config",
             "main",
@@ -302,9 +303,19 @@
         self.assertEqual(status, 503)  # There is no endpoint; the key is known by now.
         self.assertEqual(self.world.gateway.configuration.version(), 2)
 
+    def test_flood_of_revoked_keys_costs_few_reads(self) -> None:
+        """Guards against a read of the store for each request with a key that was taken away."""
+        before = len([c for c in self.world.store.calls if c[1] == "/objects/config/main"])
+        for n in range(60):
+            status, _, _ = self.world.call("/read/x", f"q{n}", headers={"Sequoiadrum-Key": "k9"})
+            self.assertEqual(status, 401)
+        reads = len([c for c in self.world.store.calls if c[1] == "/objects/config/main"]) - before
+        self.assertLess(reads, 20)
+
     def test_nothing_is_denied_while_the_store_is_away(self) -> None:
         """Guards against a 404 or 401 from a router that may be behind."""
         self.world.store.status = 503
+        time.sleep(1.2)  # Until then the version that was read at the start is certain enough.
         self.assertEqual(self.world.call("/nowhere/x")[0], 503)
         self.assertEqual(self.world.call("/read/x", headers={"Sequoiadrum-Key": "k9"})[0], 503)
         self.world.store.status = None
