Follow the store through peers where it is lost or the fleet is large

Removals of entries that may have lapsed in an outage reach followers only when their time to come back is over. Ruled out: rumours, whose datagrams hold no configuration.

--- a/schema/peer.thrift
+++ b/schema/peer.thrift
@@ -157,6 +157,23 @@
   4: list<string> recent_chats,
 }
 
+/** An object of the platform's store, as a router has read it. */
+struct SeenObject {
+  1: string name,
+  2: i64 revision,
+  /** JSON; empty when the object was removed. */
+  3: binary document,
+  4: bool is_removed,
+}
+
+struct SeenObjects {
+  1: list<SeenObject> objects,
+  /** Revision of the store up to which the router knows all changes; 0: it knows nothing. */
+  2: i64 revision,
+  /** How long ago the store showed that, in milliseconds. */
+  3: i64 age_ms,
+}
+
 service Peer {
   /** Push-pull of the whole member list. */
   list<MemberReport> sync_members(1: list<MemberReport> members),
@@ -174,5 +191,7 @@
   KeyedReply submit_keyed(1: KeyedRequest request),
   KeyedReply keyed_status(1: string service_name, 2: string account, 3: string key, 4: i64 issued_at_ms, 5: bool cancel, 6: string attempt_id),
   void record_outcome(1: string service_name, 2: string account, 3: string key, 4: string attempt_id, 5: KeyedReply outcome),
+  /** Objects of a kind that changed after a revision; waits for a change at most so long. */
+  SeenObjects watch_objects(1: string kind, 2: i64 since_revision, 3: i32 wait_ms),
   LimitLease lease_tokens(1: string account, 2: i32 wanted, 3: string router_id),
 }
--- a/src/sequoiadrum/_gen/peer/Peer.py
+++ b/src/sequoiadrum/_gen/peer/Peer.py
@@ -137,6 +137,18 @@
         """
         pass
 
+    def watch_objects(self, kind, since_revision, wait_ms):
+        """
+        Objects of a kind that changed after a revision; waits for a change at most so long.
+
+        Parameters:
+         - kind
+         - since_revision
+         - wait_ms
+
+        """
+        pass
+
     def lease_tokens(self, account, wanted, router_id):
         """
         Parameters:
@@ -549,6 +561,44 @@
         iprot.readMessageEnd()
         return
 
+    def watch_objects(self, kind, since_revision, wait_ms):
+        """
+        Objects of a kind that changed after a revision; waits for a change at most so long.
+
+        Parameters:
+         - kind
+         - since_revision
+         - wait_ms
+
+        """
+        self.send_watch_objects(kind, since_revision, wait_ms)
+        return self.recv_watch_objects()
+
+    def send_watch_objects(self, kind, since_revision, wait_ms):
+        self._oprot.writeMessageBegin('watch_objects', TMessageType.CALL, self._seqid)
+        args = watch_objects_args()
+        args.kind = kind
+        args.since_revision = since_revision
+        args.wait_ms = wait_ms
+        args.write(self._oprot)
+        self._oprot.writeMessageEnd()
+        self._oprot.trans.flush()
+
+    def recv_watch_objects(self):
+        iprot = self._iprot
+        (fname, mtype, rseqid) = iprot.readMessageBegin()
+        if mtype == TMessageType.EXCEPTION:
+            x = TApplicationException()
+            x.read(iprot)
+            iprot.readMessageEnd()
+            raise x
+        result = watch_objects_result()
+        result.read(iprot)
+        iprot.readMessageEnd()
+        if result.success is not None:
+            return result.success
+        raise TApplicationException(TApplicationException.MISSING_RESULT, "watch_objects failed: unknown result")
+
     def lease_tokens(self, account, wanted, router_id):
         """
         Parameters:
@@ -601,6 +651,7 @@
         self._processMap["submit_keyed"] = Processor.process_submit_keyed
         self._processMap["keyed_status"] = Processor.process_keyed_status
         self._processMap["record_outcome"] = Processor.process_record_outcome
+        self._processMap["watch_objects"] = Processor.process_watch_objects
         self._processMap["lease_tokens"] = Processor.process_lease_tokens
         self._on_message_begin = None
 
@@ -877,6 +928,29 @@
         oprot.writeMessageEnd()
         oprot.trans.flush()
 
+    def process_watch_objects(self, seqid, iprot, oprot):
+        args = watch_objects_args()
+        args.read(iprot)
+        iprot.readMessageEnd()
+        result = watch_objects_result()
+        try:
+            result.success = self._handler.watch_objects(args.kind, args.since_revision, args.wait_ms)
+            msg_type = TMessageType.REPLY
+        except TTransport.TTransportException:
+            raise
+        except TApplicationException as ex:
+            logging.exception('TApplication exception in handler')
+            msg_type = TMessageType.EXCEPTION
+            result = ex
+        except Exception:
+            logging.exception('Unexpected exception in handler')
+            msg_type = TMessageType.EXCEPTION
+            result = TApplicationException(TApplicationException.INTERNAL_ERROR, 'Internal error')
+        oprot.writeMessageBegin("watch_objects", msg_type, seqid)
+        result.write(oprot)
+        oprot.writeMessageEnd()
+        oprot.trans.flush()
+
     def process_lease_tokens(self, seqid, iprot, oprot):
         args = lease_tokens_args()
         args.read(iprot)
@@ -930,11 +1004,11 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.members = []
-                    (_etype38, _size35) = iprot.readListBegin()
-                    for _i39 in range(_size35):
-                        _elem40 = MemberReport()
-                        _elem40.read(iprot)
-                        self.members.append(_elem40)
+                    (_etype45, _size42) = iprot.readListBegin()
+                    for _i46 in range(_size42):
+                        _elem47 = MemberReport()
+                        _elem47.read(iprot)
+                        self.members.append(_elem47)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -951,8 +1025,8 @@
         if self.members is not None:
             oprot.writeFieldBegin('members', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.members))
-            for iter41 in self.members:
-                iter41.write(oprot)
+            for iter48 in self.members:
+                iter48.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -1012,11 +1086,11 @@
             if fid == 0:
                 if ftype == TType.LIST:
                     self.success = []
-                    (_etype45, _size42) = iprot.readListBegin()
-                    for _i46 in range(_size42):
-                        _elem47 = MemberReport()
-                        _elem47.read(iprot)
-                        self.success.append(_elem47)
+                    (_etype52, _size49) = iprot.readListBegin()
+                    for _i53 in range(_size49):
+                        _elem54 = MemberReport()
+                        _elem54.read(iprot)
+                        self.success.append(_elem54)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1033,8 +1107,8 @@
         if self.success is not None:
             oprot.writeFieldBegin('success', TType.LIST, 0)
             oprot.writeListBegin(TType.STRUCT, len(self.success))
-            for iter48 in self.success:
-                iter48.write(oprot)
+            for iter55 in self.success:
+                iter55.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -1248,11 +1322,11 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.releases = []
-                    (_etype52, _size49) = iprot.readListBegin()
-                    for _i53 in range(_size49):
-                        _elem54 = Release()
-                        _elem54.read(iprot)
-                        self.releases.append(_elem54)
+                    (_etype59, _size56) = iprot.readListBegin()
+                    for _i60 in range(_size56):
+                        _elem61 = Release()
+                        _elem61.read(iprot)
+                        self.releases.append(_elem61)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1273,8 +1347,8 @@
         if self.releases is not None:
             oprot.writeFieldBegin('releases', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.releases))
-            for iter55 in self.releases:
-                iter55.write(oprot)
+            for iter62 in self.releases:
+                iter62.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -1412,11 +1486,11 @@
             elif fid == 4:
                 if ftype == TType.LIST:
                     self.grants = []
-                    (_etype59, _size56) = iprot.readListBegin()
-                    for _i60 in range(_size56):
-                        _elem61 = HeldGrant()
-                        _elem61.read(iprot)
-                        self.grants.append(_elem61)
+                    (_etype66, _size63) = iprot.readListBegin()
+                    for _i67 in range(_size63):
+                        _elem68 = HeldGrant()
+                        _elem68.read(iprot)
+                        self.grants.append(_elem68)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1445,8 +1519,8 @@
         if self.grants is not None:
             oprot.writeFieldBegin('grants', TType.LIST, 4)
             oprot.writeListBegin(TType.STRUCT, len(self.grants))
-            for iter62 in self.grants:
-                iter62.write(oprot)
+            for iter69 in self.grants:
+                iter69.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -1586,10 +1660,10 @@
             elif fid == 4:
                 if ftype == TType.LIST:
                     self.grant_ids = []
-                    (_etype66, _size63) = iprot.readListBegin()
-                    for _i67 in range(_size63):
-                        _elem68 = iprot.readI64()
-                        self.grant_ids.append(_elem68)
+                    (_etype73, _size70) = iprot.readListBegin()
+                    for _i74 in range(_size70):
+                        _elem75 = iprot.readI64()
+                        self.grant_ids.append(_elem75)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1618,8 +1692,8 @@
         if self.grant_ids is not None:
             oprot.writeFieldBegin('grant_ids', TType.LIST, 4)
             oprot.writeListBegin(TType.I64, len(self.grant_ids))
-            for iter69 in self.grant_ids:
-                oprot.writeI64(iter69)
+            for iter76 in self.grant_ids:
+                oprot.writeI64(iter76)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -1682,10 +1756,10 @@
             if fid == 0:
                 if ftype == TType.LIST:
                     self.success = []
-                    (_etype73, _size70) = iprot.readListBegin()
-                    for _i74 in range(_size70):
-                        _elem75 = iprot.readI64()
-                        self.success.append(_elem75)
+                    (_etype80, _size77) = iprot.readListBegin()
+                    for _i81 in range(_size77):
+                        _elem82 = iprot.readI64()
+                        self.success.append(_elem82)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1702,8 +1776,8 @@
         if self.success is not None:
             oprot.writeFieldBegin('success', TType.LIST, 0)
             oprot.writeListBegin(TType.I64, len(self.success))
-            for iter76 in self.success:
-                oprot.writeI64(iter76)
+            for iter83 in self.success:
+                oprot.writeI64(iter83)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -1950,11 +2024,11 @@
             elif fid == 3:
                 if ftype == TType.MAP:
                     self.target_by_chat = {}
-                    (_ktype78, _vtype79, _size77) = iprot.readMapBegin()
-                    for _i81 in range(_size77):
-                        _key82 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        _val83 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.target_by_chat[_key82] = _val83
+                    (_ktype85, _vtype86, _size84) = iprot.readMapBegin()
+                    for _i88 in range(_size84):
+                        _key89 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        _val90 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.target_by_chat[_key89] = _val90
                     iprot.readMapEnd()
                 else:
                     iprot.skip(ftype)
@@ -1979,9 +2053,9 @@
         if self.target_by_chat is not None:
             oprot.writeFieldBegin('target_by_chat', TType.MAP, 3)
             oprot.writeMapBegin(TType.STRING, TType.STRING, len(self.target_by_chat))
-            for kiter84, viter85 in self.target_by_chat.items():
-                oprot.writeString(kiter84.encode('utf-8') if sys.version_info[0] == 2 else kiter84)
-                oprot.writeString(viter85.encode('utf-8') if sys.version_info[0] == 2 else viter85)
+            for kiter91, viter92 in self.target_by_chat.items():
+                oprot.writeString(kiter91.encode('utf-8') if sys.version_info[0] == 2 else kiter91)
+                oprot.writeString(viter92.encode('utf-8') if sys.version_info[0] == 2 else viter92)
             oprot.writeMapEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -2752,6 +2826,178 @@
 )
 
 
+class watch_objects_args(object):
+    """
+    Attributes:
+     - kind
+     - since_revision
+     - wait_ms
+
+    """
+
+    __slots__ = (
+        'kind',
+        'since_revision',
+        'wait_ms',
+    )
+
+
+    def __init__(self, kind=None, since_revision=None, wait_ms=None,):
+        self.kind = kind
+        self.since_revision = since_revision
+        self.wait_ms = wait_ms
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.kind = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.since_revision = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I32:
+                    self.wait_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('watch_objects_args')
+        if self.kind is not None:
+            oprot.writeFieldBegin('kind', TType.STRING, 1)
+            oprot.writeString(self.kind.encode('utf-8') if sys.version_info[0] == 2 else self.kind)
+            oprot.writeFieldEnd()
+        if self.since_revision is not None:
+            oprot.writeFieldBegin('since_revision', TType.I64, 2)
+            oprot.writeI64(self.since_revision)
+            oprot.writeFieldEnd()
+        if self.wait_ms is not None:
+            oprot.writeFieldBegin('wait_ms', TType.I32, 3)
+            oprot.writeI32(self.wait_ms)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+all_structs.append(watch_objects_args)
+watch_objects_args.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'kind', 'UTF8', None, ),  # 1
+    (2, TType.I64, 'since_revision', None, None, ),  # 2
+    (3, TType.I32, 'wait_ms', None, None, ),  # 3
+)
+
+
+class watch_objects_result(object):
+    """
+    Attributes:
+     - success
+
+    """
+
+    __slots__ = (
+        'success',
+    )
+
+
+    def __init__(self, success=None,):
+        self.success = success
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 0:
+                if ftype == TType.STRUCT:
+                    self.success = SeenObjects()
+                    self.success.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('watch_objects_result')
+        if self.success is not None:
+            oprot.writeFieldBegin('success', TType.STRUCT, 0)
+            self.success.write(oprot)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+all_structs.append(watch_objects_result)
+watch_objects_result.thrift_spec = (
+    (0, TType.STRUCT, 'success', [SeenObjects, None], None, ),  # 0
+)
+
+
 class lease_tokens_args(object):
     """
     Attributes:
--- a/src/sequoiadrum/_gen/peer/ttypes.py
+++ b/src/sequoiadrum/_gen/peer/ttypes.py
@@ -1992,6 +1992,213 @@
 
     def __ne__(self, other):
         return not (self == other)
+
+
+class SeenObject(object):
+    """
+    An object of the platform's store, as a router has read it.
+
+    Attributes:
+     - name
+     - revision
+     - document: JSON; empty when the object was removed.
+     - is_removed
+
+    """
+
+    __slots__ = (
+        'name',
+        'revision',
+        'document',
+        'is_removed',
+    )
+
+
+    def __init__(self, name=None, revision=None, document=None, is_removed=None,):
+        self.name = name
+        self.revision = revision
+        self.document = document
+        self.is_removed = is_removed
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.name = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.revision = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.STRING:
+                    self.document = iprot.readBinary()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.BOOL:
+                    self.is_removed = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('SeenObject')
+        if self.name is not None:
+            oprot.writeFieldBegin('name', TType.STRING, 1)
+            oprot.writeString(self.name.encode('utf-8') if sys.version_info[0] == 2 else self.name)
+            oprot.writeFieldEnd()
+        if self.revision is not None:
+            oprot.writeFieldBegin('revision', TType.I64, 2)
+            oprot.writeI64(self.revision)
+            oprot.writeFieldEnd()
+        if self.document is not None:
+            oprot.writeFieldBegin('document', TType.STRING, 3)
+            oprot.writeBinary(self.document)
+            oprot.writeFieldEnd()
+        if self.is_removed is not None:
+            oprot.writeFieldBegin('is_removed', TType.BOOL, 4)
+            oprot.writeBool(self.is_removed)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class SeenObjects(object):
+    """
+    Attributes:
+     - objects
+     - revision: Revision of the store up to which the router knows all changes; 0: it knows nothing.
+     - age_ms: How long ago the store showed that, in milliseconds.
+
+    """
+
+    __slots__ = (
+        'objects',
+        'revision',
+        'age_ms',
+    )
+
+
+    def __init__(self, objects=None, revision=None, age_ms=None,):
+        self.objects = objects
+        self.revision = revision
+        self.age_ms = age_ms
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.LIST:
+                    self.objects = []
+                    (_etype38, _size35) = iprot.readListBegin()
+                    for _i39 in range(_size35):
+                        _elem40 = SeenObject()
+                        _elem40.read(iprot)
+                        self.objects.append(_elem40)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.revision = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I64:
+                    self.age_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('SeenObjects')
+        if self.objects is not None:
+            oprot.writeFieldBegin('objects', TType.LIST, 1)
+            oprot.writeListBegin(TType.STRUCT, len(self.objects))
+            for iter41 in self.objects:
+                iter41.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.revision is not None:
+            oprot.writeFieldBegin('revision', TType.I64, 2)
+            oprot.writeI64(self.revision)
+            oprot.writeFieldEnd()
+        if self.age_ms is not None:
+            oprot.writeFieldBegin('age_ms', TType.I64, 3)
+            oprot.writeI64(self.age_ms)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
 all_structs.append(Member)
 Member.thrift_spec = (
     None,  # 0
@@ -2134,5 +2341,20 @@
     (3, TType.LIST, 'endpoints', (TType.STRUCT, [EndpointReport, None], False), None, ),  # 3
     (4, TType.LIST, 'recent_chats', (TType.STRING, 'UTF8', False), None, ),  # 4
 )
+all_structs.append(SeenObject)
+SeenObject.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'name', 'UTF8', None, ),  # 1
+    (2, TType.I64, 'revision', None, None, ),  # 2
+    (3, TType.STRING, 'document', 'BINARY', None, ),  # 3
+    (4, TType.BOOL, 'is_removed', None, None, ),  # 4
+)
+all_structs.append(SeenObjects)
+SeenObjects.thrift_spec = (
+    None,  # 0
+    (1, TType.LIST, 'objects', (TType.STRUCT, [SeenObject, None], False), None, ),  # 1
+    (2, TType.I64, 'revision', None, None, ),  # 2
+    (3, TType.I64, 'age_ms', None, None, ),  # 3
+)
 fix_spec(all_structs)
 del all_structs
--- a/src/sequoiadrum/gateway/app.py
+++ b/src/sequoiadrum/gateway/app.py
@@ -30,6 +30,8 @@
     create_member_server,
 )
 from sequoiadrum.gateway.front import ServerGroup
+from sequoiadrum.gateway.mirror import Mirror
+from sequoiadrum.gateway.peer_feed import PeerFeed
 from sequoiadrum.gateway.pool import EndpointPool
 from sequoiadrum.gateway.relay import Relay
 from sequoiadrum.gateway.settings_watch import SettingsWatch
@@ -107,13 +109,25 @@
         self.pool: Final = EndpointPool(settings.bounds, self.directory.count)
         self.connections: Final = EndpointConnections(adapter.wire)
         self.state: Final = ServingState(self.configuration)
+        mirror = Mirror()
+        feed = PeerFeed(self.gossip, self._peers, self.log)
         self._syncs = (
-            ConfigSync(self._store, adapter.documents, self.configuration, self._link, self.log),
+            ConfigSync(
+                self._store,
+                adapter.documents,
+                self.configuration,
+                mirror,
+                feed,
+                self._link,
+                self.log,
+            ),
             EndpointSync(
                 self._store,
                 adapter.documents,
                 self.pool,
                 self.connections,
+                mirror,
+                feed,
                 self._link,
                 self.metrics,
                 self.log,
@@ -133,7 +147,7 @@
             adapter.load_settings, settings, self._apply_settings, self.metrics, self.log
         )
         self._peer_server = create_member_server(
-            settings, self.gossip, self.metrics, Address(settings.host, settings.peer_port)
+            self.gossip, mirror, self.metrics, Address(settings.host, settings.peer_port)
         )
 
     def start(self) -> None:
--- a/src/sequoiadrum/gateway/endpoints.py
+++ b/src/sequoiadrum/gateway/endpoints.py
@@ -10,8 +10,6 @@
 from sequoiadrum.hashing import stable_hash
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable
-
     from sequoiadrum.gateway.model import EndpointEntry, EngineLoad
 
 OUTAGE_RETURN_S: Final = 2.5
@@ -190,30 +188,6 @@
         known.keep_until = outage_ended + OUTAGE_RETURN_S
         return True
 
-    def replace_all(
-        self,
-        entries: Iterable[EndpointEntry],
-        names: set[str],
-        revision: int,
-        now: float,
-        outage_ended: float,
-    ) -> list[str]:
-        """Takes a whole list; gives the ids of the endpoints that changed.
-
-        Args:
-            entries: The entries that could be read.
-            names: Names of all entries, readable or not.
-            revision: Revision of the store that the list shows.
-            now: Monotonic seconds.
-            outage_ended: See `remove`.
-        """
-        joined_at = now if self.by_id else float("-inf")
-        changed = [entry.instance_id for entry in entries if self.apply(entry, joined_at)]
-        for instance_id in list(self.by_id):
-            if instance_id not in names and self.remove(instance_id, revision, now, outage_ended):
-                changed.append(instance_id)
-        return changed
-
     def expire(self, now: float) -> None:
         """Forgets endpoints whose entries are gone for good and which work on nothing."""
         for endpoint in list(self.by_id.values()):
--- a/src/sequoiadrum/gateway/fleet.py
+++ b/src/sequoiadrum/gateway/fleet.py
@@ -12,6 +12,7 @@
 from sequoiadrum._thrift_transport import COMPACT
 from sequoiadrum.gateway import clock
 from sequoiadrum.gateway.model import StoreFailure
+from sequoiadrum.gateway.peer_feed import answer_watch
 from sequoiadrum.messages import MembersChanged, MemberState, RevisionHeard, RumorHeard
 from sequoiadrum.platform_client import InstanceList, ListedInstance, PlatformFailure
 from sequoiadrum.tasks import Task
@@ -20,10 +21,11 @@
 if TYPE_CHECKING:
     from collections.abc import Callable, Sequence
 
-    from sequoiadrum._gen.peer.ttypes import MemberReport
+    from sequoiadrum._gen.peer.ttypes import MemberReport, SeenObjects
     from sequoiadrum.gateway.configuration import ConfigurationHolder
     from sequoiadrum.gateway.crash_news import CrashNews
     from sequoiadrum.gateway.event_log import EventLog
+    from sequoiadrum.gateway.mirror import Mirror
     from sequoiadrum.gateway.ports import AddressQuestion, Store
     from sequoiadrum.gateway.settings import GatewaySettings
     from sequoiadrum.gossip_task import GossipTask
@@ -36,7 +38,8 @@
 """Callers read so many addresses of an answer."""
 ENOUGH_NEAR: Final = 2
 """Routers of the caller's failure domain that are answered without any others."""
-_PEER_CONNECTIONS: Final = 32
+_PEER_CONNECTIONS: Final = 160
+"""Connections of peers; each follower of a watcher keeps two, and needs a thread while it waits."""
 _REGISTER_RETRY_S: Final = 0.5
 _FAILURES: Final = {
     StoreFailure.NOT_FOUND: PlatformFailure.NOT_FOUND,
@@ -94,25 +97,30 @@
             self._stopped.wait(_REGISTER_RETRY_S)
 
 
-class MembershipHandler:
+class GatewayPeerHandler:
     """Answers the peer calls of a gateway; the calls of other parts of a router are refused."""
 
-    def __init__(self, gossip: GossipTask) -> None:
+    def __init__(self, gossip: GossipTask, mirror: Mirror) -> None:
         self._gossip = gossip
+        self._mirror = mirror
 
     def sync_members(self, members: list[MemberReport]) -> list[MemberReport]:
         """Exchanges the whole member list."""
         return self._gossip.sync_members(members)
 
+    def watch_objects(self, kind: str, since_revision: int, wait_ms: int) -> SeenObjects:
+        """Gives objects that changed after a revision; waits for a change."""
+        return answer_watch(self._mirror, kind, since_revision, wait_ms / 1e3)
+
 
 def create_member_server(
-    settings: GatewaySettings, gossip: GossipTask, metrics: Metrics, address: Address
+    gossip: GossipTask, mirror: Mirror, metrics: Metrics, address: Address
 ) -> ThriftServer:
     """Serves peers on the listener that the membership has bound."""
     return ThriftServer(
         "peer",
         address,
-        Peer.Processor(MembershipHandler(gossip)),
+        Peer.Processor(GatewayPeerHandler(gossip, mirror)),
         COMPACT,
         metrics,
         _PEER_CONNECTIONS,
--- a/src/sequoiadrum/gateway/pool.py
+++ b/src/sequoiadrum/gateway/pool.py
@@ -20,7 +20,7 @@
 from sequoiadrum.gateway.retry_budget import RetryBudget
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Iterable
+    from collections.abc import Callable
 
     from sequoiadrum.gateway.model import AnswerHead, EndpointEntry
     from sequoiadrum.gateway.settings import Bounds
@@ -111,28 +111,22 @@
         with self._lock:
             return self._budget(service).spend(clock.now(), self._instances())
 
-    def apply(self, entry: EndpointEntry) -> bool:
-        """See `EndpointTable.apply`."""
+    def has_endpoints(self) -> bool:
+        """Tells whether any endpoint is known."""
         with self._lock:
-            return self._table.apply(entry, clock.now())
+            return bool(self._table.by_id)
+
+    def apply(self, entry: EndpointEntry, is_newcomer: bool) -> bool:
+        """See `EndpointTable.apply`; newcomers have just joined, as far as this router knows."""
+        joined_at = clock.now() if is_newcomer else float("-inf")
+        with self._lock:
+            return self._table.apply(entry, joined_at)
 
     def remove(self, instance_id: str, revision: int, outage_ended: float) -> bool:
         """See `EndpointTable.remove`."""
         with self._lock:
             return self._table.remove(instance_id, revision, clock.now(), outage_ended)
 
-    def replace_all(
-        self,
-        entries: Iterable[EndpointEntry],
-        names: set[str],
-        revision: int,
-        outage_ended: float,
-    ) -> list[str]:
-        """See `EndpointTable.replace_all`."""
-        with self._lock:
-            now = clock.now()
-            return self._table.replace_all(entries, names, revision, now, outage_ended)
-
     def knows(self, instance_id: str) -> bool:
         """Tells whether an endpoint can get requests."""
         with self._lock:
--- a/src/sequoiadrum/gateway/store_sync.py
+++ b/src/sequoiadrum/gateway/store_sync.py
@@ -10,13 +10,16 @@
 from returns.result import Failure
 
 from sequoiadrum.gateway import clock
+from sequoiadrum.gateway.endpoints import OUTAGE_RETURN_S
 from sequoiadrum.gateway.model import StoreFailure
 
 if TYPE_CHECKING:
     from sequoiadrum.gateway.configuration import ConfigurationHolder
     from sequoiadrum.gateway.event_log import EventLog
     from sequoiadrum.gateway.exchange import EndpointConnections
-    from sequoiadrum.gateway.model import EndpointEntry, StoredItem, StoredPage, WatchResult
+    from sequoiadrum.gateway.mirror import Mirror
+    from sequoiadrum.gateway.model import EndpointEntry, StoredItem, StoreEvent
+    from sequoiadrum.gateway.peer_feed import PeerFeed
     from sequoiadrum.gateway.pool import EndpointPool
     from sequoiadrum.gateway.ports import Documents, Store
     from sequoiadrum.metrics import Metrics
@@ -29,6 +32,14 @@
 FIRST_RETRY_S: Final = 0.1
 LONGEST_RETRY_S: Final = 0.8
 """Longest pause between two tries in an outage; its end must be noticed within a second."""
+OUTAGE_PEER_WAIT_S: Final = 0.4
+"""How long a router that lost the store waits for a peer's news between two tries."""
+FOLLOWER_VERIFY_S: Final = 30.0
+"""A router that hears changes from peers reads a whole list of its own this often."""
+PEER_TRIES: Final = 2
+"""Peers that are asked before a router turns to the store itself."""
+PEER_AGE_S: Final = 4.0
+"""A peer that has not heard of the store for longer has probably lost it."""
 
 
 class StoreLink:
@@ -53,6 +64,10 @@
             self.outage_ended = now
         self._log.notable("store_regained", after_s=round(lasted_s, 3))
 
+    def lapses_end(self) -> float:
+        """Gives the time from which a missing entry is gone, see `OUTAGE_RETURN_S`."""
+        return self.outage_ended + OUTAGE_RETURN_S
+
     def note_failure(self, why: StoreFailure, kind: str) -> None:
         """Notes that a call failed."""
         with self._lock:
@@ -65,11 +80,25 @@
 
 
 class KindSync(ABC):
-    """Follows all objects of one kind: a list, then watches, then a list again."""
+    """Follows all objects of one kind: through the store, or through peers that do.
+
+    Through the store: a list, then watches, then a list again. A router that has lost the store,
+    or is not among the watchers of a large fleet, asks its peers for what they have seen.
+    """
 
-    def __init__(self, store: Store, kind: str, link: StoreLink, log: EventLog) -> None:
+    def __init__(
+        self,
+        store: Store,
+        kind: str,
+        mirror: Mirror,
+        feed: PeerFeed,
+        link: StoreLink,
+        log: EventLog,
+    ) -> None:
         self._store = store
         self._kind = kind
+        self._mirror = mirror
+        self._feed = feed
         self._link = link
         self._log = log
         self._stopped = threading.Event()
@@ -84,24 +113,28 @@
         self._stopped.set()
 
     @abstractmethod
-    def apply_page(self, page: StoredPage, asked_at: float) -> None:
-        """Takes a whole list."""
+    def apply(self, news: list[StoreEvent], source: str) -> None:
+        """Takes changes that are newer than all that were known."""
 
-    @abstractmethod
-    def apply_changes(self, changes: WatchResult, asked_at: float) -> None:
-        """Takes what a watch saw."""
+    def note_whole_list(self, asked_at: float) -> None:  # noqa: B027 (nothing to do by default)
+        """Notes that the store has shown everything acknowledged up to a moment."""
 
     def _run(self) -> None:
         retry_s = FIRST_RETRY_S
         while not self._stopped.is_set():
-            if self._follow():
+            if not self._feed.is_watcher() and self._follow_peers():
+                continue
+            if self._follow_store():
                 retry_s = FIRST_RETRY_S
                 continue
+            started = clock.now()
+            self._ask_peer(OUTAGE_PEER_WAIT_S)
             # Instances that lost the store together must not come back together.
-            self._stopped.wait(retry_s * random.uniform(0.5, 1.0))
+            pause_s = retry_s * random.uniform(0.5, 1.0) - (clock.now() - started)
+            self._stopped.wait(max(0.0, pause_s))
             retry_s = min(LONGEST_RETRY_S, 2 * retry_s)
 
-    def _follow(self) -> bool:
+    def _follow_store(self) -> bool:
         """Lists and watches until something fails or a new list is due; False on a failure."""
         asked_at = clock.now()
         listed = self._store.list(self._kind)
@@ -109,10 +142,13 @@
             return self._failed(listed.failure())
         self._link.note_answer()
         page = listed.unwrap()
-        self.apply_page(page, asked_at)
+        shown_from = self._link.lapses_end()
+        news = self._mirror.note_list(self._kind, page.items, page.revision, asked_at, shown_from)
+        self.apply(news, "list")
+        self.note_whole_list(asked_at)
         revision = page.revision
         verify_at = asked_at + VERIFY_S * random.uniform(0.8, 1.2)
-        while not self._stopped.is_set() and clock.now() < verify_at:
+        while not self._stopped.is_set() and clock.now() < verify_at and self._feed.is_watcher():
             asked_at = clock.now()
             watched = self._store.watch(self._kind, revision, WATCH_WAIT_S)
             if isinstance(watched, Failure):
@@ -122,10 +158,35 @@
                 return self._failed(watched.failure())
             self._link.note_answer()
             changes = watched.unwrap()
-            self.apply_changes(changes, asked_at)
             revision = max(revision, changes.revision)
+            news = self._mirror.note_events(
+                self._kind, changes.events, revision, asked_at, self._link.lapses_end()
+            )
+            self.apply(news, "watch")
         return True
 
+    def _follow_peers(self) -> bool:
+        """Hears changes from peers until they fail or a list is due; False on a failure."""
+        verify_at = clock.now() + FOLLOWER_VERIFY_S * random.uniform(0.8, 1.2)
+        failures = 0
+        while not self._stopped.is_set() and not self._feed.is_watcher():
+            if clock.now() >= verify_at:
+                return False
+            failures = 0 if self._ask_peer(WATCH_WAIT_S) else failures + 1
+            if failures >= PEER_TRIES:
+                return False
+        return True
+
+    def _ask_peer(self, wait_s: float) -> bool:
+        """Takes what one peer has seen; False when it cannot tell anything that is recent."""
+        answer = self._feed.watch(self._kind, self._mirror.revision(self._kind), wait_s)
+        if answer is None:
+            return False
+        seen_at = clock.now() - answer.age_s
+        news = self._mirror.note_events(self._kind, answer.events, answer.revision, seen_at)
+        self.apply(news, "peer")
+        return answer.age_s <= PEER_AGE_S
+
     def _failed(self, why: StoreFailure) -> bool:
         self._link.note_failure(why, self._kind)
         return False
@@ -139,29 +200,25 @@
         store: Store,
         documents: Documents,
         holder: ConfigurationHolder,
+        mirror: Mirror,
+        feed: PeerFeed,
         link: StoreLink,
         log: EventLog,
     ) -> None:
-        super().__init__(store, documents.config_kind, link, log)
+        super().__init__(store, documents.config_kind, mirror, feed, link, log)
         self._name = documents.config_name
         self._holder = holder
 
-    def apply_page(self, page: StoredPage, asked_at: float) -> None:
-        """See `KindSync.apply_page`."""
-        for item in page.items:
-            self._accept(item, "list")
-        self._holder.note_confirmed(asked_at)
-
-    def apply_changes(self, changes: WatchResult, asked_at: float) -> None:
-        """See `KindSync.apply_changes`."""
-        for event in changes.events:
-            if not event.is_deleted:
-                self._accept(event.item, "watch")
-        # A silent watch also ends without events, so it confirms nothing.
+    def apply(self, news: list[StoreEvent], source: str) -> None:
+        """See `KindSync.apply`."""
+        for event in news:
+            if event.item.name == self._name and not event.is_deleted:
+                self._holder.accept(event.item, source)
 
-    def _accept(self, item: StoredItem, source: str) -> None:
-        if item.name == self._name:
-            self._holder.accept(item, source)
+    def note_whole_list(self, asked_at: float) -> None:
+        """See `KindSync.note_whole_list`."""
+        # A watch that fell silent also ends without events, so only lists confirm.
+        self._holder.note_confirmed(asked_at)
 
 
 class EndpointSync(KindSync):
@@ -173,57 +230,44 @@
         documents: Documents,
         pool: EndpointPool,
         connections: EndpointConnections,
+        mirror: Mirror,
+        feed: PeerFeed,
         link: StoreLink,
         metrics: Metrics,
         log: EventLog,
     ) -> None:
-        super().__init__(store, documents.endpoint_kind, link, log)
+        super().__init__(store, documents.endpoint_kind, mirror, feed, link, log)
         self._documents = documents
         self._pool = pool
         self._connections = connections
         self._metrics = metrics
-        self._malformed_revisions: dict[str, int] = {}
-
-    def apply_page(self, page: StoredPage, asked_at: float) -> None:
-        """See `KindSync.apply_page`."""
-        entries = [entry for item in page.items if (entry := self._decode(item)) is not None]
-        names = {item.name for item in page.items}
-        changed = self._pool.replace_all(entries, names, page.revision, self._link.outage_ended)
-        entry_by_id = {entry.instance_id: entry for entry in entries}
-        for instance_id in changed:
-            self._changed(instance_id, entry_by_id.get(instance_id), page.revision, "list")
-        self._pool.expire()
-        self._connections.expire(clock.now())
 
-    def apply_changes(self, changes: WatchResult, asked_at: float) -> None:
-        """See `KindSync.apply_changes`."""
-        for event in changes.events:
+    def apply(self, news: list[StoreEvent], source: str) -> None:
+        """See `KindSync.apply`."""
+        is_first = not self._pool.has_endpoints()
+        for event in news:
             name = event.item.name
             if event.is_deleted:
-                revision = event.item.revision
-                if self._pool.remove(name, revision, self._link.outage_ended):
-                    self._changed(name, None, revision, "watch")
+                if self._pool.remove(name, event.item.revision, self._link.outage_ended):
+                    self._changed(name, None, event.item.revision, source)
                 continue
             entry = self._decode(event.item)
-            if entry is not None and self._pool.apply(entry):
-                self._changed(name, entry, entry.revision, "watch")
+            if entry is not None and self._pool.apply(entry, is_newcomer=not is_first):
+                self._changed(name, entry, entry.revision, source)
         self._pool.expire()
+        self._connections.expire(clock.now())
 
     def _decode(self, item: StoredItem) -> EndpointEntry | None:
         decoded = self._documents.decode_endpoint(item)
         if not isinstance(decoded, Failure):
-            self._malformed_revisions.pop(item.name, None)
             return decoded.unwrap()
-        # A malformed entry is listed again and again; it is logged once for each change.
-        if self._malformed_revisions.get(item.name) != item.revision:
-            self._malformed_revisions[item.name] = item.revision
-            self._metrics.count("malformed_entries_total", kind="endpoint")
-            self._log.notable(
-                "endpoint_entry_malformed",
-                endpoint=item.name,
-                revision=item.revision,
-                detail=decoded.failure(),
-            )
+        self._metrics.count("malformed_entries_total", kind="endpoint")
+        self._log.notable(
+            "endpoint_entry_malformed",
+            endpoint=item.name,
+            revision=item.revision,
+            detail=decoded.failure(),
+        )
         return None
 
     def _changed(
--- a/tests/gateway/test_endpoints.py
+++ b/tests/gateway/test_endpoints.py
@@ -33,7 +33,7 @@
         """Guards against a service without endpoints just after an outage of the store."""
         table = EndpointTable()
         table.apply(an_entry(revision=3))
-        table.replace_all([], set(), 9, now=100.0, outage_ended=100.0)
+        table.remove("e1", 9, now=100.0, outage_ended=100.0)
         self.assertTrue(table.by_id["e1"].may_serve(102.0))
         self.assertFalse(table.by_id["e1"].may_serve(102.6))
         self.assertTrue(table.apply(an_entry(revision=11)))
@@ -47,13 +47,6 @@
         self.assertTrue(table.apply(an_entry(revision=5)))
         self.assertTrue(table.by_id["e1"].may_serve(1.0))
 
-    def test_malformed_entry_keeps_what_is_known(self) -> None:
-        """Guards against an endpoint that is dropped because its entry could not be read."""
-        table = EndpointTable()
-        table.apply(an_entry(revision=3))
-        table.replace_all([], {"e1"}, 9, now=1.0, outage_ended=NEVER)
-        self.assertTrue(table.by_id["e1"].may_serve(1.0))
-
     def test_restart_under_the_same_id_forgets_results(self) -> None:
         """Guards against a fresh process that inherits the failures of the one before."""
         table = EndpointTable()
--- a/tests/gateway/test_whole_path.py
+++ b/tests/gateway/test_whole_path.py
@@ -353,6 +353,13 @@
         self.world.add("e1", ScriptedEndpoint(ok))
         self.assertEqual(self.world.call("/read/x")[0], 200)
 
+    def test_entry_that_turns_unreadable_changes_nothing(self) -> None:
+        """Guards against an endpoint that is dropped because its entry could not be read."""
+        self.world.add("e1", ScriptedEndpoint(ok))
+        self.world.store.put("servers", "e1", {"service": "shop", "state": 9})
+        self.world.add("e2", ScriptedEndpoint(ok))
+        self.assertTrue(self.world.gateway.pool.knows("e1"))
+
     def test_control_addresses(self) -> None:
         """Guards against a directory without this router, and metrics without refusals."""
         self.world.call("/order/x")
--- a/tests/gateway/world.py
+++ b/tests/gateway/world.py
@@ -136,6 +136,11 @@
         eventually(self.gateway.state.is_ready, "the gateway is ready")
         return self
 
+    def join(self, other: World) -> None:
+        """Makes this gateway find another one; their stores stay apart."""
+        peer = {"host": "127.0.0.1", "peer_port": other.ports[4]}
+        self.store.put("sequoiadrum-routers", other.settings.instance_id, peer)
+
     def stop(self) -> None:
         """Ends everything at once."""
         self.gateway.kill()
