--- a/src/sequoiadrum/gateway/app.py
+++ b/src/sequoiadrum/gateway/app.py
@@ -102,7 +102,13 @@
         )
         self.crashes: Final = CrashNews(self.gossip.spread)
         self.news: Final = PeerNews(
-            self.crashes, self.configuration, self.metrics, self.log, self._invariant_broken
+            settings.instance_id,
+            self.crashes,
+            self.configuration,
+            self._instances,
+            self.metrics,
+            self.log,
+            self._invariant_broken,
         )
         self.gossip.subscribe(self.news)
         self.gossip.subscribe_revisions(self.news)
@@ -161,7 +167,7 @@
         for sync in self._syncs:
             sync.start()
         self._peer_server.start()
-        self.news.start()
+        self.news.run_on(self.timers)
         self.gossip.run_on(self.timers)
         self._instances.start()
         self._settings_watch.start()
--- a/src/sequoiadrum/gateway/fleet.py
+++ b/src/sequoiadrum/gateway/fleet.py
@@ -6,6 +6,7 @@
 import threading
 from typing import TYPE_CHECKING, Any, Final
 
+from attrs import frozen
 from returns.result import Failure, Result, Success
 
 from sequoiadrum._gen.peer import Peer
@@ -13,6 +14,7 @@
 from sequoiadrum.gateway import clock
 from sequoiadrum.gateway.model import StoreFailure
 from sequoiadrum.gateway.peer_feed import answer_watch
+from sequoiadrum.hashing import first_ranked
 from sequoiadrum.messages import MembersChanged, MemberState, RevisionHeard, RumorHeard
 from sequoiadrum.platform_client import InstanceList, ListedInstance, PlatformFailure
 from sequoiadrum.tasks import Task
@@ -31,6 +33,7 @@
     from sequoiadrum.gossip_task import GossipTask
     from sequoiadrum.messages import Address, Member
     from sequoiadrum.metrics import Metrics
+    from sequoiadrum.timers import TimerService
 
 ROUTER_KIND: Final = "sequoiadrum-routers"
 """Objects in the store that name the routers; one write at each start and planned stop."""
@@ -38,6 +41,10 @@
 """Callers read so many addresses of an answer."""
 ENOUGH_NEAR: Final = 2
 """Routers of the caller's failure domain that are answered without any others."""
+CLEAN_UP_S: Final = 30.0
+"""How often registrations of routers that are gone are looked for."""
+FORGET_ROUTER_S: Final = 120.0
+"""A router that was dead for so long is not expected back; if it returns, it registers again."""
 _PEER_CONNECTIONS: Final = 160
 """Connections of peers; each follower of a watcher keeps two, and needs a thread while it waits."""
 _REGISTER_RETRY_S: Final = 0.5
@@ -67,6 +74,11 @@
         result = self._store.delete(ROUTER_KIND, self._settings.instance_id)
         self._log.notable("registration_withdrawn", outcome=_outcome(result))
 
+    def forget(self, router_id: str) -> None:
+        """Removes the registration of a router that was dead for long; nothing else expires it."""
+        result = self._store.delete(ROUTER_KIND, router_id)
+        self._log.notable("registration_removed", router=router_id, outcome=_outcome(result))
+
     def list_instances(self) -> Result[Sequence[ListedInstance], PlatformFailure]:
         """See `InstanceList.list_instances`."""
         listed = self._store.list(ROUTER_KIND)
@@ -128,13 +140,20 @@
     )
 
 
+@frozen
+class _CleanUp:
+    """Looks for registrations of routers that are gone."""
+
+
 class PeerNews(Task):
     """Takes what peers tell: crashing requests, newer configurations, changes of the fleet."""
 
     def __init__(
         self,
+        own_id: str,
         crashes: CrashNews,
         configuration: ConfigurationHolder,
+        instances: StoreInstanceList,
         metrics: Metrics,
         log: EventLog,
         on_invariant: Callable[[], None],
@@ -142,7 +161,10 @@
         self._crashes = crashes
         self._configuration = configuration
         self._log = log
-        self._states_by_id: dict[str, str] = {}
+        self._own_id = own_id
+        self._instances = instances
+        self._states_by_id: dict[str, MemberState] = {}
+        self._dead_since_by_id: dict[str, float] = {}
         super().__init__("peer-news", metrics, on_invariant)
 
     def handlers(self) -> dict[type, Callable[[Any], None]]:
@@ -151,8 +173,14 @@
             RumorHeard: self._crashes.hear,
             RevisionHeard: self._on_revision,
             MembersChanged: self._on_members,
+            _CleanUp: self._on_clean_up,
         }
 
+    def run_on(self, timers: TimerService) -> None:
+        """Starts the task and its ticks."""
+        self.start()
+        timers.subscribe(self, CLEAN_UP_S, _CleanUp())
+
     def _on_revision(self, message: RevisionHeard) -> None:
         if message.revision <= self._configuration.version():
             return
@@ -166,11 +194,26 @@
         self._configuration.confirm(clock.now())
 
     def _on_members(self, message: MembersChanged) -> None:
-        states = {member.id: member.state.name for member in message.members_by_id.values()}
+        states = {member.id: member.state for member in message.members_by_id.values()}
+        now = clock.now()
         for member_id, state in states.items():
-            if self._states_by_id.get(member_id) != state:
-                self._log.notable("router_state", router=member_id, state=state)
+            if self._states_by_id.get(member_id) is not state:
+                self._log.notable("router_state", router=member_id, state=state.name)
         self._states_by_id = states
+        self._dead_since_by_id = {
+            member_id: self._dead_since_by_id.get(member_id, now)
+            for member_id, state in states.items()
+            if state is MemberState.DEAD
+        }
+
+    def _on_clean_up(self, _: _CleanUp) -> None:
+        alive = [i for i, state in self._states_by_id.items() if state is MemberState.ALIVE]
+        horizon = clock.now() - FORGET_ROUTER_S
+        for router_id, since in list(self._dead_since_by_id.items()):
+            # One router does it; a second delete would only be a wasted call.
+            if since <= horizon and first_ranked(router_id, alive) == self._own_id:
+                self._instances.forget(router_id)
+                self._dead_since_by_id[router_id] = float("inf")
 
 
 class RouterDirectory:
