Send orders on connections that were in use just now

Test: test_order_does_not_trust_a_connection_that_was_idle (502 before, 200 after). The remembered revisions of endpoints are bounded as well.

--- a/src/sequoiadrum/gateway/endpoints.py
+++ b/src/sequoiadrum/gateway/endpoints.py
@@ -25,6 +25,8 @@
 LONGEST_SUSPENSION_S: Final = 4.0
 FULL_PAUSE_S: Final = 0.15
 """Pause after an endpoint refused a request because it was full; about one request's work."""
+MAX_REVISIONS: Final = 20_000
+"""Entries whose last revision is remembered; a week of replacements at the target size."""
 LOAD_VALID_S: Final = 1.5
 """A load that an endpoint told longer ago is not used."""
 
@@ -140,7 +142,7 @@
     by_id: dict[str, Endpoint] = field(factory=dict)
     _ids_by_service: dict[str, set[str]] = field(factory=dict)
     _revision_by_id: dict[str, int] = field(factory=dict)
-    """Of the last change or removal; kept for entries that are gone."""
+    """Of the last change or removal; kept for entries that are gone, up to `MAX_REVISIONS`."""
 
     def apply(self, entry: EndpointEntry, joined_at: float = float("-inf")) -> bool:
         """Takes an entry; False when it is not newer than what is known.
@@ -151,7 +153,7 @@
         """
         if entry.revision <= self._revision_by_id.get(entry.instance_id, 0):
             return False
-        self._revision_by_id[entry.instance_id] = entry.revision
+        self._note_revision(entry.instance_id, entry.revision)
         known = self.by_id.get(entry.instance_id)
         if known is not None and _is_same_process(known.entry, entry):
             known.entry = entry
@@ -179,7 +181,7 @@
         """
         if revision < self._revision_by_id.get(instance_id, 0):
             return False
-        self._revision_by_id[instance_id] = revision
+        self._note_revision(instance_id, revision)
         known = self.by_id.get(instance_id)
         if known is None or not known.is_listed:
             return False
@@ -198,6 +200,12 @@
         """Gives the endpoints of a service in the order of their ids."""
         return [self.by_id[i] for i in sorted(self._ids_by_service.get(service, ()))]
 
+    def _note_revision(self, instance_id: str, revision: int) -> None:
+        self._revision_by_id.pop(instance_id, None)
+        self._revision_by_id[instance_id] = revision
+        if len(self._revision_by_id) > MAX_REVISIONS:
+            del self._revision_by_id[next(iter(self._revision_by_id))]
+
     def _forget(self, endpoint: Endpoint) -> None:
         del self.by_id[endpoint.id]
         self._ids_by_service[endpoint.entry.service].discard(endpoint.id)
--- a/src/sequoiadrum/gateway/exchange.py
+++ b/src/sequoiadrum/gateway/exchange.py
@@ -25,6 +25,9 @@
 """An idle connection is dropped this long before its endpoint would close it."""
 DEFAULT_IDLE_S: Final = 4.0
 """Kept idle for so long when the endpoint does not say."""
+TRUSTED_IDLE_S: Final = 1.0
+"""Endpoints may drop connections without notice that were idle for longer than this; a request that
+can't be repeated would be lost on one."""
 MAX_IDLE_PER_ENDPOINT: Final = 8
 _READ_BYTES: Final = 65_536
 _MAX_FOREIGN_ANSWERS: Final = 3
@@ -141,6 +144,7 @@
 @frozen
 class _Idle:
     stream: GuardedStream
+    since: float
     until: float
 
 
@@ -162,9 +166,13 @@
         headers: list[tuple[str, str]],
         body: bytes,
         guard: Callable[[], None],
+        is_repeatable: bool,
     ) -> Exchange | NotSent | Broken:
-        """Sends a request and waits for the head of its answer."""
-        stream = self._take(endpoint_id)
+        """Sends a request and waits for the head of its answer.
+
+        A request that is not repeatable gets a connection that was in use just now, or a new one.
+        """
+        stream = self._take(endpoint_id, None if is_repeatable else TRUSTED_IDLE_S)
         if stream is None:
             try:
                 stream = GuardedStream(connect_stream(address, CONNECT_TIMEOUT_S))
@@ -242,12 +250,16 @@
             left,
         )
 
-    def _take(self, endpoint_id: str) -> GuardedStream | None:
+    def _take(self, endpoint_id: str, longest_idle_s: float | None) -> GuardedStream | None:
         while True:
             with self._lock:
                 entries = self._idle_by_endpoint.get(endpoint_id)
                 if not entries:
                     return None
+                # The last one was in use most recently.
+                idle_s = clock.now() - entries[-1].since
+                if longest_idle_s is not None and idle_s > longest_idle_s:
+                    return None
                 entry = entries.pop()
             # Bytes that nobody asked for, or an end: nothing may be sent on such a connection.
             if entry.until > clock.now() and entry.stream.is_quiet():
@@ -259,7 +271,8 @@
         with self._lock:
             entries = self._idle_by_endpoint.setdefault(endpoint_id, [])
             if keep_s > 0 and len(entries) < MAX_IDLE_PER_ENDPOINT and stream.is_quiet():
-                entries.append(_Idle(stream, clock.now() + keep_s))
+                now = clock.now()
+                entries.append(_Idle(stream, now, now + keep_s))
                 return
         stream.close()
 
--- a/src/sequoiadrum/gateway/relay.py
+++ b/src/sequoiadrum/gateway/relay.py
@@ -162,6 +162,7 @@
             headers,
             run.body,
             self._guard(run, started),
+            run.kind.is_repeatable,
         )
         self._metrics.record_seconds("endpoint_first_byte_seconds", clock.now() - started)
         if not isinstance(result, NotSent):
--- a/tests/gateway/test_whole_path.py
+++ b/tests/gateway/test_whole_path.py
@@ -114,6 +114,21 @@
         for n in range(4):
             self.assertEqual(self.world.call("/order/x", f"q{n}")[0], 200)
 
+    def test_order_does_not_trust_a_connection_that_was_idle(self) -> None:
+        """Guards against an order that is lost because its endpoint had dropped the connection."""
+
+        def drops_when_idle(connection: Connection, request: Received) -> None:
+            connection.send(answer(request))
+            connection.read()
+            connection.reset()
+
+        endpoint = ScriptedEndpoint(drops_when_idle)
+        self.world.add("e1", endpoint)
+        self.assertEqual(self.world.call("/order/x", "q1")[0], 200)
+        time.sleep(1.2)
+        self.assertEqual(self.world.call("/order/x", "q2")[0], 200)
+        self.assertEqual(endpoint.connections, 2)
+
     def test_rejection_of_all_endpoints_is_told_with_a_pause(self) -> None:
         """Guards against a 502 for an order that provably did not run."""
         full = ScriptedEndpoint(
