--- a/Makefile
+++ b/Makefile
@@ -19,13 +19,13 @@
 	$(BIN)/python -m tools.demo
 
 check: install
-	$(BIN)/black --check --quiet src tests tools
-	$(BIN)/ruff check src tests tools
+	$(BIN)/black --check --quiet src tests tools deploy
+	$(BIN)/ruff check src tests tools deploy
 	$(BIN)/mypy
 
 format: install
-	$(BIN)/black src tests tools
-	$(BIN)/ruff check --fix src tests tools
+	$(BIN)/black src tests tools deploy
+	$(BIN)/ruff check --fix src tests tools deploy
 
 dist: install
 	$(BIN)/python -m tools.build_dist
