Share the bounds of the web servers, split the guards of waits out of the relay

One BoundedServer drops connections without progress for both web servers; it now measures by the steady clock, because the time of day jumps.

--- a/src/sequoiadrum/_front_server.py
+++ b/src/sequoiadrum/_front_server.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import time
 from typing import TYPE_CHECKING, Any, Final
 
 from waitress.adjustments import Adjustments
@@ -104,10 +105,35 @@
         return None
 
 
-class FrontServer(TcpWSGIServer):
-    """Serves a WSGI application on a bounded number of threads and connections."""
+class BoundedServer(TcpWSGIServer):
+    """Drops connections that make no progress, and counts what the application does not see."""
 
     channel_class = BoundedChannel
+    metrics: Metrics
+    stall_s = READER_STALL_S
+    arrival_s = ARRIVAL_S
+
+    def maintenance(self, now: float) -> None:
+        """Drops idle connections, stalled readers and requests that do not arrive."""
+        super().maintenance(now)
+        # The time of day, which waitress hands in, may jump.
+        steady = time.monotonic()
+        for channel in list(self.active_channels.values()):
+            reason = channel.overdue(steady)
+            if reason is not None:
+                self.metrics.count("connections_dropped_total", reason=reason)
+                # `will_close` alone waits until the socket is writable, which that of a stalled
+                # reader never is.
+                channel.will_close = True
+                channel.handle_close()
+
+    def count(self, reason: RefusalReason) -> None:
+        """Counts a refusal that the application does not see."""
+        self.metrics.count("refusals_total", reason=reason.value)
+
+
+class FrontServer(BoundedServer):
+    """Serves a WSGI application on a bounded number of threads and connections."""
 
     def __init__(self, application: Any, settings: Settings, metrics: Metrics) -> None:
         """Binds the socket.
@@ -118,8 +144,6 @@
         threads = settings.max_streams + SPARE_THREADS
         self._max_connections = 4 * threads
         self.metrics = metrics
-        self.stall_s = READER_STALL_S
-        self.arrival_s = ARRIVAL_S
         adjustments = Adjustments(
             host=settings.host,
             port=settings.http_port,
@@ -176,22 +200,6 @@
         finally:
             self.count(_OVERLOADED.reason)
 
-    def maintenance(self, now: float) -> None:
-        """Drops idle connections, stalled readers and requests that do not arrive."""
-        super().maintenance(now)
-        for channel in list(self.active_channels.values()):
-            reason = channel.overdue(now)
-            if reason is not None:
-                self.metrics.count("connections_dropped_total", reason=reason)
-                # `will_close` alone waits until the socket is writable, which that of a stalled
-                # reader never is.
-                channel.will_close = True
-                channel.handle_close()
-
-    def count(self, reason: RefusalReason) -> None:
-        """Counts a refusal that the application does not see."""
-        self.metrics.count("refusals_total", reason=reason.value)
-
 
 def internal_error(error: BaseException, metrics: Metrics) -> Refusal:
     """Logs and counts an unexpected exception; gives what the caller is told."""
--- a/src/sequoiadrum/gateway/front.py
+++ b/src/sequoiadrum/gateway/front.py
@@ -4,21 +4,19 @@
 
 import threading
 from concurrent.futures import ThreadPoolExecutor
-from typing import TYPE_CHECKING, Any, ClassVar, Final
+from typing import TYPE_CHECKING, Any, Final
 
 from waitress import wasyncore
 from waitress.adjustments import Adjustments
 from waitress.parser import HTTPRequestParser, ParsingError
-from waitress.server import TcpWSGIServer
 from waitress.task import WSGITask
 
-from sequoiadrum._front_server import BoundedChannel
+from sequoiadrum._front_server import BoundedChannel, BoundedServer
 from sequoiadrum.gateway import clock
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from sequoiadrum.errors import RefusalReason
     from sequoiadrum.messages import Address
     from sequoiadrum.metrics import Metrics
 
@@ -34,8 +32,6 @@
 """Requests that wait for a thread; more are refused at once."""
 IDLE_S: Final = 60
 """An idle connection of a caller is closed after this time; callers use theirs for 12 s."""
-STALL_S: Final = 10.0
-"""A caller that does not read for this long is dropped."""
 ARRIVAL_S: Final = 20.0
 """A request that has not arrived whole after this time is dropped with its connection."""
 MAX_HEADER_BYTES: Final = 65_536
@@ -121,12 +117,11 @@
                 self._active -= 1
 
 
-class GatewayServer(TcpWSGIServer):
+class GatewayServer(BoundedServer):
     """One listener; several share an event loop and a dispatcher."""
 
     channel_class = _Channel
-    stall_s: ClassVar[float] = STALL_S
-    arrival_s: ClassVar[float] = ARRIVAL_S
+    arrival_s = ARRIVAL_S
 
     def __init__(
         self,
@@ -174,21 +169,6 @@
         self.metrics.count("refusals_total", reason="overloaded")
         task.refuse(_OVERLOAD_ANSWER)
 
-    def maintenance(self, now: float) -> None:
-        """Drops idle connections, stalled readers and requests that do not arrive."""
-        super().maintenance(now)
-        steady = clock.now()
-        for channel in list(self.active_channels.values()):
-            reason = channel.overdue(steady)
-            if reason is not None:
-                self.metrics.count("connections_dropped_total", reason=reason)
-                channel.will_close = True
-                channel.handle_close()
-
-    def count(self, reason: RefusalReason) -> None:
-        """Counts a refusal that the application does not see."""
-        self.metrics.count("refusals_total", reason=reason.value)
-
 
 class ServerGroup:
     """The servers of a gateway on one event loop."""
--- a/src/sequoiadrum/gateway/model.py
+++ b/src/sequoiadrum/gateway/model.py
@@ -3,15 +3,11 @@
 from __future__ import annotations
 
 from enum import Enum
-from typing import Final
 
 from attrs import field, frozen
 
 from sequoiadrum.messages import Address  # noqa: TC001 (attrs reads it)
 
-MIN_ANSWER_S: Final = 0.005
-"""A deadline nearer than this can't be met; a round trip to a client takes 2 ms."""
-
 
 class RequestKind(Enum):
     """What may be repeated of a route's requests."""
--- a/src/sequoiadrum/gateway/relay.py
+++ b/src/sequoiadrum/gateway/relay.py
@@ -10,10 +10,9 @@
     Broken,
     Exchange,
     Interrupt,
-    InterruptedWaitError,
     NotSent,
 )
-from sequoiadrum.gateway.model import RequestKind
+from sequoiadrum.gateway.guards import body_guard, first_byte_guard
 from sequoiadrum.gateway.placing import NoPlace, Placing
 from sequoiadrum.gateway.request_run import (
     Caller,
@@ -28,7 +27,6 @@
 from sequoiadrum.gateway.stream_body import StreamBody, passable
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
 
     from sequoiadrum.gateway.crash_news import CrashNews
     from sequoiadrum.gateway.event_log import EventLog
@@ -40,10 +38,6 @@
 
 PLAIN_ANSWER_BYTES: Final = 8_000_000
 """Largest answer of a plain service that is held in memory until it is whole."""
-ATTEMPT_GOALS: Final = 2.5
-"""A request that can be repeated leaves an endpoint that is silent for so many goals."""
-SHORTEST_ATTEMPT_S: Final = 0.9
-"""The slowest regular answers take half a second."""
 RESTART_PAUSE_S: Final = 0.3
 """Told to clients when endpoints restart or cannot be reached."""
 FULL_PAUSE_S: Final = 0.2
@@ -161,7 +155,7 @@
             run.call,
             headers,
             run.body,
-            self._guard(run, started),
+            first_byte_guard(run, started),
             run.kind.is_repeatable,
         )
         self._metrics.record_seconds("endpoint_first_byte_seconds", clock.now() - started)
@@ -170,35 +164,6 @@
             run.was_sent = True
         return result
 
-    def _guard(self, run: RequestRun, started: float) -> Callable[[], None]:
-        attempt_until = run.deadline
-        can_move = run.kind.is_repeatable and run.attempts + 1 < run.route.max_attempts
-        if can_move:
-            attempt_s = max(SHORTEST_ATTEMPT_S, ATTEMPT_GOALS * run.route.goal_s)
-            attempt_until = min(attempt_until, started + attempt_s)
-        # An order that has begun is finished, whether or not its client still listens.
-        watches_caller = run.kind is not RequestKind.NON_IDEMPOTENT
-
-        def check() -> None:
-            now = clock.now()
-            if now >= run.deadline:
-                raise InterruptedWaitError(Interrupt.DEADLINE)
-            if watches_caller and run.caller.is_gone():
-                raise InterruptedWaitError(Interrupt.CALLER_GONE)
-            if now >= attempt_until:
-                raise InterruptedWaitError(Interrupt.SLOW_ENDPOINT)
-
-        return check
-
-    def _guard_body(self, run: RequestRun) -> Callable[[], None]:
-        def check() -> None:
-            if clock.now() >= run.deadline:
-                raise InterruptedWaitError(Interrupt.DEADLINE)
-            if run.kind is not RequestKind.NON_IDEMPOTENT and run.caller.is_gone():
-                raise InterruptedWaitError(Interrupt.CALLER_GONE)
-
-        return check
-
     def _after_not_sent(self, run: RequestRun, place: Place, result: NotSent) -> None:
         run.unsent += 1
         run.last_error = result.detail
@@ -241,7 +206,7 @@
 
     def _plain(self, run: RequestRun, place: Place, exchange: Exchange) -> Reply | None:
         """Reads a whole answer; None when the request is to be sent again."""
-        exchange.set_guard(self._guard_body(run))
+        exchange.set_guard(body_guard(run))
         head = exchange.head
         body = exchange.read_all(PLAIN_ANSWER_BYTES)
         self._pool.release(place)
@@ -300,7 +265,7 @@
                 return None
             return self._refuse(run, Refused.ENDPOINT_FAILED, "the answer is not signed")
         self._pool.note_answer(place, head, failed=False)
-        exchange.set_guard(self._guard_body(run))
+        exchange.set_guard(body_guard(run))
         body = StreamBody(self, run, place, exchange, splitter, first)
         return Reply(head.status, head.reason, head.headers, body)
 
@@ -334,7 +299,7 @@
             if head.status == HTTPStatus.OK and head.is_sealed:
                 self._pool.note_answer(next_place, head, failed=False)
                 self._note("stream_continued", run, next_place, after=last_event_id)
-                exchange.set_guard(self._guard_body(run))
+                exchange.set_guard(body_guard(run))
                 return next_place, exchange
             exchange.close()
             self._pool.release(next_place)
