Let a router outrank its own former process after a jump of the time of day

Cause: process ids are made of the time of day. A router that restarts after the time went back looks older than its predecessor, and its peers ignore it for ten minutes: it is missing in the directory. It now takes a higher id, once, when it hears of the predecessor. The platform role only, since the ledger of keyed calls relies on the id elsewhere. Found by reading; on virtual time the member stays out without the change and is back within 20 s with it (test_restart_after_the_time_of_day_went_back).

--- a/src/sequoiadrum/gateway/app.py
+++ b/src/sequoiadrum/gateway/app.py
@@ -93,7 +93,12 @@
         self._instances = StoreInstanceList(self._store, settings, self.log)
         self._peers = ThriftPeerClient(self.metrics)
         self.gossip: Final = GossipTask(
-            settings, self._instances, self._peers, self.metrics, self._invariant_broken
+            settings,
+            self._instances,
+            self._peers,
+            self.metrics,
+            self._invariant_broken,
+            outranks=True,
         )
         self.gossip.set_http_port(settings.http_port)
         self.directory: Final = RouterDirectory(self.gossip, settings)
--- a/src/sequoiadrum/gossip_task.py
+++ b/src/sequoiadrum/gossip_task.py
@@ -127,9 +127,19 @@
         peers: PeerClient,
         metrics: Metrics,
         on_invariant: Callable[[], None],
+        outranks: bool = False,
     ) -> None:
         """Binds UDP, and TCP for the peer server (`listener`), to the same number.
 
+        Args:
+            settings: Names and addresses of this router.
+            platform: Where others are found.
+            peers: Calls to others.
+            metrics: Counters.
+            on_invariant: Called when an invariant is broken.
+            outranks: Whether a process that its peers take for an older one than its predecessor
+                takes a higher process id, once; nothing else may rely on the id then.
+
         Raises:
             OSError: The port is in use or the address not local.
         """
@@ -161,6 +171,8 @@
         self._revision_subscribers: list[Task] = []
         self._pool = ThreadPoolExecutor(2, thread_name_prefix="gossip-io")
         self._stopped = False
+        self._outranks = outranks
+        self._has_outranked = False
         self._reader = threading.Thread(target=self._read, name="gossip-read", daemon=True)
         metrics.gauge("routers_alive", lambda: float(self._alive()))
 
@@ -336,8 +348,17 @@
                 for task in self._subscribers:
                     task.post(event)
             elif isinstance(event, Superseded):
-                self.metrics.count("superseded_total")
-                _log.error("instance_id_in_use", instance=self.self_id())
+                self._on_superseded(event)
+
+    def _on_superseded(self, event: Superseded) -> None:
+        self.metrics.count("superseded_total")
+        # A second process with the same id would outrank this one again; that is not answered.
+        if self._outranks and not self._has_outranked:
+            self._has_outranked = True
+            _log.warning("former_process_outranked", instance=self.self_id())
+            self._core.outrank(event.process_id, time.monotonic())
+            return
+        _log.error("instance_id_in_use", instance=self.self_id())
 
     def _alive(self) -> int:
         return sum(m.state is MemberState.ALIVE for m in self._members.values())
--- a/src/sequoiadrum/membership.py
+++ b/src/sequoiadrum/membership.py
@@ -162,6 +162,16 @@
             self.report_version += 1
             self._push_soon(now)
 
+    def outrank(self, process_id: int, now: float) -> None:
+        """Takes a process id above that of a former process that looks younger than this one.
+
+        The time of day, of which process ids are made, may have gone back before a restart.
+        """
+        if process_id <= self.me.process_id:
+            return
+        self.me = evolve(self.me, process_id=process_id + 1)
+        self._announce(self.me.state, now)
+
     def leave(self, now: float) -> None:
         """Announces the planned stop."""
         self._announce(MemberState.LEAVING, now)
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -4,6 +4,7 @@
 
 import random
 import unittest
+from typing import Any
 
 from hypothesis import given, settings
 from hypothesis import strategies as st
@@ -15,7 +16,7 @@
 FLEET = 14
 
 
-def _grown(seed: int = 1, **values: float) -> Bus:
+def _grown(seed: int = 1, **values: Any) -> Bus:
     bus = Bus(seed=seed, **values)
     bus.start(FLEET, seed_count=1)
     assert bus.run(30, bus.agree)
@@ -125,6 +126,17 @@
                 node.receive(data, Address("10.0.0.6", 7400), bus.now)
             self.assertIs(node.members_by_id["router-5"].state, MemberState.ALIVE)
 
+    def test_restart_after_the_time_of_day_went_back(self) -> None:
+        """Guards against a restarted member that its peers ignore as older than its predecessor."""
+        for outranks in (False, True):
+            bus = _grown(outranks=outranks)
+            bus.kill("router-5")
+            bus.run(1)
+            bus.join(a_member(5, process_id=0), (bus.nodes["router-0"].me.peer_address,))
+            # Long enough for the predecessor to be declared dead.
+            bus.run(20)
+            self.assertEqual(bus.agree(), outranks)
+
     def test_whole_fleet_restart(self) -> None:
         """Guards against records of former processes that keep the new ones out."""
         bus = _grown()
--- a/tests/virtual_bus.py
+++ b/tests/virtual_bus.py
@@ -56,6 +56,8 @@
     dead_seen: list[tuple[float, str, str]] = field(factory=list)
     """Time, observer and subject of each observed death."""
     superseded: list[str] = field(factory=list)
+    outranks: bool = False
+    """Whether a member that looks older than its predecessor takes a higher process id."""
     _ids_by_address: dict[Address, str] = field(factory=dict)
     _queue: list[tuple[float, int, str, str, bytes]] = field(factory=list)
     _order: itertools.count[int] = field(factory=itertools.count)
@@ -72,6 +74,11 @@
         self.nodes[member.id] = node
         self._ids_by_address[member.peer_address] = member.id
         self._versions.pop(member.id, None)
+        self._schedule_tick(node)
+        return node
+
+    def _schedule_tick(self, node: Membership) -> None:
+        member = node.me
         heapq.heappush(
             self._queue,
             (
@@ -82,7 +89,6 @@
                 member.process_id.to_bytes(8, "big"),
             ),
         )
-        return node
 
     def start(self, count: int, seed_count: int = 3) -> None:
         """Starts many members at once."""
@@ -148,6 +154,9 @@
                 self.flush(member_id)
             elif isinstance(event, Superseded):
                 self.superseded.append(member_id)
+                if self.outranks:
+                    node.outrank(event.process_id, self.now)
+                    self._schedule_tick(node)
         self._watch_deaths(node)
 
     def _deliver(self, source: str, target: str, data: bytes) -> None:
