--- a/tools/replay.py
+++ b/tools/replay.py
@@ -24,7 +24,7 @@
 
 from tools.fleet import Fleet, call_json
 from tools.load import Caller, LoadReport
-from tools.operator_cli import run_operator_command
+from tools.operator_cli import run_until_available
 from tools.replay_figures import ControlTraffic, EngineSampler
 from tools.traces import FAULTS, Trace, read_trace
 
@@ -144,7 +144,8 @@
         self._sampler.note_leaving(event["id"])
 
     def _drain_engine(self, event: dict[str, Any]) -> None:
-        run_operator_command(
+        # On a busy machine the command takes seconds to start and can meet the trace's outage.
+        run_until_available(
             self.fleet, "plan", "drain", event["id"], "--id", f"drain-{event['id']}"
         )
         self._sampler.note_leaving(event["id"])
