Keep missing endpoints only after an outage in which their entries can have lapsed

Cause: any failed call of the store counted as an outage, also a watch that is cut for a moment, which the store may do at any time. An endpoint that left within 2.5 s of that kept getting requests for up to 2.5 s, more than the 2 s allowed. Only outages of 2 s or more count now (test_cut_watch_is_no_outage fails without the change). Ruled out: removals in a long outage, whose bounds begin 3 s after it.

--- a/src/sequoiadrum/gateway/relay.py
+++ b/src/sequoiadrum/gateway/relay.py
@@ -6,12 +6,7 @@
 from typing import TYPE_CHECKING, Final
 
 from sequoiadrum.gateway import clock
-from sequoiadrum.gateway.exchange import (
-    Broken,
-    Exchange,
-    Interrupt,
-    NotSent,
-)
+from sequoiadrum.gateway.exchange import Broken, Exchange, Interrupt, NotSent
 from sequoiadrum.gateway.guards import body_guard, first_byte_guard
 from sequoiadrum.gateway.placing import NoPlace, Placing
 from sequoiadrum.gateway.request_run import (
@@ -27,7 +22,6 @@
 from sequoiadrum.gateway.stream_body import StreamBody, passable
 
 if TYPE_CHECKING:
-
     from sequoiadrum.gateway.crash_news import CrashNews
     from sequoiadrum.gateway.event_log import EventLog
     from sequoiadrum.gateway.exchange import EndpointConnections
@@ -215,7 +209,7 @@
         failed = head.status >= HTTPStatus.INTERNAL_SERVER_ERROR
         self._pool.note_answer(place, head, failed)
         if head.is_not_executed:
-            return self._after_rejection(run, place, head, body)
+            return self._after_rejection(run, place, head)
         self._crashes.note_completed(run.fingerprint)
         if head.status < HTTPStatus.MULTIPLE_CHOICES and not head.is_sealed:
             self._note("answer_unsealed", run, place, status=head.status)
@@ -232,9 +226,7 @@
         run.tried.append(place.endpoint.id)
         return self._may_repeat(run)
 
-    def _after_rejection(
-        self, run: RequestRun, place: Place, head: AnswerHead, body: bytes
-    ) -> Reply | None:
+    def _after_rejection(self, run: RequestRun, place: Place, head: AnswerHead) -> Reply | None:
         """The endpoint did not run the request, which may go to another one."""
         run.attempts -= 1
         run.was_sent = run.attempts > 0
--- a/src/sequoiadrum/gateway/store_sync.py
+++ b/src/sequoiadrum/gateway/store_sync.py
@@ -29,6 +29,9 @@
 which the bounds hold again."""
 VERIFY_S: Final = 10.0
 """A whole list is read this often: a watch can pass over changes without a sign."""
+SHORTEST_LAPSE_S: Final = 2.0
+"""Entries lapse after three heartbeats of 1.2 s, the last of which may have been due. A watch that
+is cut for a moment makes no entry lapse: what is missing after it has left."""
 FIRST_RETRY_S: Final = 0.1
 LONGEST_RETRY_S: Final = 0.8
 """Longest pause between two tries in an outage; its end must be noticed within a second."""
@@ -51,7 +54,7 @@
         self._lock = threading.Lock()
         self._lost_at: float | None = None
         self.outage_ended: float = float("-inf")
-        """When the store came back last, in monotonic seconds."""
+        """When the store came back last from an outage in which entries can have lapsed."""
 
     def note_answer(self) -> None:
         """Notes that the store answered."""
@@ -61,7 +64,8 @@
             now = clock.now()
             lasted_s = now - self._lost_at
             self._lost_at = None
-            self.outage_ended = now
+            if lasted_s >= SHORTEST_LAPSE_S:
+                self.outage_ended = now
         self._log.notable("store_regained", after_s=round(lasted_s, 3))
 
     def lapses_end(self) -> float:
