Count the crash of an engine whose dying process still answers the probe

Cause: after a broken request the relay probes the engine once. A probe that took an idle connection, or met a process that was just closing its sockets, came back as broken instead of unreachable; the crash was then not counted, and the request took down a third engine before it was refused. With two of five engines left a healthy chat found no room and got pool_full, which is what tests.test_failures.CrashTest reported.

Ruled out: admission and its queue (the pool's report shows three endpoints unhealthy in each of the failed runs, and room is counted right for two); the time limits of the test.

The new test of the relay fails without the change (released as failed, not crashed).

--- a/src/sequoiadrum/chat_relay.py
+++ b/src/sequoiadrum/chat_relay.py
@@ -28,6 +28,10 @@
 _RESUME_PAUSE_S: Final = 0.05
 _MAX_ENDPOINTS: Final = 4
 """Endpoints tried for one request."""
+_CRASH_PROBES: Final = 5
+"""Probes of an engine that broke off, until one shows whether it still accepts connections."""
+_CRASH_PROBE_PAUSE_S: Final = 0.05
+"""Between two probes; a process that ends closes its sockets within a few of these."""
 _KV_IMPORT_TIMEOUT_S: Final = 0.25
 """About the prefill time that an import saves; a slower import is not worth its wait."""
 _LOST: Final = Refusal(RefusalReason.STREAM_LOST, "the engine has lost the stream", ran=None)
@@ -256,15 +260,28 @@
             self.admission.release(grant, GrantOutcome.REFUSED)
         else:
             chat.may_have_run = True
-            probe = self._engines.resume(grant.address, chat.request.request_id, 0)
-            if isinstance(probe, Success):
-                probe.unwrap().close()
-            crashed = probe == Failure(EngineFailure.UNREACHABLE)
+            crashed = self._has_crashed(grant.address, chat.request.request_id)
             outcome = GrantOutcome.CRASHED if crashed else GrantOutcome.FAILED
             self.admission.release(grant, outcome)
             if not crashed:
                 self._cancel_at(grant.address, chat.request.request_id)
 
+    def _has_crashed(self, address: Address, request_id: str) -> bool:
+        """Tells whether an engine that broke off accepts no connections any more.
+
+        A process that is ending closes its sockets one after another, so a probe on an idle
+        connection may break as well. That shows nothing, and another probe follows.
+        """
+        for _ in range(_CRASH_PROBES):
+            probe = self._engines.resume(address, request_id, 0)
+            if isinstance(probe, Success):
+                probe.unwrap().close()
+                return False
+            if probe.failure() is not EngineFailure.BROKEN:
+                return probe.failure() is EngineFailure.UNREACHABLE
+            time.sleep(_CRASH_PROBE_PAUSE_S)
+        return False
+
     def _drop(self, chat: ChatStream, outcome: GrantOutcome, cancel: bool) -> None:
         """Gives up the engine of a broken stream."""
         assert chat.grant is not None
--- a/tests/test_chat_relay.py
+++ b/tests/test_chat_relay.py
@@ -114,6 +114,26 @@
         chat.close()
         self.assertEqual(self.rig.admission.released, [("e1", "crashed")])
 
+    def test_crash_counts_although_the_first_probe_broke(self) -> None:
+        """Guards against a crash that is missed because the dying process still had a socket open.
+
+        The request then takes down one engine more than the limit allows.
+        """
+        broken, gone = Failure(EngineFailure.BROKEN), Failure(EngineFailure.UNREACHABLE)
+        really_open = self.rig.client.open
+        opened = iter([broken])
+
+        def open_(address: Address, request: Any) -> Any:
+            return next(opened, None) or really_open(address, request)
+
+        with (
+            mock.patch.object(self.rig.client, "open", open_),
+            mock.patch.object(self.rig.client, "resume", side_effect=[broken, broken, gone]),
+        ):
+            chat = self.start(a_request())
+        chat.close()
+        self.assertEqual(self.rig.admission.released[0], ("e1", "crashed"))
+
     def test_unreachable_at_open_is_no_crash(self) -> None:
         """Guards against counting a crash for a request that was never sent."""
         with socket.create_server(("127.0.0.1", 0)) as closed:
