Break three import circles and check that none comes back

Cause: _ledger_dispatch and ledger_task, chat_relay and chat_stream, and the gateway's relay and stream_body named each other, though only in type hints; none of them could be read without the other.

Change: the clock of waiting threads and the name of a keyed call move to modules of their own level; a stream asks an abstract owner (StreamRecovery, StreamOwner) to go on. Nothing else moves, no behaviour changes.

--- a/src/sequoiadrum/_ledger_dispatch.py
+++ b/src/sequoiadrum/_ledger_dispatch.py
@@ -14,9 +14,9 @@
 from sequoiadrum.service_client import Answered, CallOutcome, MaybeSent, NotSent
 
 if TYPE_CHECKING:
-    from sequoiadrum._ledger_types import SendGate, ShardCall
+    from sequoiadrum._ledger_types import KeyName, SendGate, ShardCall
+    from sequoiadrum.clock import Clock
     from sequoiadrum.interfaces import Admission, ConfigSource, KeyedCall
-    from sequoiadrum.ledger_task import Clock, KeyName
     from sequoiadrum.messages import Address
     from sequoiadrum.peer_client import PeerClient
     from sequoiadrum.service_client import ServiceClient
--- a/src/sequoiadrum/_ledger_types.py
+++ b/src/sequoiadrum/_ledger_types.py
@@ -24,6 +24,15 @@
     """Keeps an attempt from being dispatched, or waits for its outcome."""
 
 
+@frozen
+class KeyName:
+    """What names a keyed call between routers."""
+
+    service: str
+    account: str
+    key: str
+
+
 @define(eq=False)
 class ShardCall:
     """One question to a shard; answered by exactly one `Answered` or `Redirected` event."""
--- a/src/sequoiadrum/app.py
+++ b/src/sequoiadrum/app.py
@@ -17,13 +17,14 @@
 from sequoiadrum._service_http import HttpServiceClient
 from sequoiadrum.admission_task import AdmissionParts, AdmissionTask
 from sequoiadrum.chat_relay import ChatRelay, RetryBudgets
+from sequoiadrum.clock import Clock
 from sequoiadrum.config_task import ConfigTask
 from sequoiadrum.config_writer import PlatformConfigWriter
 from sequoiadrum.directory import MemberDirectory
 from sequoiadrum.gossip_task import GossipTask
 from sequoiadrum.http_front import FrontParts, HttpFront
 from sequoiadrum.keyed_router import KeyedRouter
-from sequoiadrum.ledger_task import Clock, LedgerTask
+from sequoiadrum.ledger_task import LedgerTask
 from sequoiadrum.limits_task import LimitsTask
 from sequoiadrum.messages import Address
 from sequoiadrum.metrics import Metrics
--- a/src/sequoiadrum/chat_relay.py
+++ b/src/sequoiadrum/chat_relay.py
@@ -8,7 +8,7 @@
 
 from returns.result import Failure, Result, Success
 
-from sequoiadrum.chat_stream import ChatStream
+from sequoiadrum.chat_stream import ChatStream, StreamRecovery
 from sequoiadrum.engine_client import EngineFailure
 from sequoiadrum.errors import Refusal, RefusalReason
 from sequoiadrum.interfaces import AdmissionRequest, GrantOutcome
@@ -67,7 +67,7 @@
         return budget
 
 
-class ChatRelay:
+class ChatRelay(StreamRecovery):
     """Serves chat requests on the thread of their caller."""
 
     def __init__(
@@ -80,7 +80,7 @@
         metrics: Metrics,
         grace_s: float = GRACE_S,
     ) -> None:
-        self.admission: Final = admission
+        self.admission = admission
         self._config = config
         self._engines = engines
         self._canceller = canceller
@@ -150,11 +150,7 @@
     def recover(
         self, chat: ChatStream, failure: EngineFailure
     ) -> tuple[Refusal | None, GrantOutcome]:
-        """Resumes a broken stream at its next token, or starts it again on another engine.
-
-        Returns:
-            None when the stream goes on, else why it ends; and how its grant ended.
-        """
+        """See `StreamRecovery.recover`."""
         assert chat.stream is not None
         assert chat.address is not None
         chat.stream.close()
@@ -173,7 +169,7 @@
         return self._place(chat), outcome
 
     def abandon(self, chat: ChatStream, may_resume: bool) -> None:
-        """Has the stream cancelled unless another reader attaches in the grace period."""
+        """See `StreamRecovery.abandon`."""
         assert chat.address is not None
         self._metrics.count("streams_abandoned_total")
         grace_s = self._grace_s if may_resume else SETTLE_S
--- a/src/sequoiadrum/chat_stream.py
+++ b/src/sequoiadrum/chat_stream.py
@@ -4,6 +4,7 @@
 
 import json
 import time
+from abc import ABC, abstractmethod
 from hashlib import blake2b
 from typing import TYPE_CHECKING, Any, Final
 
@@ -17,9 +18,8 @@
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterator, Sequence
 
-    from sequoiadrum.chat_relay import ChatRelay
     from sequoiadrum.engine_client import EngineStream
-    from sequoiadrum.interfaces import Grant
+    from sequoiadrum.interfaces import Admission, Grant
     from sequoiadrum.messages import Address, ChatRequest, StreamEvent
 
 _CHECK_S: Final = 0.25
@@ -37,11 +37,32 @@
     return _NO_LINGER
 
 
+class StreamRecovery(ABC):
+    """What a stream asks for when it breaks or its caller leaves."""
+
+    admission: Admission
+    """Takes the grant back."""
+
+    @abstractmethod
+    def recover(
+        self, chat: ChatStream, failure: EngineFailure
+    ) -> tuple[Refusal | None, GrantOutcome]:
+        """Resumes a broken stream at its next token, or starts it again on another engine.
+
+        Returns:
+            None when the stream goes on, else why it ends; and how its grant ended.
+        """
+
+    @abstractmethod
+    def abandon(self, chat: ChatStream, may_resume: bool) -> None:
+        """Has the stream cancelled unless another reader attaches in the grace period."""
+
+
 @define(eq=False)
 class ChatStream:
     """Yields each token once and in order; `failure` tells whether the answer is whole."""
 
-    relay: ChatRelay
+    relay: StreamRecovery
     request: ChatRequest
     pool: str
     delivers: bool
--- a/src/sequoiadrum/gateway/relay.py
+++ b/src/sequoiadrum/gateway/relay.py
@@ -19,7 +19,7 @@
     refusal,
 )
 from sequoiadrum.gateway.sse_framing import EventSplitter
-from sequoiadrum.gateway.stream_body import StreamBody, passable
+from sequoiadrum.gateway.stream_body import StreamBody, StreamOwner, passable
 
 if TYPE_CHECKING:
     from sequoiadrum.gateway.crash_news import CrashNews
@@ -42,7 +42,7 @@
 """An answer leaves this long before the client stops waiting."""
 
 
-class Relay:
+class Relay(StreamOwner):
     """Sends requests to endpoints until one answers or nothing more may be tried."""
 
     def __init__(
@@ -276,11 +276,7 @@
     def continue_stream(
         self, run: RequestRun, place: Place, broken: Broken, last_event_id: str | None
     ) -> tuple[Place, Exchange]:
-        """Continues a broken stream at another endpoint.
-
-        Raises:
-            StreamBrokenError: The stream cannot be finished.
-        """
+        """See `StreamOwner.continue_stream`."""
         reply = self._after_broken(run, place, broken)
         while reply is None:
             outcome = self._start(run, last_event_id)
@@ -306,12 +302,12 @@
         raise StreamBrokenError(run.last_error)
 
     def end_stream(self, run: RequestRun, place: Place, head: AnswerHead) -> None:
-        """Notes that a stream was passed on to its end."""
+        """See `StreamOwner.end_stream`."""
         self._crashes.note_completed(run.fingerprint)
         self._served(run, place, head)
 
     def release(self, place: Place) -> None:
-        """Gives a place back; doing so again changes nothing."""
+        """See `StreamOwner.release`."""
         self._pool.release(place)
 
     def _out_of_time(self, run: RequestRun) -> Reply:
--- a/src/sequoiadrum/gateway/stream_body.py
+++ b/src/sequoiadrum/gateway/stream_body.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from abc import ABC, abstractmethod
 from typing import TYPE_CHECKING
 
 from sequoiadrum.gateway.exchange import Broken
@@ -12,12 +13,34 @@
     from collections.abc import Iterator
 
     from sequoiadrum.gateway.exchange import Exchange
+    from sequoiadrum.gateway.model import AnswerHead
     from sequoiadrum.gateway.pool import Place
-    from sequoiadrum.gateway.relay import Relay
     from sequoiadrum.gateway.request_run import RequestRun
     from sequoiadrum.gateway.sse_framing import EventSplitter
 
 
+class StreamOwner(ABC):
+    """What a stream asks for when it ends or breaks."""
+
+    @abstractmethod
+    def continue_stream(
+        self, run: RequestRun, place: Place, broken: Broken, last_event_id: str | None
+    ) -> tuple[Place, Exchange]:
+        """Continues a broken stream at another endpoint.
+
+        Raises:
+            StreamBrokenError: The stream cannot be finished.
+        """
+
+    @abstractmethod
+    def end_stream(self, run: RequestRun, place: Place, head: AnswerHead) -> None:
+        """Notes that a stream was passed on to its end."""
+
+    @abstractmethod
+    def release(self, place: Place) -> None:
+        """Gives a place back; doing so again changes nothing."""
+
+
 class StreamBody:
     """Gives the bytes of a stream as they come and continues it elsewhere where that is allowed.
 
@@ -26,14 +49,14 @@
 
     def __init__(
         self,
-        relay: Relay,
+        owner: StreamOwner,
         run: RequestRun,
         place: Place,
         exchange: Exchange,
         splitter: EventSplitter,
         first: bytes,
     ) -> None:
-        self._relay = relay
+        self._owner = owner
         self._run = run
         self._place = place
         self._exchange = exchange
@@ -57,9 +80,9 @@
         while True:
             read = self._exchange.read()
             if isinstance(read, Broken):
-                self._relay.release(self._place)
+                self._owner.release(self._place)
                 self._splitter.drop_rest()
-                self._place, self._exchange = self._relay.continue_stream(
+                self._place, self._exchange = self._owner.continue_stream(
                     self._run, self._place, read, self._splitter.last_id
                 )
                 continue
@@ -73,13 +96,13 @@
     def close(self) -> None:
         """Ends the exchange; the endpoint drops a request that still runs."""
         self._exchange.close()
-        self._relay.release(self._place)
+        self._owner.release(self._place)
 
     def _end(self) -> None:
-        self._relay.release(self._place)
+        self._owner.release(self._place)
         if self._run.kind is RequestKind.RESUMABLE_STREAM and self._splitter.holds_rest:
             raise StreamBrokenError("the stream ended within an event")
-        self._relay.end_stream(self._run, self._place, self._head)
+        self._owner.end_stream(self._run, self._place, self._head)
 
 
 def passable(run: RequestRun, splitter: EventSplitter, data: bytes) -> bytes:
--- a/src/sequoiadrum/keyed_router.py
+++ b/src/sequoiadrum/keyed_router.py
@@ -11,7 +11,7 @@
 from returns.result import Failure
 
 from sequoiadrum._ledger_codec import key_hash, not_run, request_fingerprint, unknown
-from sequoiadrum._ledger_types import CallKind, ShardCall
+from sequoiadrum._ledger_types import CallKind, KeyName, ShardCall
 from sequoiadrum._ledger_wire import (
     not_owner_to_wire,
     outcome_from_wire,
@@ -21,7 +21,7 @@
 )
 from sequoiadrum.errors import RefusalReason
 from sequoiadrum.interfaces import KeyedCalls, KeyedOutcome, KeyedState
-from sequoiadrum.ledger_task import AskShard, Elsewhere, KeyName, RecordOutcome
+from sequoiadrum.ledger_task import AskShard, Elsewhere, RecordOutcome
 from sequoiadrum.peer_client import PeerFailure
 from sequoiadrum.tasks import MailboxFullError
 
--- a/src/sequoiadrum/ledger_task.py
+++ b/src/sequoiadrum/ledger_task.py
@@ -2,10 +2,9 @@
 
 from __future__ import annotations
 
-import time
 import uuid
 from collections import OrderedDict
-from concurrent.futures import Executor, Future, ThreadPoolExecutor
+from concurrent.futures import Executor, ThreadPoolExecutor
 from concurrent.futures import TimeoutError as FutureTimeoutError
 from functools import partial
 from typing import TYPE_CHECKING, Any, Final
@@ -18,6 +17,7 @@
     Answered,
     CallKind,
     Dispatch,
+    KeyName,
     LateOutcome,
     LedgerPolicy,
     Obsolete,
@@ -25,6 +25,7 @@
     Redirected,
     ShardCall,
 )
+from sequoiadrum.clock import Clock
 from sequoiadrum.hashing import first_ranked
 from sequoiadrum.ledger import LedgerShard
 from sequoiadrum.messages import MemberState
@@ -55,39 +56,6 @@
 _log = structlog.get_logger(__name__)
 
 
-class Clock:
-    """Time, and waiting for it; replaced in tests."""
-
-    def now(self) -> float:
-        """Monotonic seconds."""
-        return time.monotonic()
-
-    def unix_ms(self) -> int:
-        """Unix time in milliseconds."""
-        return int(time.time() * 1e3)
-
-    def wait(self, future: Future[Any], timeout_s: float) -> Any:
-        """Waits for a result.
-
-        Raises:
-            TimeoutError: None came in time.
-        """
-        return future.result(max(0.0, timeout_s))
-
-    def sleep(self, seconds: float) -> None:
-        """Waits."""
-        time.sleep(seconds)
-
-
-@frozen
-class KeyName:
-    """What names a keyed call between routers."""
-
-    service: str
-    account: str
-    key: str
-
-
 @frozen
 class Elsewhere:
     """The shard is not held here; nothing was done."""
--- a/tests/test_architecture.py
+++ b/tests/test_architecture.py
@@ -31,6 +31,16 @@
     return roots
 
 
+def imported_modules(path: Path) -> set[str]:
+    """Lists the modules that a module names in its imports, type checking included."""
+    found: set[str] = set()
+    for node in ast.walk(ast.parse(path.read_text())):
+        if isinstance(node, ast.ImportFrom) and node.module:
+            found.add(node.module)
+            found |= {f"{node.module}.{alias.name}" for alias in node.names}
+    return found
+
+
 class ArchitectureTest(unittest.TestCase):
     """The layers keep to their imports."""
 
@@ -48,6 +58,19 @@
                 }
                 self.assertFalse(calls & _PROCESS_CALLS)
 
+    def test_imports_form_no_circle(self) -> None:
+        """Guards against modules that can only be understood together."""
+        names = {
+            ".".join(path.relative_to(_PACKAGE.parent).with_suffix("").parts): path
+            for path in _PACKAGE.rglob("*.py")
+            if path.name != "__init__.py" and "_gen" not in path.parts
+        }
+        left = {name: imported_modules(path) & names.keys() for name, path in names.items()}
+        while free := [name for name, imports in left.items() if not imports & left.keys()]:
+            for name in free:
+                del left[name]
+        self.assertEqual(sorted(left), [])
+
     def test_core_has_no_io(self) -> None:
         """Guards against clocks, threads and sockets in the core, which runs on virtual time."""
         for name in _CORE:
--- a/tests/test_ledger_task.py
+++ b/tests/test_ledger_task.py
@@ -13,6 +13,7 @@
 from sequoiadrum._ledger_codec import decode_head
 from sequoiadrum._ledger_dispatch import Dispatcher
 from sequoiadrum._ledger_types import LedgerPolicy
+from sequoiadrum.clock import Clock
 from sequoiadrum.configuration import ObjectKind
 from sequoiadrum.errors import RefusalReason
 from sequoiadrum.interfaces import (
@@ -24,7 +25,7 @@
     MembershipSource,
 )
 from sequoiadrum.keyed_router import MAX_FORWARDED, MAX_WAITING, TAKEOVER_WAIT_S, KeyedRouter
-from sequoiadrum.ledger_task import Clock, LedgerTask
+from sequoiadrum.ledger_task import LedgerTask
 from sequoiadrum.messages import Address, Member, MemberState
 from sequoiadrum.metrics import Metrics
 from sequoiadrum.peer_client import PeerFailure, ThriftPeerClient
--- a/tools/keyed_sim.py
+++ b/tools/keyed_sim.py
@@ -18,8 +18,9 @@
 from attrs import define, evolve, field
 
 from sequoiadrum._ledger_types import CallKind
+from sequoiadrum.clock import Clock
 from sequoiadrum.interfaces import MembershipSource
-from sequoiadrum.ledger_task import AskShard, Clock, LedgerTask
+from sequoiadrum.ledger_task import AskShard, LedgerTask
 from sequoiadrum.messages import Member, MemberState
 from sequoiadrum.timers import Subscription, TimerService
 
