--- a/src/sequoiadrum/gateway/app.py
+++ b/src/sequoiadrum/gateway/app.py
@@ -185,6 +185,8 @@
         self.start()
         self._stop_requested.wait()
         self.stop()
+        # The interpreter drops other handlers at its end, and a reload would then kill it.
+        signal.signal(signal.SIGHUP, signal.SIG_IGN)
         return 1 if self._failed else 0
 
     def stop(self) -> None:
