Let followers ask a few watchers in turn, also whether a configuration is new

By reading: a watcher encoded each configuration again for every follower (JSON of 300 KB, uncompressed, over links of 10 Mbit/s); followers kept connections to all six watchers, more than the 160 that one of them serves, so that calls were refused; one that was cut off could be asked twice running. Besides, each router read the store for the requests that it denied.

Change: the wire form of a change is compressed and encoded once; a follower asks three watchers of its own, in turn, and leaves out those that were silent; there is a watcher for each 20 routers; a router that does not watch asks one of them whether its configuration is the newest (confirm_configuration), and the store only when none can tell.

Four of the new tests failed with the old choice and without the question.

--- a/schema/peer.thrift
+++ b/schema/peer.thrift
@@ -161,7 +161,7 @@
 struct SeenObject {
   1: string name,
   2: i64 revision,
-  /** JSON; empty when the object was removed. */
+  /** JSON, compressed by zlib; empty when the object was removed. */
   3: binary document,
   4: bool is_removed,
 }
@@ -193,5 +193,10 @@
   void record_outcome(1: string service_name, 2: string account, 3: string key, 4: string attempt_id, 5: KeyedReply outcome),
   /** Objects of a kind that changed after a revision; waits for a change at most so long. */
   SeenObjects watch_objects(1: string kind, 2: i64 since_revision, 3: i32 wait_ms),
+  /**
+   * The configuration in force when it is above a revision. The router reads the store first unless
+   * it knows that nothing newer was acknowledged up to so long ago; the age tells whether it does.
+   */
+  SeenObjects confirm_configuration(1: i64 since_revision, 2: i32 max_age_ms),
   LimitLease lease_tokens(1: string account, 2: i32 wanted, 3: string router_id),
 }
--- a/src/sequoiadrum/_gen/peer/Peer.py
+++ b/src/sequoiadrum/_gen/peer/Peer.py
@@ -149,6 +149,18 @@
         """
         pass
 
+    def confirm_configuration(self, since_revision, max_age_ms):
+        """
+        The configuration in force when it is above a revision. The router reads the store first unless
+        it knows that nothing newer was acknowledged up to so long ago; the age tells whether it does.
+
+        Parameters:
+         - since_revision
+         - max_age_ms
+
+        """
+        pass
+
     def lease_tokens(self, account, wanted, router_id):
         """
         Parameters:
@@ -599,6 +611,43 @@
             return result.success
         raise TApplicationException(TApplicationException.MISSING_RESULT, "watch_objects failed: unknown result")
 
+    def confirm_configuration(self, since_revision, max_age_ms):
+        """
+        The configuration in force when it is above a revision. The router reads the store first unless
+        it knows that nothing newer was acknowledged up to so long ago; the age tells whether it does.
+
+        Parameters:
+         - since_revision
+         - max_age_ms
+
+        """
+        self.send_confirm_configuration(since_revision, max_age_ms)
+        return self.recv_confirm_configuration()
+
+    def send_confirm_configuration(self, since_revision, max_age_ms):
+        self._oprot.writeMessageBegin('confirm_configuration', TMessageType.CALL, self._seqid)
+        args = confirm_configuration_args()
+        args.since_revision = since_revision
+        args.max_age_ms = max_age_ms
+        args.write(self._oprot)
+        self._oprot.writeMessageEnd()
+        self._oprot.trans.flush()
+
+    def recv_confirm_configuration(self):
+        iprot = self._iprot
+        (fname, mtype, rseqid) = iprot.readMessageBegin()
+        if mtype == TMessageType.EXCEPTION:
+            x = TApplicationException()
+            x.read(iprot)
+            iprot.readMessageEnd()
+            raise x
+        result = confirm_configuration_result()
+        result.read(iprot)
+        iprot.readMessageEnd()
+        if result.success is not None:
+            return result.success
+        raise TApplicationException(TApplicationException.MISSING_RESULT, "confirm_configuration failed: unknown result")
+
     def lease_tokens(self, account, wanted, router_id):
         """
         Parameters:
@@ -652,6 +701,7 @@
         self._processMap["keyed_status"] = Processor.process_keyed_status
         self._processMap["record_outcome"] = Processor.process_record_outcome
         self._processMap["watch_objects"] = Processor.process_watch_objects
+        self._processMap["confirm_configuration"] = Processor.process_confirm_configuration
         self._processMap["lease_tokens"] = Processor.process_lease_tokens
         self._on_message_begin = None
 
@@ -951,6 +1001,29 @@
         oprot.writeMessageEnd()
         oprot.trans.flush()
 
+    def process_confirm_configuration(self, seqid, iprot, oprot):
+        args = confirm_configuration_args()
+        args.read(iprot)
+        iprot.readMessageEnd()
+        result = confirm_configuration_result()
+        try:
+            result.success = self._handler.confirm_configuration(args.since_revision, args.max_age_ms)
+            msg_type = TMessageType.REPLY
+        except TTransport.TTransportException:
+            raise
+        except TApplicationException as ex:
+            logging.exception('TApplication exception in handler')
+            msg_type = TMessageType.EXCEPTION
+            result = ex
+        except Exception:
+            logging.exception('Unexpected exception in handler')
+            msg_type = TMessageType.EXCEPTION
+            result = TApplicationException(TApplicationException.INTERNAL_ERROR, 'Internal error')
+        oprot.writeMessageBegin("confirm_configuration", msg_type, seqid)
+        result.write(oprot)
+        oprot.writeMessageEnd()
+        oprot.trans.flush()
+
     def process_lease_tokens(self, seqid, iprot, oprot):
         args = lease_tokens_args()
         args.read(iprot)
@@ -2998,6 +3071,165 @@
 )
 
 
+class confirm_configuration_args(object):
+    """
+    Attributes:
+     - since_revision
+     - max_age_ms
+
+    """
+
+    __slots__ = (
+        'since_revision',
+        'max_age_ms',
+    )
+
+
+    def __init__(self, since_revision=None, max_age_ms=None,):
+        self.since_revision = since_revision
+        self.max_age_ms = max_age_ms
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I64:
+                    self.since_revision = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I32:
+                    self.max_age_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('confirm_configuration_args')
+        if self.since_revision is not None:
+            oprot.writeFieldBegin('since_revision', TType.I64, 1)
+            oprot.writeI64(self.since_revision)
+            oprot.writeFieldEnd()
+        if self.max_age_ms is not None:
+            oprot.writeFieldBegin('max_age_ms', TType.I32, 2)
+            oprot.writeI32(self.max_age_ms)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+all_structs.append(confirm_configuration_args)
+confirm_configuration_args.thrift_spec = (
+    None,  # 0
+    (1, TType.I64, 'since_revision', None, None, ),  # 1
+    (2, TType.I32, 'max_age_ms', None, None, ),  # 2
+)
+
+
+class confirm_configuration_result(object):
+    """
+    Attributes:
+     - success
+
+    """
+
+    __slots__ = (
+        'success',
+    )
+
+
+    def __init__(self, success=None,):
+        self.success = success
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 0:
+                if ftype == TType.STRUCT:
+                    self.success = SeenObjects()
+                    self.success.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('confirm_configuration_result')
+        if self.success is not None:
+            oprot.writeFieldBegin('success', TType.STRUCT, 0)
+            self.success.write(oprot)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+all_structs.append(confirm_configuration_result)
+confirm_configuration_result.thrift_spec = (
+    (0, TType.STRUCT, 'success', [SeenObjects, None], None, ),  # 0
+)
+
+
 class lease_tokens_args(object):
     """
     Attributes:
--- a/src/sequoiadrum/_gen/peer/ttypes.py
+++ b/src/sequoiadrum/_gen/peer/ttypes.py
@@ -2001,7 +2001,7 @@
     Attributes:
      - name
      - revision
-     - document: JSON; empty when the object was removed.
+     - document: JSON, compressed by zlib; empty when the object was removed.
      - is_removed
 
     """
--- a/src/sequoiadrum/gateway/app.py
+++ b/src/sequoiadrum/gateway/app.py
@@ -31,7 +31,7 @@
 )
 from sequoiadrum.gateway.front import ServerGroup
 from sequoiadrum.gateway.mirror import Mirror
-from sequoiadrum.gateway.peer_feed import PeerFeed
+from sequoiadrum.gateway.peer_feed import PeerAnswers, PeerFeed
 from sequoiadrum.gateway.pool import EndpointPool
 from sequoiadrum.gateway.relay import Relay
 from sequoiadrum.gateway.settings_watch import SettingsWatch
@@ -102,8 +102,14 @@
         )
         self.gossip.set_http_port(settings.http_port)
         self.directory: Final = RouterDirectory(self.gossip, settings)
+        peer_feed = PeerFeed(self.gossip, self._peers, self.log)
         self.configuration: Final = ConfigurationHolder(
-            self._store, adapter.documents, self.gossip.announce_revision, self.metrics, self.log
+            self._store,
+            adapter.documents,
+            self.gossip.announce_revision,
+            peer_feed,
+            self.metrics,
+            self.log,
         )
         self.crashes: Final = CrashNews(self.gossip.spread)
         self.news: Final = PeerNews(
@@ -121,14 +127,13 @@
         self.connections: Final = EndpointConnections(adapter.wire)
         self.state: Final = ServingState(self.configuration)
         mirror = Mirror()
-        feed = PeerFeed(self.gossip, self._peers, self.log)
         self._syncs = (
             ConfigSync(
                 self._store,
                 adapter.documents,
                 self.configuration,
                 mirror,
-                feed,
+                peer_feed,
                 self._link,
                 self.log,
             ),
@@ -138,7 +143,7 @@
                 self.pool,
                 self.connections,
                 mirror,
-                feed,
+                peer_feed,
                 self._link,
                 self.metrics,
                 self.log,
@@ -158,7 +163,10 @@
             adapter.load_settings, settings, self._apply_settings, self.metrics, self.log
         )
         self._peer_server = create_member_server(
-            self.gossip, mirror, self.metrics, Address(settings.host, settings.peer_port)
+            self.gossip,
+            PeerAnswers(mirror, self.configuration),
+            self.metrics,
+            Address(settings.host, settings.peer_port),
         )
 
     def start(self) -> None:
--- a/src/sequoiadrum/gateway/fleet.py
+++ b/src/sequoiadrum/gateway/fleet.py
@@ -13,7 +13,6 @@
 from sequoiadrum._thrift_transport import COMPACT
 from sequoiadrum.gateway import clock
 from sequoiadrum.gateway.model import StoreFailure
-from sequoiadrum.gateway.peer_feed import answer_watch
 from sequoiadrum.hashing import first_ranked
 from sequoiadrum.messages import MembersChanged, MemberState, RevisionHeard, RumorHeard
 from sequoiadrum.platform_client import InstanceList, ListedInstance, PlatformFailure
@@ -27,7 +26,7 @@
     from sequoiadrum.gateway.configuration import ConfigurationHolder
     from sequoiadrum.gateway.crash_news import CrashNews
     from sequoiadrum.gateway.event_log import EventLog
-    from sequoiadrum.gateway.mirror import Mirror
+    from sequoiadrum.gateway.peer_feed import PeerAnswers
     from sequoiadrum.gateway.ports import AddressQuestion, Store
     from sequoiadrum.gateway.settings import GatewaySettings
     from sequoiadrum.gossip_task import GossipTask
@@ -45,7 +44,7 @@
 """How often registrations of routers that are gone are looked for."""
 FORGET_ROUTER_S: Final = 120.0
 """A router that was dead for so long is not expected back; if it returns, it registers again."""
-_PEER_CONNECTIONS: Final = 160
+PEER_CONNECTIONS: Final = 160
 """Connections of peers; each follower of a watcher keeps two, and needs a thread while it waits."""
 _REGISTER_RETRY_S: Final = 0.5
 _FAILURES: Final = {
@@ -112,9 +111,9 @@
 class GatewayPeerHandler:
     """Answers the peer calls of a gateway; the calls of other parts of a router are refused."""
 
-    def __init__(self, gossip: GossipTask, mirror: Mirror) -> None:
+    def __init__(self, gossip: GossipTask, answers: PeerAnswers) -> None:
         self._gossip = gossip
-        self._mirror = mirror
+        self._answers = answers
 
     def sync_members(self, members: list[MemberReport]) -> list[MemberReport]:
         """Exchanges the whole member list."""
@@ -122,20 +121,24 @@
 
     def watch_objects(self, kind: str, since_revision: int, wait_ms: int) -> SeenObjects:
         """Gives objects that changed after a revision; waits for a change."""
-        return answer_watch(self._mirror, kind, since_revision, wait_ms / 1e3)
+        return self._answers.watch(kind, since_revision, wait_ms / 1e3)
+
+    def confirm_configuration(self, since_revision: int, max_age_ms: int) -> SeenObjects:
+        """Gives the configuration in force if it is newer; reads the store when it must."""
+        return self._answers.confirm(since_revision, max_age_ms / 1e3)
 
 
 def create_member_server(
-    gossip: GossipTask, mirror: Mirror, metrics: Metrics, address: Address
+    gossip: GossipTask, answers: PeerAnswers, metrics: Metrics, address: Address
 ) -> ThriftServer:
     """Serves peers on the listener that the membership has bound."""
     return ThriftServer(
         "peer",
         address,
-        Peer.Processor(GatewayPeerHandler(gossip, mirror)),
+        Peer.Processor(GatewayPeerHandler(gossip, answers)),
         COMPACT,
         metrics,
-        _PEER_CONNECTIONS,
+        PEER_CONNECTIONS,
         gossip.listener,
     )
 
--- a/src/sequoiadrum/gateway/store_sync.py
+++ b/src/sequoiadrum/gateway/store_sync.py
@@ -39,6 +39,9 @@
 """How long a router that lost the store waits for a peer's news between two tries."""
 FOLLOWER_VERIFY_S: Final = 30.0
 """A router that hears changes from peers reads a whole list of its own this often."""
+PEER_WAIT_S: Final = 1.0
+"""How long a peer may hold a question until something changes. One that has just been cut off tells
+nothing for so long, and news must arrive within the bounds all the same."""
 PEER_TRIES: Final = 2
 """Peers that are asked before a router turns to the store itself."""
 PEER_AGE_S: Final = 4.0
@@ -176,7 +179,7 @@
         while not self._stopped.is_set() and not self._feed.is_watcher():
             if clock.now() >= verify_at:
                 return False
-            failures = 0 if self._ask_peer(WATCH_WAIT_S) else failures + 1
+            failures = 0 if self._ask_peer(PEER_WAIT_S) else failures + 1
             if failures >= PEER_TRIES:
                 return False
         return True
--- a/tests/gateway/test_peer_feed.py
+++ b/tests/gateway/test_peer_feed.py
@@ -2,19 +2,25 @@
 
 from __future__ import annotations
 
+import itertools
+import time
 import unittest
+from collections import Counter
 from types import MappingProxyType
 from typing import Any
+from unittest import mock
 
-from returns.result import Success
+from returns.result import Failure, Success
 
 from sequoiadrum._gen.peer import ttypes
 from sequoiadrum.gateway.event_log import EventLog
+from sequoiadrum.gateway.fleet import PEER_CONNECTIONS
 from sequoiadrum.gateway.mirror import Mirror
 from sequoiadrum.gateway.model import StoredItem
-from sequoiadrum.gateway.peer_feed import SMALL_FLEET, WATCHERS, PeerFeed, answer_watch
+from sequoiadrum.gateway.peer_feed import SMALL_FLEET, SOURCES, WATCHERS, PeerAnswers, PeerFeed
 from sequoiadrum.messages import Member, MemberState
 from sequoiadrum.metrics import Metrics
+from sequoiadrum.peer_client import PeerFailure
 from tests.gateway.scripted_endpoint import ScriptedEndpoint, ok
 from tests.gateway.world import World, config_document, eventually
 
@@ -26,7 +32,7 @@
         self._own_id = own_id
         self._members = MappingProxyType(
             {
-                f"r{n}": Member(f"r{n}", "127.0.0.1", 1, 2, "z", "r", 1, 0, MemberState.ALIVE)
+                f"r{n}": Member(f"r{n}", f"h{n}", 1, 2, "z", "r", 1, 0, MemberState.ALIVE)
                 for n in range(size)
             }
         )
@@ -68,6 +74,16 @@
         watchers = [n for n in range(100) if _feed(f"r{n}", 100).is_watcher()]
         self.assertEqual(len(watchers), WATCHERS)
 
+    def test_no_watcher_serves_more_connections_than_it_has_threads(self) -> None:
+        """Guards against watchers that refuse the connections of a large fleet's other routers."""
+        for size in (100, 300):
+            feeds = [_feed(f"r{n}", size) for n in range(size)]
+            asking = [feed for feed in feeds if not feed.is_watcher()]
+            followers = Counter(m.id for feed in asking for m in feed._current().sources)
+            # Configuration and endpoints are each followed on a connection of their own.
+            self.assertLess(2 * max(followers.values()), PEER_CONNECTIONS)
+            self.assertTrue(all(len(feed._current().sources) == SOURCES for feed in asking))
+
     def test_lone_router_asks_nobody(self) -> None:
         """Guards against a wait for peers that do not exist."""
         self.assertIsNone(_feed("r0", 1).watch("k", 0, 1.0))
@@ -77,7 +93,9 @@
         mirror = Mirror()
         mirror.note_list("k", [StoredItem("a", 3, {"x": [1, None]}), StoredItem("b", 4, 1)], 5, 0.0)
         mirror.note_list("k", [StoredItem("a", 3, {"x": [1, None]})], 6, 0.0)
-        view = _feed("r0", 2, answer_watch(mirror, "k", 0, 0.0)).watch("k", 0, 1.0)
+        view = _feed("r0", 2, PeerAnswers(mirror, mock.Mock()).watch("k", 0, 0.0)).watch(
+            "k", 0, 1.0
+        )
         assert view is not None
         self.assertEqual(view.revision, 6)
         found = {(e.item.name, str(e.item.document), e.is_deleted) for e in view.events}
@@ -91,6 +109,90 @@
         self.assertIsNone(feed.watch("k", 0, 1.0))
 
 
+class ChoiceTest(unittest.TestCase):
+    """Which peer a router asks."""
+
+    def _asked(self, feed: PeerFeed, answers: Any, times: int) -> list[str]:
+        asked: list[str] = []
+
+        def call(address: Any, make: Any, timeout_s: float) -> Any:
+            asked.append(address.host)
+            return answers(address.host)
+
+        feed._peers.call = call  # type: ignore[method-assign]
+        for _ in range(times):
+            feed.watch("k", 0, 1.0)
+        return asked
+
+    def test_next_question_goes_to_another_peer(self) -> None:
+        """Guards against news that is late by several waits behind one peer that is cut off."""
+        empty = Success(ttypes.SeenObjects([], 1, 0))
+        asked = self._asked(_feed("r0", 4), lambda _: empty, 30)
+        self.assertTrue(all(a != b for a, b in itertools.pairwise(asked)))
+
+    def test_silent_peer_is_left_out(self) -> None:
+        """Guards against a wait for the same dead peer again and again."""
+
+        def answers(host: str) -> Any:
+            if host == "h1":
+                return Failure(PeerFailure.BROKEN)
+            return Success(ttypes.SeenObjects([], 1, 0))
+
+        self.assertLessEqual(self._asked(_feed("r0", 4), answers, 30).count("h1"), 1)
+
+
+class FollowerTest(unittest.TestCase):
+    """Two whole gateways, of which one watches the store for both."""
+
+    def setUp(self) -> None:
+        for name in ("SMALL_FLEET", "WATCHERS"):
+            self.enterContext(mock.patch(f"sequoiadrum.gateway.peer_feed.{name}", 1))
+        worlds = [World(instance_id=name) for name in ("g1", "g2")]
+        for world in worlds:
+            self.addCleanup(world.stop)
+        worlds[0].start()
+        worlds[1].join(worlds[0])
+        worlds[1].start()
+        eventually(lambda: sorted(map(_watches, worlds)) == [False, True], "one of them watches")
+        self.follower, self.watcher = sorted(worlds, key=_watches)
+        time.sleep(1.2)  # Until then the version that was read at the start is certain enough.
+
+    def _reads(self, world: World) -> int:
+        return sum(call == ("GET", "/objects/config/main") for call in world.store.calls)
+
+    def test_denied_request_costs_the_store_no_read_for_each_router(self) -> None:
+        """Guards against calls of the store that grow with the routers that deny requests."""
+        reads = self._reads(self.follower)
+        status, _, _ = self.follower.call("/read/x", headers={"Sequoiadrum-Key": "k9"})
+        self.assertEqual(status, 401)
+        self.assertEqual(self._reads(self.follower), reads)
+
+    def test_key_that_only_the_watcher_has_seen_is_accepted(self) -> None:
+        """Guards against a 401 from a router that is behind the one it asks."""
+        accounts = [{"name": "acme", "api_keys": ["k1", "k2"]}]
+        self.watcher.store.mutes_watches = True
+        self.watcher.store.put("config", "main", config_document(7, tenants=accounts))
+        status, _, _ = self.follower.call("/read/x", headers={"Sequoiadrum-Key": "k2"})
+        self.assertEqual(status, 503)  # There is no endpoint; the key is known by now.
+        self.assertEqual(self.follower.gateway.configuration.version(), 7)
+
+    def test_store_is_asked_when_no_watcher_can_tell(self) -> None:
+        """Guards against refusals as uncertain although the store answers this router."""
+        self.watcher.store.status = 503
+        status, _, _ = self.follower.call("/read/x", headers={"Sequoiadrum-Key": "k9"})
+        self.assertEqual(status, 401)
+
+    def test_nothing_is_denied_when_nobody_can_tell(self) -> None:
+        """Guards against a 401 or 404 by a configuration that may have been replaced."""
+        self.watcher.store.status = 503
+        self.follower.store.status = 503
+        self.assertEqual(self.follower.call("/nowhere/x")[0], 503)
+
+
+def _watches(world: World) -> bool:
+    return world.gateway.configuration._peers.is_watcher()
+
+
 class CutOffTest(unittest.TestCase):
     """Two whole gateways, one of which loses the store."""
 
