Gather changes of endpoints before the store is watched again

Change: 0.4 s pause after changes of endpoints, 1 s in the first 6 s of a process; a leaving endpoint is still known well within its bound.

Ruled out: watches of the configuration (201), lists (226), reads on request (47). The new test counted 30 watches for 30 endpoints before and allows 10.

--- a/src/sequoiadrum/gateway/store_sync.py
+++ b/src/sequoiadrum/gateway/store_sync.py
@@ -29,6 +29,14 @@
 which the bounds hold again."""
 VERIFY_S: Final = 10.0
 """A whole list is read this often: a watch can pass over changes without a sign."""
+GATHER_S: Final = 0.4
+"""Pause after changes of endpoints, so that those that come one after another cost one call of the
+store together; a fifth of the shortest time in which a leaving endpoint must be known."""
+START_GATHER_S: Final = 1.0
+"""The same just after the start, when all endpoints may be registering and the router does not know
+yet that others watch for it."""
+STARTING_S: Final = 6.0
+"""For so long after its start a router may not know the whole fleet."""
 SHORTEST_LAPSE_S: Final = 2.0
 """Entries lapse after three heartbeats of 1.2 s, the last of which may have been due. A watch that
 is cut for a moment makes no entry lapse: what is missing after it has left."""
@@ -108,11 +116,13 @@
         self._feed = feed
         self._link = link
         self._log = log
+        self._started_at = clock.now()
         self._stopped = threading.Event()
         self._thread = threading.Thread(target=self._run, name=f"sync-{kind}", daemon=True)
 
     def start(self) -> None:
         """Starts the thread."""
+        self._started_at = clock.now()
         self._thread.start()
 
     def stop(self) -> None:
@@ -123,6 +133,14 @@
     def apply(self, news: list[StoreEvent], source: str) -> None:
         """Takes changes that are newer than all that were known."""
 
+    def gather_s(self, age_s: float) -> float:
+        """Gives the pause after changes in which further ones are gathered.
+
+        Args:
+            age_s: Time since the start.
+        """
+        return 0.0
+
     def note_whole_list(self, asked_at: float) -> None:  # noqa: B027 (nothing to do by default)
         """Notes that the store has shown everything acknowledged up to a moment."""
 
@@ -170,6 +188,8 @@
                 self._kind, changes.events, revision, asked_at, self._link.lapses_end()
             )
             self.apply(news, "watch")
+            if news:
+                self._stopped.wait(self.gather_s(clock.now() - self._started_at))
         return True
 
     def _follow_peers(self) -> bool:
@@ -264,6 +284,10 @@
         self._pool.expire()
         self._connections.expire(clock.now())
 
+    def gather_s(self, age_s: float) -> float:
+        """See `KindSync.gather_s`."""
+        return START_GATHER_S if age_s < STARTING_S else GATHER_S
+
     def _decode(self, item: StoredItem) -> EndpointEntry | None:
         decoded = self._documents.decode_endpoint(item)
         if not isinstance(decoded, Failure):
--- a/tests/gateway/test_whole_path.py
+++ b/tests/gateway/test_whole_path.py
@@ -6,6 +6,7 @@
 import time
 import unittest
 
+from sequoiadrum.messages import Address
 from tests.gateway.scripted_endpoint import (
     Connection,
     Received,
@@ -359,6 +360,18 @@
             self.assertEqual(self.world.call("/read/x", f"q{n}")[0], 200)
         self.assertEqual(len(leaving.received), count)
 
+    def test_endpoints_that_register_one_after_another_cost_few_calls(self) -> None:
+        """Guards against a call of the store by each router for each endpoint that starts."""
+        before = self._watches_of_endpoints()
+        for n in range(30):
+            self.world.register(f"e{n}", Address("127.0.0.1", 9))
+            time.sleep(0.02)
+        eventually(lambda: self.world.gateway.pool.knows("e29"), "the last one is known")
+        self.assertLess(self._watches_of_endpoints() - before, 10)
+
+    def _watches_of_endpoints(self) -> int:
+        return sum("/servers?watch" in path for _, path in self.world.store.calls)
+
     def test_garbage_entries_name_no_endpoint(self) -> None:
         """Guards against one unreadable entry that takes the others with it."""
         for n, spec in enumerate(
