Share hot prompt parts between engines by an estimate over the whole fleet

Each of 101 routers has one or two requests for it, below what its own bound would spill, and knows the load of few engines, so all of them go to one home.

Change: requests of a part within 8 s, times the routers, give what the fleet has in flight for it; it gets as many engines as keep its part of the load at a quarter of the mean each, in an order of each request's own. A part that is asked for once in 8 s by a router of a small fleet keeps its one home.

--- a/src/sequoiadrum/gateway/placing.py
+++ b/src/sequoiadrum/gateway/placing.py
@@ -34,6 +34,8 @@
 
 NEWCOMER_S: Final = 10.0
 """An engine that joined within this time lacks the contexts of its chats; most return sooner."""
+MIN_LOADS_TOLD: Final = 3
+"""Engines whose told loads give a mean; an instance of a large fleet hears of a few at a time."""
 MIN_SHARED_PARTS: Final = 2
 """A prompt of fewer parts shares nothing."""
 
@@ -61,6 +63,8 @@
     """Whether the request may be used to try a failing endpoint again."""
     excluded: Collection[str] = ()
     """Ids of endpoints that failed the request already."""
+    replicas: int = 1
+    """Engines that share the requests of the prompt's longest shared part."""
 
 
 def prompt_key(call: CallHead) -> str:
@@ -136,13 +140,37 @@
     told = {e.id: e.told_load(now) for e in candidates}
     known = [load for load in told.values() if load is not None]
     told_bound = _bound(known) if len(known) == len(candidates) else math.inf
-    for endpoint in ranked:
+    for endpoint in _shared_first(ranked, placing):
         load = told[endpoint.id]
         if endpoint.in_flight + 1 <= own_bound and (load is None or load + 1 <= told_bound):
             return endpoint
     return min(ranked, key=lambda e: e.in_flight)
 
 
+def mean_load(endpoints: Collection[Endpoint], instances: int, now: float) -> float:
+    """Estimates the requests at an engine in the mean, of all instances together.
+
+    Args:
+        endpoints: All engines of a service.
+        instances: Routers, which are assumed to carry as much as this one.
+        now: Monotonic seconds.
+    """
+    told = [load for load in (e.told_load(now) for e in endpoints) if load is not None]
+    if len(told) >= MIN_LOADS_TOLD:
+        return sum(told) / len(told)
+    return sum(e.in_flight for e in endpoints) * instances / max(1, len(endpoints))
+
+
+def _shared_first(ranked: list[Endpoint], placing: Placing) -> list[Endpoint]:
+    """Orders engines by rank, but the replicas of a hot part in an order of each request's own."""
+    if placing.replicas <= 1:
+        return ranked
+    spread = stable_hash("replica", placing.call.request_id)
+    replicas = ranked[: placing.replicas]
+    replicas.sort(key=lambda e: chat_score(spread, e.id_hash), reverse=True)
+    return replicas + ranked[placing.replicas :]
+
+
 def _bound(loads: list[int]) -> float:
     return SPILL_MULTIPLE * (sum(loads) + 1) / len(loads) + SPILL_ALLOWANCE
 
--- a/src/sequoiadrum/gateway/pool.py
+++ b/src/sequoiadrum/gateway/pool.py
@@ -5,10 +5,11 @@
 import threading
 from typing import TYPE_CHECKING
 
-from attrs import define
+from attrs import define, evolve
 
 from sequoiadrum.gateway import clock
 from sequoiadrum.gateway.endpoints import Endpoint, EndpointTable
+from sequoiadrum.gateway.hot_parts import HotParts
 from sequoiadrum.gateway.part_memory import PartMemory
 from sequoiadrum.gateway.placing import (
     MIN_SHARED_PARTS,
@@ -16,6 +17,8 @@
     Placing,
     choose,
     context_source,
+    mean_load,
+    prompt_key,
 )
 from sequoiadrum.gateway.retry_budget import RetryBudget
 
@@ -35,6 +38,7 @@
     """Requests of this instance at the endpoint when the place was taken, this one included."""
     context_source: Endpoint | None = None
     """Has parts of the prompt that the endpoint lacks."""
+    taken_at: float = 0.0
     is_released: bool = False
 
 
@@ -50,6 +54,7 @@
         self._lock = threading.Lock()
         self._table = EndpointTable()
         self._parts = PartMemory()
+        self._hot_parts = HotParts()
         self._budget_by_service: dict[str, RetryBudget] = {}
 
     def take(self, placing: Placing) -> Place | NoPlace:
@@ -57,13 +62,14 @@
         now = clock.now()
         with self._lock:
             endpoints = self._table.of_service(placing.service.name)
+            placing = self._with_replicas(placing, endpoints, now)
             chosen = choose(endpoints, placing, now)
             if isinstance(chosen, NoPlace):
                 return chosen
             chosen.in_flight += 1
             chosen.started_since_load += 1
             source = self._context_source(endpoints, chosen, placing, now)
-            return Place(chosen, chosen.in_flight, source)
+            return Place(chosen, chosen.in_flight, source, now)
 
     def release(self, place: Place) -> None:
         """Ends the use of a place; doing so again changes nothing."""
@@ -71,6 +77,7 @@
             if not place.is_released:
                 place.is_released = True
                 place.endpoint.in_flight -= 1
+                self._hot_parts.note_duration(clock.now() - place.taken_at)
 
     def note_unreachable(self, place: Place) -> None:
         """Notes that no connection could be made."""
@@ -147,6 +154,16 @@
         with self._lock:
             self._table.expire(clock.now())
 
+    def _with_replicas(self, placing: Placing, endpoints: list[Endpoint], now: float) -> Placing:
+        if placing.service.batch_slots is None or len(placing.call.prompt) < MIN_SHARED_PARTS:
+            return placing
+        others = self._hot_parts.note_request(prompt_key(placing.call), now)
+        if not others:
+            return placing
+        instances = self._instances()
+        mean = mean_load(endpoints, instances, now)
+        return evolve(placing, replicas=self._hot_parts.replicas(others, instances, mean))
+
     def _context_source(
         self, endpoints: list[Endpoint], chosen: Endpoint, placing: Placing, now: float
     ) -> Endpoint | None:
