Notice a stop whose signal came while the process was suspended

A signal that is pending for a suspended process may be taken by any of its threads when it goes on. Python then only sets a flag; the handler runs in the main thread, which waited for an event without end and was not woken.

Ruled out: load (no line "stopping" in 12 s, while the process served requests); the soak's own count of the suspended time.

The new test delivers the signal to another thread: it was missed before and is noticed now.

--- a/src/sequoiadrum/app.py
+++ b/src/sequoiadrum/app.py
@@ -15,6 +15,7 @@
 from sequoiadrum._ledger_types import LedgerPolicy
 from sequoiadrum._platform_http import HttpPlatformClient
 from sequoiadrum._service_http import HttpServiceClient
+from sequoiadrum._signals import wait_for_signal
 from sequoiadrum.admission_task import AdmissionParts, AdmissionTask
 from sequoiadrum.chat_relay import ChatRelay, RetryBudgets
 from sequoiadrum.clock import Clock
@@ -114,7 +115,7 @@
         for number in (signal.SIGTERM, signal.SIGINT):
             signal.signal(number, lambda *_: self._stop_requested.set())
         self.start()
-        self._stop_requested.wait()
+        wait_for_signal(self._stop_requested)
         self.stop()
         return 1 if self._failed else 0
 
--- a/src/sequoiadrum/gateway/app.py
+++ b/src/sequoiadrum/gateway/app.py
@@ -12,6 +12,7 @@
 from attrs import frozen
 
 from sequoiadrum import __version__
+from sequoiadrum._signals import wait_for_signal
 from sequoiadrum.gateway import clock
 from sequoiadrum.gateway.caller_app import (
     DIRECTORY_LIFETIME_S,
@@ -191,7 +192,7 @@
             signal.signal(number, lambda *_: self._stop_requested.set())
         signal.signal(signal.SIGHUP, lambda *_: self._settings_watch.request())
         self.start()
-        self._stop_requested.wait()
+        wait_for_signal(self._stop_requested)
         self.stop()
         # The interpreter drops other handlers at its end, and a reload would then kill it.
         signal.signal(signal.SIGHUP, signal.SIG_IGN)
--- a/tests/gateway/test_signals.py
+++ b/tests/gateway/test_signals.py
@@ -5,12 +5,14 @@
 import signal
 import subprocess
 import sys
+import threading
+import time
 import unittest
 from pathlib import Path
 from typing import Final
 from unittest import mock
 
-from tests.gateway.world import World
+from tests.gateway.world import WAIT_S, World
 
 _ROOT: Final = Path(__file__).parent.parent.parent
 _ENTRY: Final = _ROOT / "deploy" / "gateway.py"
@@ -38,6 +40,32 @@
         )
         self.assertEqual(shown.stdout.strip(), "False False")
 
+    def test_stop_is_noticed_when_its_signal_reaches_another_thread(self) -> None:
+        """Guards against a stop that is never begun because the process was suspended."""
+        world = World().start()
+        self.addCleanup(world.stop)
+        for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+            self.addCleanup(signal.signal, number, signal.getsignal(number))
+        gateway, is_running, rescued = world.gateway, threading.Event(), []
+
+        def deliver() -> None:
+            is_running.wait(WAIT_S)
+            time.sleep(0.2)  # Until the main thread waits.
+            signal.pthread_kill(threading.get_ident(), signal.SIGTERM)
+            if not gateway._stop_requested.wait(WAIT_S):
+                rescued.append(True)
+                gateway._stop_requested.set()
+
+        thread = threading.Thread(target=deliver)
+        thread.start()
+        with (
+            mock.patch.object(gateway, "start", is_running.set),
+            mock.patch.object(gateway, "stop"),
+        ):
+            gateway.run()
+        thread.join()
+        self.assertEqual(rescued, [])
+
     def test_reload_at_the_end_is_ignored(self) -> None:
         """Guards against a reload that turns the end of a planned stop into a crash."""
         world = World().start()
