Name the faults of the soak as they are, and fail when an action fails

The kinds of a plan say silent, one_way and lost_answers; an action that raised was passed over, as if its fault had been survived.

--- a/tools/soak/plan.py
+++ b/tools/soak/plan.py
@@ -14,11 +14,20 @@
 ACTIONS_PER_S: Final = 1.3
 """Faults and planned work together; a fault lasts about as long, so that they overlap."""
 
-GATEWAY_KINDS: Final = ("kill", "term", "pause", "cut", "refused", "half", "slow")
+GATEWAY_KINDS: Final = ("kill", "term", "pause", "silent", "refused", "one_way", "slow")
 """Killed; planned stop; suspended; store silent, refused, cut one way or slow for one gateway."""
 STORE_KINDS: Final = ("down", "silent", "lost", "forget", "muted")
 """Refuses all; answers nothing; loses answers; drops its history; watches hear nothing."""
-ENDPOINT_KINDS: Final = ("crash", "reset", "mute", "half", "slow", "late", "cut_answers", "leave")
+ENDPOINT_KINDS: Final = (
+    "crash",
+    "reset",
+    "silent",
+    "one_way",
+    "slow",
+    "lost_answers",
+    "cut_answers",
+    "leave",
+)
 """Gone for a while; connections reset; silent; cut one way; slow; loses answers; breaks off in the
 middle of answers; leaves and is replaced."""
 _WEIGHTS: Final = {"gateway": 5, "store": 2, "endpoint": 5, "config": 4, "reload": 1}
--- a/tools/soak/world.py
+++ b/tools/soak/world.py
@@ -39,12 +39,12 @@
 """A leaving endpoint goes on serving for so long."""
 START_TIMEOUT_S: Final = 20.0
 _GATEWAY_MODES: Final = {
-    "cut": Mode.SILENT,
+    "silent": Mode.SILENT,
     "refused": Mode.REFUSE,
-    "half": Mode.ONE_WAY,
+    "one_way": Mode.ONE_WAY,
     "slow": Mode.SLOW,
 }
-_ENDPOINT_MODES: Final = {"mute": Mode.SILENT, "half": Mode.ONE_WAY, "slow": Mode.SLOW}
+_ENDPOINT_MODES: Final = {"silent": Mode.SILENT, "one_way": Mode.ONE_WAY, "slow": Mode.SLOW}
 
 
 class Soak:
@@ -94,13 +94,16 @@
 
     def _play(self) -> None:
         started = time.monotonic()
+        actions = []
         for action in self.plan:
             time.sleep(max(0.0, started + action.at - time.monotonic()))
-            self._pool.submit(self._carry_out, action)
+            actions.append(self._pool.submit(self._carry_out, action))
         self.record.calm_since = started + self._seconds - CALM_S / 2
         time.sleep(max(0.0, started + self._seconds - time.monotonic()))
         self._ending.set()
-        self._pool.shutdown(wait=True)
+        for done in actions:
+            # An action that failed would otherwise pass as a fault that was survived.
+            done.result()
 
     def _carry_out(self, action: Action) -> None:
         if action.subject == "gateway":
@@ -169,7 +172,7 @@
                 endpoint.crash()
             elif action.kind == "reset":
                 endpoint.proxy.reset()
-            elif action.kind == "late":
+            elif action.kind == "lost_answers":
                 endpoint.loses_answers = True
             elif action.kind == "cut_answers":
                 endpoint.cuts_answers = True
