Give a planned stop in the soak only the time that it was suspended in

Found by reading the change again: a suspension before SIGTERM was added to the grace of the stop, so that the check of late ends was looser than it says. Only what is left of it after the signal counts now.

--- a/tools/soak/world.py
+++ b/tools/soak/world.py
@@ -146,7 +146,8 @@
                 asked_at = time.monotonic()
                 while not gateway.wait(0.1):
                     # A suspended process gets its grace from when it goes on.
-                    late_s = time.monotonic() - asked_at - GRACE_S - self._paused_s(gateway.name)
+                    late_s = time.monotonic() - asked_at - GRACE_S
+                    late_s -= self._paused_s(gateway.name, asked_at)
                     if late_s > 1.0:
                         gateway.kill()
             else:
@@ -155,9 +156,10 @@
             time.sleep(RESTART_S)
             gateway.start()
 
-    def _paused_s(self, name: str) -> float:
+    def _paused_s(self, name: str, since: float) -> float:
+        """Gives how long a gateway was suspended after a moment."""
         return sum(
-            d.until - d.since
+            max(0.0, d.until - max(d.since, since))
             for d in self.record.disturbances
             if d.subject == name and d.kind == "pause"
         )
