Make the stand-in engine pause before its crash, so that a known red test is deterministic

Cause: the stand-in engine streams on between the first batch and the crash, and events that arrive in between are delivered rightly; the test expects none. Change: a fault pause_after of the stand-in pauses a stream after some tokens. The test also checks that the first batch holds just event 0; the assertion on what follows is as strict as before.

--- a/src/sequoiadrum/standin_engine.py
+++ b/src/sequoiadrum/standin_engine.py
@@ -9,8 +9,9 @@
 - `GET /cache_events?since=N` returns the cache events after sequence number N.
 - `GET /_stats` returns the counters.
 - `POST /_faults` sets faults: `leaving` is reported with the load, `hang` delays every other call
-  by this many seconds, `refuse` refuses every other call with status 503, and `cut_after`
-  interrupts each stream once, after this many tokens.
+  by this many seconds, `refuse` refuses every other call with status 503, `cut_after` interrupts
+  each stream once, after this many tokens, and `pause_after` pauses each stream after this many
+  tokens while the fault is set.
 """
 
 from __future__ import annotations
@@ -291,6 +292,9 @@
         cut_after = self.state.faults.get("cut_after")
         while offset < stream.tokens:
             available = stream.available_tokens(time.monotonic(), token_s)
+            pause_after = self.state.faults.get("pause_after")
+            if pause_after is not None:
+                available = min(available, int(pause_after))
             if stream.cancelled or stream.aborted:
                 self.close_connection = True
                 return
--- a/tests/test_chat_relay.py
+++ b/tests/test_chat_relay.py
@@ -94,9 +94,11 @@
 
     def test_different_replay_ends_with_error(self) -> None:
         """Guards against a response that is joined from two different outputs."""
+        # Events that arrive between the first batch and the crash would be delivered rightly.
+        self.rig.engines["e1"].state.faults["pause_after"] = 1
         chat = self.start(a_request(seed=1))
         batches = iter(chat)
-        next(batches)
+        self.assertEqual(offsets([next(batches)]), [0])
         chat._digest.update(b"engine-specific output")
         self.rig.engines["e1"].state.crash()
         self.assertEqual(offsets(batches), [])
