Share the loads of engines and the recent prompt parts between routers

Change: each router reports its requests in flight by engine, and those of the last 2 s by prompt part, twice a second to a load hub of its failure domain; the hub replies with the sums of the fleet, and hubs exchange the sums of their groups four times a second. UDP on the socket of the membership, one datagram each way. Placement keeps the bound against these loads while they are at most 1.5 s old, and divides a part among as many engines as the fleet's requests for it need; without recent loads it decides as before. Weighed: the calls that followers make to watchers each second (about 1 s old, and watchers would have to exchange among themselves as well); membership datagrams (several seconds until all know).

--- a/schema/peer.thrift
+++ b/schema/peer.thrift
@@ -43,6 +43,27 @@
   8: optional i64 sender_process_id,
 }
 
+enum LoadReportKind {
+  /** The requests of one router, sent to its load hub. */
+  OWN = 1,
+  /** The requests of all routers, the reply of a hub to a report of kind OWN. */
+  FLEET = 2,
+  /** The requests of a hub and of the routers that report to it, sent to the other hubs. */
+  GROUP = 3,
+}
+
+/** A datagram with the requests that routers have in flight at endpoints, and recent prompt parts. */
+struct LoadReport {
+  1: LoadReportKind kind,
+  2: string sender_id,
+  /** Number of the report among those of its sender; a reply has the number of the report. */
+  3: i64 sequence,
+  /** Requests by endpoint; an endpoint is identified by the lower 31 bits of the hash of its id. */
+  4: map<i32, i32> in_flight_by_endpoint,
+  /** Requests of the last 2 s by the lower 31 bits of the hash of their shared prompt part. */
+  5: map<i32, i32> requests_by_part,
+}
+
 /** One member with the last configuration revision that it reported. */
 struct MemberReport {
   1: Member member,
--- a/src/sequoiadrum/_gen/peer/Peer.py
+++ b/src/sequoiadrum/_gen/peer/Peer.py
@@ -1077,11 +1077,11 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.members = []
-                    (_etype45, _size42) = iprot.readListBegin()
-                    for _i46 in range(_size42):
-                        _elem47 = MemberReport()
-                        _elem47.read(iprot)
-                        self.members.append(_elem47)
+                    (_etype63, _size60) = iprot.readListBegin()
+                    for _i64 in range(_size60):
+                        _elem65 = MemberReport()
+                        _elem65.read(iprot)
+                        self.members.append(_elem65)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1098,8 +1098,8 @@
         if self.members is not None:
             oprot.writeFieldBegin('members', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.members))
-            for iter48 in self.members:
-                iter48.write(oprot)
+            for iter66 in self.members:
+                iter66.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -1159,11 +1159,11 @@
             if fid == 0:
                 if ftype == TType.LIST:
                     self.success = []
-                    (_etype52, _size49) = iprot.readListBegin()
-                    for _i53 in range(_size49):
-                        _elem54 = MemberReport()
-                        _elem54.read(iprot)
-                        self.success.append(_elem54)
+                    (_etype70, _size67) = iprot.readListBegin()
+                    for _i71 in range(_size67):
+                        _elem72 = MemberReport()
+                        _elem72.read(iprot)
+                        self.success.append(_elem72)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1180,8 +1180,8 @@
         if self.success is not None:
             oprot.writeFieldBegin('success', TType.LIST, 0)
             oprot.writeListBegin(TType.STRUCT, len(self.success))
-            for iter55 in self.success:
-                iter55.write(oprot)
+            for iter73 in self.success:
+                iter73.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -1395,11 +1395,11 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.releases = []
-                    (_etype59, _size56) = iprot.readListBegin()
-                    for _i60 in range(_size56):
-                        _elem61 = Release()
-                        _elem61.read(iprot)
-                        self.releases.append(_elem61)
+                    (_etype77, _size74) = iprot.readListBegin()
+                    for _i78 in range(_size74):
+                        _elem79 = Release()
+                        _elem79.read(iprot)
+                        self.releases.append(_elem79)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1420,8 +1420,8 @@
         if self.releases is not None:
             oprot.writeFieldBegin('releases', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.releases))
-            for iter62 in self.releases:
-                iter62.write(oprot)
+            for iter80 in self.releases:
+                iter80.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -1559,11 +1559,11 @@
             elif fid == 4:
                 if ftype == TType.LIST:
                     self.grants = []
-                    (_etype66, _size63) = iprot.readListBegin()
-                    for _i67 in range(_size63):
-                        _elem68 = HeldGrant()
-                        _elem68.read(iprot)
-                        self.grants.append(_elem68)
+                    (_etype84, _size81) = iprot.readListBegin()
+                    for _i85 in range(_size81):
+                        _elem86 = HeldGrant()
+                        _elem86.read(iprot)
+                        self.grants.append(_elem86)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1592,8 +1592,8 @@
         if self.grants is not None:
             oprot.writeFieldBegin('grants', TType.LIST, 4)
             oprot.writeListBegin(TType.STRUCT, len(self.grants))
-            for iter69 in self.grants:
-                iter69.write(oprot)
+            for iter87 in self.grants:
+                iter87.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -1733,10 +1733,10 @@
             elif fid == 4:
                 if ftype == TType.LIST:
                     self.grant_ids = []
-                    (_etype73, _size70) = iprot.readListBegin()
-                    for _i74 in range(_size70):
-                        _elem75 = iprot.readI64()
-                        self.grant_ids.append(_elem75)
+                    (_etype91, _size88) = iprot.readListBegin()
+                    for _i92 in range(_size88):
+                        _elem93 = iprot.readI64()
+                        self.grant_ids.append(_elem93)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1765,8 +1765,8 @@
         if self.grant_ids is not None:
             oprot.writeFieldBegin('grant_ids', TType.LIST, 4)
             oprot.writeListBegin(TType.I64, len(self.grant_ids))
-            for iter76 in self.grant_ids:
-                oprot.writeI64(iter76)
+            for iter94 in self.grant_ids:
+                oprot.writeI64(iter94)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -1829,10 +1829,10 @@
             if fid == 0:
                 if ftype == TType.LIST:
                     self.success = []
-                    (_etype80, _size77) = iprot.readListBegin()
-                    for _i81 in range(_size77):
-                        _elem82 = iprot.readI64()
-                        self.success.append(_elem82)
+                    (_etype98, _size95) = iprot.readListBegin()
+                    for _i99 in range(_size95):
+                        _elem100 = iprot.readI64()
+                        self.success.append(_elem100)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1849,8 +1849,8 @@
         if self.success is not None:
             oprot.writeFieldBegin('success', TType.LIST, 0)
             oprot.writeListBegin(TType.I64, len(self.success))
-            for iter83 in self.success:
-                oprot.writeI64(iter83)
+            for iter101 in self.success:
+                oprot.writeI64(iter101)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -2097,11 +2097,11 @@
             elif fid == 3:
                 if ftype == TType.MAP:
                     self.target_by_chat = {}
-                    (_ktype85, _vtype86, _size84) = iprot.readMapBegin()
-                    for _i88 in range(_size84):
-                        _key89 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        _val90 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.target_by_chat[_key89] = _val90
+                    (_ktype103, _vtype104, _size102) = iprot.readMapBegin()
+                    for _i106 in range(_size102):
+                        _key107 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        _val108 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.target_by_chat[_key107] = _val108
                     iprot.readMapEnd()
                 else:
                     iprot.skip(ftype)
@@ -2126,9 +2126,9 @@
         if self.target_by_chat is not None:
             oprot.writeFieldBegin('target_by_chat', TType.MAP, 3)
             oprot.writeMapBegin(TType.STRING, TType.STRING, len(self.target_by_chat))
-            for kiter91, viter92 in self.target_by_chat.items():
-                oprot.writeString(kiter91.encode('utf-8') if sys.version_info[0] == 2 else kiter91)
-                oprot.writeString(viter92.encode('utf-8') if sys.version_info[0] == 2 else viter92)
+            for kiter109, viter110 in self.target_by_chat.items():
+                oprot.writeString(kiter109.encode('utf-8') if sys.version_info[0] == 2 else kiter109)
+                oprot.writeString(viter110.encode('utf-8') if sys.version_info[0] == 2 else viter110)
             oprot.writeMapEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
--- a/src/sequoiadrum/_gen/peer/ttypes.py
+++ b/src/sequoiadrum/_gen/peer/ttypes.py
@@ -58,6 +58,24 @@
     }
 
 
+class LoadReportKind(object):
+    OWN = 1
+    FLEET = 2
+    GROUP = 3
+
+    _VALUES_TO_NAMES = {
+        1: "OWN",
+        2: "FLEET",
+        3: "GROUP",
+    }
+
+    _NAMES_TO_VALUES = {
+        "OWN": 1,
+        "FLEET": 2,
+        "GROUP": 3,
+    }
+
+
 class AcquireStatus(object):
     GRANTED = 1
     REFUSED = 2
@@ -578,6 +596,144 @@
         return not (self == other)
 
 
+class LoadReport(object):
+    """
+    A datagram with the requests that routers have in flight at endpoints, and recent prompt parts.
+
+    Attributes:
+     - kind
+     - sender_id
+     - sequence: Number of the report among those of its sender; a reply has the number of the report.
+     - in_flight_by_endpoint: Requests by endpoint; an endpoint is identified by the lower 31 bits of the hash of its id.
+     - requests_by_part: Requests of the last 2 s by the lower 31 bits of the hash of their shared prompt part.
+
+    """
+
+    __slots__ = (
+        'kind',
+        'sender_id',
+        'sequence',
+        'in_flight_by_endpoint',
+        'requests_by_part',
+    )
+
+
+    def __init__(self, kind=None, sender_id=None, sequence=None, in_flight_by_endpoint=None, requests_by_part=None,):
+        self.kind = kind
+        self.sender_id = sender_id
+        self.sequence = sequence
+        self.in_flight_by_endpoint = in_flight_by_endpoint
+        self.requests_by_part = requests_by_part
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I32:
+                    self.kind = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.sender_id = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I64:
+                    self.sequence = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.MAP:
+                    self.in_flight_by_endpoint = {}
+                    (_ktype15, _vtype16, _size14) = iprot.readMapBegin()
+                    for _i18 in range(_size14):
+                        _key19 = iprot.readI32()
+                        _val20 = iprot.readI32()
+                        self.in_flight_by_endpoint[_key19] = _val20
+                    iprot.readMapEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.MAP:
+                    self.requests_by_part = {}
+                    (_ktype22, _vtype23, _size21) = iprot.readMapBegin()
+                    for _i25 in range(_size21):
+                        _key26 = iprot.readI32()
+                        _val27 = iprot.readI32()
+                        self.requests_by_part[_key26] = _val27
+                    iprot.readMapEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('LoadReport')
+        if self.kind is not None:
+            oprot.writeFieldBegin('kind', TType.I32, 1)
+            oprot.writeI32(self.kind)
+            oprot.writeFieldEnd()
+        if self.sender_id is not None:
+            oprot.writeFieldBegin('sender_id', TType.STRING, 2)
+            oprot.writeString(self.sender_id.encode('utf-8') if sys.version_info[0] == 2 else self.sender_id)
+            oprot.writeFieldEnd()
+        if self.sequence is not None:
+            oprot.writeFieldBegin('sequence', TType.I64, 3)
+            oprot.writeI64(self.sequence)
+            oprot.writeFieldEnd()
+        if self.in_flight_by_endpoint is not None:
+            oprot.writeFieldBegin('in_flight_by_endpoint', TType.MAP, 4)
+            oprot.writeMapBegin(TType.I32, TType.I32, len(self.in_flight_by_endpoint))
+            for kiter28, viter29 in self.in_flight_by_endpoint.items():
+                oprot.writeI32(kiter28)
+                oprot.writeI32(viter29)
+            oprot.writeMapEnd()
+            oprot.writeFieldEnd()
+        if self.requests_by_part is not None:
+            oprot.writeFieldBegin('requests_by_part', TType.MAP, 5)
+            oprot.writeMapBegin(TType.I32, TType.I32, len(self.requests_by_part))
+            for kiter30, viter31 in self.requests_by_part.items():
+                oprot.writeI32(kiter30)
+                oprot.writeI32(viter31)
+            oprot.writeMapEnd()
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class MemberReport(object):
     """
     One member with the last configuration revision that it reported.
@@ -774,10 +930,10 @@
             elif fid == 11:
                 if ftype == TType.LIST:
                     self.excluded_endpoints = []
-                    (_etype17, _size14) = iprot.readListBegin()
-                    for _i18 in range(_size14):
-                        _elem19 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.excluded_endpoints.append(_elem19)
+                    (_etype35, _size32) = iprot.readListBegin()
+                    for _i36 in range(_size32):
+                        _elem37 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.excluded_endpoints.append(_elem37)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -844,8 +1000,8 @@
         if self.excluded_endpoints is not None:
             oprot.writeFieldBegin('excluded_endpoints', TType.LIST, 11)
             oprot.writeListBegin(TType.STRING, len(self.excluded_endpoints))
-            for iter20 in self.excluded_endpoints:
-                oprot.writeString(iter20.encode('utf-8') if sys.version_info[0] == 2 else iter20)
+            for iter38 in self.excluded_endpoints:
+                oprot.writeString(iter38.encode('utf-8') if sys.version_info[0] == 2 else iter38)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.forced is not None:
@@ -1919,21 +2075,21 @@
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.endpoints = []
-                    (_etype24, _size21) = iprot.readListBegin()
-                    for _i25 in range(_size21):
-                        _elem26 = EndpointReport()
-                        _elem26.read(iprot)
-                        self.endpoints.append(_elem26)
+                    (_etype42, _size39) = iprot.readListBegin()
+                    for _i43 in range(_size39):
+                        _elem44 = EndpointReport()
+                        _elem44.read(iprot)
+                        self.endpoints.append(_elem44)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 4:
                 if ftype == TType.LIST:
                     self.recent_chats = []
-                    (_etype30, _size27) = iprot.readListBegin()
-                    for _i31 in range(_size27):
-                        _elem32 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.recent_chats.append(_elem32)
+                    (_etype48, _size45) = iprot.readListBegin()
+                    for _i49 in range(_size45):
+                        _elem50 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.recent_chats.append(_elem50)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1958,15 +2114,15 @@
         if self.endpoints is not None:
             oprot.writeFieldBegin('endpoints', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.endpoints))
-            for iter33 in self.endpoints:
-                iter33.write(oprot)
+            for iter51 in self.endpoints:
+                iter51.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.recent_chats is not None:
             oprot.writeFieldBegin('recent_chats', TType.LIST, 4)
             oprot.writeListBegin(TType.STRING, len(self.recent_chats))
-            for iter34 in self.recent_chats:
-                oprot.writeString(iter34.encode('utf-8') if sys.version_info[0] == 2 else iter34)
+            for iter52 in self.recent_chats:
+                oprot.writeString(iter52.encode('utf-8') if sys.version_info[0] == 2 else iter52)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -2133,11 +2289,11 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.objects = []
-                    (_etype38, _size35) = iprot.readListBegin()
-                    for _i39 in range(_size35):
-                        _elem40 = SeenObject()
-                        _elem40.read(iprot)
-                        self.objects.append(_elem40)
+                    (_etype56, _size53) = iprot.readListBegin()
+                    for _i57 in range(_size53):
+                        _elem58 = SeenObject()
+                        _elem58.read(iprot)
+                        self.objects.append(_elem58)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2164,8 +2320,8 @@
         if self.objects is not None:
             oprot.writeFieldBegin('objects', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.objects))
-            for iter41 in self.objects:
-                iter41.write(oprot)
+            for iter59 in self.objects:
+                iter59.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.revision is not None:
@@ -2233,6 +2389,15 @@
     (7, TType.LIST, 'rumors', (TType.STRUCT, [Rumor, None], False), None, ),  # 7
     (8, TType.I64, 'sender_process_id', None, None, ),  # 8
 )
+all_structs.append(LoadReport)
+LoadReport.thrift_spec = (
+    None,  # 0
+    (1, TType.I32, 'kind', None, None, ),  # 1
+    (2, TType.STRING, 'sender_id', 'UTF8', None, ),  # 2
+    (3, TType.I64, 'sequence', None, None, ),  # 3
+    (4, TType.MAP, 'in_flight_by_endpoint', (TType.I32, None, TType.I32, None, False), None, ),  # 4
+    (5, TType.MAP, 'requests_by_part', (TType.I32, None, TType.I32, None, False), None, ),  # 5
+)
 all_structs.append(MemberReport)
 MemberReport.thrift_spec = (
     None,  # 0
--- a/src/sequoiadrum/gateway/app.py
+++ b/src/sequoiadrum/gateway/app.py
@@ -31,6 +31,7 @@
     create_member_server,
 )
 from sequoiadrum.gateway.front import ServerGroup
+from sequoiadrum.gateway.load_exchange import LoadExchangeTask
 from sequoiadrum.gateway.mirror import Mirror
 from sequoiadrum.gateway.peer_feed import PeerFeed, PeerResponder
 from sequoiadrum.gateway.pool import EndpointPool
@@ -130,6 +131,9 @@
         self.gossip.subscribe(self.peer_events)
         self.gossip.subscribe_revisions(self.peer_events)
         self.pool: Final = EndpointPool(settings.bounds, self.directory.count)
+        self._load_exchange = LoadExchangeTask(
+            self.gossip, self.pool, settings.failure_domain, self.metrics, self._invariant_broken
+        )
         self.connections: Final = EndpointConnections(adapter.header_codec)
         self.state: Final = ServingState(self.configuration)
         mirror = Mirror()
@@ -187,6 +191,7 @@
             sync.start()
         self._peer_server.start()
         self.peer_events.run_on(self.timers)
+        self._load_exchange.run_on(self.timers)
         self.gossip.run_on(self.timers)
         self._instances.start()
         self._settings_watch.start()
@@ -233,6 +238,7 @@
         for sync in self._syncs:
             sync.stop()
         self.gossip.stop()
+        self._load_exchange.stop()
         self.peer_events.stop()
         self._peer_server.stop()
         self._peers.close()
--- a/src/sequoiadrum/gateway/endpoints.py
+++ b/src/sequoiadrum/gateway/endpoints.py
@@ -31,7 +31,7 @@
 MAX_REVISIONS: Final = 20_000
 """Entries whose last revision is kept; covers a week of replacements at the target size."""
 MAX_LOAD_AGE_S: Final = 1.5
-"""A load that an endpoint reported longer ago is not used."""
+"""A load that an endpoint or other routers reported longer ago is not used."""
 
 
 @define(eq=False)
@@ -64,6 +64,10 @@
     load_reported_at: float = 0.0
     started_since_load: int = 0
     """Requests sent by this instance since the endpoint last reported its load."""
+    in_flight_elsewhere: int = 0
+    """Requests of the other routers that are running at the endpoint."""
+    elsewhere_reported_at: float = float("-inf")
+    """Monotonic seconds at which `in_flight_elsewhere` was received."""
     next_probe_at: float = 0.0
     """Monotonic seconds from which a retryable request may probe it while it is failing."""
 
@@ -130,6 +134,12 @@
             return None
         return self.load.running + self.load.waiting + self.started_since_load
 
+    def fleet_load(self, now: float) -> int | None:
+        """Returns the requests of all routers at the endpoint; None without a recent report."""
+        if now - self.elsewhere_reported_at > MAX_LOAD_AGE_S:
+            return None
+        return self.in_flight + self.in_flight_elsewhere
+
     def _decay(self, now: float) -> None:
         elapsed_s = now - self.decayed_at
         if elapsed_s > 0:
--- a/src/sequoiadrum/gateway/placement.py
+++ b/src/sequoiadrum/gateway/placement.py
@@ -23,11 +23,11 @@
 
 SPILL_MULTIPLE: Final = 1.5
 """A request spills from an engine whose load would exceed this multiple of the mean, plus
-`SPILL_ALLOWANCE`. Below the operators' bound of 2, because each instance sees only its own share of
-the load."""
+`SPILL_ALLOWANCE`. Below the operators' bound of 2, because the loads of other instances are known
+with a delay, or not at all."""
 SPILL_ALLOWANCE: Final = 2
-"""Requests of this instance that the load bound adds to the multiple of the mean; at low load,
-rounding to whole requests exceeds any multiple."""
+"""Requests that the load bound adds to the multiple of the mean; at low load, rounding to whole
+requests exceeds any multiple."""
 MAX_LOCAL_IN_FLIGHT: Final = 2
 """A plain endpoint in the failure domain of the instance is preferred while it has fewer requests
 of this instance in flight."""
@@ -148,17 +148,34 @@
     """Returns the highest-ranked engine within the load bound, or else the least loaded one."""
     key = stable_hash("prompt", prompt_key(request.call))
     ranked = sorted(candidates, key=lambda e: chat_score(key, e.id_hash), reverse=True)
+    preferred = _shuffle_replicas(ranked, request)
+    fleet_loads = _fleet_loads(candidates, now)
+    if fleet_loads is not None:
+        bound = _load_bound(list(fleet_loads.values()))
+        within = (e for e in preferred if fleet_loads[e.id] + 1 <= bound)
+        return next(within, None) or min(ranked, key=lambda e: fleet_loads[e.id])
     own_bound = _load_bound([e.in_flight for e in candidates])
     reported = {e.id: e.reported_load(now) for e in candidates}
     known = [load for load in reported.values() if load is not None]
     reported_bound = _load_bound(known) if len(known) == len(candidates) else math.inf
-    for endpoint in _shuffle_replicas(ranked, request):
+    for endpoint in preferred:
         load = reported[endpoint.id]
         if endpoint.in_flight + 1 <= own_bound and (load is None or load + 1 <= reported_bound):
             return endpoint
     return min(ranked, key=lambda e: e.in_flight)
 
 
+def _fleet_loads(endpoints: Collection[Endpoint], now: float) -> dict[str, int] | None:
+    """Returns the requests of all routers by endpoint id; None without recent reports.
+
+    An endpoint that joined after the last report has only requests of this instance.
+    """
+    loads = {e.id: e.fleet_load(now) for e in endpoints}
+    if all(load is None for load in loads.values()):
+        return None
+    return {e.id: e.in_flight if (load := loads[e.id]) is None else load for e in endpoints}
+
+
 def mean_load(endpoints: Collection[Endpoint], instances: int, now: float) -> float:
     """Estimates the mean number of requests at an engine, over all instances.
 
@@ -167,6 +184,9 @@
         instances: Number of routers; each is assumed to carry as much load as this one.
         now: Monotonic seconds.
     """
+    fleet_loads = _fleet_loads(endpoints, now)
+    if fleet_loads is not None:
+        return sum(fleet_loads.values()) / len(fleet_loads)
     reported = [load for load in (e.reported_load(now) for e in endpoints) if load is not None]
     if len(reported) >= MIN_REPORTED_LOADS:
         return sum(reported) / len(reported)
--- a/src/sequoiadrum/gateway/pool.py
+++ b/src/sequoiadrum/gateway/pool.py
@@ -10,6 +10,7 @@
 from sequoiadrum.gateway import clock
 from sequoiadrum.gateway.endpoints import Endpoint, EndpointTable
 from sequoiadrum.gateway.hot_parts import HotParts
+from sequoiadrum.gateway.load_board import Loads, endpoint_key
 from sequoiadrum.gateway.part_memory import PartMemory
 from sequoiadrum.gateway.placement import (
     MIN_SHARED_PARTS,
@@ -40,6 +41,8 @@
     """Engine from which the endpoint can copy prompt parts that it lacks."""
     placed_at: float = 0.0
     """Monotonic seconds of the placement."""
+    fleet_load: int | None = None
+    """Requests of all routers at the endpoint, this one included; None if unknown."""
     is_released: bool = False
 
 
@@ -75,7 +78,7 @@
             chosen.in_flight += 1
             chosen.started_since_load += 1
             source = self._find_context_source(endpoints, chosen, request, now)
-            return EndpointPlacement(chosen, chosen.in_flight, source, now)
+            return EndpointPlacement(chosen, chosen.in_flight, source, now, chosen.fleet_load(now))
 
     def release(self, placement: EndpointPlacement) -> None:
         """Ends a placement; further calls have no effect."""
@@ -129,6 +132,31 @@
         with self._lock:
             return self._budget(service).spend(clock.now(), self._instances())
 
+    def own_loads(self) -> Loads:
+        """Returns the requests of this router in flight, and its recent ones by prompt part."""
+        with self._lock:
+            in_flight = {
+                endpoint_key(e.id_hash): e.in_flight
+                for e in self._table.by_id.values()
+                if e.in_flight
+            }
+            return Loads(in_flight, self._hot_parts.recent_requests(clock.now()))
+
+    def set_fleet_loads(self, loads: Loads) -> None:
+        """Sets the loads that other routers reported.
+
+        Args:
+            loads: Requests of all other routers in flight, where a missing endpoint has none, and
+                the recent requests of all routers for the parts with most of them.
+        """
+        now = clock.now()
+        with self._lock:
+            self._hot_parts.set_fleet_requests(loads.requests_by_part, now)
+            for endpoint in self._table.by_id.values():
+                key = endpoint_key(endpoint.id_hash)
+                endpoint.in_flight_elsewhere = loads.in_flight_by_endpoint.get(key, 0)
+                endpoint.elsewhere_reported_at = now
+
     def has_endpoints(self) -> bool:
         """Returns whether any endpoint is known."""
         with self._lock:
@@ -175,12 +203,14 @@
     ) -> PlacementRequest:
         if request.service.batch_slots is None or len(request.call.prompt) < MIN_SHARED_PARTS:
             return request
-        others = self._hot_parts.record_request(prompt_key(request.call), now)
-        if not others:
-            return request
+        part = prompt_key(request.call)
+        others = self._hot_parts.record_request(part, now)
         instances = self._instances()
         mean = mean_load(endpoints, instances, now)
-        return evolve(request, replicas=self._hot_parts.replicas(others, instances, mean))
+        replicas = self._hot_parts.replicas_in_fleet(part, mean, now)
+        if replicas is None:
+            replicas = self._hot_parts.replicas(others, instances, mean)
+        return evolve(request, replicas=replicas)
 
     def _find_context_source(
         self, endpoints: list[Endpoint], chosen: Endpoint, request: PlacementRequest, now: float
--- a/src/sequoiadrum/gateway/relay.py
+++ b/src/sequoiadrum/gateway/relay.py
@@ -396,6 +396,7 @@
             route=run.route.name,
             endpoint=placement.endpoint.id,
             in_flight=placement.in_flight,
+            fleet_load=placement.fleet_load,
             context_from=(
                 placement.context_source.id if placement.context_source is not None else None
             ),
--- a/src/sequoiadrum/gossip_task.py
+++ b/src/sequoiadrum/gossip_task.py
@@ -25,6 +25,7 @@
     MemberState,
     RevisionReceived,
     RumorReceived,
+    SideDatagram,
 )
 from sequoiadrum.tasks import Ask, Task
 
@@ -55,6 +56,8 @@
 """Attempts to find a port that is free for both UDP and TCP, if the system chooses it."""
 _MAX_READ_BYTES: Final = 2_048
 _RECEIVE_BUFFER_BYTES: Final = 1 << 20
+_SIDE_TAG: Final = b"SIDE"
+"""First bytes of datagrams of other protocols; those of the membership begin with a checksum."""
 
 _log = get_logger(__name__)
 
@@ -192,6 +195,7 @@
         self._list_interval_s = _LIST_INTERVAL_S * (0.5 + random.random())
         self._subscribers: list[Task] = []
         self._revision_subscribers: list[Task] = []
+        self._side_subscriber: Task | None = None
         self._executor = ThreadPoolExecutor(2, thread_name_prefix="gossip-io")
         self._stopped = False
         self._raises_process_id = raises_process_id
@@ -262,6 +266,23 @@
         """See `FleetLink.subscribe_revisions`; must be called before the start."""
         self._revision_subscribers.append(task)
 
+    def subscribe_side_datagrams(self, task: Task) -> None:
+        """Subscribes one task to `SideDatagram` messages; must be called before the start."""
+        self._side_subscriber = task
+
+    def send_side_datagram(self, address: Address, data: bytes) -> None:
+        """Sends a datagram of another protocol to a peer; it may be lost. Callable by any thread.
+
+        Args:
+            address: Peer address of the other router.
+            data: Content, without the tag that marks it as a side datagram.
+        """
+        try:
+            self._socket.sendto(_SIDE_TAG + data, (address.host, address.port))
+            self._count_bytes(len(data) + len(_SIDE_TAG), "sent", "side")
+        except OSError:
+            self.metrics.count("datagrams_unsent_total")
+
     def broadcast(self, kind: str, key: str, version: int, payload: bytes, ttl_s: float) -> None:
         """See `MembershipSource.broadcast`."""
         self.post(_Spread(kind, key, version, payload, ttl_s))
@@ -299,6 +320,12 @@
             except OSError:
                 # Linux reports here that an earlier datagram was refused by its destination.
                 continue
+            if data.startswith(_SIDE_TAG):
+                self._count_bytes(len(data), "received", "side")
+                if self._side_subscriber is not None:
+                    address = Address(source[0], source[1])
+                    self._side_subscriber.post(SideDatagram(data[len(_SIDE_TAG) :], address))
+                continue
             self._count_bytes(len(data), "received")
             self.post(_Received(data, Address(source[0], source[1])))
 
@@ -427,8 +454,8 @@
             picked = random.sample(others, min(len(others), _MAX_LISTED_SEEDS))
             self.post(_Listed(tuple(picked)))
 
-    def _count_bytes(self, count: int, direction: str) -> None:
-        self.metrics.count("control_bytes_total", count, channel="gossip", direction=direction)
+    def _count_bytes(self, count: int, direction: str, channel: str = "gossip") -> None:
+        self.metrics.count("control_bytes_total", count, channel=channel, direction=direction)
 
 
 def _bind_ports(host: str, port: int) -> tuple[socket.socket, socket.socket]:
--- a/src/sequoiadrum/messages.py
+++ b/src/sequoiadrum/messages.py
@@ -187,3 +187,11 @@
     revision: int
     address: Address
     """Peer address of the router that has the revision."""
+
+
+@frozen
+class SideDatagram:
+    """Posted when a datagram of another protocol arrives on the socket of the membership."""
+
+    data: bytes
+    source: Address
