Bound responses and requests that never end

Cause: exchanges called their guard only after 100 ms without a byte, and http.client reads interim responses, trailers and the body of a skipped response for as long as they come. An event without its end was collected and searched again with each read. A caller's chunk size or trailers were copied again with each read, and the bodies of many callers together had no bound. Change: the guard is called by time, whatever arrives, for reads and writes. Bounds in bytes: head with interim responses 64 KiB, chunk framing 16 KiB a read, skipped response 1 MB, incomplete event 256 KiB. Streams that cannot be resumed are not collected at all. A stream without a complete event for 1 s longer than its callers wait (2 s, 4 goals or 8 pauses) is stalled; a sound one, however small its parts, is not. Failures have a reason in exchange_failures_total and in exchange_broken; an oversized response is no crash and never a 'not run'. Callers: chunk framing 16 KiB, and all requests of a router a fifth of its memory, above which the largest one that is arriving is dropped.

--- a/src/sequoiadrum/_front_server.py
+++ b/src/sequoiadrum/_front_server.py
@@ -29,6 +29,8 @@
 """
 ARRIVAL_TIMEOUT_S: Final = 30.0
 """A request that has not arrived completely after this time is dropped with its connection."""
+MAX_INPUT_BYTES: Final = 64_000_000
+"""Memory of all requests that are arriving, waiting or running, unless a server sets another."""
 _IDLE_TIMEOUT_S: Final = 60
 """An idle connection is closed after this time."""
 _OUTPUT_BUFFER_BYTES: Final = 262_144
@@ -74,6 +76,17 @@
     _incoming: tuple[object, float] | None = None
     """The request that is being received, and when it was first seen."""
 
+    def received(self, data: bytes) -> bool:
+        """Receives bytes of a request; see `HTTPChannel.received`."""
+        is_accepted: bool = super().received(data)
+        self.server.record_input(self)
+        return is_accepted
+
+    def input_bytes(self) -> int:
+        """Returns the bytes of the requests that are arriving, waiting or running."""
+        requests = [*self.requests, *([self.request] if self.request is not None else [])]
+        return sum(r.header_bytes_received + r.body_bytes_received for r in requests)
+
     def refuse(self, response: bytes) -> None:
         """Sends a complete response from the reading thread, then closes the connection."""
         with self.outbuf_lock:
@@ -112,7 +125,7 @@
 
 
 class BoundedServer(TcpWSGIServer):
-    """Drops connections that make no progress.
+    """Drops connections that make no progress, and the largest ones that fill the memory.
 
     Counts the dropped connections and the requests that are refused before the application.
     """
@@ -121,20 +134,54 @@
     metrics: Metrics
     stall_timeout_s = READER_STALL_TIMEOUT_S
     arrival_timeout_s = ARRIVAL_TIMEOUT_S
+    max_input_bytes = MAX_INPUT_BYTES
+    """Bytes of all requests together; above it, the largest request that is arriving is dropped."""
+
+    def __init__(self, *args: Any, **options: Any) -> None:
+        """Binds the socket; see `TcpWSGIServer`."""
+        self._input_by_channel: dict[BoundedChannel, int] = {}
+        self._input_bytes = 0
+        super().__init__(*args, **options)
+
+    def record_input(self, channel: BoundedChannel) -> None:
+        """Updates the memory that the requests of a channel take; drops a request if necessary."""
+        size = channel.input_bytes()
+        self._input_bytes += size - self._input_by_channel.get(channel, 0)
+        self._input_by_channel[channel] = size
+        if self._input_bytes <= self.max_input_bytes:
+            return
+        self._measure_input()
+        while self._input_bytes > self.max_input_bytes:
+            arriving = [c for c in self._input_by_channel if c.request is not None]
+            if not arriving:
+                return
+            largest = max(arriving, key=self._input_by_channel.__getitem__)
+            self._input_bytes -= self._input_by_channel.pop(largest)
+            self._drop(largest, "input_memory")
+
+    def _measure_input(self) -> None:
+        # Requests that have ended and connections that were closed are found only here.
+        sizes = {channel: channel.input_bytes() for channel in self.active_channels.values()}
+        self._input_by_channel = {channel: size for channel, size in sizes.items() if size}
+        self._input_bytes = sum(self._input_by_channel.values())
 
     def maintenance(self, now: float) -> None:
         """Drops idle connections, stalled readers and requests that do not arrive."""
         super().maintenance(now)
         # `now` is the time of day, which may jump.
         monotonic_now = time.monotonic()
+        self._measure_input()
         for channel in list(self.active_channels.values()):
             reason = channel.drop_reason(monotonic_now)
             if reason is not None:
-                self.metrics.count("connections_dropped_total", reason=reason)
-                # With `will_close` alone, waitress waits until the socket is writable, which the
-                # socket of a stalled reader never is.
-                channel.will_close = True
-                channel.handle_close()
+                self._drop(channel, reason)
+
+    def _drop(self, channel: BoundedChannel, reason: str) -> None:
+        self.metrics.count("connections_dropped_total", reason=reason)
+        # With `will_close` alone, waitress waits until the socket is writable, which the socket of
+        # a stalled reader never is.
+        channel.will_close = True
+        channel.handle_close()
 
     def count(self, reason: RefusalReason) -> None:
         """Counts a request that is refused before it reaches the application."""
--- a/src/sequoiadrum/gateway/_sockets.py
+++ b/src/sequoiadrum/gateway/_sockets.py
@@ -7,6 +7,8 @@
 import socket
 from typing import TYPE_CHECKING, Any, Final
 
+from sequoiadrum.gateway import clock
+
 if TYPE_CHECKING:
     from collections.abc import Callable
 
@@ -22,7 +24,12 @@
 KEEPALIVE_PROBES: Final = 2
 """Keepalive detects a lost peer after 3 s, the minimum with settings in full seconds."""
 GUARD_INTERVAL_S: Final = 0.1
-"""How often a wait calls its guard; a caller's disconnect must be detected within 0.25 s."""
+"""How often an exchange calls its guard, whether or not bytes arrive; a caller's disconnect must be
+detected within 0.25 s."""
+
+
+class OversizedError(Exception):
+    """The peer sent more bytes than the current part of the exchange may have."""
 
 
 def connect_stream(address: Address, timeout_s: float) -> socket.socket:
@@ -42,9 +49,10 @@
 
 
 class GuardedStream:
-    """A socket for `http.client` whose reads and writes call a guard while they wait.
+    """A socket for `http.client` whose reads and writes call a guard at intervals.
 
-    The guard raises an exception to end the wait.
+    The guard raises an exception to end the exchange. It is called by time, also while bytes
+    arrive: a peer that sends one byte now and then would otherwise keep an exchange for ever.
     """
 
     def __init__(self, stream: socket.socket) -> None:
@@ -55,12 +63,19 @@
         self.guard: Callable[[], None] = _no_guard
         self.bytes_sent = 0
         """Bytes passed to the operating system since the last `begin`."""
+        self._allowance = 0
+        self._next_check = 0.0
         self._reader = _PersistentReader(_GuardedRaw(self))
 
     def begin(self, guard: Callable[[], None]) -> None:
         """Sets the guard and resets the byte count for a new exchange."""
         self.guard = guard
         self.bytes_sent = 0
+        self._next_check = clock.now() + GUARD_INTERVAL_S
+
+    def allow(self, size: int) -> None:
+        """Limits the bytes that may be received until the next call."""
+        self._allowance = size
 
     def is_reusable(self) -> bool:
         """Returns whether neither bytes nor an end were received after the last response."""
@@ -79,6 +94,7 @@
                 continue
             self.bytes_sent += sent
             view = view[sent:]
+            self._check_guard()
 
     def makefile(self, *_: Any, **__: Any) -> io.BufferedReader:
         """Returns the reader that all responses of the connection share."""
@@ -89,12 +105,21 @@
 
         Returns:
             The number of bytes read; 0 at the end of the stream.
+
+        Raises:
+            OversizedError: More bytes were received than `allow` permits.
         """
         while True:
             try:
-                return self._stream.recv_into(buffer)
+                size = self._stream.recv_into(buffer)
             except BlockingIOError:
                 self._wait(select.POLLIN)
+                continue
+            self._allowance -= size
+            if self._allowance < 0:
+                raise OversizedError("too many bytes")
+            self._check_guard()
+            return size
 
     def close(self) -> None:
         """Closes the connection."""
@@ -104,6 +129,12 @@
         poll = select.poll()
         poll.register(self._stream, event)
         while not poll.poll(GUARD_INTERVAL_S * 1e3):
+            self._check_guard()
+
+    def _check_guard(self) -> None:
+        now = clock.now()
+        if now >= self._next_check:
+            self._next_check = now + GUARD_INTERVAL_S
             self.guard()
 
 
--- a/src/sequoiadrum/gateway/app.py
+++ b/src/sequoiadrum/gateway/app.py
@@ -248,7 +248,7 @@
 
     def _create_servers(self, adapter: Adapter, relay: Relay) -> ServerGroup:
         listeners = self.settings.listeners
-        servers = ServerGroup(self.settings.max_descriptors, self.metrics)
+        servers = ServerGroup(self.settings.max_descriptors, self.settings.memory_mb, self.metrics)
         callers = CallerApp(
             adapter.header_codec, self.configuration, relay, self.state, self.metrics, self.log
         )
--- a/src/sequoiadrum/gateway/exchange.py
+++ b/src/sequoiadrum/gateway/exchange.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import http.client
+import io
 import threading
 from enum import Enum
 from typing import TYPE_CHECKING, Final
@@ -10,7 +11,7 @@
 from attrs import define, frozen
 
 from sequoiadrum.gateway import clock
-from sequoiadrum.gateway._sockets import GuardedStream, connect_stream
+from sequoiadrum.gateway._sockets import GuardedStream, OversizedError, connect_stream
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -33,7 +34,16 @@
 """
 MAX_IDLE_PER_ENDPOINT: Final = 8
 """Idle connections that are kept open to one endpoint."""
+MAX_HEAD_BYTES: Final = 65_536
+"""Size of a response head, including interim responses. Bytes of the body that arrive with the head
+count as well, so that a larger body must follow in further reads."""
+MAX_FRAMING_BYTES: Final = 16_384
+"""Size of the chunk sizes, extensions and trailers that one read of the body may meet."""
+MAX_DISCARDED_BYTES: Final = 1_000_000
+"""Size of a response to another request that is skipped to reach the one to this request."""
 _READ_BYTES: Final = 65_536
+_BUFFER_BYTES: Final = io.DEFAULT_BUFFER_SIZE
+"""Bytes that the reader of a connection may receive ahead of what is read from it."""
 _MAX_MISMATCHED_RESPONSES: Final = 3
 """Responses read from one connection before it is closed, if none belongs to the request."""
 
@@ -45,6 +55,10 @@
     DEADLINE = "deadline"
     SLOW_ENDPOINT = "slow_endpoint"
     """The first byte did not arrive within the time limit of one attempt."""
+    STALLED = "stalled"
+    """No event of a stream was completed for longer than any pause of a sound stream."""
+    OVERSIZED = "oversized"
+    """The endpoint sent more bytes than a response, or a part of it, may have."""
 
 
 class InterruptedWaitError(Exception):
@@ -94,6 +108,8 @@
         except InterruptedWaitError as error:
             self.close()
             return ExchangeFailure(error.interrupt.value, error.interrupt)
+        except OversizedError as error:
+            return self.give_up(f"answer cut off: {error}")
         except (OSError, http.client.HTTPException, ValueError) as error:
             self.close()
             return ExchangeFailure(f"answer cut off: {error!r}"[:200])
@@ -111,8 +127,12 @@
             parts.append(data)
             size += len(data)
             if size > limit:
-                self.close()
-                return ExchangeFailure("answer too large")
+                return self.give_up("answer too large")
+
+    def give_up(self, detail: str) -> ExchangeFailure:
+        """Closes the connection because of the size of the response; returns the failure."""
+        self.close()
+        return ExchangeFailure(detail, Interrupt.OVERSIZED)
 
     def close(self) -> None:
         """Closes the connection, so that the endpoint cancels a request that is still running."""
@@ -125,6 +145,7 @@
             self._finish()
             return b""
         limit = _READ_BYTES if self._remaining is None else min(self._remaining, _READ_BYTES)
+        self._stream.allow(limit + _BUFFER_BYTES + MAX_FRAMING_BYTES)
         data = self._response.read1(limit)
         if self._remaining is not None:
             # `read1` does not check the length, so that a truncated body would appear complete.
@@ -240,6 +261,7 @@
     ) -> Exchange | ExchangeFailure:
         try:
             for _ in range(_MAX_MISMATCHED_RESPONSES):
+                stream.allow(MAX_HEAD_BYTES + _BUFFER_BYTES)
                 response = http.client.HTTPResponse(
                     stream, method=call.method  # type: ignore[arg-type]
                 )
@@ -250,13 +272,16 @@
                 if head.request_id in (None, call.request_id):
                     break
                 # A late response to an earlier request; the response to this request follows it.
-                _discard_body(response)
+                _discard_body(response, stream)
             else:
                 stream.close()
                 return ExchangeFailure("only answers to other requests")
         except InterruptedWaitError as error:
             stream.close()
             return ExchangeFailure(error.interrupt.value, error.interrupt)
+        except OversizedError as error:
+            stream.close()
+            return ExchangeFailure(f"no answer: {error}", Interrupt.OVERSIZED)
         except (OSError, http.client.HTTPException, ValueError) as error:
             stream.close()
             return ExchangeFailure(f"no answer: {error!r}"[:200])
@@ -313,8 +338,14 @@
     connection.endheaders(body or None)
 
 
-def _discard_body(response: http.client.HTTPResponse) -> None:
+def _discard_body(response: http.client.HTTPResponse, stream: GuardedStream) -> None:
     if response.will_close:
         raise http.client.HTTPException("the connection ends with another request's answer")
-    while response.read1(_READ_BYTES) if response.chunked else response.read():
-        pass
+    stream.allow(MAX_DISCARDED_BYTES)
+    remaining = None if response.chunked else response.length
+    while remaining is None or remaining > 0:
+        size = len(response.read1(_READ_BYTES if remaining is None else remaining))
+        if size == 0:
+            break
+        if remaining is not None:
+            remaining -= size
--- a/src/sequoiadrum/gateway/front.py
+++ b/src/sequoiadrum/gateway/front.py
@@ -10,6 +10,7 @@
 from waitress.adjustments import Adjustments
 from waitress.parser import HTTPRequestParser, ParsingError
 from waitress.task import WSGITask
+from waitress.utilities import BadRequest
 
 from sequoiadrum._front_server import BoundedChannel, BoundedServer
 from sequoiadrum.gateway import clock
@@ -35,8 +36,12 @@
 ARRIVAL_TIMEOUT_S: Final = 20.0
 """A request that has not arrived completely after this time is dropped with its connection."""
 MAX_HEADER_BYTES: Final = 65_536
+MAX_CHUNK_FRAMING_BYTES: Final = 16_384
+"""Size of a chunk's size line or of the trailers; waitress copies them again with each read."""
 MAX_BODY_BYTES: Final = 16_000_000
 """Far above what callers may send; waitress rejects larger bodies."""
+INPUT_MEMORY_SHARE: Final = 0.2
+"""Share of the memory of the instance that the requests of callers may take."""
 OUTPUT_BUFFER_BYTES: Final = 262_144
 """Output that is buffered for a slow reader before its thread blocks."""
 EVENT_LOOP_WAIT_S: Final = 1.0
@@ -56,6 +61,16 @@
         super().__init__(adjustments)
         self.arrived_at = clock.now()
 
+    def received(self, data: bytes) -> int:
+        """See `HTTPRequestParser.received`; rejects endless chunk sizes and trailers."""
+        consumed: int = super().received(data)
+        if self.chunked and self.body_rcv is not None:
+            framing_bytes = len(self.body_rcv.control_line) + len(self.body_rcv.trailer)
+            if framing_bytes > MAX_CHUNK_FRAMING_BYTES:
+                self.error = BadRequest("chunk size or trailer too long")
+                self.completed = True
+        return consumed
+
     def parse_header(self, header_plus: bytes) -> None:
         """See `HTTPRequestParser.parse_header`."""
         super().parse_header(header_plus)
@@ -132,6 +147,7 @@
         loop_map: dict[int, Any],
         dispatcher: PoolDispatcher,
         max_connections: int,
+        max_input_bytes: int,
         metrics: Metrics,
     ) -> None:
         """Binds the socket.
@@ -140,6 +156,7 @@
             OSError: The address is in use or not local.
         """
         self.metrics = metrics
+        self.max_input_bytes = max_input_bytes
         self._dispatcher = dispatcher
         adjustments = Adjustments(
             host=address.host,
@@ -175,7 +192,8 @@
 class ServerGroup:
     """The servers of a gateway, which share one event loop."""
 
-    def __init__(self, max_descriptors: int, metrics: Metrics) -> None:
+    def __init__(self, max_descriptors: int, memory_mb: int, metrics: Metrics) -> None:
+        self._max_input_bytes = int(memory_mb * 1e6 * INPUT_MEMORY_SHARE)
         self._loop_map: dict[int, Any] = {}
         self._metrics = metrics
         # Each request in flight may use one connection to an endpoint.
@@ -224,6 +242,7 @@
                 self._loop_map,
                 dispatcher,
                 self._max_connections,
+                self._max_input_bytes,
                 self._metrics,
             )
         )
--- a/src/sequoiadrum/gateway/guards.py
+++ b/src/sequoiadrum/gateway/guards.py
@@ -18,6 +18,13 @@
 route's goal for the first byte."""
 MIN_ATTEMPT_S: Final = 0.9
 """Lower bound on the time of an attempt; the slowest regular responses take half a second."""
+STALL_PAUSE_MULTIPLE: Final = 8.0
+STALL_GOAL_MULTIPLE: Final = 4.0
+MIN_STALL_S: Final = 2.0
+"""Callers give up on a stream after a gap of this time, or of these multiples of the longest pause
+and of the goal for the first byte of its route, whichever is longest."""
+STALL_MARGIN_S: Final = 1.0
+"""Time beyond that gap after which a stream without a complete event counts as stalled."""
 
 
 def first_byte_guard(run: RequestRun, sent_at: float) -> Callable[[], None]:
@@ -44,6 +51,27 @@
     return check
 
 
+def stream_guard(run: RequestRun) -> Callable[[], None]:
+    """Returns a guard for the wait for the next event of a stream that has begun.
+
+    The guard raises `InterruptedWaitError` as the guard of `body_guard` does, and also when no
+    event was completed for longer than the callers of the route wait, whatever bytes arrive.
+    """
+    check_body = body_guard(run)
+    stall_s = STALL_MARGIN_S + max(
+        MIN_STALL_S,
+        STALL_GOAL_MULTIPLE * run.route.goal_s,
+        STALL_PAUSE_MULTIPLE * run.route.pause_goal_s,
+    )
+
+    def check() -> None:
+        check_body()
+        if clock.now() >= run.progress_at + stall_s:
+            raise InterruptedWaitError(Interrupt.STALLED)
+
+    return check
+
+
 def body_guard(run: RequestRun) -> Callable[[], None]:
     """Returns a guard for the wait for the rest of a response.
 
--- a/src/sequoiadrum/gateway/model.py
+++ b/src/sequoiadrum/gateway/model.py
@@ -62,6 +62,8 @@
     """Whether requests are accepted without an API key."""
     is_sticky: bool
     """Whether requests list the parts of their prompt."""
+    pause_goal_s: float = 0.0
+    """Longest pause between two events of a stream up to which it has its full value."""
 
 
 @frozen
--- a/src/sequoiadrum/gateway/relay.py
+++ b/src/sequoiadrum/gateway/relay.py
@@ -7,7 +7,8 @@
 
 from sequoiadrum.gateway import clock
 from sequoiadrum.gateway.exchange import Exchange, ExchangeFailure, Interrupt, NotSent
-from sequoiadrum.gateway.guards import body_guard, first_byte_guard
+from sequoiadrum.gateway.guards import body_guard, first_byte_guard, stream_guard
+from sequoiadrum.gateway.model import RequestKind
 from sequoiadrum.gateway.placement import PlacementFailure, PlacementRequest
 from sequoiadrum.gateway.request_run import (
     Caller,
@@ -19,7 +20,7 @@
     refusal_response,
 )
 from sequoiadrum.gateway.sse_framing import EventSplitter
-from sequoiadrum.gateway.stream_body import StreamBody, StreamOwner, forwardable_bytes
+from sequoiadrum.gateway.stream_body import StreamBody, StreamOwner, read_events
 
 if TYPE_CHECKING:
     from sequoiadrum.gateway.crash_reports import CrashReports
@@ -188,15 +189,18 @@
         """
         run.last_error = result.detail
         run.tried.append(placement.endpoint.id)
+        reason = result.interrupt.value if result.interrupt is not None else "broken"
+        self._metrics.count("exchange_failures_total", reason=reason)
         if result.interrupt is Interrupt.CALLER_GONE:
             return self._refuse(run, Refused.CALLER_GONE)
         if result.interrupt is Interrupt.DEADLINE:
             self._pool.record_exchange_failure(placement)
             return self._refuse_expired(run)
         self._pool.record_exchange_failure(placement)
-        self._record_event("exchange_broken", run, placement, detail=result.detail)
-        if result.interrupt is None:
+        self._record_event("exchange_broken", run, placement, reason=reason, detail=result.detail)
+        if result.interrupt in (None, Interrupt.OVERSIZED):
             self._connections.forget(placement.endpoint.id)
+        if result.interrupt is None:
             self._crashes.record_crash(placement.endpoint.id, run.fingerprint)
         if self._may_retry(run):
             return None
@@ -276,8 +280,10 @@
             The response to the caller; None if the request is retried.
         """
         head = exchange.head
-        splitter = EventSplitter(run.call.last_event_id)
-        first = self._read_first_bytes(run, exchange, splitter)
+        splitter = EventSplitter(
+            run.call.last_event_id, holds_partial=run.kind is RequestKind.RESUMABLE_STREAM
+        )
+        first = read_events(run, exchange, splitter)
         if isinstance(first, ExchangeFailure):
             self._pool.release(placement)
             return self._handle_failure(run, placement, first)
@@ -289,22 +295,11 @@
                 return None
             return self._refuse(run, Refused.ENDPOINT_FAILED, "the answer is not signed")
         self._pool.record_response(placement, head, failed=False)
-        exchange.set_guard(body_guard(run))
+        run.progress_at = clock.now()
+        exchange.set_guard(stream_guard(run))
         body = StreamBody(self, run, placement, exchange, splitter, first)
         return CallerResponse(head.status, head.reason, head.headers, body)
 
-    @staticmethod
-    def _read_first_bytes(
-        run: RequestRun, exchange: Exchange, splitter: EventSplitter
-    ) -> bytes | ExchangeFailure:
-        while True:
-            data = exchange.read()
-            if isinstance(data, ExchangeFailure) or not data:
-                return data
-            data = forwardable_bytes(run, splitter, data)
-            if data:
-                return data
-
     def continue_stream(
         self,
         run: RequestRun,
@@ -323,7 +318,8 @@
             if head.status == HTTPStatus.OK and head.is_sealed:
                 self._pool.record_response(next_placement, head, failed=False)
                 self._record_event("stream_continued", run, next_placement, after=last_event_id)
-                exchange.set_guard(body_guard(run))
+                run.progress_at = clock.now()
+                exchange.set_guard(stream_guard(run))
                 return next_placement, exchange
             exchange.close()
             self._pool.release(next_placement)
--- a/src/sequoiadrum/gateway/request_run.py
+++ b/src/sequoiadrum/gateway/request_run.py
@@ -99,6 +99,8 @@
     was_sent: bool = False
     """Whether bytes were sent to an endpoint that has not reported the request as not executed."""
     last_error: str = ""
+    progress_at: float = 0.0
+    """Monotonic seconds at which the last event of a stream was complete."""
 
     @property
     def kind(self) -> RequestKind:
--- a/src/sequoiadrum/gateway/sse_framing.py
+++ b/src/sequoiadrum/gateway/sse_framing.py
@@ -2,27 +2,47 @@
 
 from __future__ import annotations
 
+from typing import Final
+
 from attrs import define
 
-_END: bytes = b"\n\n"
-_ID: bytes = b"id:"
+MAX_EVENT_BYTES: Final = 262_144
+"""Size of an incomplete event; a larger one is held to be endless."""
+_END: Final = b"\n\n"
+_ID: Final = b"id:"
 
 
 @define
 class EventSplitter:
-    """Buffers the incomplete event at the end of the received bytes."""
+    """Finds the ends of events, and holds back an incomplete event where that is needed."""
 
     last_id: str | None = None
     """Id of the last complete event."""
+    holds_partial: bool = True
+    """Whether `feed` holds back an incomplete event. Another endpoint cannot continue a stream in
+    the middle of an event."""
+    completed: int = 0
+    """Number of reads that completed at least one event."""
     _partial: bytes = b""
+    _partial_size: int = 0
 
     def feed(self, data: bytes) -> bytes:
-        """Adds received bytes; returns the bytes of all events that are complete."""
-        self._partial += data
-        end = self._partial.rfind(_END)
+        """Adds received bytes; returns those that can be forwarded."""
+        # The end of an event may be split between two reads.
+        searched_from = max(0, len(self._partial) - len(_END) + 1)
+        received = self._partial + data
+        end = received.rfind(_END, searched_from)
         if end < 0:
-            return b""
-        complete, self._partial = self._partial[: end + len(_END)], self._partial[end + len(_END) :]
+            self._partial_size += len(data)
+            self._partial = received if self.holds_partial else received[-1:]
+            return b"" if self.holds_partial else data
+        end += len(_END)
+        self.completed += 1
+        self._partial_size = len(received) - end
+        if not self.holds_partial:
+            self._partial = received[end:][-1:]
+            return data
+        complete, self._partial = received[:end], received[end:]
         for line in complete.split(b"\n"):
             if line.startswith(_ID):
                 self.last_id = line[len(_ID) :].strip().decode("latin-1")
@@ -31,8 +51,14 @@
     def discard_partial_event(self) -> None:
         """Discards an incomplete event; the endpoint that continues the stream sends it again."""
         self._partial = b""
+        self._partial_size = 0
 
     @property
     def has_partial_event(self) -> bool:
         """Whether the received bytes end inside an event."""
         return bool(self._partial.strip())
+
+    @property
+    def is_oversized(self) -> bool:
+        """Whether the incomplete event is larger than `MAX_EVENT_BYTES`."""
+        return self._partial_size > MAX_EVENT_BYTES
--- a/src/sequoiadrum/gateway/stream_body.py
+++ b/src/sequoiadrum/gateway/stream_body.py
@@ -5,6 +5,7 @@
 from abc import ABC, abstractmethod
 from typing import TYPE_CHECKING
 
+from sequoiadrum.gateway import clock
 from sequoiadrum.gateway.exchange import ExchangeFailure
 from sequoiadrum.gateway.model import RequestKind
 from sequoiadrum.gateway.request_run import IncompleteStreamError
@@ -86,7 +87,7 @@
             data, self._first = self._first, b""
             return data
         while True:
-            read = self._exchange.read()
+            read = read_events(self._run, self._exchange, self._splitter)
             if isinstance(read, ExchangeFailure):
                 self._owner.release(self._placement)
                 self._splitter.discard_partial_event()
@@ -97,9 +98,7 @@
             if not read:
                 self._end()
                 raise StopIteration
-            data = forwardable_bytes(self._run, self._splitter, read)
-            if data:
-                return data
+            return read
 
     def close(self) -> None:
         """Closes the exchange, so that the endpoint cancels a request that is still running."""
@@ -113,8 +112,22 @@
         self._owner.end_stream(self._run, self._placement, self._head)
 
 
-def forwardable_bytes(run: RequestRun, splitter: EventSplitter, data: bytes) -> bytes:
-    """Returns the bytes that can be forwarded to the caller now: complete events if resumable."""
-    complete_events = splitter.feed(data)
-    # Another endpoint cannot continue in the middle of an event.
-    return complete_events if run.kind is RequestKind.RESUMABLE_STREAM else data
+def read_events(
+    run: RequestRun, exchange: Exchange, splitter: EventSplitter
+) -> bytes | ExchangeFailure:
+    """Waits for bytes that can be forwarded to the caller; returns empty bytes at the end.
+
+    Records the progress of the stream in `RequestRun.progress_at`.
+    """
+    while True:
+        data = exchange.read()
+        if isinstance(data, ExchangeFailure) or not data:
+            return data
+        completed = splitter.completed
+        data = splitter.feed(data)
+        if splitter.completed != completed:
+            run.progress_at = clock.now()
+        if splitter.is_oversized:
+            return exchange.give_up("an event is too large")
+        if data:
+            return data
--- a/src/sequoiadrum/platform/documents.py
+++ b/src/sequoiadrum/platform/documents.py
@@ -114,6 +114,7 @@
         priority=int(entry.get("priority") or 0),
         is_public=bool(entry.get("public")),
         is_sticky=bool(entry.get("sticky")),
+        pause_goal_s=float(entry.get("gap_goal_ms") or 0) / 1e3,
     )
 
 
--- a/tests/gateway/test_front.py
+++ b/tests/gateway/test_front.py
@@ -2,9 +2,12 @@
 
 from __future__ import annotations
 
+import contextlib
 import http.client
+import socket
 import threading
 import unittest
+from typing import Final
 from unittest import mock
 
 from sequoiadrum.gateway import front
@@ -13,6 +16,111 @@
 from sequoiadrum.metrics import Metrics
 from tests.gateway.world import WAIT_S, eventually, free_ports
 
+_ENDLESS_REQUESTS: Final = {
+    "head": (b"POST /a HTTP/1.1\r\nHost: a\r\n", b"X-More: 1\r\n" * 50),
+    "header": (b"POST /a HTTP/1.1\r\nHost: a\r\nX-Long: ", b"a" * 1_000),
+    "chunked body": (
+        b"POST /a HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n",
+        b"c350\r\n" + b"a" * 50_000 + b"\r\n",
+    ),
+    "chunk extension": (
+        b"POST /a HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n5;",
+        b"a" * 1_000,
+    ),
+    "trailers": (
+        b"POST /a HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n",
+        b"X-More: 1\r\n" * 50,
+    ),
+}
+
+
+class EndlessRequestTest(unittest.TestCase):
+    """Callers whose requests never end."""
+
+    def _start(self, memory_mb: int = 200) -> tuple[int, Metrics]:
+        metrics = Metrics()
+        (port,) = free_ports(1)
+
+        def application(environ, start_response):  # type: ignore[no-untyped-def]
+            start_response("200 OK", [("Content-Length", "0")])
+            return []
+
+        group = ServerGroup(2_000, memory_mb, metrics)
+        group.add_callers(application, Address("127.0.0.1", port))
+        group.start()
+        self.addCleanup(group.stop)
+        return port, metrics
+
+    def _open(self, port: int) -> socket.socket:
+        caller = socket.create_connection(("127.0.0.1", port), WAIT_S)
+        self.addCleanup(caller.close)
+        return caller
+
+    def _send_until_closed(self, caller: socket.socket, first: bytes, repeated: bytes) -> int:
+        """Sends for as long as the server reads; returns the number of bytes sent."""
+        sent = 0
+        try:
+            caller.sendall(first)
+            for _ in range(100_000):
+                caller.sendall(repeated)
+                sent += len(repeated)
+        except OSError:
+            return sent
+        raise AssertionError(f"the server has read {sent} bytes")
+
+    def _is_served(self, port: int) -> bool:
+        connection = http.client.HTTPConnection("127.0.0.1", port, timeout=WAIT_S)
+        try:
+            connection.request("GET", "/")
+            return connection.getresponse().status == 200
+        finally:
+            connection.close()
+
+    def test_bytes_without_end_are_bounded(self) -> None:
+        """Guards against memory that a caller can take without limit."""
+        port, _ = self._start()
+        for name, (first, repeated) in _ENDLESS_REQUESTS.items():
+            with self.subTest(name):
+                sent = self._send_until_closed(self._open(port), first, repeated)
+                self.assertLess(sent, 60_000_000)
+                self.assertTrue(self._is_served(port))
+
+    def test_many_bodies_together_are_bounded(self) -> None:
+        """Guards against many callers that take the memory of a router together."""
+        port, metrics = self._start(memory_mb=50)
+        callers = [self._open(port) for _ in range(200)]
+        head = b"POST /a HTTP/1.1\r\nHost: a\r\nContent-Length: 4000000\r\n\r\n"
+        for caller in callers:
+            caller.sendall(head + b"a" * 200_000)
+        eventually(
+            lambda: metrics.value("connections_dropped_total", reason="input_memory") >= 100,
+            "the callers that do not fit are dropped",
+        )
+        self.assertTrue(self._is_served(port))
+
+    def test_request_that_dribbles_in_is_dropped(self) -> None:
+        """Guards against connections that are held by one byte now and then."""
+        with mock.patch.object(front.GatewayServer, "arrival_timeout_s", 1.0):
+            port, metrics = self._start()
+            callers = [self._open(port) for _ in range(200)]
+            for caller in callers:
+                caller.sendall(b"POST /a HTTP/1.1\r\n")
+            stopped = threading.Event()
+            self.addCleanup(stopped.set)
+
+            def dribble() -> None:
+                while not stopped.wait(0.05):
+                    for caller in callers:
+                        with contextlib.suppress(OSError):
+                            caller.send(b"X")
+
+            threading.Thread(target=dribble, daemon=True).start()
+            eventually(
+                lambda: metrics.value("connections_dropped_total", reason="slow_request") == 200,
+                "all slow callers are dropped",
+            )
+            self.assertTrue(self._is_served(port))
+
 
 class OverloadTest(unittest.TestCase):
     """The server receives more requests than it has threads."""
@@ -30,7 +138,7 @@
             return []
 
         with mock.patch.multiple(front, CALLER_THREADS=1, MAX_WAITING_REQUESTS=1):
-            group = ServerGroup(1_000, metrics)
+            group = ServerGroup(1_000, 200, metrics)
             group.add_callers(application, Address("127.0.0.1", port))
             group.start()
             self.addCleanup(group.stop)
