Open the listeners for callers before the program is imported

Change: the entry script opens the listeners for callers and the directory from the settings file first, so that callers wait in the backlog; readiness stays closed. Callers are served once configuration and endpoints are read, after 0.3 s at the latest.

--- a/deploy/gateway.py
+++ b/deploy/gateway.py
@@ -12,7 +12,11 @@
 signal.signal(signal.SIGTERM, lambda *_: sys.exit(0))
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent / "src"))
 
-from sequoiadrum.platform.launch import main  # noqa: E402 (signal handlers come first)
+from sequoiadrum.platform.early_listeners import open_listeners  # noqa: E402 (after the handlers)
 
 if __name__ == "__main__":
-    sys.exit(main())
+    listeners = open_listeners()
+
+    from sequoiadrum.platform.launch import main
+
+    sys.exit(main(listeners))
--- a/src/sequoiadrum/gateway/app.py
+++ b/src/sequoiadrum/gateway/app.py
@@ -46,13 +46,18 @@
 from sequoiadrum.timers import TimerService
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    import socket
+    from collections.abc import Callable, Mapping
 
     from returns.result import Result
 
     from sequoiadrum.gateway.ports import DirectoryCodec, DocumentDecoder, HeaderCodec, Store
     from sequoiadrum.gateway.settings import GatewaySettings
 
+MAX_FIRST_LISTS_S: Final = 0.3
+"""Longest wait for the configuration and the endpoints before callers are served; the store usually
+responds in a few milliseconds."""
+_FIRST_LISTS_POLL_S: Final = 0.005
 _POLL_INTERVAL_S: Final = 0.1
 
 _waitress_log = logging.getLogger("waitress")
@@ -75,7 +80,11 @@
     """A gateway process with its servers, background tasks and state."""
 
     def __init__(
-        self, settings: GatewaySettings, adapter: Adapter, output: TextIO = sys.stdout
+        self,
+        settings: GatewaySettings,
+        adapter: Adapter,
+        output: TextIO = sys.stdout,
+        listeners: Mapping[Address, socket.socket] | None = None,
     ) -> None:
         """Creates all parts and binds all ports.
 
@@ -83,6 +92,7 @@
             settings: Settings to start with.
             adapter: Connects the gateway to the platform.
             output: Stream to which log lines are written.
+            listeners: Listening sockets that are open already; others are opened here.
 
         Raises:
             OSError: An address is in use or not local.
@@ -168,7 +178,7 @@
             self.metrics,
             self.log,
         )
-        self.servers: Final = self._create_servers(adapter, relay)
+        self.servers: Final = self._create_servers(adapter, relay, listeners or {})
         self._settings_watch = SettingsWatch(
             adapter.load_settings, settings, self._apply_settings, self.metrics, self.log
         )
@@ -186,9 +196,10 @@
         _waitress_log.setLevel(logging.CRITICAL)
         self.log.notable("started", version=__version__, settings=str(self.settings))
         self.timers.start()
-        self.servers.start()
         for sync in self._syncs:
             sync.start()
+        self._wait_for_first_lists()
+        self.servers.start()
         self._peer_server.start()
         self.peer_events.run_on(self.timers)
         self._load_exchange.run_on(self.timers)
@@ -246,9 +257,21 @@
         self.servers.stop()
         self.log.stop()
 
-    def _create_servers(self, adapter: Adapter, relay: Relay) -> ServerGroup:
+    def _wait_for_first_lists(self) -> None:
+        """Waits briefly until requests can be placed; callers wait in the backlog meanwhile."""
+        serve_from = clock.now() + MAX_FIRST_LISTS_S
+        while clock.now() < serve_from and not self._stop_requested.is_set():
+            if self.state.is_ready() and self.pool.has_endpoints():
+                return
+            time.sleep(_FIRST_LISTS_POLL_S)
+
+    def _create_servers(
+        self, adapter: Adapter, relay: Relay, opened: Mapping[Address, socket.socket]
+    ) -> ServerGroup:
         listeners = self.settings.listeners
-        servers = ServerGroup(self.settings.max_descriptors, self.settings.memory_mb, self.metrics)
+        servers = ServerGroup(
+            self.settings.max_descriptors, self.settings.memory_mb, self.metrics, opened
+        )
         callers = CallerApp(
             adapter.header_codec, self.configuration, relay, self.state, self.metrics, self.log
         )
--- a/src/sequoiadrum/gateway/front.py
+++ b/src/sequoiadrum/gateway/front.py
@@ -16,7 +16,8 @@
 from sequoiadrum.gateway import clock
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    import socket
+    from collections.abc import Callable, Mapping
 
     from sequoiadrum.messages import Address
     from sequoiadrum.metrics import Metrics
@@ -149,8 +150,9 @@
         max_connections: int,
         max_input_bytes: int,
         metrics: Metrics,
+        listener: socket.socket | None,
     ) -> None:
-        """Binds the socket.
+        """Binds the socket, unless a listener for the address is given.
 
         Raises:
             OSError: The address is in use or not local.
@@ -178,7 +180,14 @@
             clear_untrusted_proxy_headers=False,
             ident=None,
         )
-        super().__init__(application, map=loop_map, dispatcher=dispatcher, adj=adjustments)
+        super().__init__(
+            application,
+            map=loop_map,
+            dispatcher=dispatcher,
+            adj=adjustments,
+            _sock=listener,
+            bind_socket=listener is None,
+        )
 
     def add_task(self, task: Any) -> None:
         """Queues a channel's request, or refuses it if too many requests wait for a thread."""
@@ -192,7 +201,22 @@
 class ServerGroup:
     """The servers of a gateway, which share one event loop."""
 
-    def __init__(self, max_descriptors: int, memory_mb: int, metrics: Metrics) -> None:
+    def __init__(
+        self,
+        max_descriptors: int,
+        memory_mb: int,
+        metrics: Metrics,
+        listeners: Mapping[Address, socket.socket] | None = None,
+    ) -> None:
+        """Creates a group without servers.
+
+        Args:
+            max_descriptors: File descriptors that the process may open.
+            memory_mb: Memory of the instance in megabytes.
+            metrics: Receives the counters of the servers.
+            listeners: Listening sockets that are open already.
+        """
+        self._listeners = listeners or {}
         self._max_input_bytes = int(memory_mb * 1e6 * INPUT_MEMORY_SHARE)
         self._loop_map: dict[int, Any] = {}
         self._metrics = metrics
@@ -244,6 +268,7 @@
                 self._max_connections,
                 self._max_input_bytes,
                 self._metrics,
+                self._listeners.get(address),
             )
         )
 
--- a/src/sequoiadrum/platform/launch.py
+++ b/src/sequoiadrum/platform/launch.py
@@ -5,18 +5,24 @@
 import os
 import sys
 from pathlib import Path
-from typing import Final
+from typing import TYPE_CHECKING, Final
 
 from returns.result import Failure
 
 from sequoiadrum.gateway.app import Adapter, Gateway
 from sequoiadrum.gateway.ports import DocumentDecoder
+from sequoiadrum.messages import Address
 from sequoiadrum.platform import documents
 from sequoiadrum.platform.directory_codec import PlatformDirectoryCodec
+from sequoiadrum.platform.early_listeners import PATH_VARIABLE
 from sequoiadrum.platform.headers import PlatformHeaderCodec
-from sequoiadrum.platform.node_settings import PATH_VARIABLE, load_settings
+from sequoiadrum.platform.node_settings import load_settings
 from sequoiadrum.platform.store_client import HttpStore
 
+if TYPE_CHECKING:
+    import socket
+    from collections.abc import Mapping
+
 EXIT_USAGE: Final = 2
 
 
@@ -30,9 +36,12 @@
     decode_endpoint = staticmethod(documents.decode_endpoint)
 
 
-def main() -> int:
+def main(listeners: Mapping[tuple[str, int], socket.socket]) -> int:
     """Runs a gateway with the settings file that `PATH_VARIABLE` names.
 
+    Args:
+        listeners: Listening sockets that are open already, by host and port.
+
     Returns:
         The exit status; `EXIT_USAGE` if the settings are missing or invalid.
     """
@@ -58,4 +67,5 @@
         store=lambda metrics: HttpStore(settings.store, metrics),
         load_settings=lambda: load_settings(Path(path)).alt(lambda problem: problem.detail),
     )
-    return Gateway(settings, adapter).run()
+    opened = {Address(host, port): opened for (host, port), opened in listeners.items()}
+    return Gateway(settings, adapter, listeners=opened).run()
--- a/src/sequoiadrum/platform/node_settings.py
+++ b/src/sequoiadrum/platform/node_settings.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import tomllib
-from typing import TYPE_CHECKING, Any, Final
+from typing import TYPE_CHECKING, Any
 
 from attrs import frozen
 from returns.result import Failure, Result, Success
@@ -14,9 +14,6 @@
 if TYPE_CHECKING:
     from pathlib import Path
 
-PATH_VARIABLE: Final = "SEQUOIADRUM_NODE_FILE"
-"""Environment variable that holds the path of the settings file."""
-
 
 @frozen
 class SettingsProblem:
--- a/tests/gateway/test_signals.py
+++ b/tests/gateway/test_signals.py
@@ -2,9 +2,11 @@
 
 from __future__ import annotations
 
+import os
 import signal
 import subprocess
 import sys
+import tempfile
 import threading
 import time
 import unittest
@@ -12,7 +14,8 @@
 from typing import Final
 from unittest import mock
 
-from tests.gateway.world import WAIT_S, World
+from sequoiadrum.platform.early_listeners import open_listeners
+from tests.gateway.world import WAIT_S, World, free_ports
 
 _ROOT: Final = Path(__file__).parent.parent.parent
 _ENTRY: Final = _ROOT / "deploy" / "gateway.py"
@@ -20,7 +23,21 @@
 import runpy, signal
 import sequoiadrum.platform.launch as launch
 numbers = (signal.SIGHUP, signal.SIGTERM)
-launch.main = lambda: print(*(signal.getsignal(n) is signal.SIG_DFL for n in numbers))
+launch.main = lambda *_: print(*(signal.getsignal(n) is signal.SIG_DFL for n in numbers))
+runpy.run_path({str(_ENTRY)!r}, run_name="__main__")
+"""
+
+
+_CONNECT_BEFORE_IMPORTS: Final = f"""
+import runpy, socket, sys, types
+loaded = types.ModuleType("sequoiadrum.platform.launch")
+def main(listeners):
+    for port in sys.argv[1:]:
+        socket.create_connection(("127.0.0.1", int(port)), 10).close()
+        print("connected")
+    print("loaded" if "sequoiadrum.gateway.app" in sys.modules else "not loaded")
+loaded.main = main
+sys.modules["sequoiadrum.platform.launch"] = loaded
 runpy.run_path({str(_ENTRY)!r}, run_name="__main__")
 """
 
@@ -40,6 +57,38 @@
         )
         self.assertEqual(completed.stdout.strip(), "False False")
 
+    def test_callers_connect_before_the_program_is_loaded(self) -> None:
+        """Guards against connections that are refused while a restarted process imports itself."""
+        ports = free_ports(2)
+        lines = [
+            "[bind]",
+            f'front = "127.0.0.1:{ports[0]}"',
+            f'directory = "127.0.0.1:{ports[1]}"',
+        ]
+        with tempfile.NamedTemporaryFile("w", suffix=".toml") as file:
+            file.write("\n".join(lines))
+            file.flush()
+            process = subprocess.Popen(
+                [sys.executable, "-c", _CONNECT_BEFORE_IMPORTS, *map(str, ports)],
+                stdout=subprocess.PIPE,
+                text=True,
+                cwd=_ROOT,
+                env={**os.environ, "SEQUOIADRUM_NODE_FILE": file.name},
+            )
+            output, _ = process.communicate(timeout=60)
+        self.assertEqual(output.split(), ["connected", "connected", "not", "loaded"])
+
+    def test_unreadable_settings_open_no_listener(self) -> None:
+        """Guards against a start that ends in a traceback where the settings are reported later."""
+        for text in ("", "[bind]", "bind = 3", '[bind]\nfront = "x"', "\x00", "[bind]\nfront = 1"):
+            with self.subTest(text), tempfile.NamedTemporaryFile("w", suffix=".toml") as file:
+                file.write(text)
+                file.flush()
+                with mock.patch.dict(os.environ, {"SEQUOIADRUM_NODE_FILE": file.name}):
+                    self.assertEqual(open_listeners(), {})
+        with mock.patch.dict(os.environ, clear=True):
+            self.assertEqual(open_listeners(), {})
+
     def test_stop_is_noticed_when_its_signal_reaches_another_thread(self) -> None:
         """Guards against a stop signal that is never handled.
 
