End a stopped process without joining the threads of its executors

At its end the interpreter joins the threads of all executors, also after shutdown(wait=False); the executor of the membership may be in a sync of up to 3 s (_SYNC_TIMEOUT_S) with a peer that does not respond. Change: the entry script flushes the standard streams and ends the process at once. All requests have ended or the grace is used up by then, and the log is written. Result: the new test, with an executor blocked for 600 s, ran into its time limit of 60 s with sys.exit and passes now.

--- a/deploy/gateway.py
+++ b/deploy/gateway.py
@@ -13,10 +13,11 @@
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent / "src"))
 
 from sequoiadrum.platform.early_listeners import open_listeners  # noqa: E402 (after the handlers)
+from sequoiadrum.process_exit import exit_process  # noqa: E402
 
 if __name__ == "__main__":
     listeners = open_listeners()
 
     from sequoiadrum.platform.launch import main
 
-    sys.exit(main(listeners))
+    exit_process(main(listeners))
--- a/tests/gateway/test_signals.py
+++ b/tests/gateway/test_signals.py
@@ -23,7 +23,7 @@
 import runpy, signal
 import sequoiadrum.platform.launch as launch
 numbers = (signal.SIGHUP, signal.SIGTERM)
-launch.main = lambda *_: print(*(signal.getsignal(n) is signal.SIG_DFL for n in numbers))
+launch.main = lambda *_: print(*(signal.getsignal(n) is signal.SIG_DFL for n in numbers)) or 0
 runpy.run_path({str(_ENTRY)!r}, run_name="__main__")
 """
 
@@ -42,6 +42,20 @@
 """
 
 
+_EXIT_BESIDE_BLOCKED_THREAD: Final = """
+import sys, threading, time
+from concurrent.futures import ThreadPoolExecutor
+from sequoiadrum.process_exit import exit_process
+is_blocked = threading.Event()
+executor = ThreadPoolExecutor(1)
+executor.submit(lambda: (is_blocked.set(), time.sleep(600)))
+is_blocked.wait()
+executor.shutdown(wait=False, cancel_futures=True)
+sys.stdout.write("stopped")
+exit_process(3)
+"""
+
+
 class SignalTest(unittest.TestCase):
     """Signals do not kill a process before its handlers are set or after they are removed."""
 
@@ -78,6 +92,21 @@
             output, _ = process.communicate(timeout=60)
         self.assertEqual(output.split(), ["connected", "connected", "not", "loaded"])
 
+    def test_process_ends_beside_a_blocked_thread(self) -> None:
+        """Guards against a stopped process that stays while a thread waits for a silent peer.
+
+        The soak found processes that were gone only 3 s after their last line (seed 5048).
+        """
+        completed = subprocess.run(
+            [sys.executable, "-c", _EXIT_BESIDE_BLOCKED_THREAD],
+            capture_output=True,
+            text=True,
+            timeout=60,
+            check=False,
+            cwd=_ROOT,
+        )
+        self.assertEqual((completed.returncode, completed.stdout), (3, "stopped"))
+
     def test_unreadable_settings_open_no_listener(self) -> None:
         """Guards against a start that ends in a traceback where the settings are reported later."""
         for text in ("", "[bind]", "bind = 3", '[bind]\nfront = "x"', "\x00", "[bind]\nfront = 1"):
