Log unexpected errors of requests, and what decided a refused route or key

Change: an unexpected error is logged with the request id and the end of its traceback, counted by type and answered with 500, which promises nothing; the placement is released; a stream that fails so is not ended as complete. Refusals before a route is known log host, path and an 8-digit hash of the key. Result: three tests; on the code before, the first found no log line and a placement left over.

--- a/src/sequoiadrum/gateway/caller_app.py
+++ b/src/sequoiadrum/gateway/caller_app.py
@@ -11,6 +11,7 @@
 from sequoiadrum.gateway.front import ARRIVED_AT, CLOSE_AFTER_RESPONSE
 from sequoiadrum.gateway.model import Route
 from sequoiadrum.gateway.request_run import Caller, CallerResponse, Refused, refusal_response
+from sequoiadrum.hashing import stable_hash
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable, Mapping
@@ -42,6 +43,8 @@
 Some callers cache them three times as long; a graceful shutdown waits until then.
 """
 METRICS_PATH: Final = "/metrics"
+MAX_LOGGED_PATH_CHARS: Final = 200
+KEY_FINGERPRINT_CHARS: Final = 8
 
 
 class ServingState:
@@ -93,8 +96,15 @@
     def _handle(self, environ: Mapping[str, Any]) -> CallerResponse:
         decoded = self._codec.decode_request(environ)
         if isinstance(decoded, Failure):
-            return self._refuse("", Refused.BAD_REQUEST, decoded.failure())
+            return self._refuse(None, Refused.BAD_REQUEST, decoded.failure())
         call = decoded.unwrap()
+        try:
+            return self._serve(call, environ)
+        except Exception as error:  # An unexpected error must fail this request only.
+            self._log.unexpected(call.request_id, error)
+            return refusal_response(Refused.INTERNAL_ERROR)
+
+    def _serve(self, call: RequestHead, environ: Mapping[str, Any]) -> CallerResponse:
         is_gone = environ["waitress.client_disconnected"]
         caller = Caller(arrived_at=environ[ARRIVED_AT], is_gone=is_gone)
         route = self._resolve_route(call, caller)
@@ -105,13 +115,13 @@
             return account
         plan = self._state.stop_plan
         if plan is not None and not plan.accepts(route.kind, clock.now()):
-            return self._refuse(call.request_id, Refused.STOPPING, "", STOPPING_RETRY_AFTER_S)
+            return self._refuse(call, Refused.STOPPING, "", STOPPING_RETRY_AFTER_S)
         routing = self._configuration.routing()
         assert routing is not None
         service = routing.config.service_by_name.get(routing.service(route, call.request_id))
         if service is None:
             return self._refuse(
-                call.request_id, Refused.NO_ENDPOINT, "unknown service", UNCONFIRMED_RETRY_AFTER_S
+                call, Refused.NO_ENDPOINT, "unknown service", UNCONFIRMED_RETRY_AFTER_S
             )
         body = bytes(environ["wsgi.input"].read())
         return self._relay.handle(call, body, route, service, account, caller)
@@ -125,15 +135,13 @@
         is_confirmed = self._configuration.confirm(caller.arrived_at - MAX_CONFIRMATION_AGE_S)
         routing = self._configuration.routing()
         if routing is None:
-            return self._refuse(
-                call.request_id, Refused.NO_CONFIGURATION, "", UNCONFIRMED_RETRY_AFTER_S
-            )
+            return self._refuse(call, Refused.NO_CONFIGURATION, "", UNCONFIRMED_RETRY_AFTER_S)
         route = routing.route(call.host, call.path)
         if route is not None:
             return route
         if is_confirmed:
-            return self._refuse(call.request_id, Refused.ROUTE_UNKNOWN)
-        return self._refuse(call.request_id, Refused.UNCERTAIN_ROUTE, "", UNCONFIRMED_RETRY_AFTER_S)
+            return self._refuse(call, Refused.ROUTE_UNKNOWN)
+        return self._refuse(call, Refused.UNCERTAIN_ROUTE, "", UNCONFIRMED_RETRY_AFTER_S)
 
     def _resolve_account(
         self, call: RequestHead, route: Route, caller: Caller
@@ -146,8 +154,8 @@
         if not isinstance(account, Refused):
             return account
         if is_confirmed:
-            return self._refuse(call.request_id, Refused.KEY_UNKNOWN)
-        return self._refuse(call.request_id, Refused.UNCERTAIN_KEY, "", UNCONFIRMED_RETRY_AFTER_S)
+            return self._refuse(call, Refused.KEY_UNKNOWN)
+        return self._refuse(call, Refused.UNCERTAIN_KEY, "", UNCONFIRMED_RETRY_AFTER_S)
 
     def _find_account(self, call: RequestHead, route: Route) -> Account | Refused | None:
         routing = self._configuration.routing()
@@ -159,20 +167,32 @@
         return Refused.KEY_UNKNOWN
 
     def _refuse(
-        self, request_id: str, reason: Refused, detail: str = "", retry_after_s: float | None = None
+        self,
+        call: RequestHead | None,
+        reason: Refused,
+        detail: str = "",
+        retry_after_s: float | None = None,
     ) -> CallerResponse:
         self._metrics.count("refusals_total", reason=reason.value)
         self._log.notable(
             "request_refused",
-            request=request_id,
+            request=call.request_id if call is not None else "",
             reason=reason.value,
             detail=detail,
+            host=call.host if call is not None else None,
+            path=call.path[:MAX_LOGGED_PATH_CHARS] if call is not None else None,
+            key_fingerprint=key_fingerprint(call.key) if call is not None and call.key else None,
             config_version=self._configuration.version(),
             config_age_ms=int(min(1e6, self._configuration.age_s()) * 1e3),
         )
         return refusal_response(reason, detail, retry_after_s)
 
 
+def key_fingerprint(key: str) -> str:
+    """Returns a hash by which log lines identify an API key without revealing it."""
+    return f"{stable_hash('api-key', key):016x}"[:KEY_FINGERPRINT_CHARS]
+
+
 class ControlApp:
     """Serves readiness checks, queries of router addresses, and metrics."""
 
--- a/src/sequoiadrum/gateway/event_log.py
+++ b/src/sequoiadrum/gateway/event_log.py
@@ -7,6 +7,7 @@
 import sys
 import threading
 import time
+import traceback
 from collections import deque
 from enum import IntEnum
 from typing import TYPE_CHECKING, Any, Final, TextIO
@@ -23,6 +24,8 @@
 """Maximum number of lines that wait to be written to a slow output; about 2 MB."""
 ROUTINE_LINES_PER_S: Final = 100
 """Limit on lines per second for served requests; it does not apply to refusals and failures."""
+MAX_TRACEBACK_CHARS: Final = 1_500
+"""Length of the end of a traceback that is logged."""
 _FLUSH_S: Final = 0.5
 """How often lines are written; writing many lines together saves CPU time."""
 
@@ -76,6 +79,12 @@
         """Logs a refusal, a failure or a change of the known state."""
         self._add(LogPriority.NOTABLE, event, fields)
 
+    def unexpected(self, request_id: str, error: Exception) -> None:
+        """Logs and counts an unexpected error that failed a request."""
+        self._metrics.count("unexpected_errors_total", type=type(error).__name__)
+        text = "".join(traceback.format_exception(error))[-MAX_TRACEBACK_CHARS:]
+        self.notable("request_failed_unexpectedly", request=request_id, detail=text)
+
     def _configure_structlog(self) -> None:
         import structlog
 
--- a/src/sequoiadrum/gateway/relay.py
+++ b/src/sequoiadrum/gateway/relay.py
@@ -92,10 +92,15 @@
             if isinstance(outcome, CallerResponse):
                 return outcome
             placement, exchange = outcome
-            if run.kind.is_stream and exchange.head.status == HTTPStatus.OK:
-                response = self._begin_stream(run, placement, exchange)
-            else:
-                response = self._read_response(run, placement, exchange)
+            try:
+                if run.kind.is_stream and exchange.head.status == HTTPStatus.OK:
+                    response = self._begin_stream(run, placement, exchange)
+                else:
+                    response = self._read_response(run, placement, exchange)
+            except Exception:
+                exchange.close()
+                self._pool.release(placement)
+                raise
             if response is not None:
                 return response
 
@@ -113,7 +118,11 @@
             placement = self._place_request(run)
             if isinstance(placement, PlacementFailure):
                 return self._refuse_unplaced(run, placement)
-            result = self._send(run, placement, last_event_id)
+            try:
+                result = self._send(run, placement, last_event_id)
+            except Exception:
+                self._pool.release(placement)
+                raise
             if isinstance(result, Exchange):
                 return placement, result
             self._pool.release(placement)
@@ -338,6 +347,10 @@
         self._crashes.record_completion(run.fingerprint)
         self._record_served(run, placement, head)
 
+    def record_unexpected(self, run: RequestRun, error: Exception) -> None:
+        """See `StreamOwner.record_unexpected`."""
+        self._log.unexpected(run.call.request_id, error)
+
     def release(self, placement: EndpointPlacement) -> None:
         """See `StreamOwner.release`."""
         self._pool.release(placement)
--- a/src/sequoiadrum/gateway/request_run.py
+++ b/src/sequoiadrum/gateway/request_run.py
@@ -38,6 +38,8 @@
     DEADLINE = "deadline"
     ENDPOINT_FAILED = "endpoint_failed"
     CALLER_GONE = "caller_gone"
+    INTERNAL_ERROR = "internal_error"
+    """An unexpected error; the request may have run."""
 
 
 _STATUS_BY_REASON: Final = {
@@ -47,6 +49,7 @@
     Refused.DEADLINE: HTTPStatus.GATEWAY_TIMEOUT,
     Refused.ENDPOINT_FAILED: HTTPStatus.BAD_GATEWAY,
     Refused.CALLER_GONE: HTTPStatus.BAD_GATEWAY,
+    Refused.INTERNAL_ERROR: HTTPStatus.INTERNAL_SERVER_ERROR,
 }
 """All other reasons map to 503, which guarantees that the request did not run and will not run."""
 
--- a/src/sequoiadrum/gateway/stream_body.py
+++ b/src/sequoiadrum/gateway/stream_body.py
@@ -44,6 +44,10 @@
     def end_stream(self, run: RequestRun, placement: EndpointPlacement, head: ResponseHead) -> None:
         """Records that a stream was forwarded completely."""
 
+    @abstractmethod
+    def record_unexpected(self, run: RequestRun, error: Exception) -> None:
+        """Logs and counts an unexpected error that ends a stream."""
+
     @abstractmethod
     def release(self, placement: EndpointPlacement) -> None:
         """Releases a placement; releasing it again has no effect."""
@@ -83,6 +87,15 @@
             IncompleteStreamError: The stream cannot be completed.
             StopIteration: The stream is complete.
         """
+        try:
+            return self._next()
+        except (IncompleteStreamError, StopIteration):
+            raise
+        except Exception as error:  # An unexpected error must not look like a complete stream.
+            self._owner.record_unexpected(self._run, error)
+            raise IncompleteStreamError(repr(error)) from error
+
+    def _next(self) -> bytes:
         if self._first:
             data, self._first = self._first, b""
             return data
--- a/tests/gateway/test_whole_path.py
+++ b/tests/gateway/test_whole_path.py
@@ -2,10 +2,14 @@
 
 from __future__ import annotations
 
+import http.client
 import socket
 import time
 import unittest
+from unittest import mock
 
+from sequoiadrum.gateway.caller_app import key_fingerprint
+from sequoiadrum.gateway.sse_framing import EventSplitter
 from sequoiadrum.messages import Address
 from tests.gateway.scripted_endpoint import (
     Connection,
@@ -205,6 +209,41 @@
         self.assertEqual(status, 504)
         self.assertLess(time.monotonic() - started, 2.5)
 
+    def test_unexpected_error_fails_one_request_only(self) -> None:
+        """Guards against an error that ends the process, leaks a placement or leaves no trace."""
+        self.world.add("e1", ScriptedEndpoint(ok))
+        gateway = self.world.gateway
+        with mock.patch.object(gateway.connections, "send", side_effect=RuntimeError("broken")):
+            self.assertEqual(self.world.call("/read/1", "q1")[0], 500)
+        self.assertEqual(self.world.call("/read/1", "q2")[0], 200)
+        self.assertEqual(gateway.pool.own_loads().in_flight_by_endpoint, {})
+        self.assertEqual(gateway.metrics.value("unexpected_errors_total", type="RuntimeError"), 1)
+        eventually(lambda: '"request":"q1"' in self.world.output.getvalue(), "the error is logged")
+        self.assertIn("RuntimeError: broken", self.world.output.getvalue())
+
+    def test_unexpected_error_in_a_stream_does_not_look_whole(self) -> None:
+        """Guards against a stream that ends regularly after an error in the middle."""
+        self.world.add("m1", ScriptedEndpoint(stream(1, 50, pause_s=0.02)), "model")
+        with (
+            mock.patch.object(EventSplitter, "feed", side_effect=[b"id: 1\n\n", KeyError("x")]),
+            self.assertRaises((http.client.IncompleteRead, ConnectionError)),
+        ):
+            self.world.call("/tag/1")
+        gateway = self.world.gateway
+        eventually(lambda: not gateway.pool.own_loads().in_flight_by_endpoint, "it is released")
+        self.assertEqual(gateway.metrics.value("unexpected_errors_total", type="KeyError"), 1)
+
+    def test_refusals_say_what_decided_them(self) -> None:
+        """Guards against refusals of routes and keys that an operator cannot explain."""
+        self.world.call("/nowhere/1", "q1")
+        self.world.call("/read/1", "q2", headers={"Sequoiadrum-Key": "secret-key"})
+        output = self.world.output
+        eventually(lambda: '"request":"q2"' in output.getvalue(), "the refusals are logged")
+        self.assertIn('"path":"/nowhere/1"', output.getvalue())
+        self.assertIn('"host":"shop.example"', output.getvalue())
+        self.assertIn(f'"key_fingerprint":"{key_fingerprint("secret-key")}"', output.getvalue())
+        self.assertNotIn("secret-key", output.getvalue())
+
     def test_no_endpoint_is_refused_at_once(self) -> None:
         """Guards against a request that waits for its deadline although no endpoint exists."""
         started = time.monotonic()
