Read lists that need no newest state as stale ones

Change: the first list of endpoints, the lists of routers and the repeated lists of followers are read as possibly stale, which the store counts at a tenth and outside of its rate. The watch that follows a first list begins at the list's revision and shows what it lacks; followers have the newest state from their peers; older revisions never replace newer ones; a stale list is no confirmation. The wait at the start now ends with the first lists, also when no endpoint is registered. Result: tests with a stand-in that serves older lists.

--- a/src/sequoiadrum/gateway/app.py
+++ b/src/sequoiadrum/gateway/app.py
@@ -258,10 +258,10 @@
         self.log.stop()
 
     def _wait_for_first_lists(self) -> None:
-        """Waits briefly until requests can be placed; callers wait in the backlog meanwhile."""
+        """Waits briefly for the state of the store; callers wait in the backlog meanwhile."""
         serve_from = clock.now() + MAX_FIRST_LISTS_S
         while clock.now() < serve_from and not self._stop_requested.is_set():
-            if self.state.is_ready() and self.pool.has_endpoints():
+            if all(sync.has_listed() for sync in self._syncs):
                 return
             time.sleep(_FIRST_LISTS_POLL_S)
 
--- a/src/sequoiadrum/gateway/fleet.py
+++ b/src/sequoiadrum/gateway/fleet.py
@@ -84,7 +84,7 @@
 
     def list_instances(self) -> Result[Sequence[ListedInstance], PlatformFailure]:
         """See `InstanceList.list_instances`."""
-        listed = self._store.list(ROUTER_KIND)
+        listed = self._store.list(ROUTER_KIND, may_be_stale=True)
         if isinstance(listed, Failure):
             return Failure(_FAILURES.get(listed.failure(), PlatformFailure.UNREACHABLE))
         routers = []
--- a/src/sequoiadrum/gateway/ports.py
+++ b/src/sequoiadrum/gateway/ports.py
@@ -106,8 +106,13 @@
     """The platform's store; calls block up to their timeout and return failures as values."""
 
     @abstractmethod
-    def list(self, kind: str) -> Result[StoredPage, StoreFailure]:
-        """Reads all objects of a kind."""
+    def list(self, kind: str, may_be_stale: bool = False) -> Result[StoredPage, StoreFailure]:
+        """Reads all objects of a kind.
+
+        Args:
+            kind: Kind of the objects.
+            may_be_stale: Accepts a state of some seconds ago, which costs the store less.
+        """
 
     @abstractmethod
     def get(self, kind: str, name: str) -> Result[StoredItem, StoreFailure]:
--- a/src/sequoiadrum/gateway/store_sync.py
+++ b/src/sequoiadrum/gateway/store_sync.py
@@ -5,7 +5,7 @@
 import random
 import threading
 from abc import ABC, abstractmethod
-from typing import TYPE_CHECKING, Final
+from typing import TYPE_CHECKING, ClassVar, Final
 
 from returns.result import Failure
 
@@ -115,6 +115,9 @@
     large fleet, requests the changes from its peers.
     """
 
+    starts_with_stale_list: ClassVar[bool] = False
+    """Whether the first list may be stale."""
+
     def __init__(
         self,
         store: Store,
@@ -143,6 +146,10 @@
         """Requests the thread to end; returns without waiting for a call in progress."""
         self._stopped.set()
 
+    def has_listed(self) -> bool:
+        """Returns whether the objects have been received once, from the store or a peer."""
+        return self._mirror.revision(self._kind) > 0
+
     @abstractmethod
     def apply(self, updates: list[StoreEvent], source: str) -> None:
         """Applies changes that are newer than the known state.
@@ -185,17 +192,20 @@
     def _sync_from_store(self) -> bool:
         """Lists and watches until a call fails or a new list is due; returns False on a failure."""
         requested_at = clock.now()
-        listed = self._store.list(self._kind)
+        may_be_stale = self._may_list_stale()
+        listed = self._store.list(self._kind, may_be_stale)
         if isinstance(listed, Failure):
             return self._record_failure(listed.failure())
         self._availability.record_response()
         page = listed.unwrap()
         visible_from = self._availability.expiry_hold_until()
+        seen_at = float("-inf") if may_be_stale else requested_at
         updates = self._mirror.apply_list(
-            self._kind, page.items, page.revision, requested_at, visible_from
+            self._kind, page.items, page.revision, seen_at, visible_from
         )
         self.apply(updates, "list")
-        self.record_full_list(requested_at)
+        if not may_be_stale:
+            self.record_full_list(requested_at)
         revision = page.revision
         next_list_at = requested_at + FULL_LIST_INTERVAL_S * random.uniform(0.8, 1.2)
         while not self._stopped.is_set() and clock.now() < next_list_at and self._feed.is_watcher():
@@ -221,6 +231,17 @@
                 self._stopped.wait(self.batch_delay_s(clock.now() - self._started_at))
         return True
 
+    def _may_list_stale(self) -> bool:
+        """Returns whether a list may be some seconds old, which the store serves at a tenth.
+
+        Revisions protect from older objects. What a stale first list lacks is in the watch from its
+        revision, which follows at once; a router that is not a watcher has the newest state from
+        its peers, and reads lists only for what a peer may have missed.
+        """
+        if self._feed.is_watcher():
+            return self.starts_with_stale_list and not self.has_listed()
+        return True
+
     def _sync_from_peers(self) -> bool:
         """Receives changes from peers while this router is not a watcher.
 
@@ -284,6 +305,8 @@
 class EndpointSync(KindSync):
     """Keeps the entries of the endpoints up to date."""
 
+    starts_with_stale_list = True
+
     def __init__(
         self,
         store: Store,
--- a/src/sequoiadrum/platform/store_client.py
+++ b/src/sequoiadrum/platform/store_client.py
@@ -60,7 +60,7 @@
         self._metrics = metrics
         self._local = threading.local()
 
-    def list(self, kind: str) -> Result[StoredPage, StoreFailure]:
+    def list(self, kind: str, may_be_stale: bool = False) -> Result[StoredPage, StoreFailure]:
         """See `Store.list`."""
         items: list[StoredItem] = []
         after = ""
@@ -68,6 +68,8 @@
         revision: int | None = None
         for _ in range(_MAX_PAGES):
             query = {"after": after} if after else {}
+            if may_be_stale:
+                query["serializable"] = "1"
             result = self._call("GET", _object_path(kind, query=query), None, CALL_TIMEOUT_S)
             if isinstance(result, Failure):
                 return result
--- a/tests/gateway/test_store_sync.py
+++ b/tests/gateway/test_store_sync.py
@@ -10,7 +10,9 @@
 from sequoiadrum.gateway.event_log import EventLog
 from sequoiadrum.gateway.model import StoreFailure
 from sequoiadrum.gateway.store_sync import StoreAvailability
+from sequoiadrum.messages import Address
 from sequoiadrum.metrics import Metrics
+from tests.gateway.world import World, eventually
 
 
 class StoreAvailabilityTest(unittest.TestCase):
@@ -41,3 +43,41 @@
         self._record_outage(100.0, 104.0)
         self._record_outage(104.5, 104.6)
         self.assertGreater(self.availability.expiry_hold_until(), 106.0)
+
+
+class StaleListTest(unittest.TestCase):
+    """A gateway starts while the store serves cheap lists from an older state."""
+
+    def test_state_after_a_stale_list_is_the_newest(self) -> None:
+        """Guards against requests to endpoints that left, and against missing new ones."""
+        world = World()
+        self.addCleanup(world.stop)
+        world.register("gone", Address("127.0.0.1", 9))
+        world.register("draining", Address("127.0.0.1", 9))
+        world.store.keep_stale_state()
+        world.store.delete("servers", "gone")
+        world.register("draining", Address("127.0.0.1", 9), state="draining")
+        world.register("new", Address("127.0.0.1", 9))
+        world.start()
+        pool = world.gateway.pool
+        eventually(lambda: pool.can_route_to("new"), "the new endpoint is known")
+        eventually(lambda: not pool.can_route_to("draining"), "the draining one is known")
+        eventually(lambda: not pool.can_route_to("gone"), "the removed one is known")
+
+    def test_only_lists_that_need_no_newest_state_may_be_stale(self) -> None:
+        """Guards against a configuration that counts as confirmed because of a stale list."""
+        world = World()
+        self.addCleanup(world.stop)
+        world.start()
+        lists = [
+            path for method, path in world.store.calls if method == "GET" and "watch" not in path
+        ]
+        stale = {
+            path.split("?")[0].rsplit("/", 1)[-1] for path in lists if "serializable=1" in path
+        }
+        eventually(
+            lambda: any("sequoiadrum-routers" in path for _, path in world.store.calls),
+            "the routers are listed",
+        )
+        self.assertIn("servers", stale)
+        self.assertFalse(any("serializable" in path and "config" in path for path in lists))
--- a/tests/platform/store_stand_in.py
+++ b/tests/platform/store_stand_in.py
@@ -34,6 +34,8 @@
         self.drops_watch_events = False
         """Watches report no changes."""
         self.calls: list[tuple[str, str]] = []
+        self._stale_objects: dict[str, dict[str, dict[str, Any]]] | None = None
+        self._stale_revision = 0
         self.stopped = False
         outer = self
 
@@ -91,12 +93,21 @@
         with self._changed:
             return name in self._objects.get(kind, {})
 
-    def list(self, kind: str, after: str) -> dict[str, Any]:
+    def keep_stale_state(self) -> None:
+        """Serves lists that may be stale from the state of this moment, until the stand-in ends."""
+        with self._changed:
+            self._stale_objects = {kind: dict(items) for kind, items in self._objects.items()}
+            self._stale_revision = self._revision
+
+    def list(self, kind: str, after: str, may_be_stale: bool = False) -> dict[str, Any]:
         """Returns the page of objects whose names sort after `after`."""
         with self._changed:
-            names = sorted(n for n in self._objects.get(kind, {}) if n > after)
-            items = [self._objects[kind][n] for n in names[:PAGE_SIZE]]
-            return {"items": items, "more": len(names) > PAGE_SIZE, "at": self._revision}
+            objects, revision = self._objects, self._revision
+            if may_be_stale and self._stale_objects is not None:
+                objects, revision = self._stale_objects, self._stale_revision
+            names = sorted(n for n in objects.get(kind, {}) if n > after)
+            items = [objects[kind][n] for n in names[:PAGE_SIZE]]
+            return {"items": items, "more": len(names) > PAGE_SIZE, "at": revision}
 
     def get(self, kind: str, name: str) -> dict[str, Any] | None:
         """Returns one object, or None if it does not exist."""
@@ -150,7 +161,9 @@
             found = self.store.watch(kind, int(query["watch"]), wait_s)
             self._respond(200 if found else 410, found or {"error": "gone"})
         else:
-            self._respond(200, self.store.list(kind, query.get("after", "")))
+            self._respond(
+                200, self.store.list(kind, query.get("after", ""), "serializable" in query)
+            )
 
     def do_POST(self) -> None:
         """Creates an object."""
