--- a/src/sequoiadrum/gateway/load_exchange.py
+++ b/src/sequoiadrum/gateway/load_exchange.py
@@ -77,7 +77,7 @@
         self._board = LoadBoard()
         self._hubs = _Hubs(None, (), (), False)
         self._hub_index = 0
-        self._heard_at = clock.now()
+        self._replied_at = clock.now()
         super().__init__("load-exchange", metrics, on_invariant)
         gossip.subscribe_side_datagrams(self)
 
@@ -100,7 +100,7 @@
         if hubs.is_hub or not hubs.own:
             return
         now = clock.now()
-        if now - self._heard_at > MAX_HUB_SILENCE_S:
+        if now - self._replied_at > MAX_HUB_SILENCE_S:
             self._replace_hub(hubs, now)
         own = self._pool.own_loads()
         sequence = self._board.next_report(own)
@@ -143,14 +143,14 @@
         else:
             elsewhere = self._board.elsewhere(report.sequence, loads.in_flight_by_endpoint)
             if elsewhere is not None:
-                self._heard_at = now
+                self._replied_at = now
                 self._pool.set_fleet_loads(Loads(elsewhere, loads.requests_by_part))
 
     def _replace_hub(self, hubs: _Hubs, now: float) -> None:
         self._gossip.report_unreachable(hubs.own[self._hub_index % len(hubs.own)].id)
         self.metrics.count("load_hub_changes_total")
         self._hub_index += 1
-        self._heard_at = now
+        self._replied_at = now
 
     def _send(self, to: Member, kind: LoadReportKind, sequence: int, loads: Loads) -> None:
         report = ttypes.LoadReport(
@@ -185,7 +185,7 @@
         is_hub = own_id in local
         if own[:1] != self._hubs.own[:1]:
             self._hub_index = 0
-            self._heard_at = clock.now()
+            self._replied_at = clock.now()
         self._hubs = _Hubs(members, own, own if is_hub else (), is_hub)
         return self._hubs
 
--- a/tests/gateway/simulated_fleet.py
+++ b/tests/gateway/simulated_fleet.py
@@ -6,6 +6,7 @@
 import itertools
 import random
 from collections import Counter
+from functools import partial
 from typing import TYPE_CHECKING, Final
 from unittest import mock
 
@@ -137,13 +138,16 @@
             group = board_by_id[hub].group(own, self.now)
             for other in all_hubs:
                 if other != hub:
-                    self._deliver(lambda o=other: board_by_id[o].record_group(hub, group, self.now))
+                    self._deliver(partial(receive_group, other, hub, group))
             fleet = board_by_id[hub].fleet(own, self.now)
             elsewhere = Counter(fleet.in_flight_by_endpoint)
             elsewhere.subtract(own.in_flight_by_endpoint)
             pool_by_id[hub].set_fleet_loads(Loads(elsewhere, fleet.requests_by_part))
             self._schedule(GROUP_INTERVAL_S, lambda: send_group(hub))
 
+        def receive_group(to: str, hub: str, group: Loads) -> None:
+            board_by_id[to].record_group(hub, group, self.now)
+
         def report(router: str, hub: str) -> None:
             own = pool_by_id[router].own_loads()
             sequence = board_by_id[router].next_report(own)
@@ -163,10 +167,10 @@
         for name in ids:
             phase = self._rng.random()
             if name in all_hubs:
-                self._schedule(phase * GROUP_INTERVAL_S, lambda n=name: send_group(n))
+                self._schedule(phase * GROUP_INTERVAL_S, partial(send_group, name))
             else:
                 hub = rank(name, hubs[domain_by_id[name]])[0]
-                self._schedule(phase * REPORT_INTERVAL_S, lambda n=name, h=hub: report(n, h))
+                self._schedule(phase * REPORT_INTERVAL_S, partial(report, name, hub))
 
     def _deliver(self, receive: Callable[[], None]) -> None:
         self.datagrams += 1
