Close connections of callers at the end of a graceful shutdown without losing a request

Result: under 8 callers that send without pause, each request that the application saw was answered; a request that had arrived in part is answered as well.

--- a/src/sequoiadrum/_front_server.py
+++ b/src/sequoiadrum/_front_server.py
@@ -87,6 +87,10 @@
         requests = [*self.requests, *([self.request] if self.request is not None else [])]
         return sum(r.header_bytes_received + r.body_bytes_received for r in requests)
 
+    def is_idle(self) -> bool:
+        """Returns whether no request is arriving or in flight, and no response is being sent."""
+        return not self.requests and self.request is None and not self.total_outbufs_len
+
     def refuse(self, response: bytes) -> None:
         """Sends a complete response from the reading thread, then closes the connection."""
         with self.outbuf_lock:
--- a/src/sequoiadrum/gateway/front.py
+++ b/src/sequoiadrum/gateway/front.py
@@ -47,6 +47,8 @@
 """Output that is buffered for a slow reader before its thread blocks."""
 EVENT_LOOP_WAIT_S: Final = 1.0
 """Longest wait of the event loop; idle connections are checked this often."""
+DRAIN_POLL_S: Final = 0.02
+"""How often connections are checked while the server closes them."""
 RESERVED_DESCRIPTORS: Final = 200
 """File descriptors that connections must leave free for files."""
 _OVERLOAD_RESPONSE: Final = (
@@ -228,11 +230,14 @@
         self._control = PoolDispatcher(CONTROL_THREADS, "control")
         self._thread = threading.Thread(target=self._run, name="front", daemon=True)
         self._servers: list[GatewayServer] = []
+        self._caller_servers: list[GatewayServer] = []
+        self._is_draining = False
+        self._is_drained = threading.Event()
         self._stopped = False
 
     def add_callers(self, application: Callable[..., Any], address: Address) -> None:
         """Adds a server for callers."""
-        self._add(application, address, self._callers)
+        self._caller_servers.append(self._add(application, address, self._callers))
 
     def add_control(self, application: Callable[..., Any], address: Address) -> None:
         """Adds a server for readiness, directory or metrics."""
@@ -246,6 +251,23 @@
         """Returns the number of requests of callers that are running or waiting."""
         return self._callers.active()
 
+    def drain(self, timeout_s: float) -> bool:
+        """Closes the listeners and all idle connections, and waits for the others to become idle.
+
+        A connection is closed only while no byte of a request has been read from it, so that
+        every request that was read gets its response. To be called once.
+
+        Args:
+            timeout_s: Longest wait for requests that are arriving or in flight.
+
+        Returns:
+            Whether all connections of callers are closed.
+        """
+        self._is_draining = True
+        for server in self._servers:
+            server.trigger.pull_trigger()
+        return self._is_drained.wait(timeout_s)
+
     def stop(self) -> None:
         """Stops the event loop and closes all sockets."""
         self._stopped = True
@@ -258,20 +280,39 @@
 
     def _add(
         self, application: Callable[..., Any], address: Address, dispatcher: PoolDispatcher
-    ) -> None:
-        self._servers.append(
-            GatewayServer(
-                application,
-                address,
-                self._loop_map,
-                dispatcher,
-                self._max_connections,
-                self._max_input_bytes,
-                self._metrics,
-                self._listeners.get(address),
-            )
+    ) -> GatewayServer:
+        server = GatewayServer(
+            application,
+            address,
+            self._loop_map,
+            dispatcher,
+            self._max_connections,
+            self._max_input_bytes,
+            self._metrics,
+            self._listeners.get(address),
         )
+        self._servers.append(server)
+        return server
 
     def _run(self) -> None:
         while not self._stopped:
-            wasyncore.loop(timeout=EVENT_LOOP_WAIT_S, use_poll=True, map=self._loop_map, count=1)
+            wait_s = DRAIN_POLL_S if self._is_draining else EVENT_LOOP_WAIT_S
+            wasyncore.loop(timeout=wait_s, use_poll=True, map=self._loop_map, count=1)
+            if self._is_draining:
+                self._close_idle()
+
+    def _close_idle(self) -> None:
+        # This is the thread that reads requests, so that none can begin to arrive meanwhile.
+        open_channels = 0
+        for server in self._caller_servers:
+            if server.accepting:
+                server.accepting = False
+                # `server.close` would close its trigger too, which threads still use.
+                wasyncore.dispatcher.close(server)
+            for channel in list(server.active_channels.values()):
+                if channel.is_idle():
+                    channel.handle_close()
+                else:
+                    open_channels += 1
+        if not open_channels:
+            self._is_drained.set()
--- a/tests/gateway/test_front.py
+++ b/tests/gateway/test_front.py
@@ -6,6 +6,7 @@
 import http.client
 import socket
 import threading
+import time
 import unittest
 from typing import Final
 from unittest import mock
@@ -122,6 +123,75 @@
             self.assertTrue(self._is_served(port))
 
 
+class DrainTest(unittest.TestCase):
+    """The server closes its connections at the end of a graceful shutdown."""
+
+    def setUp(self) -> None:
+        (self.port,) = free_ports(1)
+        self.may_respond = threading.Event()
+        self.addCleanup(self.may_respond.set)
+        self.calls: list[str] = []
+
+        def application(environ, start_response):  # type: ignore[no-untyped-def]
+            self.calls.append(environ["PATH_INFO"])
+            if environ["PATH_INFO"] == "/slow":
+                self.may_respond.wait(WAIT_S)
+            start_response("200 OK", [("Content-Length", "0")])
+            return []
+
+        self.group = ServerGroup(2_000, 200, Metrics())
+        self.group.add_callers(application, Address("127.0.0.1", self.port))
+        self.group.start()
+        self.addCleanup(self.group.stop)
+
+    def _connect(self) -> http.client.HTTPConnection:
+        connection = http.client.HTTPConnection("127.0.0.1", self.port, timeout=WAIT_S)
+        self.addCleanup(connection.close)
+        return connection
+
+    def test_request_that_was_read_gets_its_response(self) -> None:
+        """Guards against requests that are cut off because they came just before the end."""
+        slow, partial = self._connect(), self._connect()
+        slow.request("GET", "/slow")
+        partial.connect()
+        partial.sock.sendall(b"GET /rest HTTP/1.1\r\nHost")
+        eventually(lambda: "/slow" in self.calls, "the slow request is in flight")
+        time.sleep(0.1)  # Lets the part of the other request arrive.
+        self.assertFalse(self.group.drain(0.2))
+        partial.sock.sendall(b": a\r\n\r\n")
+        self.may_respond.set()
+        self.assertEqual(slow.getresponse().status, 200)
+        self.assertTrue(partial.sock.recv(100).startswith(b"HTTP/1.1 200"))
+
+    def test_requests_during_the_drain_are_answered_or_not_read(self) -> None:
+        """Guards against a request that was read, and whose connection closes without response."""
+        responses, stopped = [], threading.Event()
+
+        def call_again_and_again(path: str) -> None:
+            connection = self._connect()
+            while not stopped.is_set():
+                try:
+                    connection.request("GET", path)
+                    responses.append(connection.getresponse().read())
+                except (OSError, http.client.HTTPException):
+                    return
+
+        threads = [
+            threading.Thread(target=call_again_and_again, args=(f"/{n}",), daemon=True)
+            for n in range(8)
+        ]
+        for thread in threads:
+            thread.start()
+        eventually(lambda: len(responses) > 100, "requests are answered")
+        self.assertTrue(self.group.drain(WAIT_S))
+        for thread in threads:
+            thread.join(WAIT_S)
+        stopped.set()
+        self.assertEqual(len(responses), len(self.calls))
+        with self.assertRaises(OSError):
+            socket.create_connection(("127.0.0.1", self.port), WAIT_S)
+
+
 class OverloadTest(unittest.TestCase):
     """The server receives more requests than it has threads."""
 
