Read configuration and endpoints again after a pause of the process

The first request after it confirms the configuration and lists the endpoints, from the store or a peer; without either it is refused as 'resumed' (503, not run, with a time to come back). A request that was read before the pause is still bound by its deadline only.

--- a/src/sequoiadrum/gateway/app.py
+++ b/src/sequoiadrum/gateway/app.py
@@ -33,6 +33,7 @@
 from sequoiadrum.gateway.front import ServerGroup
 from sequoiadrum.gateway.load_exchange import LoadExchangeTask
 from sequoiadrum.gateway.mirror import Mirror
+from sequoiadrum.gateway.pause_detector import PauseDetector
 from sequoiadrum.gateway.peer_feed import PeerFeed, PeerResponder
 from sequoiadrum.gateway.pool import EndpointPool
 from sequoiadrum.gateway.relay import Relay
@@ -132,11 +133,13 @@
             self.log,
         )
         self.crashes: Final = CrashReports(self.gossip.broadcast)
+        pauses = PauseDetector(clock.now())
         self.peer_events: Final = PeerEventTask(
             settings.instance_id,
             self.crashes,
             self.configuration,
             self._instances,
+            pauses,
             self.metrics,
             self.log,
             self._invariant_broken,
@@ -148,30 +151,29 @@
             self.gossip, self.pool, settings.failure_domain, self.metrics, self._invariant_broken
         )
         self.connections: Final = EndpointConnections(adapter.header_codec)
-        self.state: Final = ServingState(self.configuration)
         mirror = Mirror()
-        self._syncs = (
-            ConfigSync(
-                self._store,
-                adapter.documents,
-                self.configuration,
-                mirror,
-                peer_feed,
-                self._store_availability,
-                self.log,
-            ),
-            EndpointSync(
-                self._store,
-                adapter.documents,
-                self.pool,
-                self.connections,
-                mirror,
-                peer_feed,
-                self._store_availability,
-                self.metrics,
-                self.log,
-            ),
+        config_sync = ConfigSync(
+            self._store,
+            adapter.documents,
+            self.configuration,
+            mirror,
+            peer_feed,
+            self._store_availability,
+            self.log,
+        )
+        endpoint_sync = EndpointSync(
+            self._store,
+            adapter.documents,
+            self.pool,
+            self.connections,
+            mirror,
+            peer_feed,
+            self._store_availability,
+            self.metrics,
+            self.log,
         )
+        self._syncs: Final = (config_sync, endpoint_sync)
+        self.state: Final = ServingState(self.configuration, pauses, endpoint_sync.refresh)
         relay = Relay(
             adapter.header_codec,
             self.pool,
--- a/src/sequoiadrum/gateway/caller_app.py
+++ b/src/sequoiadrum/gateway/caller_app.py
@@ -20,6 +20,7 @@
     from sequoiadrum.gateway.event_log import EventLog
     from sequoiadrum.gateway.fleet import RouterDirectory
     from sequoiadrum.gateway.model import Account, RequestHead
+    from sequoiadrum.gateway.pause_detector import PauseDetector
     from sequoiadrum.gateway.ports import DirectoryCodec, HeaderCodec
     from sequoiadrum.gateway.relay import Relay
     from sequoiadrum.gateway.stop_plan import StopPlan
@@ -50,8 +51,24 @@
 class ServingState:
     """Whether this router accepts requests; written by one thread, read by any."""
 
-    def __init__(self, configuration: ConfigurationHolder) -> None:
+    def __init__(
+        self,
+        configuration: ConfigurationHolder,
+        pauses: PauseDetector,
+        refresh_endpoints: Callable[[float], bool],
+    ) -> None:
+        """Creates the state of a router that serves.
+
+        Args:
+            configuration: The configuration in force.
+            pauses: Detects that the process was suspended.
+            refresh_endpoints: Applies all changes of endpoints up to a time in monotonic seconds;
+                returns whether it could.
+        """
         self._configuration = configuration
+        self._pauses = pauses
+        self._refresh_endpoints = refresh_endpoints
+        self._current_since = float("-inf")
         self.stop_plan: StopPlan | None = None
         """Set when a graceful shutdown has begun."""
 
@@ -59,6 +76,19 @@
         """Returns whether callers should send requests to this router."""
         return self.stop_plan is None and self._configuration.routing() is not None
 
+    def is_current(self) -> bool:
+        """Returns whether configuration and endpoints were read since the last pause, if any.
+
+        Reads them if necessary; concurrent callers share the reads.
+        """
+        resumed_at = self._pauses.observe(clock.now())
+        if resumed_at <= self._current_since:
+            return True
+        if not (self._configuration.confirm(resumed_at) and self._refresh_endpoints(resumed_at)):
+            return False
+        self._current_since = max(self._current_since, resumed_at)
+        return True
+
 
 class CallerApp:
     """Serves the requests of callers."""
@@ -107,6 +137,8 @@
     def _serve(self, call: RequestHead, environ: Mapping[str, Any]) -> CallerResponse:
         is_gone = environ["waitress.client_disconnected"]
         caller = Caller(arrived_at=environ[ARRIVED_AT], is_gone=is_gone)
+        if not self._state.is_current():
+            return self._refuse(call, Refused.RESUMED, "", UNCONFIRMED_RETRY_AFTER_S)
         route = self._resolve_route(call, caller)
         if not isinstance(route, Route):
             return route
--- a/src/sequoiadrum/gateway/fleet.py
+++ b/src/sequoiadrum/gateway/fleet.py
@@ -13,6 +13,7 @@
 from sequoiadrum._thrift_transport import COMPACT
 from sequoiadrum.gateway import clock
 from sequoiadrum.gateway.model import StoreFailure
+from sequoiadrum.gateway.pause_detector import OBSERVATION_INTERVAL_S
 from sequoiadrum.hashing import first_ranked
 from sequoiadrum.messages import MembersChanged, MemberState, RevisionReceived, RumorReceived
 from sequoiadrum.platform_client import InstanceList, ListedInstance, PlatformFailure
@@ -26,6 +27,7 @@
     from sequoiadrum.gateway.configuration import ConfigurationHolder
     from sequoiadrum.gateway.crash_reports import CrashReports
     from sequoiadrum.gateway.event_log import EventLog
+    from sequoiadrum.gateway.pause_detector import PauseDetector
     from sequoiadrum.gateway.peer_feed import PeerResponder
     from sequoiadrum.gateway.ports import AddressQuery, Store
     from sequoiadrum.gateway.settings import GatewaySettings
@@ -152,8 +154,16 @@
     """Timer message that starts a removal of the registrations of dead routers."""
 
 
+@frozen
+class _Observe:
+    """Timer message that observes the clock for pauses of the process."""
+
+
 class PeerEventTask(Task):
-    """Handles events from peers: crash reports, newer configurations and membership changes."""
+    """Handles events from peers, and observes the clock for pauses of the process.
+
+    The events are crash reports, newer configurations and membership changes.
+    """
 
     def __init__(
         self,
@@ -161,10 +171,13 @@
         crashes: CrashReports,
         configuration: ConfigurationHolder,
         instances: StoreInstanceList,
+        pauses: PauseDetector,
         metrics: Metrics,
         log: EventLog,
         on_invariant: Callable[[], None],
     ) -> None:
+        self._pauses = pauses
+        self._resumed_at = float("-inf")
         self._crashes = crashes
         self._configuration = configuration
         self._log = log
@@ -181,12 +194,14 @@
             RevisionReceived: self._on_revision,
             MembersChanged: self._on_members,
             _CleanUp: self._on_clean_up,
+            _Observe: self._on_observe,
         }
 
     def run_on(self, timers: TimerService) -> None:
         """Starts the task and its periodic clean-up."""
         self.start()
         timers.subscribe(self, CLEAN_UP_INTERVAL_S, _CleanUp())
+        timers.subscribe(self, OBSERVATION_INTERVAL_S, _Observe())
 
     def _on_revision(self, message: RevisionReceived) -> None:
         if message.revision <= self._configuration.version():
@@ -213,6 +228,13 @@
             if state is MemberState.DEAD
         }
 
+    def _on_observe(self, _: _Observe) -> None:
+        resumed_at = self._pauses.observe(clock.now())
+        if resumed_at != self._resumed_at:
+            self._resumed_at = resumed_at
+            self.metrics.count("pauses_total")
+            self._log.notable("resumed_after_pause")
+
     def _on_clean_up(self, _: _CleanUp) -> None:
         alive = [i for i, state in self._states_by_id.items() if state is MemberState.ALIVE]
         removable_before = clock.now() - DEAD_ROUTER_RETENTION_S
--- a/src/sequoiadrum/gateway/mirror.py
+++ b/src/sequoiadrum/gateway/mirror.py
@@ -65,6 +65,11 @@
         with self._changed:
             return self._state_of(kind).revision
 
+    def seen_at(self, kind: str) -> float:
+        """Returns when the store showed the known state, in monotonic seconds."""
+        with self._changed:
+            return self._state_of(kind).seen_at
+
     def apply_events(
         self,
         kind: str,
--- a/src/sequoiadrum/gateway/request_run.py
+++ b/src/sequoiadrum/gateway/request_run.py
@@ -28,6 +28,8 @@
     """The key is unknown to this router, but a newer configuration may contain it."""
     ROUTE_UNKNOWN = "route_unknown"
     KEY_UNKNOWN = "key_unknown"
+    RESUMED = "resumed"
+    """The router was suspended and cannot read yet what has changed meanwhile."""
     STOPPING = "stopping"
     OVERLOADED = "overloaded"
     NO_ENDPOINT = "no_endpoint"
--- a/src/sequoiadrum/gateway/store_sync.py
+++ b/src/sequoiadrum/gateway/store_sync.py
@@ -18,7 +18,7 @@
     from sequoiadrum.gateway.event_log import EventLog
     from sequoiadrum.gateway.exchange import EndpointConnections
     from sequoiadrum.gateway.mirror import Mirror
-    from sequoiadrum.gateway.model import EndpointEntry, StoredItem, StoreEvent
+    from sequoiadrum.gateway.model import EndpointEntry, StoredItem, StoredPage, StoreEvent
     from sequoiadrum.gateway.peer_feed import PeerFeed
     from sequoiadrum.gateway.pool import EndpointPool
     from sequoiadrum.gateway.ports import DocumentDecoder, Store
@@ -134,6 +134,8 @@
         self._availability = availability
         self._log = log
         self._started_at = clock.now()
+        self._refresh_lock = threading.Lock()
+        self._listed_at = float("-inf")
         self._stopped = threading.Event()
         self._thread = threading.Thread(target=self._run, name=f"sync-{kind}", daemon=True)
 
@@ -150,6 +152,30 @@
         """Returns whether the objects have been received once, from the store or a peer."""
         return self._mirror.revision(self._kind) > 0
 
+    def refresh(self, since: float) -> bool:
+        """Ensures that all changes that the store acknowledged up to a time are applied.
+
+        Concurrent callers share one list.
+
+        Args:
+            since: Monotonic seconds.
+
+        Returns:
+            False if neither the store nor a peer could show them.
+        """
+        with self._refresh_lock:
+            if self._listed_at >= since:
+                return True
+            requested_at = clock.now()
+            listed = self._store.list(self._kind)
+            if isinstance(listed, Failure):
+                self._record_failure(listed.failure())
+                return self._request_from_peer(0.0) and self._mirror.seen_at(self._kind) >= since
+            self._availability.record_response()
+            self._apply_page(listed.unwrap(), requested_at)
+            self._listed_at = requested_at
+            return True
+
     @abstractmethod
     def apply(self, updates: list[StoreEvent], source: str) -> None:
         """Applies changes that are newer than the known state.
@@ -198,12 +224,7 @@
             return self._record_failure(listed.failure())
         self._availability.record_response()
         page = listed.unwrap()
-        visible_from = self._availability.expiry_hold_until()
-        seen_at = float("-inf") if may_be_stale else requested_at
-        updates = self._mirror.apply_list(
-            self._kind, page.items, page.revision, seen_at, visible_from
-        )
-        self.apply(updates, "list")
+        self._apply_page(page, float("-inf") if may_be_stale else requested_at)
         if not may_be_stale:
             self.record_full_list(requested_at)
         revision = page.revision
@@ -231,6 +252,13 @@
                 self._stopped.wait(self.batch_delay_s(clock.now() - self._started_at))
         return True
 
+    def _apply_page(self, page: StoredPage, seen_at: float) -> None:
+        visible_from = self._availability.expiry_hold_until()
+        updates = self._mirror.apply_list(
+            self._kind, page.items, page.revision, seen_at, visible_from
+        )
+        self.apply(updates, "list")
+
     def _may_list_stale(self) -> bool:
         """Returns whether a list may be some seconds old, which the store serves at a tenth.
 
--- a/tests/gateway/test_fleet.py
+++ b/tests/gateway/test_fleet.py
@@ -92,7 +92,7 @@
             instances = mock.Mock(forget=removed.append)
             log = EventLog(own_id, metrics, io.StringIO())
             task = PeerEventTask(
-                own_id, mock.Mock(), mock.Mock(), instances, metrics, log, mock.Mock()
+                own_id, mock.Mock(), mock.Mock(), instances, mock.Mock(), metrics, log, mock.Mock()
             )
             handlers = task.handlers()
             handlers[MembersChanged](MembersChanged(members))
