Say in one line which setting is missing or misspelt, and whether a request was found

Change: missing settings are named with flag and variable; variables with our prefix that no setting reads are refused with the nearest name; explain ends with 1 and what it read when no line has the id, with 2 when nothing is a log line, and with a hint at a terminal.

--- a/src/sequoiadrum/cli.py
+++ b/src/sequoiadrum/cli.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import logging
+import os
 import sys
 from typing import TYPE_CHECKING, Annotated, Final
 
@@ -14,12 +15,14 @@
 from sequoiadrum.app import Router
 from sequoiadrum.cli_operator import OperatorCommands  # noqa: TC001 (cappa evaluates it)
 from sequoiadrum.gateway.explain import explain
-from sequoiadrum.settings import Settings
+from sequoiadrum.settings import Settings, unknown_variables
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
 EXIT_OK: Final = 0
+EXIT_NOT_FOUND: Final = 1
+"""The command ran, and what it was asked for does not exist."""
 EXIT_USAGE: Final = 2
 
 
@@ -30,7 +33,7 @@
 
     def __call__(self) -> int:
         """Validates the settings, then serves; with `--check`, only validates them."""
-        problems = self.problems()
+        problems = [*unknown_variables(os.environ), *self.problems()]
         for problem in problems:
             sys.stderr.write(f"sequoiadrum: {problem}\n")
         if problems:
@@ -114,9 +117,18 @@
     request_id: Annotated[str, cappa.Arg(help="Request id that the caller sent")]
 
     def __call__(self) -> int:
-        """Prints the explanation."""
-        sys.stdout.write(explain(self.request_id, sys.stdin).text())
-        return EXIT_OK
+        """Prints the explanation; the exit status says whether the request was found."""
+        if sys.stdin.isatty():
+            sys.stderr.write("sequoiadrum: pass log lines: cat logs/* | sequoiadrum explain ID\n")
+            return EXIT_USAGE
+        # Logs may contain bytes that are no text; such lines are only counted.
+        lines = (line.decode("utf-8", "replace") for line in sys.stdin.buffer)
+        explanation = explain(self.request_id, lines)
+        if not explanation.read.has_records:
+            sys.stderr.write(f"sequoiadrum: no log lines: {explanation.read.text()}\n")
+            return EXIT_USAGE
+        sys.stdout.write(explanation.text())
+        return EXIT_OK if explanation.request_lines else EXIT_NOT_FOUND
 
 
 @cappa.command(
--- a/src/sequoiadrum/gateway/explain.py
+++ b/src/sequoiadrum/gateway/explain.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import math
 from typing import TYPE_CHECKING, Any, Final
 
 from attrs import define, field
@@ -32,6 +33,7 @@
         "endpoint_entry_malformed",
         "log_lines_dropped",
         "peer_has_newer_config",
+        "resumed_after_pause",
         "settings_rejected",
         "settings_reloaded",
         "started",
@@ -51,9 +53,11 @@
     "endpoint_failed": "an endpoint failed or broke the connection; the request may have run",
     "endpoints_full": "all endpoints refused new requests; not run",
     "endpoints_unreachable": "no endpoint accepted a connection; not run",
+    "internal_error": "an error in the program; the request may have run",
     "key_unknown": "the newest configuration does not contain the key",
     "no_configuration": "this router had not loaded a configuration yet; not run",
     "no_endpoint": "no endpoint of the service was listed as ready; not run",
+    "resumed": "this router had been suspended and could not read what had changed; not run",
     "route_unknown": "the newest configuration has no such route",
     "stopping": "this router was shutting down and could not have completed the request; not run",
     "uncertain_key": "the key is unknown here and the store could not be read; not run",
@@ -61,6 +65,43 @@
 }
 
 
+@define
+class LogSummary:
+    """What the input of an explanation consisted of."""
+
+    lines: int = 0
+    malformed: int = 0
+    """Lines that are no log lines of a gateway."""
+    first_at: float = math.inf
+    last_at: float = -math.inf
+    """Unix seconds of the first and last line."""
+    instances: set[str] = field(factory=set)
+    """Routers that wrote the lines."""
+
+    @property
+    def has_records(self) -> bool:
+        """Whether at least one line is a log line of a gateway."""
+        return self.lines > self.malformed
+
+    def add(self, record: dict[str, Any] | None) -> None:
+        """Counts one line; None for a line that is no log line."""
+        self.lines += 1
+        if record is None:
+            self.malformed += 1
+            return
+        self.first_at = min(self.first_at, _time(record))
+        self.last_at = max(self.last_at, _time(record))
+        self.instances.add(str(record.get("instance")))
+
+    def text(self) -> str:
+        """Returns the summary in one line."""
+        text = f"read {self.lines} lines, {self.malformed} of them no log lines"
+        if not self.has_records:
+            return text
+        span = f"{self.first_at:.3f} to {self.last_at:.3f}"
+        return f"{text}; from {span} (Unix seconds), of {len(self.instances)} routers"
+
+
 @define
 class Explanation:
     """What the logs contain on one request."""
@@ -72,6 +113,8 @@
     """State changes on the same router, from shortly before the request until its last line."""
     other_lines: list[dict[str, Any]] = field(factory=list)
     """Lines of any router on other requests at the endpoints that failed this one."""
+    read: LogSummary = field(factory=lambda: LogSummary())
+    """What was read in all."""
 
     def text(self) -> str:
         """Returns the explanation as readable text."""
@@ -79,6 +122,7 @@
             return (
                 f"request {self.request_id}: no log line has this id. Served requests beyond the "
                 "rate limit of the log are not logged; look for log_lines_dropped.\n"
+                f"{self.read.text()}\n"
             )
         lines = [f"request {self.request_id}", f"  {self.summary()}", "events:"]
         lines += [_format_record(line) for line in self.request_lines]
@@ -106,6 +150,8 @@
             return (
                 f"refused, {reason}: {_CAUSE_BY_REASON.get(reason, 'see the lines below')}{detail}"
             )
+        if last["event"] == "request_failed_unexpectedly":
+            return f"refused, internal_error: {_CAUSE_BY_REASON['internal_error']}"
         return f"no outcome is logged; the last event is {last['event']}"
 
 
@@ -116,9 +162,14 @@
         request_id: The id that the caller sent.
         lines: JSON lines; other lines, and text before the first brace, are ignored.
     """
-    records = [record for line in lines if (record := _parse_line(line)) is not None]
+    read, records = LogSummary(), []
+    for line in lines:
+        record = _parse_line(line)
+        read.add(record)
+        if record is not None:
+            records.append(record)
     request_lines = sorted((r for r in records if r.get("request") == request_id), key=_time)
-    explanation = Explanation(request_id, request_lines)
+    explanation = Explanation(request_id, request_lines, read=read)
     if request_lines:
         routers = {record.get("instance") for record in request_lines}
         first, last = _time(request_lines[0]), _time(request_lines[-1])
@@ -153,13 +204,14 @@
         return None
     try:
         record = json.loads(line[start:])
-    except ValueError:
+    except (ValueError, RecursionError):
         return None
     return record if isinstance(record, dict) and "event" in record else None
 
 
 def _time(record: dict[str, Any]) -> float:
-    return float(record.get("t", 0.0))
+    at = record.get("t")
+    return float(at) if isinstance(at, int | float) else 0.0
 
 
 def _format_record(record: dict[str, Any]) -> str:
--- a/src/sequoiadrum/settings.py
+++ b/src/sequoiadrum/settings.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import ipaddress
+from difflib import get_close_matches
 from typing import TYPE_CHECKING, Annotated, Any, Final, Protocol
 
 import cappa
@@ -11,16 +12,27 @@
 from sequoiadrum.addressing import parse_address
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Callable, Mapping
 
     from sequoiadrum.messages import Address
 
 ENVIRONMENT_PREFIX: Final = "SEQUOIADRUM_"
 
 
+FOREIGN_VARIABLES: Final = frozenset({"SEQUOIADRUM_NODE_FILE", "SEQUOIADRUM_ROUTER"})
+"""Variables with our prefix that other commands read."""
+
+
+def _flag(name: str) -> str:
+    return "--" + name.replace("_", "-")
+
+
+def _variable(name: str) -> str:
+    return ENVIRONMENT_PREFIX + name.upper()
+
+
 def _setting(name: str, help_text: str, default: Any = cappa.Empty) -> cappa.Arg[Any]:
-    flag = "--" + name.replace("_", "-")
-    variable = ENVIRONMENT_PREFIX + name.upper()
+    flag, variable = _flag(name), _variable(name)
     return cappa.Arg(
         long=flag,
         default=cappa.Env(variable, default=default),
@@ -40,6 +52,32 @@
         return f"{self.flag}: {self.value!r} is not allowed, expected {self.allowed}"
 
 
+@frozen
+class MissingSetting:
+    """A required setting that has no value."""
+
+    flag: str
+    variable: str
+
+    def __str__(self) -> str:
+        return f"{self.flag}: missing; set it or the environment variable {self.variable}"
+
+
+@frozen
+class UnknownVariable:
+    """An environment variable with our prefix that no setting reads."""
+
+    name: str
+    nearest: str | None
+
+    def __str__(self) -> str:
+        hint = f"; did you mean {self.nearest}?" if self.nearest else ""
+        return f"{self.name}: there is no such setting{hint}"
+
+
+SettingProblem = SettingError | MissingSetting | UnknownVariable
+
+
 class MemberSettings(Protocol):
     """Settings of a router that the membership uses."""
 
@@ -160,15 +198,22 @@
     check: Annotated[bool, cappa.Arg(long="--check", help="Validate the settings and exit")] = False
     """Validates the settings without starting the router."""
 
-    def problems(self) -> list[SettingError]:
-        """Returns an error for each value that is not allowed."""
+    def problems(self) -> list[SettingProblem]:
+        """Returns a problem for each value that is missing or not allowed."""
+        missing: list[SettingProblem] = [
+            MissingSetting(_flag(name), _variable(name))
+            for name in _VALIDATION_RULES
+            if getattr(self, name) is None
+        ]
+        if missing:
+            return missing
         return [
-            SettingError("--" + name.replace("_", "-"), str(getattr(self, name)), allowed)
+            SettingError(_flag(name), str(getattr(self, name)), allowed)
             for name, (is_allowed, allowed) in _VALIDATION_RULES.items()
             if not is_allowed(getattr(self, name))
         ] + self._cross_field_problems()
 
-    def _cross_field_problems(self) -> list[SettingError]:
+    def _cross_field_problems(self) -> list[SettingProblem]:
         if self.admit_multiple > self.bound_multiple:
             return [
                 SettingError(
@@ -251,3 +296,14 @@
     "ledger_window_s": _number_between(0.0, 5.0),
     "log_format": (lambda text: text in ("json", "console"), "json or console"),
 }
+
+
+def unknown_variables(environment: Mapping[str, str]) -> list[SettingProblem]:
+    """Returns a problem for each variable with our prefix that no setting reads."""
+    known = {_variable(name) for name in _VALIDATION_RULES}
+    names = (n for n in environment if n.startswith(ENVIRONMENT_PREFIX))
+    return [
+        UnknownVariable(name, next(iter(get_close_matches(name, known, 1)), None))
+        for name in sorted(names)
+        if name not in known and name not in FOREIGN_VARIABLES
+    ]
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -2,8 +2,13 @@
 
 from __future__ import annotations
 
+import os
+import subprocess
+import sys
 import unittest
+from pathlib import Path
 
+from sequoiadrum.settings import unknown_variables
 from tests.builders import a_settings
 
 
@@ -35,3 +40,75 @@
         """Guards against grants above the load bound."""
         problems = a_settings(admit_multiple=1.5, bound_multiple=1.25).problems()
         self.assertEqual([p.flag for p in problems], ["--admit-multiple"])
+
+    def test_missing_settings_are_named_with_their_variable(self) -> None:
+        """Guards against a traceback when a required setting is missing."""
+        for name in ("instance_id", "host", "failure_domain", "platform"):
+            with self.subTest(name):
+                (problem,) = a_settings(**{name: None}).problems()
+                self.assertIn("--" + name.replace("_", "-"), str(problem))
+                self.assertIn("SEQUOIADRUM_" + name.upper(), str(problem))
+
+    def test_misspelt_variable_is_reported_with_the_nearest_name(self) -> None:
+        """Guards against a setting that has no effect because its variable is misspelt."""
+        environment = {
+            "SEQUOIADRUM_MAX_STREMS": "5",
+            "SEQUOIADRUM_MAX_STREAMS": "5",
+            "SEQUOIADRUM_NODE_FILE": "x",
+            "SEQUOIADRUM_ROUTER": "x",
+            "PATH": "/bin",
+        }
+        (problem,) = unknown_variables(environment)
+        self.assertIn("SEQUOIADRUM_MAX_STREMS", str(problem))
+        self.assertIn("did you mean SEQUOIADRUM_MAX_STREAMS?", str(problem))
+
+
+class CommandLineTest(unittest.TestCase):
+    """Wrong input on the command line ends with one line for each problem and a status."""
+
+    def _run(self, *arguments: str, stdin: bytes = b"", **environment: str) -> tuple[int, str, str]:
+        completed = subprocess.run(
+            [sys.executable, "-m", "sequoiadrum", *arguments],
+            input=stdin,
+            capture_output=True,
+            timeout=60,
+            check=False,
+            cwd=Path(__file__).parent.parent / "src",
+            env={**os.environ, **environment},
+        )
+        return completed.returncode, completed.stdout.decode(), completed.stderr.decode()
+
+    def test_no_wrong_input_ends_in_a_traceback(self) -> None:
+        """Guards against Python errors in place of a line that says what to change."""
+        valid = [
+            "--instance-id=a",
+            "--host=10.0.0.1",
+            "--failure-domain=z",
+            "--platform=10.0.0.1:1",
+        ]
+        for arguments, environment, named in (
+            ([], {}, "--platform"),
+            (valid[:3], {}, "SEQUOIADRUM_PLATFORM"),
+            ([*valid[:3], "--platform="], {}, "--platform"),
+            ([*valid, "--max-streams=many"], {}, "--max-streams"),
+            ([*valid, "--max-streams=0"], {}, "--max-streams"),
+            (valid, {"SEQUOIADRUM_MAX_STREMS": "5"}, "SEQUOIADRUM_MAX_STREAMS"),
+        ):
+            with self.subTest(arguments):
+                status, _, errors = self._run("serve", "--check", *arguments, **environment)
+                self.assertEqual(status, 2)
+                self.assertIn(named, errors)
+                self.assertNotIn("Traceback", errors)
+        self.assertEqual(self._run("serve", "--check", *valid)[0], 0)
+
+    def test_explain_says_whether_the_request_was_found(self) -> None:
+        """Guards against a script that takes an empty explanation for a success."""
+        line = b'{"t": 1.0, "instance": "g1", "event": "request_served", "request": "q1"}\n'
+        self.assertEqual(self._run("explain", "q1", stdin=line)[0], 0)
+        status, output, _ = self._run("explain", "q2", stdin=line + b"no log line\n")
+        self.assertEqual(status, 1)
+        self.assertIn("read 2 lines, 1 of them no log lines", output)
+        for unreadable in (b"", b"\xff\x00{" * 100, b"[" * 100_000, b'{"event": 1'):
+            status, _, errors = self._run("explain", "q1", stdin=unreadable)
+            self.assertEqual(status, 2)
+            self.assertNotIn("Traceback", errors)
