Spill at 1.75 times the mean plus 2.5 where the loads of the fleet are known

Change: 1.75 x mean + 2.5 where the loads of all routers are known; the operators' bound is 2 x mean + 3.

--- a/src/sequoiadrum/gateway/placement.py
+++ b/src/sequoiadrum/gateway/placement.py
@@ -23,11 +23,16 @@
 
 SPILL_MULTIPLE: Final = 1.5
 """A request spills from an engine whose load would exceed this multiple of the mean, plus
-`SPILL_ALLOWANCE`. Below the operators' bound of 2, because the loads of other instances are known
-with a delay, or not at all."""
-SPILL_ALLOWANCE: Final = 2
+`SPILL_ALLOWANCE`, if only the loads of this instance are known. Well below the operators' bound of
+2, because the requests of other instances add to it."""
+SPILL_ALLOWANCE: Final = 2.0
 """Requests that the load bound adds to the multiple of the mean; at low load, rounding to whole
 requests exceeds any multiple."""
+FLEET_SPILL_MULTIPLE: Final = 1.75
+"""Replaces `SPILL_MULTIPLE` where the loads of all instances are known, with a delay in which a few
+more requests arrive. A request that spills needs a copy of its prompt parts."""
+FLEET_SPILL_ALLOWANCE: Final = 2.5
+"""Replaces `SPILL_ALLOWANCE` with `FLEET_SPILL_MULTIPLE`; the operators' bound allows 3."""
 MAX_LOCAL_IN_FLIGHT: Final = 2
 """A plain endpoint in the failure domain of the instance is preferred while it has fewer requests
 of this instance in flight."""
@@ -151,7 +156,7 @@
     preferred = _shuffle_replicas(ranked, request)
     fleet_loads = _fleet_loads(candidates, now)
     if fleet_loads is not None:
-        bound = _load_bound(list(fleet_loads.values()))
+        bound = _load_bound(fleet_loads.values(), FLEET_SPILL_MULTIPLE, FLEET_SPILL_ALLOWANCE)
         within = (e for e in preferred if fleet_loads[e.id] + 1 <= bound)
         return next(within, None) or min(ranked, key=lambda e: fleet_loads[e.id])
     own_bound = _load_bound([e.in_flight for e in candidates])
@@ -203,8 +208,12 @@
     return replicas + ranked[request.replicas :]
 
 
-def _load_bound(loads: list[int]) -> float:
-    return SPILL_MULTIPLE * (sum(loads) + 1) / len(loads) + SPILL_ALLOWANCE
+def _load_bound(
+    loads: Collection[int],
+    multiple: float = SPILL_MULTIPLE,
+    allowance: float = SPILL_ALLOWANCE,
+) -> float:
+    return multiple * (sum(loads) + 1) / len(loads) + allowance
 
 
 def _choose_least_loaded(
--- a/tests/gateway/test_placement.py
+++ b/tests/gateway/test_placement.py
@@ -5,7 +5,7 @@
 import unittest
 from typing import Any
 
-from sequoiadrum.gateway.endpoints import Endpoint, EndpointTable
+from sequoiadrum.gateway.endpoints import MAX_LOAD_AGE_S, Endpoint, EndpointTable
 from sequoiadrum.gateway.model import EngineLoad
 from sequoiadrum.gateway.placement import (
     PlacementFailure,
@@ -34,6 +34,48 @@
     return PlacementRequest(**{**fields, **changes})
 
 
+class FleetLoadTest(unittest.TestCase):
+    """Routers know the requests of all other routers at the engines."""
+
+    def _share_loads(self, engines: list[Endpoint], loads: list[int], now: float = 0.0) -> None:
+        for endpoint, load in zip(engines, loads, strict=True):
+            endpoint.in_flight_elsewhere, endpoint.elsewhere_reported_at = load, now
+
+    def _home(self, engines: list[Endpoint]) -> Endpoint:
+        home = choose(engines, _placement_request(), 0.0)
+        assert isinstance(home, Endpoint)
+        return home
+
+    def test_home_that_others_have_filled_is_spared(self) -> None:
+        """Guards against a home engine that many routers fill with a few requests each."""
+        engines = _engines(5)
+        home = self._home(engines)
+        self._share_loads(engines, [30 if e is home else 4 for e in engines])
+        self.assertIsNot(choose(engines, _placement_request(), 0.0), home)
+
+    def test_home_within_the_bound_of_the_fleet_is_kept(self) -> None:
+        """Guards against copies of prompts for loads that the operators' bound allows."""
+        engines = _engines(5)
+        home = self._home(engines)
+        self._share_loads(engines, [9 if e is home else 4 for e in engines])
+        self.assertIs(choose(engines, _placement_request(), 0.0), home)
+
+    def test_outdated_loads_are_not_used(self) -> None:
+        """Guards against placements by loads of a hub that is gone."""
+        engines = _engines(5)
+        home = self._home(engines)
+        self._share_loads(engines, [30 if e is home else 4 for e in engines])
+        self.assertIs(choose(engines, _placement_request(), MAX_LOAD_AGE_S + 0.1), home)
+
+    def test_engine_without_a_report_counts_its_own_requests(self) -> None:
+        """Guards against an engine that gets no request because it joined after the last report."""
+        engines = _engines(5)
+        home = self._home(engines)
+        others = [e for e in engines if e is not home]
+        self._share_loads(others, [8] * 4)
+        self.assertIs(choose(engines, _placement_request(), 0.0), home)
+
+
 class HomeTest(unittest.TestCase):
     """Requests that share prompt parts are sent to one home engine."""
 
