Keep the platform's name of the settings variable inside the adapter

Change: the command line passes the variables that other commands read to the check. Result: the boundary test and those of the settings pass.

--- a/src/sequoiadrum/settings.py
+++ b/src/sequoiadrum/settings.py
@@ -12,17 +12,13 @@
 from sequoiadrum.addressing import parse_address
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Mapping
+    from collections.abc import Callable, Collection, Mapping
 
     from sequoiadrum.messages import Address
 
 ENVIRONMENT_PREFIX: Final = "SEQUOIADRUM_"
 
 
-FOREIGN_VARIABLES: Final = frozenset({"SEQUOIADRUM_NODE_FILE", "SEQUOIADRUM_ROUTER"})
-"""Variables with our prefix that other commands read."""
-
-
 def _flag(name: str) -> str:
     return "--" + name.replace("_", "-")
 
@@ -298,12 +294,19 @@
 }
 
 
-def unknown_variables(environment: Mapping[str, str]) -> list[SettingProblem]:
-    """Returns a problem for each variable with our prefix that no setting reads."""
+def unknown_variables(
+    environment: Mapping[str, str], foreign: Collection[str] = ()
+) -> list[SettingProblem]:
+    """Returns a problem for each variable with our prefix that no setting reads.
+
+    Args:
+        environment: Values by variable.
+        foreign: Variables with our prefix that other commands and programs read.
+    """
     known = {_variable(name) for name in _VALIDATION_RULES}
     names = (n for n in environment if n.startswith(ENVIRONMENT_PREFIX))
     return [
         UnknownVariable(name, next(iter(get_close_matches(name, known, 1)), None))
         for name in sorted(names)
-        if name not in known and name not in FOREIGN_VARIABLES
+        if name not in known and name not in foreign
     ]
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -8,6 +8,7 @@
 import unittest
 from pathlib import Path
 
+from sequoiadrum._cli_base import ROUTER_VARIABLE
 from sequoiadrum.settings import unknown_variables
 from tests.builders import a_settings
 
@@ -54,11 +55,10 @@
         environment = {
             "SEQUOIADRUM_MAX_STREMS": "5",
             "SEQUOIADRUM_MAX_STREAMS": "5",
-            "SEQUOIADRUM_NODE_FILE": "x",
             "SEQUOIADRUM_ROUTER": "x",
             "PATH": "/bin",
         }
-        (problem,) = unknown_variables(environment)
+        (problem,) = unknown_variables(environment, {ROUTER_VARIABLE})
         self.assertIn("SEQUOIADRUM_MAX_STREMS", str(problem))
         self.assertIn("did you mean SEQUOIADRUM_MAX_STREAMS?", str(problem))
 
