Know variables of other programs by their ending

Change: variables that end in _FILE belong to other programs and are not taken for misspelt settings.

--- a/src/sequoiadrum/cli.py
+++ b/src/sequoiadrum/cli.py
@@ -16,7 +16,6 @@
 from sequoiadrum.app import Router
 from sequoiadrum.cli_operator import OperatorCommands  # noqa: TC001 (cappa evaluates it)
 from sequoiadrum.gateway.explain import explain
-from sequoiadrum.platform.early_listeners import PATH_VARIABLE
 from sequoiadrum.settings import Settings, unknown_variables
 
 if TYPE_CHECKING:
@@ -26,7 +25,6 @@
 EXIT_NOT_FOUND: Final = 1
 """The command ran, and what it was asked for does not exist."""
 EXIT_USAGE: Final = 2
-_FOREIGN_VARIABLES: Final = frozenset({PATH_VARIABLE, ROUTER_VARIABLE})
 
 
 @cappa.command(name="serve", help="Run a router until SIGTERM.")
@@ -36,7 +34,7 @@
 
     def __call__(self) -> int:
         """Validates the settings, then serves; with `--check`, only validates them."""
-        problems = [*unknown_variables(os.environ, _FOREIGN_VARIABLES), *self.problems()]
+        problems = [*unknown_variables(os.environ, {ROUTER_VARIABLE}), *self.problems()]
         for problem in problems:
             sys.stderr.write(f"sequoiadrum: {problem}\n")
         if problems:
--- a/src/sequoiadrum/settings.py
+++ b/src/sequoiadrum/settings.py
@@ -17,6 +17,8 @@
     from sequoiadrum.messages import Address
 
 ENVIRONMENT_PREFIX: Final = "SEQUOIADRUM_"
+FILE_SUFFIX: Final = "_FILE"
+"""Variables with this ending name files of other programs, such as the adapters of platforms."""
 
 
 def _flag(name: str) -> str:
@@ -308,5 +310,5 @@
     return [
         UnknownVariable(name, next(iter(get_close_matches(name, known, 1)), None))
         for name in sorted(names)
-        if name not in known and name not in foreign
+        if name not in known and name not in foreign and not name.endswith(FILE_SUFFIX)
     ]
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -56,6 +56,7 @@
             "SEQUOIADRUM_MAX_STREMS": "5",
             "SEQUOIADRUM_MAX_STREAMS": "5",
             "SEQUOIADRUM_ROUTER": "x",
+            "SEQUOIADRUM_SOME_FILE": "x",
             "PATH": "/bin",
         }
         (problem,) = unknown_variables(environment, {ROUTER_VARIABLE})
