Close connections within what is left of the grace period

Since the connections of callers are closed at the end, a stop with requests still in flight waits 0.3 s of the 0.4 s that the plan keeps before the kill.

--- a/src/sequoiadrum/gateway/app.py
+++ b/src/sequoiadrum/gateway/app.py
@@ -59,9 +59,6 @@
 """Longest wait for the configuration and the endpoints before callers are served; the store usually
 responds in a few milliseconds."""
 _FIRST_LISTS_POLL_S: Final = 0.005
-MAX_DRAIN_S: Final = 0.3
-"""Longest wait for requests that arrive while the connections of callers are closed; less than the
-margin that the stop plan keeps before the process would be killed."""
 _POLL_INTERVAL_S: Final = 0.1
 
 _waitress_log = logging.getLogger("waitress")
@@ -243,7 +240,7 @@
         while not plan.can_exit(self.servers.active(), DIRECTORY_LIFETIME_S, clock.now()):
             time.sleep(_POLL_INTERVAL_S)
         # Between the last check and the end, callers may send requests on open connections.
-        is_drained = self.servers.drain(MAX_DRAIN_S)
+        is_drained = self.servers.drain(plan.drain_s(clock.now()))
         self.log.notable("stopped", in_flight=self.servers.active(), is_drained=is_drained)
         self.kill()
 
