Let a follower whose peers fail read the newest state

Such a list may lack for seconds that an endpoint leaves or that a configuration changed, and nothing else shows it then. Change: a follower's list is stale only when it is due at its interval, not after failed peers. Result: the new test fails on the code before ('serializable' in the list) and passes now; tests of store_sync pass.

--- a/src/sequoiadrum/gateway/store_sync.py
+++ b/src/sequoiadrum/gateway/store_sync.py
@@ -134,6 +134,7 @@
         self._availability = availability
         self._log = log
         self._started_at = clock.now()
+        self._have_peers_failed = False
         self._refresh_lock = threading.Lock()
         self._listed_at = float("-inf")
         self._stopped = threading.Event()
@@ -264,11 +265,11 @@
 
         Revisions protect from older objects. What a stale first list lacks is in the watch from its
         revision, which follows at once; a router that is not a watcher has the newest state from
-        its peers, and reads lists only for what a peer may have missed.
+        its peers, unless they fail, and reads lists only for what a peer may have missed.
         """
         if self._feed.is_watcher():
             return self.starts_with_stale_list and not self.has_listed()
-        return True
+        return not self._have_peers_failed
 
     def _sync_from_peers(self) -> bool:
         """Receives changes from peers while this router is not a watcher.
@@ -282,7 +283,8 @@
             if clock.now() >= next_list_at:
                 return False
             failures = 0 if self._request_from_peer(PEER_WAIT_S) else failures + 1
-            if failures >= MAX_PEER_FAILURES:
+            self._have_peers_failed = failures >= MAX_PEER_FAILURES
+            if self._have_peers_failed:
                 return False
         return True
 
--- a/tests/gateway/test_store_sync.py
+++ b/tests/gateway/test_store_sync.py
@@ -81,3 +81,17 @@
         )
         self.assertIn("servers", stale)
         self.assertFalse(any("serializable" in path and "config" in path for path in lists))
+
+    def test_follower_whose_peers_fail_reads_the_newest_state(self) -> None:
+        """Guards against requests to endpoints that left, when no peer has recent state."""
+        world = World()  # Not started, so that no other thread lists.
+        self.addCleanup(world.store.stop)
+        sync = world.gateway._syncs[1]
+        with mock.patch.object(sync, "_feed") as feed:
+            feed.is_watcher.return_value = False
+            feed.watch.return_value = None
+            self.assertFalse(sync._sync_from_peers())
+            sync._sync_from_store()
+        lists = [path for _, path in world.store.calls if "servers" in path]
+        self.assertEqual(len(lists), 1)
+        self.assertNotIn("serializable", lists[0])
