Log the shared prompt parts of broken exchanges, and whether a response had begun

Cause: a crash of an engine breaks all exchanges there, and the log does not say which prompt part they share, nor which of them had begun to respond. Change: exchange_broken carries parts and had_event.

--- a/src/sequoiadrum/gateway/relay.py
+++ b/src/sequoiadrum/gateway/relay.py
@@ -163,6 +163,7 @@
             ),
         )
         started = clock.now()
+        run.has_event = False
         result = self._connections.send(
             entry.instance_id,
             entry.address,
@@ -206,7 +207,15 @@
             self._pool.record_exchange_failure(placement)
             return self._refuse_expired(run)
         self._pool.record_exchange_failure(placement)
-        self._record_event("exchange_broken", run, placement, reason=reason, detail=result.detail)
+        self._record_event(
+            "exchange_broken",
+            run,
+            placement,
+            reason=reason,
+            detail=result.detail,
+            had_event=run.has_event,
+            parts=run.shared_parts(),
+        )
         if result.interrupt in (None, Interrupt.OVERSIZED):
             self._connections.forget(placement.endpoint.id)
         if result.interrupt is None:
--- a/src/sequoiadrum/gateway/request_run.py
+++ b/src/sequoiadrum/gateway/request_run.py
@@ -106,12 +106,18 @@
     last_error: str = ""
     progress_at: float = 0.0
     """Monotonic seconds at which the last event of a stream was complete."""
+    has_event: bool = False
+    """Whether the endpoint of the current attempt has sent a complete event."""
 
     @property
     def kind(self) -> RequestKind:
         """Kind of the route; decides whether a request may be retried."""
         return self.route.kind
 
+    def shared_parts(self) -> tuple[str, ...]:
+        """Returns the ids of the prompt parts that other requests may share, without the last."""
+        return tuple(part.id for part in self.call.prompt[:-1])
+
     def time_left(self) -> float:
         """Returns the seconds until the deadline, negative after it."""
         return self.deadline - clock.now()
--- a/src/sequoiadrum/gateway/stream_body.py
+++ b/src/sequoiadrum/gateway/stream_body.py
@@ -140,6 +140,7 @@
         data = splitter.feed(data)
         if splitter.completed != completed:
             run.progress_at = clock.now()
+            run.has_event = True
         if splitter.is_oversized:
             return exchange.give_up("an event is too large")
         if data:
