Refuse requests with a prompt part that crashed three engines

Cause: the crash guard counts by a fingerprint of the whole request. The requests share one part and nothing else, so no fingerprint reached three crashes. Class of fault: failures are added up under a key that is narrower than their cause. No report was lost: there was nothing to add up. Ruled out as a key: the first part and the one of the chat, which sound requests share. Change: a router whose exchange broke before the first event probes whether the engine refuses connections, and if so reports the shared parts of the request to all routers, a rumor for each report. A part is convicted by three separate crashes that no completed run and no other convicted part explains. Requests with it get 503 crashing_part, before they are placed and before a retry.

--- a/src/sequoiadrum/gateway/app.py
+++ b/src/sequoiadrum/gateway/app.py
@@ -129,7 +129,7 @@
             self.metrics,
             self.log,
         )
-        self.crashes: Final = CrashReports(self.gossip.broadcast)
+        self.crashes: Final = CrashReports(self.gossip.broadcast, self.metrics)
         pauses = PauseDetector(clock.now())
         self.peer_events: Final = PeerEventTask(
             settings.instance_id,
--- a/src/sequoiadrum/gateway/exchange.py
+++ b/src/sequoiadrum/gateway/exchange.py
@@ -22,6 +22,8 @@
 
 CONNECT_TIMEOUT_S: Final = 0.6
 """A round trip takes 2 ms. TCP resends a lost SYN only after 1 s; another endpoint is faster."""
+PROBE_TIMEOUT_S: Final = 0.2
+"""Longest wait for a connection that only shows whether an endpoint still listens."""
 IDLE_MARGIN_S: Final = 1.0
 """An idle connection is closed this long before its endpoint would close it."""
 DEFAULT_IDLE_TIMEOUT_S: Final = 4.0
@@ -235,6 +237,21 @@
             return NotSent(f"cannot be written: {error!r}"[:200])
         return self._receive(endpoint_id, stream, call)
 
+    def has_crashed(self, address: Address) -> bool:
+        """Returns whether an endpoint refuses new connections, after an exchange with it broke.
+
+        A lost or reset connection alone does not show that the process ended; an address that does
+        not respond at all may be cut off.
+        """
+        try:
+            connect_stream(address, PROBE_TIMEOUT_S).close()
+        except ConnectionRefusedError:
+            return True
+        except OSError:
+            return False
+        self.opened += 1
+        return False
+
     def forget(self, endpoint_id: str) -> None:
         """Closes the idle connections of an endpoint."""
         with self._lock:
--- a/src/sequoiadrum/gateway/relay.py
+++ b/src/sequoiadrum/gateway/relay.py
@@ -23,6 +23,8 @@
 from sequoiadrum.gateway.stream_body import StreamBody, StreamOwner, read_events
 
 if TYPE_CHECKING:
+    from collections.abc import Sequence
+
     from sequoiadrum.gateway.crash_reports import CrashReports
     from sequoiadrum.gateway.event_log import EventLog
     from sequoiadrum.gateway.exchange import EndpointConnections
@@ -37,6 +39,9 @@
 """`Retry-After` sent when no endpoint is known or none can be reached, as during a restart."""
 FULL_RETRY_AFTER_S: Final = 0.2
 """`Retry-After` sent when all endpoints are full: about the time of two requests."""
+MAX_LOGGED_PARTS: Final = 8
+MAX_LOGGED_PART_CHARS: Final = 40
+"""Callers choose the ids of prompt parts; log lines must stay short."""
 MAX_UNSENT_ATTEMPTS: Final = 6
 """Endpoints that are tried as long as no byte of the request was sent."""
 REFUSAL_MARGIN_S: Final = 0.02
@@ -115,6 +120,9 @@
         while True:
             if run.time_left() <= 0:
                 return self._refuse_expired(run)
+            part = self._crashes.crashing_part(run.shared_parts())
+            if part is not None:
+                return self._refuse_crashing_part(run, part)
             placement = self._place_request(run)
             if isinstance(placement, PlacementFailure):
                 return self._refuse_unplaced(run, placement)
@@ -162,7 +170,7 @@
                 else None
             ),
         )
-        started = clock.now()
+        run.sent_at = clock.now()
         run.has_event = False
         result = self._connections.send(
             entry.instance_id,
@@ -170,10 +178,10 @@
             run.call,
             headers,
             run.body,
-            first_byte_guard(run, started),
+            first_byte_guard(run, run.sent_at),
             run.kind.is_retryable,
         )
-        self._metrics.record_seconds("endpoint_first_byte_seconds", clock.now() - started)
+        self._metrics.record_seconds("endpoint_first_byte_seconds", clock.now() - run.sent_at)
         if not isinstance(result, NotSent):
             run.attempts += 1
             run.was_sent = True
@@ -214,22 +222,35 @@
             reason=reason,
             detail=result.detail,
             had_event=run.has_event,
-            parts=run.shared_parts(),
+            parts=_loggable(run.shared_parts()),
         )
         if result.interrupt in (None, Interrupt.OVERSIZED):
             self._connections.forget(placement.endpoint.id)
         if result.interrupt is None:
             self._crashes.record_crash(placement.endpoint.id, run.fingerprint)
+            self._report_crashed_engine(run, placement)
         if self._may_retry(run):
             return None
         return self._refuse(run, Refused.ENDPOINT_FAILED, run.last_error)
 
+    def _report_crashed_engine(self, run: RequestRun, placement: EndpointPlacement) -> None:
+        """Reports the prompt parts of a request that an engine may have crashed on."""
+        parts = run.shared_parts()
+        if not parts or run.has_event:
+            return
+        if self._connections.has_crashed(placement.endpoint.entry.address):
+            sent_s_ago = clock.now() - run.sent_at
+            self._crashes.record_part_crash(placement.endpoint.entry, parts, sent_s_ago)
+            self._record_event("engine_crashed", run, placement, parts=_loggable(parts))
+
     def _may_retry(self, run: RequestRun) -> bool:
         """Spends a retry of a request that may have run; returns False if none is allowed."""
         if not run.kind.is_retryable or run.attempts >= run.route.max_attempts:
             return False
         if run.time_left() <= 0 or self._crashes.is_refused(run.fingerprint):
             return False
+        if self._crashes.crashing_part(run.shared_parts()) is not None:
+            return False
         return self._spend_retry(run)
 
     def _spend_retry(self, run: RequestRun) -> bool:
@@ -252,7 +273,7 @@
         self._pool.record_response(placement, head, failed)
         if head.is_not_executed:
             return self._handle_rejection(run, placement, head)
-        self._crashes.record_completion(run.fingerprint)
+        self._crashes.record_completion(run.fingerprint, run.shared_parts())
         if head.status < HTTPStatus.MULTIPLE_CHOICES and not head.is_sealed:
             self._record_event("answer_unsealed", run, placement, status=head.status)
             if self._may_retry_after(run, placement):
@@ -353,7 +374,7 @@
 
     def end_stream(self, run: RequestRun, placement: EndpointPlacement, head: ResponseHead) -> None:
         """See `StreamOwner.end_stream`."""
-        self._crashes.record_completion(run.fingerprint)
+        self._crashes.record_completion(run.fingerprint, run.shared_parts())
         self._record_served(run, placement, head)
 
     def record_unexpected(self, run: RequestRun, error: Exception) -> None:
@@ -369,6 +390,12 @@
             return self._refuse(run, Refused.DEADLINE, run.last_error)
         return self._refuse(run, Refused.DEADLINE_BEFORE_SEND, run.last_error)
 
+    def _refuse_crashing_part(self, run: RequestRun, part: str) -> CallerResponse:
+        detail = f"prompt part {_loggable([part])[0]}"
+        if run.was_sent:
+            return self._refuse(run, Refused.ENDPOINT_FAILED, f"{run.last_error}; {detail}")
+        return self._refuse(run, Refused.CRASHING_PART, detail)
+
     def _refuse_unplaced(self, run: RequestRun, why: PlacementFailure) -> CallerResponse:
         if run.was_sent:
             return self._refuse(run, Refused.ENDPOINT_FAILED, run.last_error or why.value)
@@ -437,3 +464,8 @@
             age_ms=run.age_ms(),
             **fields,
         )
+
+
+def _loggable(parts: Sequence[str]) -> list[str]:
+    """Returns the last of some prompt parts, shortened for a log line."""
+    return [part[:MAX_LOGGED_PART_CHARS] for part in parts[-MAX_LOGGED_PARTS:]]
--- a/src/sequoiadrum/gateway/request_run.py
+++ b/src/sequoiadrum/gateway/request_run.py
@@ -36,6 +36,8 @@
     ENDPOINTS_UNREACHABLE = "endpoints_unreachable"
     ENDPOINTS_FULL = "endpoints_full"
     CRASHES_ENDPOINTS = "crashes_endpoints"
+    CRASHING_PART = "crashing_part"
+    """Other requests with one of its prompt parts crashed engines."""
     DEADLINE_BEFORE_SEND = "deadline_before_send"
     DEADLINE = "deadline"
     ENDPOINT_FAILED = "endpoint_failed"
@@ -106,6 +108,8 @@
     last_error: str = ""
     progress_at: float = 0.0
     """Monotonic seconds at which the last event of a stream was complete."""
+    sent_at: float = 0.0
+    """Monotonic seconds at which the current attempt was sent."""
     has_event: bool = False
     """Whether the endpoint of the current attempt has sent a complete event."""
 
--- a/tests/gateway/scripted_endpoint.py
+++ b/tests/gateway/scripted_endpoint.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import socket
 import threading
 import time
@@ -95,7 +96,10 @@
         threading.Thread(target=self._accept, daemon=True).start()
 
     def stop(self) -> None:
-        """Closes the listener."""
+        """Closes the listener; further connections are refused."""
+        # A thread that is waiting in `accept` would keep a closed listener open.
+        with contextlib.suppress(OSError):
+            self._listener.shutdown(socket.SHUT_RDWR)
         self._listener.close()
 
     def _accept(self) -> None:
--- a/tests/gateway/test_crashing_parts.py
+++ b/tests/gateway/test_crashing_parts.py
@@ -3,13 +3,199 @@
 from __future__ import annotations
 
 import http.client
+import itertools
 import json
 import unittest
 from typing import Any
 
-from tests.gateway.scripted_endpoint import ScriptedEndpoint, chunk, event, stream_head
+from hypothesis import given
+from hypothesis import strategies as st
+
+from sequoiadrum.gateway.crashing_parts import (
+    CRASH_LIMIT,
+    MAX_COMPLETED_PARTS,
+    MAX_CRASHES,
+    MAX_PARTS_PER_CRASH,
+    MIN_SEPARATION_S,
+    RECORD_TTL_S,
+    CrashingParts,
+    SuspectRun,
+)
+from tests.gateway.scripted_endpoint import (
+    Connection,
+    Received,
+    ScriptedEndpoint,
+    chunk,
+    event,
+    stream,
+    stream_head,
+)
 from tests.gateway.world import World, eventually
 
+SYSTEM, CHAT, DEADLY = "5e", "c4", "dead"
+"""A part that all requests share, one of a chat, and one that crashes engines."""
+
+
+class CrashingPartsTest(unittest.TestCase):
+    """One part is convicted of the crashes, whatever else the broken requests share."""
+
+    def setUp(self) -> None:
+        self.records = CrashingParts()
+
+    def _crash(self, number: int, *runs: tuple[str, ...], at: float | None = None) -> None:
+        crashed_at = 100.0 + number if at is None else at
+        for parts in runs:
+            self.records.record_crash(
+                SuspectRun(f"e{number}", crashed_at - 5.0, crashed_at, parts), crashed_at
+            )
+
+    def _convicted(self, now: float = 200.0) -> set[str]:
+        return {p for p in (SYSTEM, CHAT, DEADLY, "x") if self.records.convicted_part([p], now)}
+
+    def test_part_is_refused_although_no_two_requests_are_alike(self) -> None:
+        """Guards against engines that crash one after the other on different requests."""
+        for number in range(CRASH_LIMIT):
+            self._crash(number, (SYSTEM, CHAT, DEADLY))
+            self.records.record_completion([SYSTEM, CHAT], 100.5 + number)
+        self.assertEqual(self._convicted(), {DEADLY})
+
+    def test_parts_beside_it_are_not_refused(self) -> None:
+        """Guards against refusing all chats that share a system prompt with a crashing request."""
+        for number in range(2 * CRASH_LIMIT):
+            self._crash(number, (SYSTEM, CHAT, DEADLY), (SYSTEM, "x"))
+        self.assertEqual(self._convicted(), {DEADLY})
+
+    def test_two_crashing_parts_are_both_refused(self) -> None:
+        """Guards against a second crashing part that the first one hides."""
+        for number in range(2 * CRASH_LIMIT):
+            self._crash(number, (SYSTEM, DEADLY) if number % 2 else (SYSTEM, "x"))
+            self.records.record_completion([SYSTEM], 100.5 + number)
+        self.assertEqual(self._convicted(), {DEADLY, "x"})
+
+    def test_sound_part_in_many_crashes_is_served(self) -> None:
+        """Guards against refusing a popular part because engines crash for other reasons."""
+        for number in range(10):
+            self._crash(number, (SYSTEM, f"chat{number}"))
+            self.records.record_completion([SYSTEM], 100.5 + number)
+        self.assertEqual(self._convicted(), set())
+
+    def test_common_loss_of_power_convicts_nothing(self) -> None:
+        """Guards against refusing what ran everywhere when all engines went down together."""
+        for number in range(20):
+            self._crash(number, (SYSTEM, CHAT), at=100.0 + number * MIN_SEPARATION_S / 50)
+        self.assertEqual(self._convicted(), set())
+
+    def test_request_that_was_sent_again_proves_separate_crashes(self) -> None:
+        """Guards against engines that crash within milliseconds and are counted as one."""
+        for number in range(CRASH_LIMIT):
+            at = 100.0 + number * MIN_SEPARATION_S / 50
+            run = SuspectRun(f"e{number}", at - MIN_SEPARATION_S / 100, at, (SYSTEM, DEADLY))
+            self.records.record_crash(run, at)
+        self.assertEqual(self._convicted(), {DEADLY})
+
+    def test_one_crash_that_many_routers_report_counts_once(self) -> None:
+        """Guards against a conviction by one crash, also if clocks of routers differ."""
+        for number in range(10):
+            run = SuspectRun("e1", 90.0, 100.0 + number, (SYSTEM, DEADLY))
+            self.records.record_crash(run, 120.0)
+        self.assertEqual(self._convicted(), set())
+
+    def test_conviction_ends(self) -> None:
+        """Guards against a part that is refused for ever after its engines were mended."""
+        for number in range(CRASH_LIMIT):
+            self._crash(number, (SYSTEM, DEADLY))
+        self.assertEqual(self._convicted(), {DEADLY})
+        self.assertEqual(self._convicted(100.0 + RECORD_TTL_S), set())
+
+    def test_completed_run_acquits(self) -> None:
+        """Guards against a sound part that stays refused although a run with it completed."""
+        for number in range(CRASH_LIMIT):
+            self._crash(number, (DEADLY,))
+        self.assertEqual(self._convicted(), {DEADLY})
+        self.assertEqual(self.records.record_completion([DEADLY], 150.0), [DEADLY])
+        self.assertEqual(self._convicted(), set())
+
+    def test_records_are_bounded(self) -> None:
+        """Guards against memory that grows with crashes and with the prompts of callers."""
+        for number in range(MAX_CRASHES + 10):
+            self._crash(0, at=0.0)
+            parts = tuple(map(str, range(MAX_PARTS_PER_CRASH + 10)))
+            run = SuspectRun(f"e{number}", 90.0, 100.0, parts)
+            self.records.record_crash(run, 100.0)
+        for number in range(MAX_COMPLETED_PARTS + 10):
+            self.records.record_completion([f"p{number}"], 100.0)
+        crashes = self.records._crash_by_process
+        self.assertEqual(len(crashes), MAX_CRASHES)
+        self.assertEqual(
+            {len(c.suspicion_by_part) for c in crashes.values()}, {MAX_PARTS_PER_CRASH}
+        )
+        self.assertEqual(len(self.records._completed_at_by_part), MAX_COMPLETED_PARTS)
+
+    @given(st.permutations(range(8)))
+    def test_reports_may_come_in_any_order(self, order: list[int]) -> None:
+        """Guards against routers that refuse different parts after the same reports."""
+        records = CrashingParts()
+        for number in order:
+            if number < 4:
+                run = SuspectRun(f"e{number}", 90.0, 100.0 + number, (SYSTEM, CHAT, DEADLY))
+                records.record_crash(run, 110.0)
+                records.record_crash(run, 110.0)
+            else:
+                records.record_completion([SYSTEM, CHAT], 99.5 + number - 4)
+        verdicts = [records.convicted_part([part], 110.0) for part in (SYSTEM, CHAT, DEADLY)]
+        self.assertEqual(verdicts, [None, None, DEADLY])
+
+
+class CrashingPartPathTest(unittest.TestCase):
+    """Requests through a complete gateway to engines that crash on one part."""
+
+    def setUp(self) -> None:
+        self.world = World().start()
+        self.addCleanup(self.world.stop)
+        self.numbers = itertools.count()
+        self.crashed: list[ScriptedEndpoint] = []
+
+    def _add_engine(self, name: str) -> None:
+        """Adds an engine that ends with all its connections when it begins to respond."""
+        connections: list[Connection] = []
+
+        def respond(connection: Connection, request: Received) -> None:
+            connections.append(connection)
+            if f"{DEADLY}:" in request.headers["sequoiadrum-prefix-hash"]:
+                self.crashed.append(engine)
+                engine.stop()
+                for each in connections:
+                    each.reset()
+            else:
+                stream(1, 3)(connection, request)
+
+        engine = ScriptedEndpoint(respond)
+        self.world.add(name, engine, "model")
+
+    def _ask(self, *parts: str) -> tuple[int, bytes]:
+        number = next(self.numbers)
+        prompt = ",".join(f"{part}:50" for part in (*parts, f"{number:x}"))
+        headers = {"Sequoiadrum-Prefix-Hash": prompt}
+        try:
+            status, _, body = self.world.call(
+                "/draft/x", f"q{number}", f"body {number}".encode(), headers=headers
+            )
+        except http.client.HTTPException:
+            return 0, b""
+        return status, body
+
+    def test_different_requests_with_one_part_do_not_crash_engine_after_engine(self) -> None:
+        """Guards against counting crashes by whole requests, of which no two are alike."""
+        for number in range(8):
+            self._add_engine(f"e{number}")
+        statuses = []
+        for _ in range(10):
+            statuses.append(self._ask(SYSTEM, CHAT, DEADLY)[0])
+            self.assertEqual(self._ask(SYSTEM, CHAT)[0], 200)
+        self.assertLessEqual(len(self.crashed), CRASH_LIMIT)
+        self.assertEqual(statuses[-6:], [503] * 6)
+        self.assertIn(b"crashing_part", self._ask(SYSTEM, CHAT, DEADLY)[1])
+
 
 class BrokenExchangeLogTest(unittest.TestCase):
     """The log line of a broken exchange names what a search for the cause needs."""
