Treat a stream that ends inside an event as broken off

Callers would see: half an event at the end of a stream that looks complete, on routes that cannot be resumed; and a resumable stream given up although another engine could send its rest. An engine that ends right after its head passed for a complete empty stream. Cause: the end of the connection ends a response that has neither a length nor chunks; the check for a partial event was made for resumable streams only, and only after the body had been handed to the caller. Class of fault: an ending that proves nothing is taken as success. Change: the splitter knows for every stream whether it ends inside an event; such an end, and that of an unframed stream without any event, is a failed exchange, so that a resumable stream continues elsewhere and any other one ends without a regular end. The product's own front needs no change: its reader demands [DONE]. Conclusion: a stream cut exactly between two events without framing still looks whole; nothing on the wire tells the two apart.

--- a/src/sequoiadrum/gateway/exchange.py
+++ b/src/sequoiadrum/gateway/exchange.py
@@ -99,6 +99,11 @@
     """Bytes of the body still to be read; None for a body without a declared length."""
     _is_closed: bool = False
 
+    @property
+    def ends_with_connection(self) -> bool:
+        """Whether only the end of the connection shows the end of the body."""
+        return self._remaining is None and not self._response.chunked
+
     def set_guard(self, guard: Callable[[], None]) -> None:
         """Replaces the guard that is called while a read waits."""
         self._stream.guard = guard
--- a/src/sequoiadrum/gateway/sse_framing.py
+++ b/src/sequoiadrum/gateway/sse_framing.py
@@ -23,6 +23,8 @@
     the middle of an event."""
     completed: int = 0
     """Number of reads that completed at least one event."""
+    has_partial_event: bool = False
+    """Whether the received bytes end inside an event."""
     _partial: bytes = b""
     _partial_size: int = 0
 
@@ -34,11 +36,13 @@
         end = received.rfind(_END, searched_from)
         if end < 0:
             self._partial_size += len(data)
+            self.has_partial_event = self.has_partial_event or bool(data.strip())
             self._partial = received if self.holds_partial else received[-1:]
             return b"" if self.holds_partial else data
         end += len(_END)
         self.completed += 1
         self._partial_size = len(received) - end
+        self.has_partial_event = bool(received[end:].strip())
         if not self.holds_partial:
             self._partial = received[end:][-1:]
             return data
@@ -52,11 +56,7 @@
         """Discards an incomplete event; the endpoint that continues the stream sends it again."""
         self._partial = b""
         self._partial_size = 0
-
-    @property
-    def has_partial_event(self) -> bool:
-        """Whether the received bytes end inside an event."""
-        return bool(self._partial.strip())
+        self.has_partial_event = False
 
     @property
     def is_oversized(self) -> bool:
--- a/src/sequoiadrum/gateway/stream_body.py
+++ b/src/sequoiadrum/gateway/stream_body.py
@@ -7,7 +7,6 @@
 
 from sequoiadrum.gateway import clock
 from sequoiadrum.gateway.exchange import ExchangeFailure
-from sequoiadrum.gateway.model import RequestKind
 from sequoiadrum.gateway.request_run import IncompleteStreamError
 
 if TYPE_CHECKING:
@@ -120,8 +119,6 @@
 
     def _end(self) -> None:
         self._owner.release(self._placement)
-        if self._run.kind is RequestKind.RESUMABLE_STREAM and self._splitter.has_partial_event:
-            raise IncompleteStreamError("the stream ended inside an event")
         self._owner.end_stream(self._run, self._placement, self._head)
 
 
@@ -130,11 +127,18 @@
 ) -> bytes | ExchangeFailure:
     """Waits for bytes that can be forwarded to the caller; returns empty bytes at the end.
 
-    Records the progress of the stream in `RequestRun.progress_at`.
+    A stream that ends inside an event was broken off, and so was one without any event whose end is
+    only that of its connection. Records the progress of the stream in `RequestRun.progress_at`.
     """
     while True:
         data = exchange.read()
-        if isinstance(data, ExchangeFailure) or not data:
+        if isinstance(data, ExchangeFailure):
+            return data
+        if not data:
+            if splitter.has_partial_event:
+                return ExchangeFailure("the stream ended inside an event")
+            if exchange.ends_with_connection and not run.has_event:
+                return ExchangeFailure("the connection ended before the first event")
             return data
         completed = splitter.completed
         data = splitter.feed(data)
--- /dev/null
+++ b/tests/gateway/test_unframed_responses.py
@@ -0,0 +1,119 @@
+"""Tests of responses without a length or chunks, which end with their connection."""
+
+from __future__ import annotations
+
+import http.client
+import socket
+import time
+import unittest
+
+from tests.gateway.scripted_endpoint import (
+    Connection,
+    Received,
+    Script,
+    ScriptedEndpoint,
+    chunk,
+    event,
+    stream,
+    stream_head,
+)
+from tests.gateway.world import World
+
+_HALF_EVENT = event(3)[:-4]
+
+
+def unframed_head(request: Received) -> bytes:
+    """Builds a response head without a length or chunks."""
+    return (
+        f"HTTP/1.1 200 OK\r\nSequoiadrum-Request-Id: {request.request_id}\r\n"
+        "Sequoiadrum-Response-Seal: s.1\r\n\r\n"
+    ).encode()
+
+
+def unframed(*parts: bytes, is_reset: bool = False) -> Script:
+    """Returns a script that sends parts and ends the connection, or resets it."""
+
+    def script(connection: Connection, request: Received) -> None:
+        connection.send(unframed_head(request))
+        for part in parts:
+            connection.send(part)
+        if is_reset:
+            time.sleep(0.1)
+            connection.reset()
+        else:
+            connection.sock.shutdown(socket.SHUT_RDWR)
+            connection.sock.close()
+
+    return script
+
+
+class UnframedResponseTest(unittest.TestCase):
+    """The end of the connection completes such a response, except inside an event."""
+
+    def setUp(self) -> None:
+        self.world = World().start()
+        self.addCleanup(self.world.stop)
+
+    def test_plain_response_is_whole(self) -> None:
+        """Guards against a complete response that is taken for one that broke off."""
+        self.world.add("e1", ScriptedEndpoint(unframed(b"do", b"ne")))
+        for number in range(3):
+            status, _, body = self.world.call("/order/x", f"q{number}")
+            self.assertEqual((status, body), (200, b"done"))
+
+    def test_reset_plain_response_is_not_whole(self) -> None:
+        """Guards against half of an answer that reaches its caller as a success."""
+        self.world.add("e1", ScriptedEndpoint(unframed(b"do", is_reset=True)))
+        self.assertEqual(self.world.call("/order/x")[0], 502)
+
+    def test_stream_is_whole(self) -> None:
+        """Guards against a complete stream that is broken off or sent again."""
+        endpoint = ScriptedEndpoint(unframed(event(1), event(2)))
+        self.world.add("e1", endpoint, "model")
+        for path in ("/tag/x", "/draft/x"):
+            self.assertEqual(self.world.call(path)[2], event(1) + event(2))
+        self.assertEqual(len(endpoint.received), 2)
+
+    def test_stream_that_ends_inside_an_event_does_not_look_complete(self) -> None:
+        """Guards against a caller who takes a broken stream for a whole one."""
+        for ending in (unframed(event(1), _HALF_EVENT), _chunked(event(1), _HALF_EVENT)):
+            with self.subTest(ending):
+                self.world.add("e1", ScriptedEndpoint(ending), "model")
+                with self.assertRaises(http.client.IncompleteRead):
+                    self.world.call("/tag/x")
+
+    def test_resumable_stream_that_ends_inside_an_event_continues_elsewhere(self) -> None:
+        """Guards against a stream that is given up although another engine has its rest."""
+        for name in ("e1", "e2"):
+            script = _rest(unframed(event(1), event(2), _HALF_EVENT))
+            self.world.add(name, ScriptedEndpoint(script), "model")
+        body = self.world.call("/draft/x")[2]
+        self.assertEqual(body, b"".join(map(event, range(1, 6))))
+
+    def test_unframed_stream_without_an_event_is_not_whole(self) -> None:
+        """Guards against an engine that ends before its first event and passes for complete."""
+        self.world.add("e1", ScriptedEndpoint(unframed()), "model")
+        self.assertEqual(self.world.call("/tag/x")[0], 502)
+
+
+def _chunked(*parts: bytes) -> Script:
+    def script(connection: Connection, request: Received) -> None:
+        connection.send(stream_head(request) + b"".join(map(chunk, parts)) + chunk(b""))
+
+    return script
+
+
+def _rest(script: Script) -> Script:
+    """Returns a script that sends the rest of a stream if it is resumed, else runs another one."""
+
+    def choose(connection: Connection, request: Received) -> None:
+        if "last-event-id" in request.headers:
+            stream(1, 5)(connection, request)
+        else:
+            script(connection, request)
+
+    return choose
+
+
+if __name__ == "__main__":
+    unittest.main()
