Decode the rate that an endpoint names, and log it with each served request

Cause: no log line or metric mentions the limits, so that nobody can tell from the logs who knew a limit and how much the routers sent together while it was in force. Change: ResponseHead.rate_limit; request_served carries rate_limit.

--- a/src/sequoiadrum/gateway/model.py
+++ b/src/sequoiadrum/gateway/model.py
@@ -201,6 +201,8 @@
     """Seconds for which the endpoint keeps an idle connection open."""
     headers: tuple[tuple[str, str], ...]
     """End-to-end headers to forward to the caller."""
+    rate_limit: float | None = None
+    """Requests per second that the endpoint takes from all routers together; None without a limit."""
 
 
 @frozen
--- a/src/sequoiadrum/gateway/relay.py
+++ b/src/sequoiadrum/gateway/relay.py
@@ -442,6 +442,7 @@
             endpoint=placement.endpoint.id,
             in_flight=placement.in_flight,
             fleet_load=placement.fleet_load,
+            rate_limit=head.rate_limit,
             context_from=(
                 placement.context_source.id if placement.context_source is not None else None
             ),
--- a/src/sequoiadrum/platform/headers.py
+++ b/src/sequoiadrum/platform/headers.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from http import HTTPStatus
 from typing import TYPE_CHECKING, Any, Final
 
@@ -29,6 +30,7 @@
 NOT_EXECUTED: Final = "Sequoiadrum-Not-Executed"
 SEAL: Final = "Sequoiadrum-Response-Seal"
 LOAD: Final = "Sequoiadrum-Server-Load"
+RATE_LIMIT: Final = "Server-Limit"
 
 _HOP_BY_HOP: Final = frozenset(
     {
@@ -148,6 +150,7 @@
             load=_decode_load(by_name.get(LOAD.lower(), "")),
             idle_timeout_s=_decode_keep_alive(by_name.get("keep-alive", "")),
             headers=tuple(_end_to_end_headers(pairs, frozenset({"content-length"}))),
+            rate_limit=_decode_rate(by_name.get(RATE_LIMIT.lower(), "")),
         )
 
 
@@ -206,6 +209,15 @@
     return EngineLoad(running, waiting, slots)
 
 
+def _decode_rate(text: str) -> float | None:
+    """Decodes a decimal number; returns None if it is missing or is no rate."""
+    try:
+        rate = float(text)
+    except ValueError:
+        return None
+    return rate if math.isfinite(rate) and rate >= 0 else None
+
+
 def _decode_keep_alive(text: str) -> float | None:
     for word in text.split(","):
         name, _, value = word.strip().partition("=")
--- a/tests/platform/test_headers.py
+++ b/tests/platform/test_headers.py
@@ -106,6 +106,17 @@
         """Guards against refusing to retry a request that no endpoint has run."""
         self.assertTrue(PlatformHeaderCodec().decode_response(421, "", []).is_not_executed)
 
+    def test_named_rate_is_decoded(self) -> None:
+        """Guards against overlooking the rate that an endpoint takes, or a rate of zero."""
+        codec = PlatformHeaderCodec()
+        for text, rate in (("5.75", 5.75), ("0", 0.0), ("40", 40.0)):
+            head = codec.decode_response(200, "OK", [("Server-Limit", text)])
+            self.assertEqual(head.rate_limit, rate)
+            self.assertIn(("Server-Limit", text), head.headers)
+        for text in ("", "many", "nan", "inf", "-1"):
+            head = codec.decode_response(200, "OK", [("Server-Limit", text)])
+            self.assertIsNone(head.rate_limit)
+
     def test_garbage_is_left_out(self) -> None:
         """Guards against an exception on a malformed load or idle timeout."""
         head = PlatformHeaderCodec().decode_response(
