Acquit prompt parts as soon as an engine begins to respond

Cause: only a completed response acquitted a part, and responses take seconds. While all engines go down one after the other, a popular part is in each crash and nothing completes in between. Class of fault: evidence for guilt is counted at once, evidence against it late. Change: the first complete event acquits the shared parts of its request. That is the same line that already divides suspects from the others: an engine that responds was not crashed by the request.

--- a/src/sequoiadrum/gateway/crash_reports.py
+++ b/src/sequoiadrum/gateway/crash_reports.py
@@ -21,8 +21,8 @@
 RUMOR_KIND: Final = "request-crash"
 PART_CRASH_KIND: Final = "part-crash"
 """Kind of the rumor about one request that was broken by a crash before its response began."""
-PART_COMPLETION_KIND: Final = "part-completion"
-"""Kind of the rumor that a run with a part completed."""
+PART_RESPONSE_KIND: Final = "part-response"
+"""Kind of the rumor that an engine has begun to respond to a request with a part."""
 CRASH_REFUSAL_THRESHOLD: Final = 3
 """A request whose exchange failed at this many endpoints is refused by all routers. One less would
 refuse resumed streams that were affected by one crash and one lost response."""
@@ -103,9 +103,15 @@
         with self._lock:
             if self._guard.completed(fingerprint, now):
                 self._broadcast_counts(fingerprint, now)
-            cleared = self._parts.record_completion(map(_part_key, parts), now)
+        self.record_response_begun(parts)
+
+    def record_response_begun(self, parts: Sequence[str]) -> None:
+        """Acquits the shared parts of a prompt to which an engine has begun to respond."""
+        now = time.time()
+        with self._lock:
+            cleared = self._parts.record_response(map(_part_key, parts), now)
         for key in cleared:
-            self._broadcast(PART_COMPLETION_KIND, key, int(now * 1e3), b"", RECORD_TTL_S)
+            self._broadcast(PART_RESPONSE_KIND, key, int(now * 1e3), b"", RECORD_TTL_S)
 
     def receive_rumor(self, rumor: RumorReceived) -> None:
         """Merges what another router reported; ignores rumors of other kinds."""
@@ -122,9 +128,9 @@
                 is_new = self._parts.record_crash(run, now)
             if is_new:
                 self._metrics.count("part_crash_reports_total", origin="peer")
-        elif rumor.kind == PART_COMPLETION_KIND:
+        elif rumor.kind == PART_RESPONSE_KIND:
             with self._lock:
-                self._parts.record_completion([rumor.key], min(rumor.version / 1e3, now))
+                self._parts.record_response([rumor.key], min(rumor.version / 1e3, now))
 
     def _broadcast_counts(self, fingerprint: str, now: float) -> None:
         payload = self._guard.encode(fingerprint)
--- a/src/sequoiadrum/gateway/crashing_parts.py
+++ b/src/sequoiadrum/gateway/crashing_parts.py
@@ -16,7 +16,7 @@
     from collections.abc import Iterable, Sequence
 
 CRASH_LIMIT: Final = 3
-"""Crashes without a completed run after which requests with a part are refused."""
+"""Crashes without a response in between after which requests with a part are refused."""
 RECORD_TTL_S: Final = 600.0
 """Time after which a crash no longer counts."""
 MIN_SEPARATION_S: Final = 0.2
@@ -26,8 +26,8 @@
 """Crashes that are kept; the first recorded one is evicted."""
 MAX_PARTS_PER_CRASH: Final = 200
 """Parts that are kept for one crash; further ones are ignored."""
-MAX_COMPLETED_PARTS: Final = 4_000
-"""Parts whose last completed run is kept; the one that completed first is evicted."""
+MAX_ANSWERED_PARTS: Final = 4_000
+"""Parts whose last response is kept; the one that was answered first is evicted."""
 
 
 @frozen
@@ -76,14 +76,16 @@
 
 @define(eq=False)
 class CrashingParts:
-    """Convicts a part of crashes that neither a completed run nor another part explains.
+    """Convicts a part of crashes if no response acquits it and no other part explains them.
+
+    An engine that has begun to respond to a request was not crashed by any part of it.
 
     Times are Unix seconds because routers exchange them. Reports may come late, repeatedly and in
     any order.
     """
 
     _crash_by_process: OrderedDict[str, _Crash] = field(factory=OrderedDict)
-    _completed_at_by_part: OrderedDict[str, float] = field(factory=OrderedDict)
+    _answered_at_by_part: OrderedDict[str, float] = field(factory=OrderedDict)
     _convicted: frozenset[str] = frozenset()
     _is_current: bool = True
     """Whether `_convicted` includes all reports."""
@@ -106,8 +108,8 @@
         self._is_current = self._is_current and not changed
         return changed
 
-    def record_completion(self, parts: Iterable[str], at: float) -> list[str]:
-        """Records that a run with these parts completed.
+    def record_response(self, parts: Iterable[str], at: float) -> list[str]:
+        """Records that an engine began to respond to a request with these parts.
 
         Returns:
             The parts that at least two crashes counted against until now; other routers should
@@ -118,14 +120,14 @@
             crashes = [
                 crash for crash in self._crash_by_process.values() if _counts(part, crash, self)
             ]
-            known = self._completed_at_by_part.pop(part, float("-inf"))
-            self._completed_at_by_part[part] = max(known, at)
+            known = self._answered_at_by_part.pop(part, float("-inf"))
+            self._answered_at_by_part[part] = max(known, at)
             if crashes:
                 self._is_current = False
             if len(crashes) > 1:
                 cleared.append(part)
-        while len(self._completed_at_by_part) > MAX_COMPLETED_PARTS:
-            self._completed_at_by_part.popitem(last=False)
+        while len(self._answered_at_by_part) > MAX_ANSWERED_PARTS:
+            self._answered_at_by_part.popitem(last=False)
         return cleared
 
     def convicted_part(self, parts: Iterable[str], now: float) -> str | None:
@@ -138,9 +140,9 @@
             return None
         return next((part for part in parts if part in self._convicted), None)
 
-    def completed_at(self, part: str) -> float:
-        """Returns the Unix seconds of the last completed run with a part, or negative infinity."""
-        return self._completed_at_by_part.get(part, float("-inf"))
+    def answered_at(self, part: str) -> float:
+        """Returns the Unix seconds of the last response for a part, or negative infinity."""
+        return self._answered_at_by_part.get(part, float("-inf"))
 
     def _expire(self, now: float) -> None:
         for process, crash in list(self._crash_by_process.items()):
@@ -193,5 +195,5 @@
 
 
 def _counts(part: str, crash: _Crash, records: CrashingParts) -> bool:
-    """Returns whether a crash counts against a part, which no run completed since."""
-    return part in crash.suspicion_by_part and records.completed_at(part) < crash.at
+    """Returns whether a crash counts against a part: no engine responded for the part since."""
+    return part in crash.suspicion_by_part and records.answered_at(part) < crash.at
--- a/src/sequoiadrum/gateway/relay.py
+++ b/src/sequoiadrum/gateway/relay.py
@@ -367,6 +367,8 @@
                 return None
             return self._refuse(run, Refused.ENDPOINT_FAILED, "the answer is not signed")
         self._record_response(run, placement, head, failed=False)
+        if run.has_event:
+            self._crashes.record_response_begun(run.shared_parts())
         run.progress_at = clock.now()
         exchange.set_guard(stream_guard(run))
         body = StreamBody(self, run, placement, exchange, splitter, first)
