Hand out named rates with the token bucket of the account limits

Cause: wrote a second token bucket beside the one of limits.py. Change: RateLimits uses TokenBucket; the tests of the bucket now test the owner's decisions. Measured: the same properties hold (any asks within 1.5 times the rate + 5 in 4 s, constant demand gets the rate, an empty start, a rate of zero); make check passes. Conclusion: one copy, no change of behaviour.

--- a/src/sequoiadrum/gateway/rate_limits.py
+++ b/src/sequoiadrum/gateway/rate_limits.py
@@ -14,6 +14,7 @@
 from attrs import define, field, frozen
 
 from sequoiadrum.hashing import first_ranked
+from sequoiadrum.limits import TokenBucket
 from sequoiadrum.messages import MemberState
 
 if TYPE_CHECKING:
@@ -61,31 +62,6 @@
     """Seconds after which another request may be asked for, if this one was refused."""
 
 
-@define(eq=False)
-class RateBucket:
-    """The units of one endpoint's rate at their owner.
-
-    A new bucket is empty: an owner does not know what its predecessor has granted.
-    """
-
-    updated_at: float
-    _units: float = 0.0
-
-    def take(self, requests_per_s: float, now: float) -> Grant:
-        """Takes one unit if there is one."""
-        burst = max(1.0, requests_per_s * BURST_S)
-        elapsed_s = max(0.0, now - self.updated_at)
-        self._units = min(burst, self._units + elapsed_s * requests_per_s)
-        self.updated_at = now
-        if self._units >= 1.0:
-            self._units -= 1.0
-            return Grant(is_granted=True)
-        if requests_per_s <= 0:
-            return Grant(is_granted=False, wait_s=MAX_WAIT_S)
-        wait_s = (1.0 - self._units) / requests_per_s
-        return Grant(is_granted=False, wait_s=min(MAX_WAIT_S, max(MIN_WAIT_S, wait_s)))
-
-
 @define(eq=False)
 class RateLimits:
     """The limits that this router knows, by `load_board.endpoint_key`; safe to use from any thread.
@@ -94,7 +70,7 @@
     """
 
     _limit_by_endpoint: OrderedDict[int, NamedLimit] = field(factory=OrderedDict)
-    _bucket_by_endpoint: dict[int, RateBucket] = field(factory=dict)
+    _bucket_by_endpoint: dict[int, TokenBucket] = field(factory=dict)
     """Buckets of the endpoints for which this router has decided."""
     _refused_until_by_endpoint: dict[int, float] = field(factory=dict)
     _lock: threading.Lock = field(factory=threading.Lock)
@@ -138,10 +114,17 @@
             requests_per_s = self._in_force(endpoint, now)
             if requests_per_s is None:
                 return Grant(is_granted=True)
+            burst = max(1.0, requests_per_s * BURST_S)
             bucket = self._bucket_by_endpoint.get(endpoint)
             if bucket is None:
-                bucket = self._bucket_by_endpoint[endpoint] = RateBucket(now)
-            return bucket.take(requests_per_s, now)
+                # It starts empty: a new owner does not know what its predecessor has granted.
+                bucket = TokenBucket(requests_per_s, burst, 0.0, now)
+                self._bucket_by_endpoint[endpoint] = bucket
+            bucket.resize(requests_per_s, burst, now)
+            if bucket.take(now):
+                return Grant(is_granted=True)
+            wait_s = min(MAX_WAIT_S, max(MIN_WAIT_S, bucket.wait_ms() / 1e3))
+            return Grant(is_granted=False, wait_s=wait_s)
 
     def refuse_until(self, endpoint: int, until: float) -> None:
         """Withholds requests from an endpoint until a time in monotonic seconds."""
--- a/tests/gateway/test_rate_limits.py
+++ b/tests/gateway/test_rate_limits.py
@@ -22,7 +22,6 @@
     MAX_LIMIT_TTL_S,
     MAX_LIMITS,
     NamedLimit,
-    RateBucket,
     RateLimits,
     quota_owner,
 )
@@ -44,17 +43,27 @@
     return max((sum(at <= t < at + WINDOW_S for t in times) for at in times), default=0)
 
 
-class RateBucketTest(unittest.TestCase):
+class OwnedRateTest(unittest.TestCase):
     """The owner of a rate never hands out more than the endpoint takes."""
 
+    @staticmethod
+    def _granted(limits: RateLimits, now: float) -> bool:
+        return limits.decide(1, now).is_granted
+
+    def _limits(self, rate: float) -> RateLimits:
+        limits = RateLimits()
+        limits.record(1, NamedLimit(rate, 0.0), 0.0)
+        return limits
+
     @settings(derandomize=True, deadline=None)
     @given(st.floats(0.1, 60.0), st.lists(st.floats(0.0, 0.3), min_size=1, max_size=300))
     def test_any_asks_stay_within_the_rate(self, rate: float, pauses: list[float]) -> None:
         """Guards against saved units that exceed the rate when many ask at once."""
-        bucket, now, granted = RateBucket(0.0), 0.0, []
+        limits, now, granted = self._limits(rate), 0.0, []
         for pause in pauses:
             now += pause
-            if bucket.take(rate, now).is_granted:
+            limits.record(1, NamedLimit(rate, now), now)
+            if self._granted(limits, now):
                 granted.append(now)
         self.assertLessEqual(
             most_in_window(granted), ALLOWED_MULTIPLE * rate * WINDOW_S + ALLOWED_EXTRA
@@ -62,17 +71,22 @@
 
     def test_constant_demand_gets_the_whole_rate(self) -> None:
         """Guards against an endpoint that is left idle below its rate."""
-        bucket = RateBucket(0.0)
-        granted = sum(bucket.take(5.0, n / 100).is_granted for n in range(1, 2_001))
+        limits = self._limits(5.0)
+        granted = 0
+        for now in (n / 100 for n in range(1, 2_001)):
+            limits.record(1, NamedLimit(5.0, now), now)
+            granted += self._granted(limits, now)
         self.assertGreaterEqual(granted, 98)
 
     def test_new_owner_starts_without_units(self) -> None:
         """Guards against a burst at each change of the owner."""
-        self.assertFalse(RateBucket(10.0).take(50.0, 10.0).is_granted)
+        self.assertFalse(self._granted(self._limits(50.0), 2.0))
 
     def test_rate_of_zero_grants_nothing(self) -> None:
         """Guards against a division by zero, and requests to an endpoint that takes none."""
-        self.assertFalse(RateBucket(0.0).take(0.0, 100.0).is_granted)
+        limits = self._limits(0.0)
+        for now in (1.0, 2.0, 20.0):
+            self.assertFalse(self._granted(limits, now))
 
 
 class RateLimitsTest(unittest.TestCase):
