Read the rumors in force from peers at the start and after a pause or a cut

Callers saw: engines that crashed on a known prompt part again, on routers that had been restarted a few seconds before. Cause: rumors are broadcast once; afterwards idle datagrams carry one stored rumor each, so that a router that starts gets hundreds of them within minutes. What it has missed it does not know, be it a crashing part or a crashing request. Class of fault: state that only those have who were there when it was announced. Change: Peer.list_rumors returns the rumors in force; a router reads them from the peers of its first two syncs, and again after a pause or 2 s without any datagram.

--- a/schema/peer.thrift
+++ b/schema/peer.thrift
@@ -220,6 +220,8 @@
 service Peer {
   /** Exchanges the complete member lists of both routers. */
   list<MemberReport> sync_members(1: list<MemberReport> members),
+  /** Returns the rumors that are still in force, for a router that has missed them. */
+  list<Rumor> list_rumors(),
   AcquireReply acquire(1: AcquireRequest request),
   void release(1: string pool, 2: list<Release> releases),
   void report_grants(1: string pool, 2: string router_id, 3: i64 router_process_id, 4: list<HeldGrant> grants),
--- a/src/sequoiadrum/_gen/peer/Peer.py
+++ b/src/sequoiadrum/_gen/peer/Peer.py
@@ -29,6 +29,13 @@
         """
         pass
 
+    def list_rumors(self):
+        """
+        Returns the rumors that are still in force, for a router that has missed them.
+
+        """
+        pass
+
     def acquire(self, request):
         """
         Parameters:
@@ -213,6 +220,36 @@
             return result.success
         raise TApplicationException(TApplicationException.MISSING_RESULT, "sync_members failed: unknown result")
 
+    def list_rumors(self):
+        """
+        Returns the rumors that are still in force, for a router that has missed them.
+
+        """
+        self.send_list_rumors()
+        return self.recv_list_rumors()
+
+    def send_list_rumors(self):
+        self._oprot.writeMessageBegin('list_rumors', TMessageType.CALL, self._seqid)
+        args = list_rumors_args()
+        args.write(self._oprot)
+        self._oprot.writeMessageEnd()
+        self._oprot.trans.flush()
+
+    def recv_list_rumors(self):
+        iprot = self._iprot
+        (fname, mtype, rseqid) = iprot.readMessageBegin()
+        if mtype == TMessageType.EXCEPTION:
+            x = TApplicationException()
+            x.read(iprot)
+            iprot.readMessageEnd()
+            raise x
+        result = list_rumors_result()
+        result.read(iprot)
+        iprot.readMessageEnd()
+        if result.success is not None:
+            return result.success
+        raise TApplicationException(TApplicationException.MISSING_RESULT, "list_rumors failed: unknown result")
+
     def acquire(self, request):
         """
         Parameters:
@@ -690,6 +727,7 @@
         self._handler = handler
         self._processMap = {}
         self._processMap["sync_members"] = Processor.process_sync_members
+        self._processMap["list_rumors"] = Processor.process_list_rumors
         self._processMap["acquire"] = Processor.process_acquire
         self._processMap["release"] = Processor.process_release
         self._processMap["report_grants"] = Processor.process_report_grants
@@ -748,6 +786,29 @@
         oprot.writeMessageEnd()
         oprot.trans.flush()
 
+    def process_list_rumors(self, seqid, iprot, oprot):
+        args = list_rumors_args()
+        args.read(iprot)
+        iprot.readMessageEnd()
+        result = list_rumors_result()
+        try:
+            result.success = self._handler.list_rumors()
+            msg_type = TMessageType.REPLY
+        except TTransport.TTransportException:
+            raise
+        except TApplicationException as ex:
+            logging.exception('TApplication exception in handler')
+            msg_type = TMessageType.EXCEPTION
+            result = ex
+        except Exception:
+            logging.exception('Unexpected exception in handler')
+            msg_type = TMessageType.EXCEPTION
+            result = TApplicationException(TApplicationException.INTERNAL_ERROR, 'Internal error')
+        oprot.writeMessageBegin("list_rumors", msg_type, seqid)
+        result.write(oprot)
+        oprot.writeMessageEnd()
+        oprot.trans.flush()
+
     def process_acquire(self, seqid, iprot, oprot):
         args = acquire_args()
         args.read(iprot)
@@ -1213,6 +1274,140 @@
 )
 
 
+class list_rumors_args(object):
+
+    __slots__ = (
+    )
+
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('list_rumors_args')
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+all_structs.append(list_rumors_args)
+list_rumors_args.thrift_spec = (
+)
+
+
+class list_rumors_result(object):
+    """
+    Attributes:
+     - success
+
+    """
+
+    __slots__ = (
+        'success',
+    )
+
+
+    def __init__(self, success=None,):
+        self.success = success
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 0:
+                if ftype == TType.LIST:
+                    self.success = []
+                    (_etype86, _size83) = iprot.readListBegin()
+                    for _i87 in range(_size83):
+                        _elem88 = Rumor()
+                        _elem88.read(iprot)
+                        self.success.append(_elem88)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('list_rumors_result')
+        if self.success is not None:
+            oprot.writeFieldBegin('success', TType.LIST, 0)
+            oprot.writeListBegin(TType.STRUCT, len(self.success))
+            for iter89 in self.success:
+                iter89.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+all_structs.append(list_rumors_result)
+list_rumors_result.thrift_spec = (
+    (0, TType.LIST, 'success', (TType.STRUCT, [Rumor, None], False), None, ),  # 0
+)
+
+
 class acquire_args(object):
     """
     Attributes:
@@ -1395,11 +1590,11 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.releases = []
-                    (_etype86, _size83) = iprot.readListBegin()
-                    for _i87 in range(_size83):
-                        _elem88 = Release()
-                        _elem88.read(iprot)
-                        self.releases.append(_elem88)
+                    (_etype93, _size90) = iprot.readListBegin()
+                    for _i94 in range(_size90):
+                        _elem95 = Release()
+                        _elem95.read(iprot)
+                        self.releases.append(_elem95)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1420,8 +1615,8 @@
         if self.releases is not None:
             oprot.writeFieldBegin('releases', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.releases))
-            for iter89 in self.releases:
-                iter89.write(oprot)
+            for iter96 in self.releases:
+                iter96.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -1559,11 +1754,11 @@
             elif fid == 4:
                 if ftype == TType.LIST:
                     self.grants = []
-                    (_etype93, _size90) = iprot.readListBegin()
-                    for _i94 in range(_size90):
-                        _elem95 = HeldGrant()
-                        _elem95.read(iprot)
-                        self.grants.append(_elem95)
+                    (_etype100, _size97) = iprot.readListBegin()
+                    for _i101 in range(_size97):
+                        _elem102 = HeldGrant()
+                        _elem102.read(iprot)
+                        self.grants.append(_elem102)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1592,8 +1787,8 @@
         if self.grants is not None:
             oprot.writeFieldBegin('grants', TType.LIST, 4)
             oprot.writeListBegin(TType.STRUCT, len(self.grants))
-            for iter96 in self.grants:
-                iter96.write(oprot)
+            for iter103 in self.grants:
+                iter103.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -1733,10 +1928,10 @@
             elif fid == 4:
                 if ftype == TType.LIST:
                     self.grant_ids = []
-                    (_etype100, _size97) = iprot.readListBegin()
-                    for _i101 in range(_size97):
-                        _elem102 = iprot.readI64()
-                        self.grant_ids.append(_elem102)
+                    (_etype107, _size104) = iprot.readListBegin()
+                    for _i108 in range(_size104):
+                        _elem109 = iprot.readI64()
+                        self.grant_ids.append(_elem109)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1765,8 +1960,8 @@
         if self.grant_ids is not None:
             oprot.writeFieldBegin('grant_ids', TType.LIST, 4)
             oprot.writeListBegin(TType.I64, len(self.grant_ids))
-            for iter103 in self.grant_ids:
-                oprot.writeI64(iter103)
+            for iter110 in self.grant_ids:
+                oprot.writeI64(iter110)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -1829,10 +2024,10 @@
             if fid == 0:
                 if ftype == TType.LIST:
                     self.success = []
-                    (_etype107, _size104) = iprot.readListBegin()
-                    for _i108 in range(_size104):
-                        _elem109 = iprot.readI64()
-                        self.success.append(_elem109)
+                    (_etype114, _size111) = iprot.readListBegin()
+                    for _i115 in range(_size111):
+                        _elem116 = iprot.readI64()
+                        self.success.append(_elem116)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1849,8 +2044,8 @@
         if self.success is not None:
             oprot.writeFieldBegin('success', TType.LIST, 0)
             oprot.writeListBegin(TType.I64, len(self.success))
-            for iter110 in self.success:
-                oprot.writeI64(iter110)
+            for iter117 in self.success:
+                oprot.writeI64(iter117)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -2097,11 +2292,11 @@
             elif fid == 3:
                 if ftype == TType.MAP:
                     self.target_by_chat = {}
-                    (_ktype112, _vtype113, _size111) = iprot.readMapBegin()
-                    for _i115 in range(_size111):
-                        _key116 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        _val117 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.target_by_chat[_key116] = _val117
+                    (_ktype119, _vtype120, _size118) = iprot.readMapBegin()
+                    for _i122 in range(_size118):
+                        _key123 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        _val124 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.target_by_chat[_key123] = _val124
                     iprot.readMapEnd()
                 else:
                     iprot.skip(ftype)
@@ -2126,9 +2321,9 @@
         if self.target_by_chat is not None:
             oprot.writeFieldBegin('target_by_chat', TType.MAP, 3)
             oprot.writeMapBegin(TType.STRING, TType.STRING, len(self.target_by_chat))
-            for kiter118, viter119 in self.target_by_chat.items():
-                oprot.writeString(kiter118.encode('utf-8') if sys.version_info[0] == 2 else kiter118)
-                oprot.writeString(viter119.encode('utf-8') if sys.version_info[0] == 2 else viter119)
+            for kiter125, viter126 in self.target_by_chat.items():
+                oprot.writeString(kiter125.encode('utf-8') if sys.version_info[0] == 2 else kiter125)
+                oprot.writeString(viter126.encode('utf-8') if sys.version_info[0] == 2 else viter126)
             oprot.writeMapEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
--- a/src/sequoiadrum/_rumors.py
+++ b/src/sequoiadrum/_rumors.py
@@ -107,6 +107,12 @@
         left_ms = int((stored[1] - now) * 1e3)
         return ttypes.Rumor(rumor.kind, rumor.key, rumor.version, rumor.payload, left_ms)
 
+    def in_force(self, limit: int, now: float) -> list[ttypes.Rumor]:
+        """Returns the rumors whose time to live has not ended, those with most of it left first."""
+        newest = sorted(self._rumors_by_key.values(), key=lambda stored: stored[1], reverse=True)
+        current = (self.with_remaining_ttl(rumor, now) for rumor, _ in newest[:limit])
+        return [rumor for rumor in current if rumor is not None]
+
     def next_rumor(self) -> ttypes.Rumor | None:
         """Returns one stored rumor; calls rotate through all, for members that joined later."""
         if not self._rumors_by_key:
--- a/src/sequoiadrum/gateway/crashing_parts.py
+++ b/src/sequoiadrum/gateway/crashing_parts.py
@@ -1,8 +1,8 @@
 """Finds the prompt parts that crash engines; performs no I/O.
 
 Designed for many different requests that share one part which crashes each engine that begins to
-respond to it. A crash breaks the exchanges of sound requests too, and the crashing requests share
-their other parts with sound ones, so that a single crash does not identify the part.
+respond to it. A crash breaks the exchanges of healthy requests too, and the crashing requests share
+their other parts with healthy ones, so that a single crash does not identify the part.
 """
 
 from __future__ import annotations
@@ -26,8 +26,8 @@
 """Crashes that are kept; the first recorded one is evicted."""
 MAX_PARTS_PER_CRASH: Final = 200
 """Parts that are kept for one crash; further ones are ignored."""
-MAX_ANSWERED_PARTS: Final = 4_000
-"""Parts whose last response is kept; the one that was answered first is evicted."""
+MAX_RESPONDED_PARTS: Final = 4_000
+"""Parts whose last response is kept; the one that was responded to first is evicted."""
 
 
 @frozen
@@ -85,7 +85,7 @@
     """
 
     _crash_by_process: OrderedDict[str, _Crash] = field(factory=OrderedDict)
-    _answered_at_by_part: OrderedDict[str, float] = field(factory=OrderedDict)
+    _responded_at_by_part: OrderedDict[str, float] = field(factory=OrderedDict)
     _convicted: frozenset[str] = frozenset()
     _is_current: bool = True
     """Whether `_convicted` includes all reports."""
@@ -113,21 +113,21 @@
 
         Returns:
             The parts that at least two crashes counted against until now; other routers should
-            know that they are sound.
+            know that they are healthy.
         """
         cleared = []
         for part in parts:
             crashes = [
                 crash for crash in self._crash_by_process.values() if _counts(part, crash, self)
             ]
-            known = self._answered_at_by_part.pop(part, float("-inf"))
-            self._answered_at_by_part[part] = max(known, at)
+            known = self._responded_at_by_part.pop(part, float("-inf"))
+            self._responded_at_by_part[part] = max(known, at)
             if crashes:
                 self._is_current = False
             if len(crashes) > 1:
                 cleared.append(part)
-        while len(self._answered_at_by_part) > MAX_ANSWERED_PARTS:
-            self._answered_at_by_part.popitem(last=False)
+        while len(self._responded_at_by_part) > MAX_RESPONDED_PARTS:
+            self._responded_at_by_part.popitem(last=False)
         return cleared
 
     def convicted_part(self, parts: Iterable[str], now: float) -> str | None:
@@ -140,9 +140,9 @@
             return None
         return next((part for part in parts if part in self._convicted), None)
 
-    def answered_at(self, part: str) -> float:
+    def responded_at(self, part: str) -> float:
         """Returns the Unix seconds of the last response for a part, or negative infinity."""
-        return self._answered_at_by_part.get(part, float("-inf"))
+        return self._responded_at_by_part.get(part, float("-inf"))
 
     def _expire(self, now: float) -> None:
         for process, crash in list(self._crash_by_process.items()):
@@ -157,7 +157,7 @@
         A convicted part explains its crashes: they no longer count against the parts beside it in
         the prompt, nor against those of other requests that were broken at the same time. Of parts
         with as many crashes, the one nearest to the end of the prompt is convicted, because the
-        fewest sound requests share it.
+        fewest healthy requests share it.
         """
         crashes = sorted(self._crash_by_process.values(), key=lambda crash: crash.at)
         convicted = set()
@@ -196,4 +196,4 @@
 
 def _counts(part: str, crash: _Crash, records: CrashingParts) -> bool:
     """Returns whether a crash counts against a part: no engine responded for the part since."""
-    return part in crash.suspicion_by_part and records.answered_at(part) < crash.at
+    return part in crash.suspicion_by_part and records.responded_at(part) < crash.at
--- a/src/sequoiadrum/gateway/fleet.py
+++ b/src/sequoiadrum/gateway/fleet.py
@@ -23,7 +23,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable, Sequence
 
-    from sequoiadrum._gen.peer.ttypes import MemberReport, SeenObjects
+    from sequoiadrum._gen.peer.ttypes import MemberReport, Rumor, SeenObjects
     from sequoiadrum.gateway.configuration import ConfigurationHolder
     from sequoiadrum.gateway.crash_reports import CrashReports
     from sequoiadrum.gateway.event_log import EventLog
@@ -125,6 +125,10 @@
         """Merges the member list of a peer; returns the complete list of this router."""
         return self._gossip.sync_members(members)
 
+    def list_rumors(self) -> list[Rumor]:
+        """Returns the rumors in force."""
+        return self._gossip.list_rumors()
+
     def watch_objects(self, kind: str, since_revision: int, wait_ms: int) -> SeenObjects:
         """Returns the objects that changed after a revision; waits if there are none yet."""
         return self._responder.watch(kind, since_revision, wait_ms / 1e3)
--- a/src/sequoiadrum/gossip_task.py
+++ b/src/sequoiadrum/gossip_task.py
@@ -32,7 +32,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable, Mapping
 
-    from sequoiadrum._gen.peer.ttypes import MemberReport
+    from sequoiadrum._gen.peer.ttypes import MemberReport, Rumor
     from sequoiadrum.metrics import Metrics
     from sequoiadrum.peer_client import PeerClient
     from sequoiadrum.platform_client import InstanceList
@@ -50,6 +50,12 @@
 _MAX_LISTED_SEEDS: Final = 8
 """Number of routers that are picked at random from the instance list as seeds."""
 _SYNC_TIMEOUT_S: Final = 3.0
+_RUMOR_LISTS: Final = 2
+"""Peers whose rumors are read after a start, a pause or a cut; one of them may be new as well.
+Otherwise, idle datagrams would bring the rumors of the past minutes one by one."""
+_MAX_LISTED_RUMORS: Final = 1_000
+_MISSED_RUMORS_S: Final = 2.0
+"""A router that was paused, or got no datagram, for longer than this may have missed rumors."""
 _EXCHANGE_TIMEOUT_S: Final = 2.0
 _LISTEN_BACKLOG: Final = 512
 _BIND_ATTEMPTS: Final = 20
@@ -124,6 +130,18 @@
     router_id: str
 
 
+@frozen
+class _RumorsListed:
+    """A peer returned the rumors in force."""
+
+    rumors: list[Rumor]
+
+
+@define(eq=False)
+class _ListRumors(Ask["list[Rumor]"]):
+    """Requests the rumors in force on behalf of a peer."""
+
+
 @define(eq=False)
 class _Exchange(Ask[list[Member]]):
     """Requests a full sync on behalf of a peer; the reply is the merged member list."""
@@ -198,6 +216,10 @@
         self._side_subscriber: Task | None = None
         self._executor = ThreadPoolExecutor(2, thread_name_prefix="gossip-io")
         self._stopped = False
+        self._rumor_lists_left = _RUMOR_LISTS
+        """Syncs in which the peer's rumors are read as well."""
+        self._last_tick_at = time.monotonic()
+        self._may_have_missed_rumors = False
         self._raises_process_id = raises_process_id
         self._has_raised_process_id = False
         self._reader = threading.Thread(
@@ -218,6 +240,8 @@
             _Spread: self._on_spread,
             _Unreachable: self._on_unreachable,
             _Exchange: self._on_exchange,
+            _RumorsListed: self._on_rumors_listed,
+            _ListRumors: self._on_list_rumors,
         }
 
     def set_http_port(self, port: int) -> None:
@@ -313,6 +337,15 @@
         known = self.ask(_Exchange(from_reports(members))).result(_EXCHANGE_TIMEOUT_S)
         return to_reports(known)
 
+    def list_rumors(self) -> list[Rumor]:
+        """Handles `Peer.list_rumors`: returns the rumors in force.
+
+        Raises:
+            TimeoutError: The task did not reply in time; the peer asks another router later.
+            MailboxFullError: The mailbox of the task is full.
+        """
+        return self.ask(_ListRumors()).result(_EXCHANGE_TIMEOUT_S)
+
     def _read_datagrams(self) -> None:
         while not self._stopped:
             try:
@@ -330,12 +363,20 @@
             self.post(_Received(data, Address(source[0], source[1])))
 
     def _on_received(self, message: _Received) -> None:
-        if not self._core.receive(message.data, message.source, time.monotonic()):
+        now = time.monotonic()
+        last = self._core.last_received_at
+        if not self._core.receive(message.data, message.source, now):
             self.metrics.count("malformed_datagrams_total")
+        elif self._may_have_missed_rumors or (last is not None and now - last > _MISSED_RUMORS_S):
+            self._may_have_missed_rumors = False
+            self._rumor_lists_left = _RUMOR_LISTS
+            self._executor.submit(self._sync, message.source)
         self._flush()
 
     def _on_tick(self, _: _Tick) -> None:
         now = time.monotonic()
+        self._may_have_missed_rumors |= now - self._last_tick_at > _MISSED_RUMORS_S
+        self._last_tick_at = now
         self._core.tick(now)
         is_alone = len(self._core.members_by_id) == 1
         if now - self._listed_at >= (_ALONE_LIST_INTERVAL_S if is_alone else self._list_interval_s):
@@ -347,6 +388,13 @@
         self._core.merge(message.members, time.monotonic())
         self._flush()
 
+    def _on_rumors_listed(self, message: _RumorsListed) -> None:
+        self._core.merge_rumors(message.rumors, time.monotonic())
+        self._flush()
+
+    def _on_list_rumors(self, message: _ListRumors) -> None:
+        message.answer(self._core.list_rumors(_MAX_LISTED_RUMORS, time.monotonic()))
+
     def _on_exchange(self, message: _Exchange) -> None:
         self._core.merge(message.members, time.monotonic())
         message.answer(list(self._core.members_by_id.values()))
@@ -439,8 +487,14 @@
         result = self._peers.call(
             address, lambda client: client.sync_members(reports), _SYNC_TIMEOUT_S
         )
-        if isinstance(result, Success):
-            self.post(_Merged(from_reports(result.unwrap())))
+        if not isinstance(result, Success):
+            return
+        self.post(_Merged(from_reports(result.unwrap())))
+        if self._rumor_lists_left > 0:
+            self._rumor_lists_left -= 1
+            rumors = self._peers.call(address, lambda client: client.list_rumors(), _SYNC_TIMEOUT_S)
+            if isinstance(rumors, Success):
+                self.post(_RumorsListed(rumors.unwrap()))
 
     def _read_instance_list(self) -> None:
         listed = self._platform.list_instances()
--- a/src/sequoiadrum/membership.py
+++ b/src/sequoiadrum/membership.py
@@ -208,6 +208,18 @@
             return False
         return self._accept_rumor(rumor, now)
 
+    def list_rumors(self, limit: int, now: float) -> list[ttypes.Rumor]:
+        """Returns the rumors in force, at most `limit`."""
+        return self._rumors.in_force(limit, now)
+
+    def merge_rumors(self, rumors: Iterable[ttypes.Rumor], now: float) -> None:
+        """Accepts rumors that this router missed; the others know them, so they are not sent on."""
+        for rumor in rumors:
+            if _is_complete(rumor) and self._rumors.add(rumor, now):
+                self.events.append(
+                    RumorReceived(rumor.kind, rumor.key, rumor.version, rumor.payload)
+                )
+
     def check(self, member_id: str, now: float) -> None:
         """Probes a member immediately after a hint that it is unreachable.
 
@@ -398,9 +410,7 @@
             self._broadcasts.add_member(member)
 
     def _accept_rumor(self, rumor: ttypes.Rumor, now: float) -> bool:
-        if None in (rumor.kind, rumor.key, rumor.version, rumor.payload, rumor.ttl_ms):
-            return False
-        if not self._rumors.add(rumor, now):
+        if not _is_complete(rumor) or not self._rumors.add(rumor, now):
             return False
         self._broadcasts.add_rumor(rumor)
         self.events.append(RumorReceived(rumor.kind, rumor.key, rumor.version, rumor.payload))
@@ -531,3 +541,8 @@
     A process that started later has a higher process id.
     """
     return (member.process_id, member.incarnation, _RANK[member.state])
+
+
+def _is_complete(rumor: ttypes.Rumor) -> bool:
+    fields = (rumor.kind, rumor.key, rumor.version, rumor.payload, rumor.ttl_ms)
+    return None not in fields
--- a/src/sequoiadrum/peer_server.py
+++ b/src/sequoiadrum/peer_server.py
@@ -24,6 +24,7 @@
         MemberReport,
         PoolReport,
         Release,
+        Rumor,
     )
     from sequoiadrum.messages import Address
     from sequoiadrum.metrics import Metrics
@@ -36,7 +37,7 @@
     """Delegates each call of `schema/peer.thrift` to the component that handles it."""
 
     membership: Any
-    """Handles `sync_members`."""
+    """Handles `sync_members` and `list_rumors`."""
     admission: Any
     """Handles the calls on grants (`acquire` to `confirm_grants`) and on pools."""
     config: Any
@@ -50,6 +51,10 @@
         """Merges the complete member list of a peer; returns the merged list."""
         return self.membership.sync_members(members)
 
+    def list_rumors(self) -> list[Rumor]:
+        """Returns the rumors in force."""
+        return self.membership.list_rumors()
+
     def acquire(self, request: AcquireRequest) -> AcquireReply:
         """Requests a grant from a pool that is owned here."""
         return self.admission.acquire_for_peer(request)
--- a/tests/gateway/test_crashing_parts.py
+++ b/tests/gateway/test_crashing_parts.py
@@ -12,11 +12,12 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from sequoiadrum._rumors import BroadcastQueue
 from sequoiadrum.gateway.crashing_parts import (
     CRASH_LIMIT,
-    MAX_ANSWERED_PARTS,
     MAX_CRASHES,
     MAX_PARTS_PER_CRASH,
+    MAX_RESPONDED_PARTS,
     MIN_SEPARATION_S,
     RECORD_TTL_S,
     CrashingParts,
@@ -124,14 +125,14 @@
             parts = tuple(map(str, range(MAX_PARTS_PER_CRASH + 10)))
             run = SuspectRun(f"e{number}", 90.0, 100.0, parts)
             self.records.record_crash(run, 100.0)
-        for number in range(MAX_ANSWERED_PARTS + 10):
+        for number in range(MAX_RESPONDED_PARTS + 10):
             self.records.record_response([f"p{number}"], 100.0)
         crashes = self.records._crash_by_process
         self.assertEqual(len(crashes), MAX_CRASHES)
         self.assertEqual(
             {len(c.suspicion_by_part) for c in crashes.values()}, {MAX_PARTS_PER_CRASH}
         )
-        self.assertEqual(len(self.records._answered_at_by_part), MAX_ANSWERED_PARTS)
+        self.assertEqual(len(self.records._responded_at_by_part), MAX_RESPONDED_PARTS)
 
     @given(st.permutations(range(8)))
     def test_reports_may_come_in_any_order(self, order: list[int]) -> None:
@@ -220,6 +221,35 @@
         self.assertIsNone(reports.crashing_part([SYSTEM, CHAT]))
 
 
+class RestartedRouterTest(unittest.TestCase):
+    """A router that starts learns of the crashes of the past minutes."""
+
+    def test_router_that_starts_knows_the_crashing_parts(self) -> None:
+        """Guards against engines that crash again on each router that was restarted."""
+        first, second = World(instance_id="g1"), World(instance_id="g2")
+        for world, other in ((first, second), (second, first)):
+            self.addCleanup(world.stop)
+            world.join(other)
+        first.start()
+        for number in range(900):
+            first.gateway.gossip.broadcast("other", f"k{number}", 1, b"x" * 100, 60.0)
+        for number in range(CRASH_LIMIT):
+            entry = an_entry(f"e{number}", started_ms=number)
+            first.gateway.crashes.record_part_crash(entry, [SYSTEM, DEADLY], 0.0)
+        self.assertEqual(first.gateway.crashes.crashing_part([SYSTEM, DEADLY]), DEADLY)
+        eventually(
+            lambda: len(first.gateway.gossip.list_rumors()) == 900 + CRASH_LIMIT,
+            "the rumors are stored",
+        )
+        # The broadcasts have ended: other routers have got them.
+        first.gateway.gossip._core._broadcasts = BroadcastQueue()
+        second.start()
+        eventually(
+            lambda: second.gateway.crashes.crashing_part([SYSTEM, DEADLY]) == DEADLY,
+            "the router that started knows the part",
+        )
+
+
 class BrokenExchangeLogTest(unittest.TestCase):
     """The log line of a broken exchange names what a search for the cause needs."""
 
