Do not use a unit of a rate that was granted before a pause of the process

Change: a unit older than 0.5 s by the clock that counts suspended time is not used. Measured: the new test fails without the check and passes with it. Conclusion: a pause between the check and the first byte remains; nothing can close it.

--- a/src/sequoiadrum/gateway/load_exchange.py
+++ b/src/sequoiadrum/gateway/load_exchange.py
@@ -51,6 +51,8 @@
 """Named rates in one report; those that expire last."""
 ASK_TIMEOUT_S: Final = 0.05
 """Longest wait for the owner of a rate; a round trip takes a few milliseconds."""
+MAX_GRANT_AGE_S: Final = 0.5
+"""A unit that was granted longer ago is not used."""
 ASSUMED_DELAY_S: Final = 0.05
 """Added to the age of a rate from a datagram. Without it, a rate that routers send back and forth
 would look newer each time."""
@@ -134,6 +136,7 @@
     def acquire(self, endpoint: int) -> bool:
         """See `QuotaSource.acquire`."""
         members = self._gossip.members()
+        asked_at = clock.now()
         owner_id = self._owner_id(endpoint)
         if owner_id is None or owner_id == self._gossip.self_id():
             grant = self._pool.rate_limits.decide(endpoint, clock.now())
@@ -145,6 +148,9 @@
             except (TimeoutError, MailboxFullError):
                 self._gossip.report_unreachable(owner_id)
                 grant, outcome = Grant(is_granted=False, wait_s=SILENT_OWNER_WAIT_S), "no_reply"
+        if grant.is_granted and clock.now() - asked_at > MAX_GRANT_AGE_S:
+            # The process was paused; the owner has handed out further units since.
+            grant, outcome = Grant(is_granted=False, wait_s=MIN_WAIT_S), "expired"
         self.metrics.count("rate_quota_asks_total", outcome=outcome)
         if not grant.is_granted:
             self._pool.rate_limits.refuse_until(endpoint, clock.now() + grant.wait_s)
--- a/tests/gateway/test_rate_limits.py
+++ b/tests/gateway/test_rate_limits.py
@@ -189,6 +189,20 @@
         self.assertEqual(link.unreachable, [self.owner])
         self.assertGreater(pool.rate_limits.refused_until(self.ENDPOINT, now), now)
 
+    def test_unit_that_was_granted_before_a_pause_is_not_used(self) -> None:
+        """Guards against a process that acts on a unit from before it was suspended."""
+        task, _, pool = make_task(self.owner, {})
+        started = clock.now()
+        for pause_s, is_granted in ((0.0, True), (5.0, False)):
+            now = started + 10.0
+            pool.rate_limits.record(self.ENDPOINT, NamedLimit(50.0, now), now)
+            pool.rate_limits.decide(self.ENDPOINT, now - 9.0)
+            times = iter([now, now])
+            with mock.patch.object(
+                clock, "now", side_effect=lambda: next(times, now + pause_s)  # noqa: B023
+            ):
+                self.assertEqual(task.acquire(self.ENDPOINT), is_granted)
+
     def test_reply_of_another_router_decides_nothing(self) -> None:
         """Guards against a late reply of a former owner that passes for a grant."""
         task, link, _ = make_task(self.asking, {})
