Try watchers of their own for each kind of objects

Hypothesis: changes of endpoints wait behind a configuration of 2,000 routes on the 10 Mbit/s links of the watchers. Change: the configuration and the endpoints are watched by different routers of a large fleet.

--- a/src/sequoiadrum/gateway/app.py
+++ b/src/sequoiadrum/gateway/app.py
@@ -120,7 +120,9 @@
         )
         self.gossip.set_http_port(settings.http_port)
         self.directory: Final = RouterDirectory(self.gossip, settings)
-        peer_feed = PeerFeed(self.gossip, self._peers, self.log)
+        documents = adapter.documents
+        kinds = (documents.endpoint_kind, documents.config_kind)
+        peer_feed = PeerFeed(self.gossip, self._peers, self.log, kinds, documents.config_kind)
         self.configuration: Final = ConfigurationHolder(
             self._store,
             adapter.documents,
