--- a/src/sequoiadrum/gateway/app.py
+++ b/src/sequoiadrum/gateway/app.py
@@ -120,9 +120,7 @@
         )
         self.gossip.set_http_port(settings.http_port)
         self.directory: Final = RouterDirectory(self.gossip, settings)
-        documents = adapter.documents
-        kinds = (documents.endpoint_kind, documents.config_kind)
-        peer_feed = PeerFeed(self.gossip, self._peers, self.log, kinds, documents.config_kind)
+        peer_feed = PeerFeed(self.gossip, self._peers, self.log)
         self.configuration: Final = ConfigurationHolder(
             self._store,
             adapter.documents,
--- a/src/sequoiadrum/gateway/configuration.py
+++ b/src/sequoiadrum/gateway/configuration.py
@@ -30,7 +30,7 @@
     """Interface for confirming the configuration with routers that watch the store."""
 
     @abstractmethod
-    def watches_configuration(self) -> bool:
+    def is_watcher(self) -> bool:
         """Returns whether this router watches the store itself and needs no peer to confirm."""
 
     @abstractmethod
@@ -172,7 +172,7 @@
                 return True
             if clock.now() - self._failed_at < CONFIRM_RETRY_INTERVAL_S:
                 return False
-            if not self._peers.watches_configuration() and self._confirm_by_peer(since):
+            if not self._peers.is_watcher() and self._confirm_by_peer(since):
                 return True
             return self.confirm_at_store(since)
 
--- a/src/sequoiadrum/gateway/peer_feed.py
+++ b/src/sequoiadrum/gateway/peer_feed.py
@@ -22,7 +22,7 @@
 from sequoiadrum.messages import MemberState
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Mapping, Sequence
+    from collections.abc import Callable
 
     from sequoiadrum.gateway.configuration import ConfigurationHolder
     from sequoiadrum.gateway.event_log import EventLog
@@ -55,48 +55,19 @@
 """Maximum wait that a peer may request."""
 
 
-@frozen
-class _Role:
-    """The part of this router in following one kind of objects."""
-
-    is_watcher: bool
-    sources: tuple[Member, ...]
-    """Peers from which this router requests changes."""
-
-
 @frozen
 class _Ranking:
     members: object
     """Snapshot of the members from which the ranking was computed."""
-    role_by_kind: Mapping[str, _Role]
+    is_watcher: bool
+    sources: tuple[Member, ...]
+    """Peers from which this router requests changes."""
 
 
 class PeerFeed(ConfirmingPeers):
-    """Requests changes of the store from peers; safe to use from any thread.
-
-    In a large fleet, each kind of objects has watchers of its own. A configuration takes its
-    watchers seconds to pass on over slow links, and changes of endpoints must not wait for it.
-    """
-
-    def __init__(
-        self,
-        gossip: GossipTask,
-        peers: PeerClient,
-        log: EventLog,
-        kinds: Sequence[str],
-        config_kind: str,
-    ) -> None:
-        """Creates a feed.
+    """Requests changes of the store from peers; safe to use from any thread."""
 
-        Args:
-            gossip: Knows the members of the fleet.
-            peers: Calls other routers.
-            log: Receives malformed responses.
-            kinds: All kinds that are followed; the same for all routers, and in the same order.
-            config_kind: The kind of the configuration.
-        """
-        self._kinds = tuple(kinds)
-        self._config_kind = config_kind
+    def __init__(self, gossip: GossipTask, peers: PeerClient, log: EventLog) -> None:
         self._gossip = gossip
         self._peers = peers
         self._log = log
@@ -105,13 +76,9 @@
         self._unresponsive_until_by_id: dict[str, float] = {}
         self._last_peer_by_purpose: dict[str, str] = {}
 
-    def is_watcher(self, kind: str) -> bool:
-        """Returns whether this router watches a kind of objects in the store itself."""
-        return self._role(kind).is_watcher
-
-    def watches_configuration(self) -> bool:
-        """See `ConfirmingPeers.watches_configuration`."""
-        return self.is_watcher(self._config_kind)
+    def is_watcher(self) -> bool:
+        """Returns whether this router watches the store itself."""
+        return self._current_ranking().is_watcher
 
     def watch(self, kind: str, since: int, wait_s: float) -> MirrorView | None:
         """Requests the changes of a kind after a revision from one peer.
@@ -124,7 +91,7 @@
         Returns:
             None if there is no peer, or it gives no valid response in time.
         """
-        member = self._choose_peer(kind, kind)
+        member = self._choose_peer(kind)
         if member is None:
             return None
         response = self._call(
@@ -136,7 +103,7 @@
 
     def confirm(self, since_revision: int, max_age_s: float) -> ConfirmedConfig | None:
         """See `ConfirmingPeers.confirm`."""
-        member = self._choose_peer("", self._config_kind)
+        member = self._choose_peer("")
         if member is None:
             return None
         response = self._call(
@@ -149,7 +116,7 @@
             return None
         return ConfirmedConfig(view.events[0].item if view.events else None, view.age_s)
 
-    def _choose_peer(self, purpose: str, kind: str) -> Member | None:
+    def _choose_peer(self, purpose: str) -> Member | None:
         """Returns a source to call, or None if there is none.
 
         Sources without a recent failure are preferred, and among those the ones that were not
@@ -157,10 +124,9 @@
 
         Args:
             purpose: The kind that is watched, or empty to confirm the configuration.
-            kind: The kind whose watchers are called.
         """
         now = clock.now()
-        sources = self._role(kind).sources
+        sources = self._current_ranking().sources
         responsive = [m for m in sources if now >= self._unresponsive_until_by_id.get(m.id, 0.0)]
         others = [m for m in responsive if m.id != self._last_peer_by_purpose.get(purpose)]
         candidates = others or responsive or list(sources)
@@ -200,10 +166,10 @@
             return None
         return MirrorView(events, response.revision, response.age_ms / 1e3)
 
-    def _role(self, kind: str) -> _Role:
+    def _current_ranking(self) -> _Ranking:
         if self._ranking.members is not self._gossip.members():
             self._ranking = self._rank()
-        return self._ranking.role_by_kind[kind]
+        return self._ranking
 
     def _rank(self) -> _Ranking:
         members = self._gossip.members()
@@ -211,16 +177,10 @@
         alive = {m.id: m for m in members.values() if m.state is MemberState.ALIVE}
         others = tuple(m for m in alive.values() if m.id != own_id)
         if len(alive) <= SMALL_FLEET_SIZE:
-            return _Ranking(members, dict.fromkeys(self._kinds, _Role(True, others)))
-        ranked = rank("watchers", alive)
-        count = max(MIN_WATCHERS, len(alive) // ROUTERS_PER_WATCHER)
-        role_by_kind = {}
-        for index, kind in enumerate(self._kinds):
-            watchers = ranked[index * count : (index + 1) * count] or ranked[:count]
-            candidates = [name for name in watchers if name != own_id]
-            sources = tuple(alive[name] for name in rank(own_id, candidates)[:SOURCES_PER_ROUTER])
-            role_by_kind[kind] = _Role(own_id in watchers, sources)
-        return _Ranking(members, role_by_kind)
+            return _Ranking(members, True, others)
+        watchers = rank("watchers", alive)[: max(MIN_WATCHERS, len(alive) // ROUTERS_PER_WATCHER)]
+        selected = rank(own_id, [name for name in watchers if name != own_id])[:SOURCES_PER_ROUTER]
+        return _Ranking(members, own_id in watchers, tuple(alive[name] for name in selected))
 
 
 class PeerResponder:
--- a/src/sequoiadrum/gateway/store_sync.py
+++ b/src/sequoiadrum/gateway/store_sync.py
@@ -204,7 +204,7 @@
     def _run(self) -> None:
         retry_delay_s = INITIAL_RETRY_DELAY_S
         while not self._stopped.is_set():
-            if not self._feed.is_watcher(self._kind) and self._sync_from_peers():
+            if not self._feed.is_watcher() and self._sync_from_peers():
                 continue
             if self._sync_from_store():
                 retry_delay_s = INITIAL_RETRY_DELAY_S
@@ -230,11 +230,7 @@
             self.record_full_list(requested_at)
         revision = page.revision
         next_list_at = requested_at + FULL_LIST_INTERVAL_S * random.uniform(0.8, 1.2)
-        while (
-            not self._stopped.is_set()
-            and clock.now() < next_list_at
-            and self._feed.is_watcher(self._kind)
-        ):
+        while not self._stopped.is_set() and clock.now() < next_list_at and self._feed.is_watcher():
             requested_at = clock.now()
             watched = self._store.watch(self._kind, revision, WATCH_WAIT_S)
             if isinstance(watched, Failure):
@@ -271,7 +267,7 @@
         revision, which follows at once; a router that is not a watcher has the newest state from
         its peers, unless they fail, and reads lists only for what a peer may have missed.
         """
-        if self._feed.is_watcher(self._kind):
+        if self._feed.is_watcher():
             return self.starts_with_stale_list and not self.has_listed()
         return not self._have_peers_failed
 
@@ -283,7 +279,7 @@
         """
         next_list_at = clock.now() + FOLLOWER_FULL_LIST_INTERVAL_S * random.uniform(0.8, 1.2)
         failures = 0
-        while not self._stopped.is_set() and not self._feed.is_watcher(self._kind):
+        while not self._stopped.is_set() and not self._feed.is_watcher():
             if clock.now() >= next_list_at:
                 return False
             failures = 0 if self._request_from_peer(PEER_WAIT_S) else failures + 1
