--- a/tests/gateway/test_rate_limits.py
+++ b/tests/gateway/test_rate_limits.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import random
 import threading
 import time
 import unittest
@@ -142,6 +143,54 @@
         self.assertIsNone(quota_owner(1, {}))
 
 
+class FleetRateTest(unittest.TestCase):
+    """Fleets of any size on virtual time: routers that learn late, and owners that change."""
+
+    LEARNING_S = 1.25
+    """Longest time until load reports have brought a rate to all routers."""
+    RULE_FROM_S = 3.0
+
+    def _sent(self, routers: int, rate: float, seed: int) -> list[float]:
+        """Returns the times of the requests to an endpoint that names a rate from time 0 on.
+
+        Twice as many requests want the endpoint. Its first owner is replaced after 10 s.
+        """
+        rng = random.Random(seed)
+        learns_at = [rng.uniform(0.0, self.LEARNING_S) for _ in range(routers)]
+        owners = [RateLimits(), RateLimits()]
+        refused_until_by_router: dict[int, float] = {}
+        now, sent = 0.0, []
+        while now < 20.0:
+            now += rng.expovariate(2 * rate)
+            router = rng.randrange(routers)
+            if now < learns_at[router]:
+                sent.append(now)
+                continue
+            if now < refused_until_by_router.get(router, 0.0):
+                continue
+            owner = owners[now >= 10.0]
+            owner.record(1, NamedLimit(rate, now), now)
+            grant = owner.decide(1, now)
+            if grant.is_granted:
+                sent.append(now)
+            else:
+                refused_until_by_router[router] = now + grant.wait_s
+        return sent
+
+    def test_sum_over_routers_stays_within_the_rate_at_any_size(self) -> None:
+        """Guards against a share for each router, of which many routers make a multiple."""
+        for routers in (14, 100, 195, 2_400):
+            for rate in (0.5, 5.0, 50.0):
+                for seed in (1, 2, 3):
+                    with self.subTest(routers=routers, rate=rate, seed=seed):
+                        sent = self._sent(routers, rate, seed)
+                        counted = [at for at in sent if at >= self.RULE_FROM_S]
+                        allowed = ALLOWED_MULTIPLE * rate * WINDOW_S + ALLOWED_EXTRA
+                        self.assertLessEqual(most_in_window(counted), allowed)
+                        if rate > 1.0:
+                            self.assertGreaterEqual(len(counted), 0.8 * rate * 17.0)
+
+
 class QuotaExchangeTest(unittest.TestCase):
     """The task of one router asks the owner and decides as an owner."""
 
