Name the field of the settings file that is missing or has a wrong value

Change: each field is read by its path with its own converter; the problem names the path and the value. Measured: the test plays each field missing and with five or six wrong values; many cases fail before, all pass now. Conclusion: one line says what to mend.

--- a/src/sequoiadrum/platform/node_settings.py
+++ b/src/sequoiadrum/platform/node_settings.py
@@ -2,8 +2,9 @@
 
 from __future__ import annotations
 
+import math
 import tomllib
-from typing import TYPE_CHECKING, Any
+from typing import TYPE_CHECKING, Any, Final, TypeVar
 
 from attrs import frozen
 from returns.result import Failure, Result, Success
@@ -12,8 +13,13 @@
 from sequoiadrum.gateway.settings import Bounds, GatewaySettings, Listeners
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
     from pathlib import Path
 
+T = TypeVar("T")
+
+MAX_DETAIL_CHARS: Final = 200
+
 
 @frozen
 class SettingsProblem:
@@ -31,50 +37,90 @@
         return Failure(SettingsProblem(str(path), f"cannot be read: {error.strerror}"))
     except (tomllib.TOMLDecodeError, UnicodeDecodeError) as error:
         return Failure(SettingsProblem(str(path), f"not valid TOML: {error}"))
-    except KeyError as error:
-        return Failure(SettingsProblem(str(path), f"field {error} is missing"))
-    except (TypeError, ValueError, AttributeError, IndexError) as error:
-        return Failure(SettingsProblem(str(path), f"a field has a wrong value: {error}"))
+    except FieldError as error:
+        return Failure(SettingsProblem(str(path), str(error)))
+
+
+class FieldError(ValueError):
+    """A field of the settings file is missing or has a wrong value."""
 
 
 def decode_settings(document: dict[str, Any]) -> GatewaySettings:
     """Converts the fields of the settings file to settings.
 
     Raises:
-        KeyError: A required field is missing.
-        TypeError: A field has the wrong type.
-        ValueError: A field has an invalid value.
+        FieldError: A required field is missing, or a field has a wrong type or value.
     """
-    bind = document["bind"]
-    bounds = document["bounds"]
-    limits = document["limits"]
-    peer_ports = document["internal_ports"]
-    seed_hosts = [parse_address(text).host for text in document.get("seeds", [])]
     return GatewaySettings(
-        instance_id=str(document["node_name"]),
-        host=str(document["ip"]),
-        failure_domain=str(document["zone"]),
-        region=str(document.get("region", "default")),
+        instance_id=_read(document, "node_name", _text),
+        host=_read(document, "ip", _text),
+        failure_domain=_read(document, "zone", _text),
+        region=_read(document, "region", _text, "default"),
         listeners=Listeners(
-            callers=parse_address(bind["front"]),
-            readiness=parse_address(bind["ready"]),
-            directory=parse_address(bind["directory"]),
+            callers=_read(document, "bind.front", parse_address),
+            readiness=_read(document, "bind.ready", parse_address),
+            directory=_read(document, "bind.directory", parse_address),
         ),
-        peer_port=int(peer_ports[0]),
+        peer_port=_read(document, "internal_ports", lambda ports: int(_number(ports[0]))),
         # The seeds have the port of another interface; the peers listen on the same hosts.
-        seed_hosts=tuple(seed_hosts),
-        store=parse_address(document["platform"]["address"]),
-        memory_mb=int(limits["memory_mb"]),
-        max_descriptors=int(limits["max_fds"]),
+        seed_hosts=_read(
+            document, "seeds", lambda seeds: tuple(parse_address(seed).host for seed in seeds), ()
+        ),
+        store=_read(document, "platform.address", parse_address),
+        memory_mb=_read(document, "limits.memory_mb", lambda value: int(_number(value))),
+        max_descriptors=_read(document, "limits.max_fds", lambda value: int(_number(value))),
         bounds=Bounds(
             # The grace period from SIGTERM to SIGKILL.
-            stop_grace_s=float(bounds["grace_s"]),
-            leaving_endpoint_s=float(bounds["drain_ms"]) / 1e3,
-            config_in_force_s=float(bounds["config_apply_ms"]) / 1e3,
-            retry_ratio=float(bounds["retry_budget_ratio"]),
-            retry_slack=float(bounds["retry_slack"]),
-            retry_window_s=float(bounds["retry_window_s"]),
-            address_lifetime_s=float(bounds["ttl_max_s"]),
-            load_factor=float(bounds.get("cap_factor", 2.0)),
+            stop_grace_s=_read(document, "bounds.grace_s", _number),
+            leaving_endpoint_s=_read(document, "bounds.drain_ms", _number) / 1e3,
+            config_in_force_s=_read(document, "bounds.config_apply_ms", _number) / 1e3,
+            retry_ratio=_read(document, "bounds.retry_budget_ratio", _number),
+            retry_slack=_read(document, "bounds.retry_slack", _number),
+            retry_window_s=_read(document, "bounds.retry_window_s", _number),
+            address_lifetime_s=_read(document, "bounds.ttl_max_s", _number),
+            load_factor=_read(document, "bounds.cap_factor", _number, 2.0),
         ),
     )
+
+
+def _read(
+    document: dict[str, Any], path: str, convert: Callable[[Any], T], default: T | None = None
+) -> T:
+    """Reads a field by its names, separated by dots.
+
+    Args:
+        document: The decoded file.
+        path: Names of the tables and of the field.
+        convert: Converts the value, or raises an error.
+        default: Value of a field that is missing; None if the field is required.
+
+    Raises:
+        FieldError: The field is missing without a default, or cannot be converted.
+    """
+    value: Any = document
+    for name in path.split("."):
+        if not isinstance(value, dict):
+            raise FieldError(f"field {path}: {value!r} is no table"[:MAX_DETAIL_CHARS])
+        if name not in value:
+            if default is not None:
+                return default
+            raise FieldError(f"field {path} is missing")
+        value = value[name]
+    try:
+        return convert(value)
+    except (TypeError, ValueError, AttributeError, LookupError):
+        raise FieldError(f"field {path} has a wrong value: {value!r}"[:MAX_DETAIL_CHARS]) from None
+
+
+def _text(value: Any) -> str:
+    if not isinstance(value, str) or not value:
+        raise ValueError("expected a text")
+    return value
+
+
+def _number(value: Any) -> float:
+    if isinstance(value, bool) or not isinstance(value, int | float):
+        raise TypeError("expected a number")
+    if not math.isfinite(value) or value < 0:
+        raise ValueError("expected a number of at least 0")
+    return float(value)
--- a/tests/platform/test_node_settings.py
+++ b/tests/platform/test_node_settings.py
@@ -63,7 +63,7 @@
         """Guards against a failed start that does not report the problem in the file."""
         for text, part in (
             (_FILE.replace('node_name = "edge-1"', ""), "node_name"),
-            (_FILE.replace("10.200.1.7:8223", "nowhere"), "wrong value"),
+            (_FILE.replace("10.200.1.7:8223", "nowhere"), "platform.address has a wrong value"),
             (_FILE + "[", "not valid TOML"),
         ):
             with self.subTest(part):
@@ -72,6 +72,37 @@
                 self.assertIsInstance(loaded, Failure)
                 self.assertIn(part, loaded.failure().detail)
 
+    def test_each_wrong_field_is_named(self) -> None:
+        """Guards against a file whose problem has to be found by trying one field after another."""
+        table = ""
+        for line in _FILE.splitlines():
+            table = f"{line.strip('[]')}." if line.startswith("[") else table
+            name, _, value = line.partition(" = ")
+            field = table + name
+            if not value or name == "unknown":
+                continue
+            wrong = ["[]", "{}", "true"]
+            wrong += ["-1", "nan", '"x"'] if value[0].isdigit() else ["7", '""']
+            for text in wrong:
+                if name == "seeds" and text in ("[]", '""', "{}"):
+                    continue
+                with self.subTest(field, value=text):
+                    self.path.write_text(_FILE.replace(line, f"{name} = {text}"))
+                    loaded = load_settings(self.path)
+                    self.assertIsInstance(loaded, Failure)
+                    self.assertIn(f"field {field} ", loaded.failure().detail)
+            self.path.write_text(_FILE.replace(line, ""))
+            loaded = load_settings(self.path)
+            if name in ("region", "seeds"):
+                self.assertNotIsInstance(loaded, Failure)
+            else:
+                self.assertEqual(loaded.failure().detail, f"field {field} is missing")
+
+    def test_table_that_is_none_is_named(self) -> None:
+        """Guards against a traceback when a table holds a plain value."""
+        self.path.write_text("bind = 5\n" + _FILE[: _FILE.index("[bind]")])
+        self.assertIn("field bind.front: 5 is no table", load_settings(self.path).failure().detail)
+
     def test_missing_file_is_reported(self) -> None:
         """Guards against a traceback if the file does not exist."""
         self.assertIsInstance(load_settings(self.path), Failure)
