Do not flood the endpoints without a rate while others name one

Cause: requests that no owner grants went to any endpoint without a rate, whatever it carried: withheld endpoints leave the load bound with one candidate, which is always within it. Class of fault: a bound relative to the candidates, when there is one candidate. Change: while an endpoint of the service names a rate, the others take nothing above 1.25 times their slots, by the load of all routers; what is left is refused at once. Measured: the new test fails before and passes.

--- a/src/sequoiadrum/gateway/endpoints.py
+++ b/src/sequoiadrum/gateway/endpoints.py
@@ -140,6 +140,16 @@
             return None
         return self.in_flight + self.in_flight_elsewhere
 
+    def is_above(self, multiple: float, now: float) -> bool:
+        """Returns whether the requests of all routers reach a multiple of the slots.
+
+        Without a recent report of the other routers, the endpoint's own last report counts.
+        """
+        load = self.fleet_load(now)
+        if load is None:
+            load = self.reported_load(now)
+        return load is not None and load >= multiple * self.entry.slots
+
     def _decay(self, now: float) -> None:
         elapsed_s = now - self.decayed_at
         if elapsed_s > 0:
--- a/src/sequoiadrum/gateway/placement.py
+++ b/src/sequoiadrum/gateway/placement.py
@@ -40,6 +40,9 @@
 """A failing endpoint receives at most one retryable request as a probe in this time."""
 
 
+MAX_CROWDED_LOAD: Final = 1.25
+"""While some endpoints of a service name rates, the others take no request above this multiple of
+their slots. They would take all that the former do not, and serve none of it in time."""
 NEWLY_JOINED_S: Final = 10.0
 """An engine that joined within this time is assumed to lack the KV cache of its chats. Most chats
 return sooner than this, so that it has their KV cache afterwards."""
@@ -58,7 +61,7 @@
     AVOIDED_WITH_ROOM = "avoided_with_room"
     """Those without a rate that have a free slot."""
     AVOIDED = "avoided"
-    """Those without a rate."""
+    """Those without a rate that are not crowded."""
 
 
 class PlacementFailure(Enum):
--- a/src/sequoiadrum/gateway/pool.py
+++ b/src/sequoiadrum/gateway/pool.py
@@ -13,6 +13,7 @@
 from sequoiadrum.gateway.load_board import Loads, endpoint_key
 from sequoiadrum.gateway.part_memory import PartMemory
 from sequoiadrum.gateway.placement import (
+    MAX_CROWDED_LOAD,
     MIN_SHARED_PARTS,
     LimitedEndpoints,
     PlacementFailure,
@@ -278,20 +279,29 @@
     def _withheld(
         self, endpoints: list[Endpoint], now: float, limited: LimitedEndpoints
     ) -> frozenset[str]:
-        return frozenset(e.id for e in endpoints if self._is_withheld(e, now, limited))
+        """Returns the endpoints that take no request now because some of them named rates."""
+        named = {
+            e.id
+            for e in endpoints
+            if self.rate_limits.in_force(endpoint_key(e.id_hash), now) is not None
+        }
+        if not named:
+            return frozenset()
+        avoids_named = limited is not LimitedEndpoints.ALLOWED
+        has_room_only = limited is LimitedEndpoints.AVOIDED_WITH_ROOM
+        max_load = 1.0 if has_room_only else MAX_CROWDED_LOAD
+        return frozenset(
+            e.id
+            for e in endpoints
+            if (
+                avoids_named or self._is_refused(e, now)
+                if e.id in named
+                else e.is_above(max_load, now)
+            )
+        )
 
-    def _is_withheld(self, endpoint: Endpoint, now: float, limited: LimitedEndpoints) -> bool:
-        key = endpoint_key(endpoint.id_hash)
-        if self.rate_limits.refused_until(key, now) > now:
-            return True
-        if limited is LimitedEndpoints.ALLOWED:
-            return False
-        if self.rate_limits.in_force(key, now) is not None:
-            return True
-        if limited is LimitedEndpoints.AVOIDED:
-            return False
-        load = endpoint.fleet_load(now)
-        return load is not None and load >= endpoint.entry.slots
+    def _is_refused(self, endpoint: Endpoint, now: float) -> bool:
+        return self.rate_limits.refused_until(endpoint_key(endpoint.id_hash), now) > now
 
     def _with_replica_count(
         self,
--- a/src/sequoiadrum/gateway/relay.py
+++ b/src/sequoiadrum/gateway/relay.py
@@ -44,6 +44,8 @@
 """`Retry-After` sent when no endpoint is known or none can be reached, as during a restart."""
 FULL_RETRY_AFTER_S: Final = 0.2
 """`Retry-After` sent when all endpoints are full: about the time of two requests."""
+LIMITED_RETRY_AFTER_S: Final = 0.5
+"""Shortest `Retry-After` sent when endpoints named rates below the demand; others wait as well."""
 MAX_LOGGED_PARTS: Final = 8
 MAX_LOGGED_PART_CHARS: Final = 40
 """Callers choose the ids of prompt parts; log lines must stay short."""
@@ -443,7 +445,7 @@
             PlacementFailure.FULL: (Refused.ENDPOINTS_FULL, FULL_RETRY_AFTER_S),
             PlacementFailure.RATE_LIMITED: (
                 Refused.ENDPOINTS_LIMITED,
-                max(FULL_RETRY_AFTER_S, self._pool.quota_wait_s(run.service.name)),
+                max(LIMITED_RETRY_AFTER_S, self._pool.quota_wait_s(run.service.name)),
             ),
         }[why]
         return self._refuse(run, reason, run.last_error, retry_after_s)
--- a/tests/gateway/test_rate_limits.py
+++ b/tests/gateway/test_rate_limits.py
@@ -16,8 +16,10 @@
 from sequoiadrum._gen.peer.ttypes import LoadReportKind
 from sequoiadrum._thrift_transport import encode
 from sequoiadrum.gateway import clock
-from sequoiadrum.gateway.load_board import endpoint_key
+from sequoiadrum.gateway.load_board import Loads, endpoint_key
 from sequoiadrum.gateway.load_exchange import _AskForQuota
+from sequoiadrum.gateway.placement import LimitedEndpoints, PlacementFailure, PlacementRequest
+from sequoiadrum.gateway.pool import EndpointPool
 from sequoiadrum.gateway.rate_limits import (
     LIMIT_TTL_S,
     MAX_LIMIT_TTL_S,
@@ -28,6 +30,7 @@
 )
 from sequoiadrum.hashing import stable_hash
 from sequoiadrum.messages import Address, Member, MemberState, SideDatagram
+from tests.gateway.builders import a_call, a_service, an_entry, bounds
 from tests.gateway.exchange_fakes import FakeLink, make_task
 from tests.gateway.scripted_endpoint import Connection, Received, ScriptedEndpoint, answer, ok
 from tests.gateway.world import World, eventually
@@ -287,6 +290,52 @@
         self.assertEqual(pool.rate_limits.known(clock.now()), {})
 
 
+class CrowdedEndpointTest(unittest.TestCase):
+    """Endpoints without a rate while others name one."""
+
+    def setUp(self) -> None:
+        self.pool = EndpointPool(bounds(), lambda: 14)
+        for name in ("e1", "e2"):
+            entry = an_entry(name, service="model", slots=4)
+            self.pool.apply(entry, is_newly_joined=False)
+        self.key_by_id = {e.id: endpoint_key(e.id_hash) for e in self.pool._table.by_id.values()}
+
+    def _place(self, limited: LimitedEndpoints = LimitedEndpoints.ALLOWED) -> object:
+        call = a_call(prompt=(("sys", 500), ("thread", 900), ("own", 30)))
+        request = PlacementRequest(a_service("model", 4), call, "z1", False)
+        placement = self.pool.take(request, limited=limited)
+        if isinstance(placement, PlacementFailure):
+            return placement
+        self.pool.cancel(placement)
+        return placement.endpoint.id
+
+    def _share_load(self, load: int) -> None:
+        self.pool.set_fleet_loads(Loads({self.key_by_id["e2"]: load}, {}))
+
+    def test_the_last_endpoint_without_a_rate_is_not_flooded(self) -> None:
+        """Guards against an engine that gets all that the others do not take, and serves none."""
+        now = clock.now()
+        self._share_load(5)
+        self.pool.rate_limits.record(self.key_by_id["e1"], NamedLimit(1.0, now), now)
+        self.pool.rate_limits.refuse_until(self.key_by_id["e1"], now + 60.0)
+        for limited in LimitedEndpoints:
+            self.assertIs(self._place(limited), PlacementFailure.RATE_LIMITED)
+        self._share_load(4)
+        self.assertEqual(self._place(), "e2")
+        self.assertEqual(self._place(LimitedEndpoints.AVOIDED), "e2")
+        without_room = self._place(LimitedEndpoints.AVOIDED_WITH_ROOM)
+        self.assertIs(without_room, PlacementFailure.RATE_LIMITED)
+
+    def test_crowded_endpoints_take_requests_while_none_names_a_rate(self) -> None:
+        """Guards against refusals in place of a short queue on days without rates."""
+        self._share_load(50)
+        self.assertIn(self._place(), ("e1", "e2"))
+        now = clock.now()
+        self.pool.rate_limits.record(self.key_by_id["e1"], NamedLimit(1.0, now), now)
+        self.pool.rate_limits.record(self.key_by_id["e1"], NamedLimit(None, now + 0.01), now + 0.01)
+        self.assertIn(self._place(), ("e1", "e2"))
+
+
 class NamedRatePathTest(unittest.TestCase):
     """Complete gateways and an endpoint that names its rate."""
 
