Forget refusals for endpoints that name no rate any more

Cause: found by rereading: a refusal that arrives as its limit expires stays in memory for ever. Change: it is kept only beside a known limit; the choice of withheld endpoints reads in order. Measured: the bound in the extended test fails before and holds now. Conclusion: memory is bounded by the limits that are kept.

--- a/src/sequoiadrum/gateway/pool.py
+++ b/src/sequoiadrum/gateway/pool.py
@@ -280,25 +280,18 @@
         self, endpoints: list[Endpoint], now: float, limited: LimitedEndpoints
     ) -> frozenset[str]:
         """Returns the endpoints that take no request now because some of them named rates."""
-        named = {
-            e.id
-            for e in endpoints
-            if self.rate_limits.in_force(endpoint_key(e.id_hash), now) is not None
-        }
+        limits = self.rate_limits
+        named = [e for e in endpoints if limits.in_force(endpoint_key(e.id_hash), now) is not None]
         if not named:
             return frozenset()
-        avoids_named = limited is not LimitedEndpoints.ALLOWED
+        if limited is LimitedEndpoints.ALLOWED:
+            withheld = {e.id for e in named if self._is_refused(e, now)}
+        else:
+            withheld = {e.id for e in named}
         has_room_only = limited is LimitedEndpoints.AVOIDED_WITH_ROOM
         max_load = 1.0 if has_room_only else MAX_CROWDED_LOAD
-        return frozenset(
-            e.id
-            for e in endpoints
-            if (
-                avoids_named or self._is_refused(e, now)
-                if e.id in named
-                else e.is_above(max_load, now)
-            )
-        )
+        crowded = {e.id for e in endpoints if e not in named and e.is_above(max_load, now)}
+        return frozenset(withheld | crowded)
 
     def _is_refused(self, endpoint: Endpoint, now: float) -> bool:
         return self.rate_limits.refused_until(endpoint_key(endpoint.id_hash), now) > now
--- a/src/sequoiadrum/gateway/rate_limits.py
+++ b/src/sequoiadrum/gateway/rate_limits.py
@@ -129,7 +129,8 @@
     def refuse_until(self, endpoint: int, until: float) -> None:
         """Withholds requests from an endpoint until a time in monotonic seconds."""
         with self._lock:
-            self._refused_until_by_endpoint[endpoint] = until
+            if endpoint in self._limit_by_endpoint:
+                self._refused_until_by_endpoint[endpoint] = until
 
     def refused_until(self, endpoint: int, now: float) -> float:
         """Returns the time until which requests are withheld; a time in the past if they are not.
--- a/tests/gateway/test_rate_limits.py
+++ b/tests/gateway/test_rate_limits.py
@@ -132,7 +132,9 @@
         """Guards against limits of replaced endpoints that are kept for ever."""
         for endpoint in range(MAX_LIMITS + 10):
             self.limits.record(endpoint, NamedLimit(5.0, 1.0), 1.0)
+            self.limits.refuse_until(endpoint + MAX_LIMITS, 9.0)
         self.assertEqual(len(self.limits.known(1.0)), MAX_LIMITS)
+        self.assertLessEqual(len(self.limits._refused_until_by_endpoint), MAX_LIMITS)
 
     def test_one_owner_for_each_endpoint(self) -> None:
         """Guards against two routers that both hand out one rate, or a dead one that owns it."""
