--- a/tests/gateway/test_rate_limits.py
+++ b/tests/gateway/test_rate_limits.py
@@ -215,7 +215,7 @@
         return SideDatagram(encode(report), Address("h", 1))
 
     def test_owner_decides_by_a_limit_that_the_asking_router_named(self) -> None:
-        """Guards against an owner that grants all because it has not heard of the limit."""
+        """Guards against an owner that grants all because it did not know the limit."""
         task, link, pool = make_task(self.owner, {})
         started = clock.now()
         for n in range(20):
