Log the epoch of the store, its restores and the changes that are ignored

The logs said by which way a change came into force, but not whether another way had delivered it and it was dropped. The adapter passes the store's epoch on with everything that is read; a higher one is logged and counted (store_restored), and so is each change of a watch that is no newer than the known state (store_change_ignored). Nothing decides by it yet.

--- a/src/sequoiadrum/gateway/app.py
+++ b/src/sequoiadrum/gateway/app.py
@@ -156,6 +156,7 @@
             mirror,
             peer_feed,
             self._store_availability,
+            self.metrics,
             self.log,
         )
         endpoint_sync = EndpointSync(
--- a/src/sequoiadrum/gateway/configuration.py
+++ b/src/sequoiadrum/gateway/configuration.py
@@ -134,6 +134,7 @@
                 "config_in_force",
                 version=config.version,
                 revision=item.revision,
+                epoch=item.epoch,
                 source=source,
                 routes=len(config.routes),
                 keys=len(config.account_by_key),
--- a/src/sequoiadrum/gateway/model.py
+++ b/src/sequoiadrum/gateway/model.py
@@ -205,6 +205,19 @@
     """Requests per second that the endpoint takes from all routers together; None if unlimited."""
 
 
+@frozen(order=True)
+class StorePosition:
+    """A point in the history of the platform's store.
+
+    A store that is restored from an older copy begins a new epoch. Revisions that the copy lacks
+    are given out again in it, so that only revisions of one epoch can be compared.
+    """
+
+    epoch: int
+    """0 if the store names none."""
+    revision: int
+
+
 @frozen
 class StoredItem:
     """An object of the platform's store."""
@@ -214,6 +227,13 @@
     """Revision of the store at the last change of the object."""
     document: object
     """The content, decoded from JSON."""
+    epoch: int = 0
+    """Epoch of the store in which the object was read; see `StorePosition`."""
+
+    @property
+    def position(self) -> StorePosition:
+        """Where in the history of the store the object was changed last."""
+        return StorePosition(self.epoch, self.revision)
 
 
 @frozen
@@ -223,6 +243,7 @@
     items: tuple[StoredItem, ...]
     revision: int
     """Revision of the store at which the list was read."""
+    epoch: int = 0
 
 
 @frozen
@@ -240,6 +261,7 @@
     events: tuple[StoreEvent, ...]
     revision: int
     """Revision from which the next watch continues."""
+    epoch: int = 0
 
 
 class StoreFailure(Enum):
--- a/src/sequoiadrum/gateway/ports.py
+++ b/src/sequoiadrum/gateway/ports.py
@@ -103,7 +103,10 @@
 
 
 class Store(ABC):
-    """The platform's store; calls block up to their timeout and return failures as values."""
+    """The platform's store; calls block up to their timeout and return failures as values.
+
+    Everything that is read carries the epoch that the response named.
+    """
 
     @abstractmethod
     def list(self, kind: str, may_be_stale: bool = False) -> Result[StoredPage, StoreFailure]:
--- a/src/sequoiadrum/gateway/store_sync.py
+++ b/src/sequoiadrum/gateway/store_sync.py
@@ -14,6 +14,8 @@
 from sequoiadrum.gateway.model import StoreFailure
 
 if TYPE_CHECKING:
+    from collections.abc import Iterable
+
     from sequoiadrum.gateway.configuration import ConfigurationHolder
     from sequoiadrum.gateway.event_log import EventLog
     from sequoiadrum.gateway.exchange import EndpointConnections
@@ -73,9 +75,25 @@
         self._contact_at = float("-inf")
         """Last time since `_lost_at` at which the store is known to have responded to a router, or
         else `_lost_at`."""
+        self._epoch: int | None = None
         self.outage_ended: float = float("-inf")
         """End of the last outage in which entries can have expired, in monotonic seconds."""
 
+    def record_epoch(self, epoch: int) -> None:
+        """Records the epoch that the store named; a higher one shows that it was restored.
+
+        Args:
+            epoch: From a response of the store, to this router or to a peer.
+        """
+        with self._lock:
+            known = self._epoch
+            if known is not None and epoch <= known:
+                return
+            self._epoch = epoch
+        if known is not None:
+            self._metrics.count("store_restores_total")
+            self._log.notable("store_restored", epoch=epoch, former_epoch=known)
+
     def record_response(self) -> None:
         """Records a response of the store to this router."""
         with self._lock:
@@ -149,6 +167,7 @@
         mirror: Mirror,
         feed: PeerFeed,
         availability: StoreAvailability,
+        metrics: Metrics,
         log: EventLog,
     ) -> None:
         self._store = store
@@ -156,6 +175,7 @@
         self._mirror = mirror
         self._feed = feed
         self._availability = availability
+        self._metrics = metrics
         self._log = log
         self._started_at = clock.now()
         self._have_peers_failed = False
@@ -249,6 +269,7 @@
             return self._record_failure(listed.failure())
         self._availability.record_response()
         page = listed.unwrap()
+        self._availability.record_epoch(page.epoch)
         self._apply_page(page, float("-inf") if may_be_stale else requested_at)
         if not may_be_stale:
             self.record_full_list(requested_at)
@@ -264,6 +285,7 @@
                 return self._record_failure(watched.failure())
             self._availability.record_response()
             changes = watched.unwrap()
+            self._availability.record_epoch(changes.epoch)
             revision = max(revision, changes.revision)
             updates = self._mirror.apply_events(
                 self._kind,
@@ -273,10 +295,26 @@
                 self._availability.expiry_hold_until(),
             )
             self.apply(updates, "watch")
+            if len(updates) < len(changes.events):
+                self._record_ignored(changes.events, updates)
             if updates:
                 self._stopped.wait(self.batch_delay_s(clock.now() - self._started_at))
         return True
 
+    def _record_ignored(self, events: Iterable[StoreEvent], updates: list[StoreEvent]) -> None:
+        """Logs the changes that the store reported and that are no newer than the known state."""
+        for event in events:
+            if event not in updates:
+                self._metrics.count("store_changes_ignored_total", kind=self._kind)
+                self._log.notable(
+                    "store_change_ignored",
+                    kind=self._kind,
+                    name=event.item.name,
+                    epoch=event.item.epoch,
+                    revision=event.item.revision,
+                    is_deleted=event.is_deleted,
+                )
+
     def _apply_page(self, page: StoredPage, seen_at: float) -> None:
         visible_from = self._availability.expiry_hold_until()
         updates = self._mirror.apply_list(
@@ -339,9 +377,10 @@
         mirror: Mirror,
         feed: PeerFeed,
         availability: StoreAvailability,
+        metrics: Metrics,
         log: EventLog,
     ) -> None:
-        super().__init__(store, documents.config_kind, mirror, feed, availability, log)
+        super().__init__(store, documents.config_kind, mirror, feed, availability, metrics, log)
         self._name = documents.config_name
         self._holder = holder
 
@@ -374,11 +413,10 @@
         metrics: Metrics,
         log: EventLog,
     ) -> None:
-        super().__init__(store, documents.endpoint_kind, mirror, feed, availability, log)
+        super().__init__(store, documents.endpoint_kind, mirror, feed, availability, metrics, log)
         self._documents = documents
         self._pool = pool
         self._connections = connections
-        self._metrics = metrics
 
     def apply(self, updates: list[StoreEvent], source: str) -> None:
         """See `KindSync.apply`."""
--- a/src/sequoiadrum/platform/store_client.py
+++ b/src/sequoiadrum/platform/store_client.py
@@ -32,6 +32,7 @@
 """Timeout of a call; the store responds in 4 ms normally, and in 0.25 s when it is slow."""
 WATCH_SLACK_S: Final = 1.0
 """Time beyond the wait of a watch after which its connection counts as unresponsive."""
+_EPOCH_HEADER: Final = "Store-Era"
 _MAX_PAGES: Final = 200
 """A list with more pages is rejected as malformed; 100,000 objects fit into this many."""
 
@@ -50,6 +51,7 @@
 class _Response:
     status: int
     document: Any
+    epoch: int
 
 
 class HttpStore(Store):
@@ -66,6 +68,7 @@
         after = ""
         # The revision of the first page: a watch from there also sees changes to the later pages.
         revision: int | None = None
+        epoch = 0
         for _ in range(_MAX_PAGES):
             query = {"after": after} if after else {}
             if may_be_stale:
@@ -73,13 +76,18 @@
             result = self._call("GET", _object_path(kind, query=query), None, CALL_TIMEOUT_S)
             if isinstance(result, Failure):
                 return result
-            document = result.unwrap().document
+            response = result.unwrap()
+            if revision is not None and response.epoch != epoch:
+                # The store was restored between two pages, which therefore do not fit together.
+                items, after, revision = [], "", None
+                continue
+            document, epoch = response.document, response.epoch
             try:
-                page = [_decode_item(entry) for entry in document["items"]]
+                page = [_decode_item(entry, epoch) for entry in document["items"]]
                 revision = int(document["at"]) if revision is None else revision
                 items += [item for item in page if item is not None]
                 if not document.get("more") or not document["items"]:
-                    return Success(StoredPage(tuple(items), revision))
+                    return Success(StoredPage(tuple(items), revision, epoch))
                 after = str(document["items"][-1]["metadata"]["name"])
             except (KeyError, TypeError, ValueError) as error:
                 return self._malformed_failure(kind, error)
@@ -90,7 +98,8 @@
         result = self._call("GET", _object_path(kind, name), None, CALL_TIMEOUT_S)
         if isinstance(result, Failure):
             return result
-        item = _decode_item(result.unwrap().document)
+        response = result.unwrap()
+        item = _decode_item(response.document, response.epoch)
         return self._malformed_failure(kind, ValueError(name)) if item is None else Success(item)
 
     def watch(self, kind: str, revision: int, wait_s: float) -> Result[WatchResult, StoreFailure]:
@@ -99,14 +108,15 @@
         result = self._call("GET", path, None, wait_s + WATCH_SLACK_S)
         if isinstance(result, Failure):
             return result
-        document = result.unwrap().document
+        response = result.unwrap()
+        document, epoch = response.document, response.epoch
         try:
             events = []
             for entry in document["events"]:
-                item = _decode_item(entry["object"])
+                item = _decode_item(entry["object"], epoch)
                 if item is not None:
                     events.append(StoreEvent(item, bool(entry.get("deleted"))))
-            return Success(WatchResult(tuple(events), int(document["at"])))
+            return Success(WatchResult(tuple(events), int(document["at"]), epoch))
         except (KeyError, TypeError, ValueError) as error:
             return self._malformed_failure(kind, error)
 
@@ -150,7 +160,8 @@
         if response.status >= HTTPStatus.BAD_REQUEST:
             return Failure(_FAILURE_BY_STATUS.get(response.status, StoreFailure.MALFORMED))
         try:
-            return Success(_Response(response.status, json.loads(raw) if raw else None))
+            epoch = int(response.getheader(_EPOCH_HEADER, "0"))
+            return Success(_Response(response.status, json.loads(raw) if raw else None, epoch))
         except ValueError as error:
             return self._malformed_failure(path, error)
 
@@ -183,11 +194,12 @@
     return f"{path}?{urlencode(query)}" if query else path
 
 
-def _decode_item(document: Any) -> StoredItem | None:
+def _decode_item(document: Any, epoch: int) -> StoredItem | None:
     """Decodes one object; returns None if its name or revision is missing or malformed."""
     try:
         metadata = document["metadata"]
-        return StoredItem(str(metadata["name"]), int(metadata["revision"]), document.get("spec"))
+        name, revision = str(metadata["name"]), int(metadata["revision"])
+        return StoredItem(name, revision, document.get("spec"), epoch)
     except (KeyError, TypeError, ValueError, AttributeError) as error:
         _log.warning("store_object_malformed", error=repr(error)[:200])
         return None
--- a/tests/platform/store_stand_in.py
+++ b/tests/platform/store_stand_in.py
@@ -10,12 +10,23 @@
 from typing import Any
 from urllib.parse import parse_qs, unquote, urlsplit
 
+from attrs import frozen
+
 from sequoiadrum.messages import Address
 
 PAGE_SIZE: int = 3
 """Number of objects in one page of a list; small, so that tests read several pages."""
 
 
+@frozen
+class StoreCopy:
+    """The state of the stand-in at one moment."""
+
+    revision: int
+    objects: dict[str, dict[str, dict[str, Any]]]
+    history: list[tuple[int, str, dict[str, Any], bool]]
+
+
 class StoreStandIn:
     """Stores objects by kind and name, with one revision counter, paged lists and watches."""
 
@@ -33,6 +44,8 @@
         """Executes calls, then closes the connection without a response."""
         self.drops_watch_events = False
         """Watches report no changes."""
+        self.epoch = 1
+        """Named in all responses; rises with each restore."""
         self.calls: list[tuple[str, str]] = []
         self._stale_objects: dict[str, dict[str, dict[str, Any]]] | None = None
         self._stale_revision = 0
@@ -88,6 +101,21 @@
             self._history.clear()
             self._changed.notify_all()
 
+    def copy(self) -> StoreCopy:
+        """Returns a copy of the state, to which `restore` goes back."""
+        with self._changed:
+            objects = {kind: dict(items) for kind, items in self._objects.items()}
+            return StoreCopy(self._revision, objects, list(self._history))
+
+    def restore(self, copy: StoreCopy) -> None:
+        """Goes back to a copy; what was written since is lost, and its revisions are reused."""
+        with self._changed:
+            self.epoch += 1
+            self._revision = copy.revision
+            self._objects = {kind: dict(items) for kind, items in copy.objects.items()}
+            self._history = list(copy.history)
+            self._changed.notify_all()
+
     def has(self, kind: str, name: str) -> bool:
         """Returns whether an object exists."""
         with self._changed:
@@ -118,9 +146,12 @@
         """Waits for changes after a revision; returns None if its history is discarded."""
         wait_until = time.monotonic() + wait_s
         with self._changed:
+            epoch = self.epoch
             while True:
-                if revision + 1 < self._oldest_revision:
+                if revision + 1 < self._oldest_revision or revision > self._revision:
                     return None
+                if self.epoch != epoch:
+                    return {"events": [], "at": self._revision}
                 events = [
                     {"object": item, "deleted": is_deleted}
                     for at, of_kind, item, is_deleted in self._history
@@ -225,6 +256,7 @@
         data = json.dumps(document).encode()
         self.send_response(status)
         self.send_header("Content-Type", "application/json")
+        self.send_header("Store-Era", str(self.store.epoch))
         self.send_header("Content-Length", str(len(data)))
         self.end_headers()
         self.wfile.write(data)
