Order what the store shows by its epoch first, then by revision

After the store is restored from an older copy, callers got what was confirmed before: a version or an endpoint's removal that was written since came into force only where a request happened to ask for it.

Cause: revisions were compared as if they never went back. What a restored store shows under a revision that was given out before was taken for stale: by the mirror, by the table of endpoints, by followers (a watcher that was asked for what is above revision 28 returned nothing, and said that this is the newest, although it had another object 28) and by the cache of encoded documents, which would have served the old document under the new revision. A watch went on from a revision of the former history and skipped what took that revision in the new one.

Change: a position is (epoch, revision). A complete list of a newer epoch replaces the known state, lists and watches of an older one are ignored, a watch that answers in another epoch is discarded for a list. Peers exchange the epoch, and a router that knows a newer one returns all objects. The configuration is confirmed between peers by its version, which is the operator's and does not go back. Entries that the copy lacks are kept as after an outage; endpoints that left, and that the copy shows as ready, are held back for 5 s. The first list is no longer a stale one: a router that starts cannot tell whether the store was restored seconds ago, and a stale list may be older than that. The test that asserted a stale first list of endpoints now asserts that only the routers are listed so.

--- a/schema/peer.thrift
+++ b/schema/peer.thrift
@@ -215,6 +215,10 @@
   2: i64 revision,
   /** Milliseconds since the store confirmed that these are all changes. */
   3: i64 age_ms,
+  /** Epoch of the store that the revisions belong to; it rises when the store is restored. */
+  4: optional i64 epoch,
+  /** Whether these are all objects that exist, so that any other one was removed. */
+  5: optional bool is_complete,
 }
 
 service Peer {
@@ -236,12 +240,16 @@
   KeyedReply submit_keyed(1: KeyedRequest request),
   KeyedReply keyed_status(1: string service_name, 2: string account, 3: string key, 4: i64 issued_at_ms, 5: bool cancel, 6: string attempt_id),
   void record_outcome(1: string service_name, 2: string account, 3: string key, 4: string attempt_id, 5: KeyedReply outcome),
-  /** Returns the objects that changed after a revision; waits up to `wait_ms` for a change. */
-  SeenObjects watch_objects(1: string kind, 2: i64 since_revision, 3: i32 wait_ms),
   /**
-   * Returns the configuration in force if it is above a revision. The router reads the store first,
-   * unless it knows all changes acknowledged up to `max_age_ms` ago; the reply's age shows it.
+   * Returns the objects that changed after a revision of an epoch, or all if the router knows a newer
+   * epoch. Waits up to `wait_ms` for a change, or for an epoch that the router does not know yet.
    */
-  SeenObjects confirm_configuration(1: i64 since_revision, 2: i32 max_age_ms),
+  SeenObjects watch_objects(1: string kind, 2: i64 since_revision, 3: i32 wait_ms, 4: i64 epoch),
+  /**
+   * Returns the configuration in force if its version is above a known one. The router reads the
+   * store first, unless it knows all changes acknowledged up to `max_age_ms` ago; the reply's age
+   * shows it. Field 1 was a revision.
+   */
+  SeenObjects confirm_configuration(3: i64 known_version, 2: i32 max_age_ms),
   LimitLease lease_tokens(1: string account, 2: i32 wanted, 3: string router_id),
 }
--- a/src/sequoiadrum/_gen/peer/Peer.py
+++ b/src/sequoiadrum/_gen/peer/Peer.py
@@ -144,25 +144,28 @@
         """
         pass
 
-    def watch_objects(self, kind, since_revision, wait_ms):
+    def watch_objects(self, kind, since_revision, wait_ms, epoch):
         """
-        Returns the objects that changed after a revision; waits up to `wait_ms` for a change.
+        Returns the objects that changed after a revision of an epoch, or all if the router knows a newer
+        epoch. Waits up to `wait_ms` for a change, or for an epoch that the router does not know yet.
 
         Parameters:
          - kind
          - since_revision
          - wait_ms
+         - epoch
 
         """
         pass
 
-    def confirm_configuration(self, since_revision, max_age_ms):
+    def confirm_configuration(self, known_version, max_age_ms):
         """
-        Returns the configuration in force if it is above a revision. The router reads the store first,
-        unless it knows all changes acknowledged up to `max_age_ms` ago; the reply's age shows it.
+        Returns the configuration in force if its version is above a known one. The router reads the
+        store first, unless it knows all changes acknowledged up to `max_age_ms` ago; the reply's age
+        shows it. Field 1 was a revision.
 
         Parameters:
-         - since_revision
+         - known_version
          - max_age_ms
 
         """
@@ -610,25 +613,28 @@
         iprot.readMessageEnd()
         return
 
-    def watch_objects(self, kind, since_revision, wait_ms):
+    def watch_objects(self, kind, since_revision, wait_ms, epoch):
         """
-        Returns the objects that changed after a revision; waits up to `wait_ms` for a change.
+        Returns the objects that changed after a revision of an epoch, or all if the router knows a newer
+        epoch. Waits up to `wait_ms` for a change, or for an epoch that the router does not know yet.
 
         Parameters:
          - kind
          - since_revision
          - wait_ms
+         - epoch
 
         """
-        self.send_watch_objects(kind, since_revision, wait_ms)
+        self.send_watch_objects(kind, since_revision, wait_ms, epoch)
         return self.recv_watch_objects()
 
-    def send_watch_objects(self, kind, since_revision, wait_ms):
+    def send_watch_objects(self, kind, since_revision, wait_ms, epoch):
         self._oprot.writeMessageBegin('watch_objects', TMessageType.CALL, self._seqid)
         args = watch_objects_args()
         args.kind = kind
         args.since_revision = since_revision
         args.wait_ms = wait_ms
+        args.epoch = epoch
         args.write(self._oprot)
         self._oprot.writeMessageEnd()
         self._oprot.trans.flush()
@@ -648,23 +654,24 @@
             return result.success
         raise TApplicationException(TApplicationException.MISSING_RESULT, "watch_objects failed: unknown result")
 
-    def confirm_configuration(self, since_revision, max_age_ms):
+    def confirm_configuration(self, known_version, max_age_ms):
         """
-        Returns the configuration in force if it is above a revision. The router reads the store first,
-        unless it knows all changes acknowledged up to `max_age_ms` ago; the reply's age shows it.
+        Returns the configuration in force if its version is above a known one. The router reads the
+        store first, unless it knows all changes acknowledged up to `max_age_ms` ago; the reply's age
+        shows it. Field 1 was a revision.
 
         Parameters:
-         - since_revision
+         - known_version
          - max_age_ms
 
         """
-        self.send_confirm_configuration(since_revision, max_age_ms)
+        self.send_confirm_configuration(known_version, max_age_ms)
         return self.recv_confirm_configuration()
 
-    def send_confirm_configuration(self, since_revision, max_age_ms):
+    def send_confirm_configuration(self, known_version, max_age_ms):
         self._oprot.writeMessageBegin('confirm_configuration', TMessageType.CALL, self._seqid)
         args = confirm_configuration_args()
-        args.since_revision = since_revision
+        args.known_version = known_version
         args.max_age_ms = max_age_ms
         args.write(self._oprot)
         self._oprot.writeMessageEnd()
@@ -1045,7 +1052,7 @@
         iprot.readMessageEnd()
         result = watch_objects_result()
         try:
-            result.success = self._handler.watch_objects(args.kind, args.since_revision, args.wait_ms)
+            result.success = self._handler.watch_objects(args.kind, args.since_revision, args.wait_ms, args.epoch)
             msg_type = TMessageType.REPLY
         except TTransport.TTransportException:
             raise
@@ -1068,7 +1075,7 @@
         iprot.readMessageEnd()
         result = confirm_configuration_result()
         try:
-            result.success = self._handler.confirm_configuration(args.since_revision, args.max_age_ms)
+            result.success = self._handler.confirm_configuration(args.known_version, args.max_age_ms)
             msg_type = TMessageType.REPLY
         except TTransport.TTransportException:
             raise
@@ -3100,6 +3107,7 @@
      - kind
      - since_revision
      - wait_ms
+     - epoch
 
     """
 
@@ -3107,13 +3115,15 @@
         'kind',
         'since_revision',
         'wait_ms',
+        'epoch',
     )
 
 
-    def __init__(self, kind=None, since_revision=None, wait_ms=None,):
+    def __init__(self, kind=None, since_revision=None, wait_ms=None, epoch=None,):
         self.kind = kind
         self.since_revision = since_revision
         self.wait_ms = wait_ms
+        self.epoch = epoch
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -3139,6 +3149,11 @@
                     self.wait_ms = iprot.readI32()
                 else:
                     iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I64:
+                    self.epoch = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -3161,6 +3176,10 @@
             oprot.writeFieldBegin('wait_ms', TType.I32, 3)
             oprot.writeI32(self.wait_ms)
             oprot.writeFieldEnd()
+        if self.epoch is not None:
+            oprot.writeFieldBegin('epoch', TType.I64, 4)
+            oprot.writeI64(self.epoch)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -3190,6 +3209,7 @@
     (1, TType.STRING, 'kind', 'UTF8', None, ),  # 1
     (2, TType.I64, 'since_revision', None, None, ),  # 2
     (3, TType.I32, 'wait_ms', None, None, ),  # 3
+    (4, TType.I64, 'epoch', None, None, ),  # 4
 )
 
 
@@ -3269,19 +3289,19 @@
 class confirm_configuration_args(object):
     """
     Attributes:
-     - since_revision
+     - known_version
      - max_age_ms
 
     """
 
     __slots__ = (
-        'since_revision',
         'max_age_ms',
+        'known_version',
     )
 
 
-    def __init__(self, since_revision=None, max_age_ms=None,):
-        self.since_revision = since_revision
+    def __init__(self, known_version=None, max_age_ms=None,):
+        self.known_version = known_version
         self.max_age_ms = max_age_ms
 
     def read(self, iprot):
@@ -3293,9 +3313,9 @@
             (fname, ftype, fid) = iprot.readFieldBegin()
             if ftype == TType.STOP:
                 break
-            if fid == 1:
+            if fid == 3:
                 if ftype == TType.I64:
-                    self.since_revision = iprot.readI64()
+                    self.known_version = iprot.readI64()
                 else:
                     iprot.skip(ftype)
             elif fid == 2:
@@ -3313,14 +3333,14 @@
             oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
             return
         oprot.writeStructBegin('confirm_configuration_args')
-        if self.since_revision is not None:
-            oprot.writeFieldBegin('since_revision', TType.I64, 1)
-            oprot.writeI64(self.since_revision)
-            oprot.writeFieldEnd()
         if self.max_age_ms is not None:
             oprot.writeFieldBegin('max_age_ms', TType.I32, 2)
             oprot.writeI32(self.max_age_ms)
             oprot.writeFieldEnd()
+        if self.known_version is not None:
+            oprot.writeFieldBegin('known_version', TType.I64, 3)
+            oprot.writeI64(self.known_version)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -3347,8 +3367,9 @@
 all_structs.append(confirm_configuration_args)
 confirm_configuration_args.thrift_spec = (
     None,  # 0
-    (1, TType.I64, 'since_revision', None, None, ),  # 1
+    None,  # 1
     (2, TType.I32, 'max_age_ms', None, None, ),  # 2
+    (3, TType.I64, 'known_version', None, None, ),  # 3
 )
 
 
--- a/src/sequoiadrum/_gen/peer/ttypes.py
+++ b/src/sequoiadrum/_gen/peer/ttypes.py
@@ -2480,6 +2480,8 @@
      - objects
      - revision: Store revision up to which the router knows all changes; 0 if it knows none.
      - age_ms: Milliseconds since the store confirmed that these are all changes.
+     - epoch: Epoch of the store that the revisions belong to; it rises when the store is restored.
+     - is_complete: Whether these are all objects that exist, so that any other one was removed.
 
     """
 
@@ -2487,13 +2489,17 @@
         'objects',
         'revision',
         'age_ms',
+        'epoch',
+        'is_complete',
     )
 
 
-    def __init__(self, objects=None, revision=None, age_ms=None,):
+    def __init__(self, objects=None, revision=None, age_ms=None, epoch=None, is_complete=None,):
         self.objects = objects
         self.revision = revision
         self.age_ms = age_ms
+        self.epoch = epoch
+        self.is_complete = is_complete
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2525,6 +2531,16 @@
                     self.age_ms = iprot.readI64()
                 else:
                     iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I64:
+                    self.epoch = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.BOOL:
+                    self.is_complete = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2550,6 +2566,14 @@
             oprot.writeFieldBegin('age_ms', TType.I64, 3)
             oprot.writeI64(self.age_ms)
             oprot.writeFieldEnd()
+        if self.epoch is not None:
+            oprot.writeFieldBegin('epoch', TType.I64, 4)
+            oprot.writeI64(self.epoch)
+            oprot.writeFieldEnd()
+        if self.is_complete is not None:
+            oprot.writeFieldBegin('is_complete', TType.BOOL, 5)
+            oprot.writeBool(self.is_complete)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2753,6 +2777,8 @@
     (1, TType.LIST, 'objects', (TType.STRUCT, [SeenObject, None], False), None, ),  # 1
     (2, TType.I64, 'revision', None, None, ),  # 2
     (3, TType.I64, 'age_ms', None, None, ),  # 3
+    (4, TType.I64, 'epoch', None, None, ),  # 4
+    (5, TType.BOOL, 'is_complete', None, None, ),  # 5
 )
 fix_spec(all_structs)
 del all_structs
--- a/src/sequoiadrum/gateway/configuration.py
+++ b/src/sequoiadrum/gateway/configuration.py
@@ -34,11 +34,11 @@
         """Returns whether this router watches the store itself and needs no peer to confirm."""
 
     @abstractmethod
-    def confirm(self, since_revision: int, max_age_s: float) -> ConfirmedConfig | None:
+    def confirm(self, known_version: int, max_age_s: float) -> ConfirmedConfig | None:
         """Requests the configuration in force from one watcher.
 
         Args:
-            since_revision: The object is returned only if its revision is above this one.
+            known_version: The object is returned only if its version is above this one.
             max_age_s: The peer should know all changes that the store acknowledged up to this many
                 seconds ago, and reads the store if it does not.
 
@@ -52,7 +52,7 @@
     """The newest configuration known to a peer."""
 
     item: StoredItem | None
-    """None if the requesting router already has this revision."""
+    """None if the requesting router already has this version."""
     age_s: float
     """The peer knows all changes that the store acknowledged up to this many seconds ago."""
 
@@ -149,9 +149,10 @@
         """
         self._confirmed_at = max(self._confirmed_at, confirmed_at)
 
-    def item(self) -> StoredItem | None:
-        """Returns the stored object of the version in force, or None before the first version."""
-        return self._item
+    def stored_version(self) -> tuple[int, StoredItem | None]:
+        """Returns the version in force with its stored object; 0 and None before the first one."""
+        with self._lock:
+            return self.version(), self._item
 
     def confirm(self, since: float) -> bool:
         """Ensures that all versions acknowledged up to a time are known to this router.
@@ -201,8 +202,7 @@
 
     def _confirm_by_peer(self, since: float) -> bool:
         requested_at = clock.now()
-        known_revision = self._item.revision if self._item is not None else 0
-        confirmed = self._peers.confirm(known_revision, max(0.0, requested_at - since))
+        confirmed = self._peers.confirm(self.version(), max(0.0, requested_at - since))
         self._metrics.count("config_confirmations_total", by="peer" if confirmed else "nobody")
         if confirmed is None:
             return False
--- a/src/sequoiadrum/gateway/endpoints.py
+++ b/src/sequoiadrum/gateway/endpoints.py
@@ -4,9 +4,9 @@
 
 from typing import TYPE_CHECKING, Final
 
-from attrs import define, field
+from attrs import define, field, frozen
 
-from sequoiadrum.gateway.model import EndpointState
+from sequoiadrum.gateway.model import EndpointState, StorePosition
 from sequoiadrum.hashing import stable_hash
 
 if TYPE_CHECKING:
@@ -28,10 +28,15 @@
 FULL_PAUSE_S: Final = 0.15
 """Suspension after an endpoint refused a request because it was full; about the duration of one
 request."""
-MAX_REVISIONS: Final = 20_000
-"""Entries whose last revision is kept; covers a week of replacements at the target size."""
+MAX_KNOWN_ENTRIES: Final = 20_000
+"""Entries whose last position is kept; covers a week of replacements at the target size."""
+REAPPEARANCE_HOLD_S: Final = 5.0
+"""Time after a restore of the store for which an entry that it shows as ready again does not count
+if its process was known to leave: by then the endpoint has written again that it leaves, or the
+store has removed the entry after three heartbeats of 1.2 s without a sign of life."""
 MAX_LOAD_AGE_S: Final = 1.5
 """A load that an endpoint or other routers reported longer ago is not used."""
+_UNKNOWN_POSITION: Final = StorePosition(0, 0)
 
 
 @define(eq=False)
@@ -159,30 +164,65 @@
             self.decayed_at = now
 
 
+@frozen
+class _KnownEntry:
+    position: StorePosition
+    """Position of the last change or removal."""
+    left: EndpointEntry | None
+    """The last entry if its process is known to leave or was removed; otherwise None."""
+
+
+@frozen
+class _Reappearance:
+    entry: EndpointEntry
+    joined_at: float
+    usable_from: float
+    """Time from which the entry counts, in monotonic seconds."""
+
+
 @define(eq=False)
 class EndpointTable:
     """All endpoints by service, as the store lists them.
 
-    Revisions never decrease: an older entry, from a stale read or a late response, is ignored.
+    Positions never decrease: an older entry, from a stale read or a late response, is ignored.
     """
 
     by_id: dict[str, Endpoint] = field(factory=dict)
     _ids_by_service: dict[str, set[str]] = field(factory=dict)
-    _revision_by_id: dict[str, int] = field(factory=dict)
-    """Revision of the last change or removal, also of removed entries; at most `MAX_REVISIONS`."""
+    _known_by_id: dict[str, _KnownEntry] = field(factory=dict)
+    """Also of removed entries; at most `MAX_KNOWN_ENTRIES`."""
+    _reappeared_by_id: dict[str, _Reappearance] = field(factory=dict)
+    _epoch: int = 0
+    _restored_at: float = float("-inf")
+    """Monotonic seconds at which the first entry of `_epoch` was applied."""
+
+    def apply(self, entry: EndpointEntry, now: float, joined_at: float = float("-inf")) -> bool:
+        """Applies an entry; returns False if it is not newer than the known one, or held back.
 
-    def apply(self, entry: EndpointEntry, joined_at: float = float("-inf")) -> bool:
-        """Applies an entry; returns False if it is not newer than the known revision.
+        A store that was restored from a copy can show an endpoint as ready that has left since the
+        copy was made. Such an entry is held back for `REAPPEARANCE_HOLD_S`; see `expire`.
 
         Args:
             entry: The entry as read from the store.
+            now: Monotonic seconds.
             joined_at: Monotonic seconds at which the entry appeared; stored if the endpoint is new.
         """
-        if entry.revision <= self._revision_by_id.get(entry.instance_id, 0):
+        instance_id = entry.instance_id
+        position = self._position(instance_id)
+        if entry.position <= position:
             return False
-        self._record_revision(entry.instance_id, entry.revision)
-        known = self.by_id.get(entry.instance_id)
-        if known is not None and _is_same_process(known.entry, entry):
+        if entry.epoch > self._epoch:
+            self._epoch = entry.epoch
+            self._restored_at = now
+        usable_from = self._restored_at + REAPPEARANCE_HOLD_S
+        if now < usable_from and self._has_left(entry):
+            self._reappeared_by_id[instance_id] = _Reappearance(entry, joined_at, usable_from)
+            return False
+        self._reappeared_by_id.pop(instance_id, None)
+        is_leaving = entry.state is not EndpointState.READY
+        self._record_known(instance_id, _KnownEntry(entry.position, entry if is_leaving else None))
+        known = self.by_id.get(instance_id)
+        if known is not None and known.entry.is_same_process(entry):
             known.entry = entry
             known.is_listed = True
             known.removed_at = None
@@ -194,23 +234,27 @@
         self._ids_by_service.setdefault(entry.service, set()).add(entry.instance_id)
         return True
 
-    def remove(self, instance_id: str, revision: int, now: float, outage_ended: float) -> bool:
+    def remove(
+        self, instance_id: str, position: StorePosition, now: float, outage_ended: float
+    ) -> bool:
         """Applies the removal of an entry; returns False if it was outdated or changed nothing.
 
-        A removal can carry the revision of the last change before it, so that an equal revision is
+        A removal can carry the revision of the last change before it, so that an equal position is
         applied as well.
 
         Args:
             instance_id: Id of the endpoint's incarnation.
-            revision: Revision of the store at which the entry is known to be absent.
+            position: Position of the store at which the entry is known to be absent.
             now: Monotonic seconds.
             outage_ended: Monotonic seconds at which the last store outage ended; an entry may have
                 expired during the outage although its endpoint is alive.
         """
-        if revision < self._revision_by_id.get(instance_id, 0):
+        if position < self._position(instance_id):
             return False
-        self._record_revision(instance_id, revision)
+        self._reappeared_by_id.pop(instance_id, None)
         known = self.by_id.get(instance_id)
+        left = known.entry if known is not None else self._left(instance_id)
+        self._record_known(instance_id, _KnownEntry(position, left))
         if known is None or not known.is_listed:
             return False
         known.is_listed = False
@@ -218,30 +262,46 @@
         known.keep_until = outage_ended + REREGISTRATION_PERIOD_S
         return True
 
-    def expire(self, now: float) -> None:
-        """Deletes endpoints that no longer count as listed and have no request in flight."""
+    def expire(self, now: float) -> list[EndpointEntry]:
+        """Deletes endpoints that no longer count as listed and have no request in flight.
+
+        Returns:
+            Entries that were held back and count from now on, since nothing newer was received.
+        """
         for endpoint in list(self.by_id.values()):
             if not endpoint.is_listed and not endpoint.in_flight and now >= endpoint.keep_until:
                 self._delete(endpoint)
+        due = [each for each in self._reappeared_by_id.values() if now >= each.usable_from]
+        return [each.entry for each in due if self.apply(each.entry, now, each.joined_at)]
 
     def of_service(self, service: str) -> list[Endpoint]:
         """Returns the endpoints of a service in the order of their ids."""
         return [self.by_id[i] for i in sorted(self._ids_by_service.get(service, ()))]
 
-    def _record_revision(self, instance_id: str, revision: int) -> None:
-        self._revision_by_id.pop(instance_id, None)
-        self._revision_by_id[instance_id] = revision
-        if len(self._revision_by_id) > MAX_REVISIONS:
-            del self._revision_by_id[next(iter(self._revision_by_id))]
+    def _position(self, instance_id: str) -> StorePosition:
+        known = self._known_by_id.get(instance_id)
+        return known.position if known is not None else _UNKNOWN_POSITION
+
+    def _left(self, instance_id: str) -> EndpointEntry | None:
+        known = self._known_by_id.get(instance_id)
+        return known.left if known is not None else None
+
+    def _has_left(self, entry: EndpointEntry) -> bool:
+        """Returns whether the process of a ready entry was known to leave in a former epoch."""
+        left = self._left(entry.instance_id)
+        return (
+            left is not None
+            and entry.state is EndpointState.READY
+            and self._position(entry.instance_id).epoch < entry.epoch
+            and left.is_same_process(entry)
+        )
+
+    def _record_known(self, instance_id: str, known: _KnownEntry) -> None:
+        self._known_by_id.pop(instance_id, None)
+        self._known_by_id[instance_id] = known
+        if len(self._known_by_id) > MAX_KNOWN_ENTRIES:
+            del self._known_by_id[next(iter(self._known_by_id))]
 
     def _delete(self, endpoint: Endpoint) -> None:
         del self.by_id[endpoint.id]
         self._ids_by_service[endpoint.entry.service].discard(endpoint.id)
-
-
-def _is_same_process(known: EndpointEntry, entry: EndpointEntry) -> bool:
-    return (
-        known.service == entry.service
-        and known.address == entry.address
-        and known.started_ms == entry.started_ms
-    )
--- a/src/sequoiadrum/gateway/fleet.py
+++ b/src/sequoiadrum/gateway/fleet.py
@@ -12,7 +12,7 @@
 from sequoiadrum._gen.peer import Peer
 from sequoiadrum._thrift_transport import COMPACT
 from sequoiadrum.gateway import clock
-from sequoiadrum.gateway.model import StoreFailure
+from sequoiadrum.gateway.model import StoreFailure, StorePosition
 from sequoiadrum.gateway.pause_detector import OBSERVATION_INTERVAL_S
 from sequoiadrum.hashing import first_ranked
 from sequoiadrum.messages import MembersChanged, MemberState, RevisionReceived, RumorReceived
@@ -129,13 +129,16 @@
         """Returns the rumors in force."""
         return self._gossip.list_rumors()
 
-    def watch_objects(self, kind: str, since_revision: int, wait_ms: int) -> SeenObjects:
-        """Returns the objects that changed after a revision; waits if there are none yet."""
-        return self._responder.watch(kind, since_revision, wait_ms / 1e3)
+    def watch_objects(
+        self, kind: str, since_revision: int, wait_ms: int, epoch: int | None
+    ) -> SeenObjects:
+        """Returns the objects that changed after a position; waits if there are none yet."""
+        since = StorePosition(epoch or 0, since_revision)
+        return self._responder.watch(kind, since, wait_ms / 1e3)
 
-    def confirm_configuration(self, since_revision: int, max_age_ms: int) -> SeenObjects:
+    def confirm_configuration(self, known_version: int | None, max_age_ms: int) -> SeenObjects:
         """Returns the configuration in force if it is newer; reads the store if necessary."""
-        return self._responder.confirm(since_revision, max_age_ms / 1e3)
+        return self._responder.confirm(known_version or 0, max_age_ms / 1e3)
 
 
 def create_member_server(
--- a/src/sequoiadrum/gateway/model.py
+++ b/src/sequoiadrum/gateway/model.py
@@ -120,6 +120,19 @@
     DRAINING = "draining"
 
 
+@frozen(order=True)
+class StorePosition:
+    """A point in the history of the platform's store.
+
+    A store that is restored from an older copy begins a new epoch. Revisions that the copy lacks
+    are given out again in it, so that only revisions of one epoch can be compared.
+    """
+
+    epoch: int
+    """0 if the store names none."""
+    revision: int
+
+
 @frozen
 class EndpointEntry:
     """An endpoint's entry in the store."""
@@ -138,6 +151,20 @@
     """Unix milliseconds of the process start; a changed value under one id means a new process."""
     revision: int
     """Revision of the store at the last change of the entry."""
+    epoch: int = 0
+
+    @property
+    def position(self) -> StorePosition:
+        """Where in the history of the store the entry was changed last."""
+        return StorePosition(self.epoch, self.revision)
+
+    def is_same_process(self, other: EndpointEntry) -> bool:
+        """Returns whether two entries of one id describe the same process."""
+        return (
+            self.service == other.service
+            and self.address == other.address
+            and self.started_ms == other.started_ms
+        )
 
 
 @frozen
@@ -205,19 +232,6 @@
     """Requests per second that the endpoint takes from all routers together; None if unlimited."""
 
 
-@frozen(order=True)
-class StorePosition:
-    """A point in the history of the platform's store.
-
-    A store that is restored from an older copy begins a new epoch. Revisions that the copy lacks
-    are given out again in it, so that only revisions of one epoch can be compared.
-    """
-
-    epoch: int
-    """0 if the store names none."""
-    revision: int
-
-
 @frozen
 class StoredItem:
     """An object of the platform's store."""
--- a/src/sequoiadrum/gateway/peer_feed.py
+++ b/src/sequoiadrum/gateway/peer_feed.py
@@ -17,7 +17,7 @@
 from sequoiadrum.gateway import clock
 from sequoiadrum.gateway.configuration import ConfirmedConfig, ConfirmingPeers
 from sequoiadrum.gateway.mirror import MirrorView
-from sequoiadrum.gateway.model import StoredItem, StoreEvent
+from sequoiadrum.gateway.model import StoredItem, StoreEvent, StorePosition
 from sequoiadrum.hashing import rank
 from sequoiadrum.messages import MemberState
 
@@ -80,12 +80,12 @@
         """Returns whether this router watches the store itself."""
         return self._current_ranking().is_watcher
 
-    def watch(self, kind: str, since: int, wait_s: float) -> MirrorView | None:
-        """Requests the changes of a kind after a revision from one peer.
+    def watch(self, kind: str, since: StorePosition, wait_s: float) -> MirrorView | None:
+        """Requests the changes of a kind after a position from one peer.
 
         Args:
             kind: Kind of the objects.
-            since: Revision of the store up to which the changes are known already.
+            since: Position of the store up to which the changes are known already.
             wait_s: How long the peer may wait for a change.
 
         Returns:
@@ -96,19 +96,26 @@
             return None
         response = self._call(
             member,
-            lambda client: client.watch_objects(kind, since, int(wait_s * 1e3)),
+            lambda client: client.watch_objects(
+                kind, since.revision, int(wait_s * 1e3), since.epoch
+            ),
             wait_s + RESPONSE_SLACK_S,
         )
         return self._decode(response, member.id) if response is not None else None
 
-    def confirm(self, since_revision: int, max_age_s: float) -> ConfirmedConfig | None:
+    def confirm(self, known_version: int, max_age_s: float) -> ConfirmedConfig | None:
         """See `ConfirmingPeers.confirm`."""
         member = self._choose_peer("")
         if member is None:
             return None
+        return self._request_config(member, known_version, int(max_age_s * 1e3))
+
+    def _request_config(
+        self, member: Member, known_version: int, max_age_ms: int
+    ) -> ConfirmedConfig | None:
         response = self._call(
             member,
-            lambda client: client.confirm_configuration(since_revision, int(max_age_s * 1e3)),
+            lambda client: client.confirm_configuration(known_version, max_age_ms),
             CONFIRM_TIMEOUT_S,
         )
         view = self._decode(response, member.id) if response is not None else None
@@ -149,6 +156,7 @@
         return result.unwrap()
 
     def _decode(self, response: ttypes.SeenObjects, peer: str) -> MirrorView | None:
+        epoch = response.epoch or 0
         try:
             events = tuple(
                 StoreEvent(
@@ -156,6 +164,7 @@
                         entry.name,
                         entry.revision,
                         None if entry.is_removed else json.loads(zlib.decompress(entry.document)),
+                        epoch,
                     ),
                     bool(entry.is_removed),
                 )
@@ -164,7 +173,8 @@
         except (ValueError, TypeError, zlib.error) as error:
             self._log.notable("peer_answer_malformed", peer=peer, detail=repr(error)[:200])
             return None
-        return MirrorView(events, response.revision, response.age_ms / 1e3)
+        age_s, is_complete = response.age_ms / 1e3, bool(response.is_complete)
+        return MirrorView(events, response.revision, age_s, epoch, is_complete)
 
     def _current_ranking(self) -> _Ranking:
         if self._ranking.members is not self._gossip.members():
@@ -190,36 +200,42 @@
         self._mirror = mirror
         self._configuration = configuration
         self._lock = threading.Lock()
-        self._encoded_by_revision: OrderedDict[int, bytes] = OrderedDict()
+        self._encoded_by_position: OrderedDict[StorePosition, bytes] = OrderedDict()
 
-    def watch(self, kind: str, since: int, wait_s: float) -> ttypes.SeenObjects:
-        """Returns the changes of a kind after a revision; waits for one if there is none.
+    def watch(self, kind: str, since: StorePosition, wait_s: float) -> ttypes.SeenObjects:
+        """Returns the changes of a kind after a position; waits for one if there is none.
 
         Args:
             kind: Kind of the objects.
-            since: Revision of the store up to which the peer knows the changes.
+            since: Position of the store up to which the peer knows the changes.
             wait_s: Maximum wait, limited to `MAX_WAIT_S`.
         """
-        view = self._mirror.wait(kind, since, min(wait_s, MAX_WAIT_S))
+        view = self._mirror.wait(kind, since.revision, min(wait_s, MAX_WAIT_S), since.epoch)
         return ttypes.SeenObjects(
-            [self._encode(event) for event in view.events], view.revision, _milliseconds(view.age_s)
+            [self._encode(event) for event in view.events],
+            view.revision,
+            _milliseconds(view.age_s),
+            view.epoch,
+            view.is_complete,
         )
 
-    def confirm(self, since_revision: int, max_age_s: float) -> ttypes.SeenObjects:
-        """Returns the configuration in force if it is above a revision, with its age.
+    def confirm(self, known_version: int, max_age_s: float) -> ttypes.SeenObjects:
+        """Returns the configuration in force if its version is above a known one, with its age.
 
         Args:
-            since_revision: Revision that the peer already has.
+            known_version: Version that the peer already has.
             max_age_s: The store is read first unless the configuration was confirmed at most this
                 many seconds ago.
         """
         self._configuration.confirm_at_store(clock.now() - max_age_s)
         age_s = self._configuration.age_s()
-        item = self._configuration.item()
-        revision = item.revision if item is not None else 0
-        updates = [StoreEvent(item, is_deleted=False)] if item and revision > since_revision else []
+        version, item = self._configuration.stored_version()
+        updates = [StoreEvent(item, is_deleted=False)] if item and version > known_version else []
         return ttypes.SeenObjects(
-            [self._encode(event) for event in updates], revision, _milliseconds(age_s)
+            [self._encode(event) for event in updates],
+            item.revision if item is not None else 0,
+            _milliseconds(age_s),
+            item.epoch if item is not None else 0,
         )
 
     def _encode(self, event: StoreEvent) -> ttypes.SeenObject:
@@ -229,12 +245,12 @@
 
     def _document(self, item: StoredItem) -> bytes:
         with self._lock:
-            encoded = self._encoded_by_revision.get(item.revision)
+            encoded = self._encoded_by_position.get(item.position)
             if encoded is None:
                 encoded = zlib.compress(json.dumps(item.document).encode(), COMPRESSION_LEVEL)
-                self._encoded_by_revision[item.revision] = encoded
-                if len(self._encoded_by_revision) > MAX_ENCODED_DOCUMENTS:
-                    self._encoded_by_revision.popitem(last=False)
+                self._encoded_by_position[item.position] = encoded
+                if len(self._encoded_by_position) > MAX_ENCODED_DOCUMENTS:
+                    self._encoded_by_position.popitem(last=False)
             return encoded
 
 
--- a/src/sequoiadrum/gateway/pool.py
+++ b/src/sequoiadrum/gateway/pool.py
@@ -29,7 +29,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from sequoiadrum.gateway.model import EndpointEntry, ResponseHead
+    from sequoiadrum.gateway.model import EndpointEntry, ResponseHead, StorePosition
     from sequoiadrum.gateway.settings import Bounds
 
 
@@ -241,20 +241,20 @@
             return bool(self._table.by_id)
 
     def apply(self, entry: EndpointEntry, is_newly_joined: bool) -> bool:
-        """Applies an entry; returns False if it is not newer than the known revision.
+        """Applies an entry; returns False if it changes nothing; see `EndpointTable.apply`.
 
         Args:
             entry: The entry as read from the store.
             is_newly_joined: Whether the endpoint joined after this router read its first list.
         """
-        joined_at = clock.now() if is_newly_joined else float("-inf")
+        now = clock.now()
         with self._lock:
-            return self._table.apply(entry, joined_at)
+            return self._table.apply(entry, now, now if is_newly_joined else float("-inf"))
 
-    def remove(self, instance_id: str, revision: int, outage_ended: float) -> bool:
-        """Applies the removal of an entry at a revision; see `EndpointTable.remove`."""
+    def remove(self, instance_id: str, position: StorePosition, outage_ended: float) -> bool:
+        """Applies the removal of an entry at a position; see `EndpointTable.remove`."""
         with self._lock:
-            return self._table.remove(instance_id, revision, clock.now(), outage_ended)
+            return self._table.remove(instance_id, position, clock.now(), outage_ended)
 
     def can_route_to(self, instance_id: str) -> bool:
         """Returns whether the entry of an endpoint is known and permits new requests."""
@@ -271,10 +271,10 @@
                 budget.slack = bounds.retry_slack
                 budget.window_s = bounds.retry_window_s
 
-    def expire(self) -> None:
-        """Deletes endpoints that no longer count as listed and have no request in flight."""
+    def expire(self) -> list[EndpointEntry]:
+        """Deletes endpoints that no longer count as listed; see `EndpointTable.expire`."""
         with self._lock:
-            self._table.expire(clock.now())
+            return self._table.expire(clock.now())
 
     def _withheld(
         self, endpoints: list[Endpoint], now: float, limited: LimitedEndpoints
--- a/src/sequoiadrum/gateway/store_sync.py
+++ b/src/sequoiadrum/gateway/store_sync.py
@@ -5,7 +5,7 @@
 import random
 import threading
 from abc import ABC, abstractmethod
-from typing import TYPE_CHECKING, ClassVar, Final
+from typing import TYPE_CHECKING, Final
 
 from returns.result import Failure
 
@@ -55,6 +55,8 @@
 reports nothing for this long, and changes must still arrive within the bounds on propagation."""
 MAX_PEER_FAILURES: Final = 2
 """Consecutive calls to peers that fail before a router reads the store itself."""
+MAX_STALENESS_S: Final = 20.0
+"""How old a list may be that need not be the newest; the store keeps its history this long."""
 MAX_PEER_AGE_S: Final = 4.0
 """A peer whose last contact with the store is older has probably lost it."""
 
@@ -76,12 +78,17 @@
         """Last time since `_lost_at` at which the store is known to have responded to a router, or
         else `_lost_at`."""
         self._epoch: int | None = None
+        self.restored_at: float = float("-inf")
+        """When the last restore was detected, in monotonic seconds."""
         self.outage_ended: float = float("-inf")
         """End of the last outage in which entries can have expired, in monotonic seconds."""
 
     def record_epoch(self, epoch: int) -> None:
         """Records the epoch that the store named; a higher one shows that it was restored.
 
+        Entries that the restored copy lacks are registered again, like those that expired in an
+        outage. The router may have noticed none: the store can be away for a moment only.
+
         Args:
             epoch: From a response of the store, to this router or to a peer.
         """
@@ -90,9 +97,11 @@
             if known is not None and epoch <= known:
                 return
             self._epoch = epoch
-        if known is not None:
-            self._metrics.count("store_restores_total")
-            self._log.notable("store_restored", epoch=epoch, former_epoch=known)
+            if known is None:
+                return
+            self.restored_at = self.outage_ended = clock.now()
+        self._metrics.count("store_restores_total")
+        self._log.notable("store_restored", epoch=epoch, former_epoch=known)
 
     def record_response(self) -> None:
         """Records a response of the store to this router."""
@@ -157,9 +166,6 @@
     large fleet, requests the changes from its peers.
     """
 
-    starts_with_stale_list: ClassVar[bool] = False
-    """Whether the first list may be stale."""
-
     def __init__(
         self,
         store: Store,
@@ -217,7 +223,8 @@
                 self._record_failure(listed.failure())
                 return self._request_from_peer(0.0) and self._mirror.seen_at(self._kind) >= since
             self._availability.record_response()
-            self._apply_page(listed.unwrap(), requested_at)
+            if not self._apply_page(listed.unwrap(), requested_at):
+                return False
             self._listed_at = requested_at
             return True
 
@@ -269,8 +276,13 @@
             return self._record_failure(listed.failure())
         self._availability.record_response()
         page = listed.unwrap()
-        self._availability.record_epoch(page.epoch)
-        self._apply_page(page, float("-inf") if may_be_stale else requested_at)
+        if may_be_stale and page.epoch != self._mirror.position(self._kind).epoch:
+            # What it shows may be older than the restore; only a list of the newest state may
+            # begin an epoch.
+            self._availability.record_epoch(page.epoch)
+            return True
+        if not self._apply_page(page, float("-inf") if may_be_stale else requested_at):
+            return False
         if not may_be_stale:
             self.record_full_list(requested_at)
         revision = page.revision
@@ -285,7 +297,10 @@
                 return self._record_failure(watched.failure())
             self._availability.record_response()
             changes = watched.unwrap()
-            self._availability.record_epoch(changes.epoch)
+            if changes.epoch != page.epoch:
+                # Its revisions do not continue those of the list.
+                self._availability.record_epoch(changes.epoch)
+                return True
             revision = max(revision, changes.revision)
             updates = self._mirror.apply_events(
                 self._kind,
@@ -293,6 +308,7 @@
                 revision,
                 requested_at,
                 self._availability.expiry_hold_until(),
+                changes.epoch,
             )
             self.apply(updates, "watch")
             if len(updates) < len(changes.events):
@@ -315,23 +331,34 @@
                     is_deleted=event.is_deleted,
                 )
 
-    def _apply_page(self, page: StoredPage, seen_at: float) -> None:
+    def _apply_page(self, page: StoredPage, seen_at: float) -> bool:
+        """Applies a list; returns False if it is from an older epoch than the known state."""
+        self._availability.record_epoch(page.epoch)
+        if page.epoch < self._mirror.position(self._kind).epoch:
+            self._log.notable("store_answer_outdated", kind=self._kind, epoch=page.epoch)
+            return False
         visible_from = self._availability.expiry_hold_until()
         updates = self._mirror.apply_list(
-            self._kind, page.items, page.revision, seen_at, visible_from
+            self._kind, page.items, page.revision, seen_at, visible_from, page.epoch
         )
         self.apply(updates, "list")
+        return True
 
     def _may_list_stale(self) -> bool:
         """Returns whether a list may be some seconds old, which the store serves at a tenth.
 
-        Revisions protect from older objects. What a stale first list lacks is in the watch from its
-        revision, which follows at once; a router that is not a watcher has the newest state from
-        its peers, unless they fail, and reads lists only for what a peer may have missed.
+        A router that is not a watcher has the newest state from its peers, unless they fail, and
+        reads lists only for what a peer may have missed. Positions protect from older objects, but
+        not soon after a restore: then a list may be older than it. A router that starts cannot tell
+        whether there was one.
         """
-        if self._feed.is_watcher():
-            return self.starts_with_stale_list and not self.has_listed()
-        return not self._have_peers_failed
+        is_restored_recently = clock.now() - self._availability.restored_at < MAX_STALENESS_S
+        return (
+            self.has_listed()
+            and not self._feed.is_watcher()
+            and not self._have_peers_failed
+            and not is_restored_recently
+        )
 
     def _sync_from_peers(self) -> bool:
         """Receives changes from peers while this router is not a watcher.
@@ -352,12 +379,26 @@
 
     def _request_from_peer(self, wait_s: float) -> bool:
         """Applies the changes known to one peer; returns False without a recent response."""
-        view = self._feed.watch(self._kind, self._mirror.revision(self._kind), wait_s)
-        if view is None:
+        known = self._mirror.position(self._kind)
+        view = self._feed.watch(self._kind, known, wait_s)
+        if view is None or view.epoch < known.epoch:
             return False
         seen_at = clock.now() - view.age_s
+        self._availability.record_epoch(view.epoch)
         self._availability.record_peer_contact(seen_at)
-        updates = self._mirror.apply_events(self._kind, view.events, view.revision, seen_at)
+        if view.is_complete:
+            updates = self._mirror.apply_list(
+                self._kind,
+                [event.item for event in view.events],
+                view.revision,
+                seen_at,
+                self._availability.expiry_hold_until(),
+                view.epoch,
+            )
+        else:
+            updates = self._mirror.apply_events(
+                self._kind, view.events, view.revision, seen_at, epoch=view.epoch
+            )
         self.apply(updates, "peer")
         return view.age_s <= MAX_PEER_AGE_S
 
@@ -399,8 +440,6 @@
 class EndpointSync(KindSync):
     """Keeps the entries of the endpoints up to date."""
 
-    starts_with_stale_list = True
-
     def __init__(
         self,
         store: Store,
@@ -424,13 +463,14 @@
         for event in updates:
             name = event.item.name
             if event.is_deleted:
-                if self._pool.remove(name, event.item.revision, self._availability.outage_ended):
+                if self._pool.remove(name, event.item.position, self._availability.outage_ended):
                     self._record_change(name, None, event.item.revision, source)
                 continue
             entry = self._decode(event.item)
             if entry is not None and self._pool.apply(entry, is_newly_joined=not is_initial):
                 self._record_change(name, entry, entry.revision, source)
-        self._pool.expire()
+        for entry in self._pool.expire():
+            self._record_change(entry.instance_id, entry, entry.revision, "held_back")
         self._connections.expire(clock.now())
 
     def batch_delay_s(self, age_s: float) -> float:
--- a/src/sequoiadrum/platform/documents.py
+++ b/src/sequoiadrum/platform/documents.py
@@ -65,6 +65,7 @@
                 warm_up_s=float(document.get("cold_left_ms") or 0) / 1e3,
                 started_ms=started if isinstance(started, int) else None,
                 revision=item.revision,
+                epoch=item.epoch,
             )
         )
     except KeyError as error:
--- a/tests/gateway/test_part_memory.py
+++ b/tests/gateway/test_part_memory.py
@@ -12,7 +12,7 @@
 def _engines(count: int) -> list[Endpoint]:
     table = EndpointTable()
     for n in range(count):
-        table.apply(an_entry(f"e{n}", service="model"))
+        table.apply(an_entry(f"e{n}", service="model"), 0.0)
     return table.of_service("model")
 
 
--- a/tests/gateway/test_peer_feed.py
+++ b/tests/gateway/test_peer_feed.py
@@ -16,7 +16,7 @@
 from sequoiadrum.gateway.event_log import EventLog
 from sequoiadrum.gateway.fleet import PEER_CONNECTIONS
 from sequoiadrum.gateway.mirror import Mirror
-from sequoiadrum.gateway.model import StoredItem
+from sequoiadrum.gateway.model import StoredItem, StorePosition
 from sequoiadrum.gateway.peer_feed import (
     MIN_WATCHERS,
     SMALL_FLEET_SIZE,
@@ -30,6 +30,9 @@
 from tests.gateway.scripted_endpoint import ScriptedEndpoint, ok
 from tests.gateway.world import World, config_document, eventually
 
+START = StorePosition(0, 0)
+"""The position of a router that knows nothing yet."""
+
 
 class _Fleet:
     """Stand-in for the membership; all routers are alive."""
@@ -98,7 +101,7 @@
 
     def test_lone_router_asks_nobody(self) -> None:
         """Guards against waiting for a peer in a fleet of one router."""
-        self.assertIsNone(_feed("r0", 1).watch("k", 0, 1.0))
+        self.assertIsNone(_feed("r0", 1).watch("k", START, 1.0))
 
     def test_answers_pass_through_the_wire_form(self) -> None:
         """Guards against documents, revisions or removals that are altered by the encoding."""
@@ -107,8 +110,8 @@
             "k", [StoredItem("a", 3, {"x": [1, None]}), StoredItem("b", 4, 1)], 5, 0.0
         )
         mirror.apply_list("k", [StoredItem("a", 3, {"x": [1, None]})], 6, 0.0)
-        view = _feed("r0", 2, PeerResponder(mirror, mock.Mock()).watch("k", 0, 0.0)).watch(
-            "k", 0, 1.0
+        view = _feed("r0", 2, PeerResponder(mirror, mock.Mock()).watch("k", START, 0.0)).watch(
+            "k", START, 1.0
         )
         assert view is not None
         self.assertEqual(view.revision, 6)
@@ -120,7 +123,7 @@
         malformed = ttypes.SeenObjects([ttypes.SeenObject("a", 1, b"{", False)], 1, 0)
         feed = _feed("r0", 2, malformed)
         feed._log = EventLog("g1", Metrics(), None)  # type: ignore[arg-type]
-        self.assertIsNone(feed.watch("k", 0, 1.0))
+        self.assertIsNone(feed.watch("k", START, 1.0))
 
 
 class ChoiceTest(unittest.TestCase):
@@ -135,7 +138,7 @@
 
         feed._peers.call = call  # type: ignore[method-assign]
         for _ in range(times):
-            feed.watch("k", 0, 1.0)
+            feed.watch("k", START, 1.0)
         return hosts
 
     def test_next_question_goes_to_another_peer(self) -> None:
--- a/tests/gateway/test_placement.py
+++ b/tests/gateway/test_placement.py
@@ -20,7 +20,7 @@
 def _engines(count: int) -> list[Endpoint]:
     table = EndpointTable()
     for n in range(count):
-        table.apply(an_entry(f"e{n}", service="model", slots=128))
+        table.apply(an_entry(f"e{n}", service="model", slots=128), 0.0)
     return table.of_service("model")
 
 
@@ -159,10 +159,10 @@
         """Guards against recomputing every context that moves to a newly joined engine."""
         table = EndpointTable()
         for n in range(5):
-            table.apply(an_entry(f"e{n}", service="model", slots=128))
+            table.apply(an_entry(f"e{n}", service="model", slots=128), 0.0)
         before = choose(table.of_service("model"), _placement_request(), 100.0)
         for n in range(5, 60):
-            table.apply(an_entry(f"e{n}", service="model", slots=128), joined_at=99.0)
+            table.apply(an_entry(f"e{n}", service="model", slots=128), 0.0, joined_at=99.0)
         engines = table.of_service("model")
         after = choose(engines, _placement_request(), 100.0)
         assert isinstance(after, Endpoint)
@@ -230,7 +230,7 @@
         """Guards against needless traffic between domains, and an overloaded local endpoint."""
         table = EndpointTable()
         for n in range(4):
-            table.apply(an_entry(f"e{n}", failure_domain=f"z{n}"))
+            table.apply(an_entry(f"e{n}", failure_domain=f"z{n}"), 0.0)
         endpoints = table.of_service("shop")
         request = _placement_request(service=a_service(), failure_domain="z2")
         first = choose(endpoints, request, 0.0)
--- a/tests/gateway/test_store_sync.py
+++ b/tests/gateway/test_store_sync.py
@@ -111,22 +111,24 @@
         eventually(lambda: not pool.can_route_to("gone"), "the removed one is known")
 
     def test_only_lists_that_need_no_newest_state_may_be_stale(self) -> None:
-        """Guards against a configuration that counts as confirmed because of a stale list."""
+        """Guards against a state from before a restore of the store that counts as the newest.
+
+        A router that starts cannot tell whether the store was restored seconds ago.
+        """
         world = World()
         self.addCleanup(world.stop)
         world.start()
+        eventually(
+            lambda: any("sequoiadrum-routers?" in path for _, path in world.store.calls),
+            "the routers are listed",
+        )
         lists = [
             path for method, path in world.store.calls if method == "GET" and "watch" not in path
         ]
         stale = {
             path.split("?")[0].rsplit("/", 1)[-1] for path in lists if "serializable=1" in path
         }
-        eventually(
-            lambda: any("sequoiadrum-routers" in path for _, path in world.store.calls),
-            "the routers are listed",
-        )
-        self.assertIn("servers", stale)
-        self.assertFalse(any("serializable" in path and "config" in path for path in lists))
+        self.assertEqual(stale, {"sequoiadrum-routers"})
 
     def test_follower_whose_peers_fail_reads_the_newest_state(self) -> None:
         """Guards against requests to endpoints that left, when no peer has recent state."""
--- a/tests/platform/store_stand_in.py
+++ b/tests/platform/store_stand_in.py
@@ -38,6 +38,8 @@
         self._oldest_revision = 1
         self.status: int | None = None
         """Status of the response to every call; None serves the calls."""
+        self.status_by_path: dict[str, int] = {}
+        """Status of the response to calls of a path without its query."""
         self.is_unresponsive = False
         """Accepts calls and does not respond until the fault ends."""
         self.loses_responses = False
@@ -244,8 +246,9 @@
         """Applies the current faults; returns whether the call is to be served."""
         while self.store.is_unresponsive and not self.store.stopped:
             time.sleep(0.02)
-        if self.store.status is not None:
-            self._respond(self.store.status, {"error": "refused"})
+        status = self.store.status_by_path.get(self.path.split("?")[0], self.store.status)
+        if status is not None:
+            self._respond(status, {"error": "refused"})
             return False
         return True
 
