Register routers again after the store is restored

A registration is written once, at the start. A restored store lacks those that are younger than its copy, and a router that starts later finds none of these routers; what was removed is there again. Each router now registers again at a random moment within 5 s of the restore, and the clean-up removes registrations of dead routers again. The test failed before: the registration never came back.

--- a/src/sequoiadrum/gateway/app.py
+++ b/src/sequoiadrum/gateway/app.py
@@ -143,6 +143,8 @@
         )
         self.gossip.subscribe(self.peer_events)
         self.gossip.subscribe_revisions(self.peer_events)
+        self._store_availability.subscribe_restores(self._instances.register_again)
+        self._store_availability.subscribe_restores(self.peer_events.store_restored)
         self.pool: Final = EndpointPool(settings.bounds, self.directory.count)
         self._load_exchange = LoadExchangeTask(
             self.gossip, self.pool, settings.failure_domain, self.metrics, self._invariant_broken
--- a/src/sequoiadrum/gateway/fleet.py
+++ b/src/sequoiadrum/gateway/fleet.py
@@ -37,7 +37,8 @@
     from sequoiadrum.timers import TimerService
 
 ROUTER_KIND: Final = "sequoiadrum-routers"
-"""Kind of the routers' registrations in the store; written at each start and graceful shutdown."""
+"""Kind of the routers' registrations in the store; written at each start, graceful shutdown and
+restore of the store."""
 MAX_ADDRESSES: Final = 64
 """Callers read at most this many addresses of a response."""
 MIN_LOCAL_ROUTERS: Final = 2
@@ -49,6 +50,9 @@
 PEER_CONNECTIONS: Final = 160
 """Maximum connections from peers. Each follower keeps two to a watcher, and each waiting request
 uses a thread."""
+REGISTRATION_SPREAD_S: Final = 5.0
+"""Time within which the routers of a fleet register again after a restore of the store, each at a
+random moment, so that the store does not refuse them."""
 _REGISTER_RETRY_S: Final = 0.5
 _FAILURES: Final = {
     StoreFailure.NOT_FOUND: PlatformFailure.NOT_FOUND,
@@ -64,18 +68,27 @@
         self._settings = settings
         self._log = log
         self._stopped = threading.Event()
-        self._thread = threading.Thread(target=self._register, name="register", daemon=True)
+        self._is_due = threading.Event()
+        self._thread = threading.Thread(target=self._run, name="register", daemon=True)
 
     def start(self) -> None:
         """Registers this router in the background."""
         self._thread.start()
 
+    def register_again(self) -> None:
+        """Registers this router again, since a restored store may lack its registration.
+
+        Callable by any thread; returns at once.
+        """
+        self._is_due.set()
+
     def withdraw(self) -> None:
         """Removes the registration before a graceful shutdown.
 
         A failure is only logged, as the other routers detect the stop anyway.
         """
         self._stopped.set()
+        self._is_due.set()
         result = self._store.delete(ROUTER_KIND, self._settings.instance_id)
         self._log.notable("registration_withdrawn", outcome=_outcome(result))
 
@@ -100,6 +113,14 @@
             routers.append(ListedInstance(item.name, host, port, "router", leaving=False))
         return Success(routers)
 
+    def _run(self) -> None:
+        self._register()
+        while not self._stopped.is_set():
+            self._is_due.wait()
+            self._is_due.clear()
+            if not self._stopped.wait(random.uniform(0.0, REGISTRATION_SPREAD_S)):
+                self._register()
+
     def _register(self) -> None:
         document = {"host": self._settings.host, "peer_port": self._settings.peer_port}
         while not self._stopped.is_set():
@@ -161,6 +182,11 @@
     """Timer message that starts a removal of the registrations of dead routers."""
 
 
+@frozen
+class _StoreRestored:
+    """Reports that the store was restored from a copy and may show removed registrations again."""
+
+
 @frozen
 class _Observe:
     """Timer message that observes the clock for pauses of the process."""
@@ -201,6 +227,7 @@
             RevisionReceived: self._on_revision,
             MembersChanged: self._on_members,
             _CleanUp: self._on_clean_up,
+            _StoreRestored: self._on_store_restored,
             _Observe: self._on_observe,
         }
 
@@ -210,6 +237,17 @@
         timers.subscribe(self, CLEAN_UP_INTERVAL_S, _CleanUp())
         timers.subscribe(self, OBSERVATION_INTERVAL_S, _Observe())
 
+    def store_restored(self) -> None:
+        """Reports that the store was restored from a copy; callable by any thread."""
+        self.post(_StoreRestored())
+
+    def _on_store_restored(self, _: _StoreRestored) -> None:
+        now = clock.now()
+        self._dead_since_by_id = {
+            router_id: min(dead_since, now)
+            for router_id, dead_since in self._dead_since_by_id.items()
+        }
+
     def _on_revision(self, message: RevisionReceived) -> None:
         if message.revision <= self._configuration.version():
             return
--- a/src/sequoiadrum/gateway/store_sync.py
+++ b/src/sequoiadrum/gateway/store_sync.py
@@ -14,7 +14,7 @@
 from sequoiadrum.gateway.model import StoreFailure
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable
+    from collections.abc import Callable, Iterable
 
     from sequoiadrum.gateway.configuration import ConfigurationHolder
     from sequoiadrum.gateway.event_log import EventLog
@@ -78,11 +78,20 @@
         """Last time since `_lost_at` at which the store is known to have responded to a router, or
         else `_lost_at`."""
         self._epoch: int | None = None
+        self._restore_subscribers: list[Callable[[], None]] = []
         self.restored_at: float = float("-inf")
         """When the last restore was detected, in monotonic seconds."""
         self.outage_ended: float = float("-inf")
         """End of the last outage in which entries can have expired, in monotonic seconds."""
 
+    def subscribe_restores(self, on_restore: Callable[[], None]) -> None:
+        """Subscribes to restores of the store; must be called before the start.
+
+        Args:
+            on_restore: Called by the thread that detects the restore; must not block.
+        """
+        self._restore_subscribers.append(on_restore)
+
     def record_epoch(self, epoch: int) -> None:
         """Records the epoch that the store named; a higher one shows that it was restored.
 
@@ -102,6 +111,8 @@
             self.restored_at = self.outage_ended = clock.now()
         self._metrics.count("store_restores_total")
         self._log.notable("store_restored", epoch=epoch, former_epoch=known)
+        for on_restore in self._restore_subscribers:
+            on_restore()
 
     def record_response(self) -> None:
         """Records a response of the store to this router."""
--- a/tests/gateway/test_restored_store.py
+++ b/tests/gateway/test_restored_store.py
@@ -102,6 +102,17 @@
         eventually(lambda: not pool.can_route_to("gone"), "the other one counts as removed")
         self.assertTrue(pool.can_route_to("e1"))
 
+    def test_router_registers_again(self) -> None:
+        """Guards against a router that the next ones to start cannot find."""
+        with mock.patch("sequoiadrum.gateway.fleet.REGISTRATION_SPREAD_S", 0.1):
+            copy = self.store.copy()
+            self._start()
+            name = self.world.settings.instance_id
+            eventually(lambda: self.store.has("sequoiadrum-routers", name), "it is registered")
+            self.store.restore(copy)
+            self.store.put("config", "main", config_document(2))
+            eventually(lambda: self.store.has("sequoiadrum-routers", name), "it registered again")
+
     def test_two_restores_in_a_row(self) -> None:
         """Guards against a router that follows only the first of two restores."""
         self._start()
