Fetch versions that a restored store lacks from the routers that have them

A router that starts while the store still shows the copy reads an older version, takes it for the newest and answers 404 for routes that were confirmed before the outage. Peers announce their version by gossip, but the answer to that was another read of the store. Now a version that an alive router announced and the store does not show is requested from that router, and nothing is denied until it was received. Another document under the version in force, written since the restore, replaces one that was never acknowledged.

--- a/src/sequoiadrum/gateway/configuration.py
+++ b/src/sequoiadrum/gateway/configuration.py
@@ -33,6 +33,21 @@
     def is_watcher(self) -> bool:
         """Returns whether this router watches the store itself and needs no peer to confirm."""
 
+    @abstractmethod
+    def announced_version(self) -> int:
+        """Returns the highest version that other routers announced, or 0 if there is none."""
+
+    @abstractmethod
+    def fetch_announced(self, known_version: int) -> ConfirmedConfig | None:
+        """Requests the configuration in force from a router that announced the highest version.
+
+        Args:
+            known_version: The object is returned only if its version is above this one.
+
+        Returns:
+            None if no router announced a higher version, or it gives no valid response.
+        """
+
     @abstractmethod
     def confirm(self, known_version: int, max_age_s: float) -> ConfirmedConfig | None:
         """Requests the configuration in force from one watcher.
@@ -97,6 +112,7 @@
         self._item: StoredItem | None = None
         self._confirmed_at = float("-inf")
         self._failed_at = float("-inf")
+        self._fetch_failed_at = float("-inf")
         metrics.gauge("config_version", lambda: float(self.version()))
         metrics.gauge("config_age_seconds", lambda: min(1e9, self.age_s()))
 
@@ -116,6 +132,9 @@
     def accept(self, item: StoredItem, source: str) -> None:
         """Puts a version in force unless the same or a newer one is in force.
 
+        A restored store may lack a version that was not acknowledged; another document that was
+        written under the same version since then replaces it.
+
         A document that cannot be decoded is logged, counted and ignored.
 
         Args:
@@ -158,7 +177,8 @@
         """Ensures that all versions acknowledged up to a time are known to this router.
 
         Calls a watcher or the store unless a confirmation at or after that time is recorded
-        already. Concurrent callers share one call.
+        already. Concurrent callers share one call. A store that was restored from a copy may lack
+        a version that other routers have in force, which is requested from them.
 
         Args:
             since: Monotonic seconds.
@@ -167,16 +187,18 @@
             False if neither a peer nor the store confirmed it, or if a read failed less than
             `CONFIRM_RETRY_INTERVAL_S` ago; a newer version may exist.
         """
-        if self._confirmed_at >= since:
+        if self._confirmed_at >= since and self._has_announced_version():
             return True
         with self._confirm_lock:
-            if self._confirmed_at >= since:
-                return True
-            if clock.now() - self._failed_at < CONFIRM_RETRY_INTERVAL_S:
-                return False
-            if not self._peers.is_watcher() and self._confirm_by_peer(since):
-                return True
-            return self.confirm_at_store(since)
+            if self._confirmed_at < since:
+                if clock.now() - self._failed_at < CONFIRM_RETRY_INTERVAL_S:
+                    return False
+                is_follower = not self._peers.is_watcher()
+                if not (is_follower and self._confirm_by_peer(since)) and not self.confirm_at_store(
+                    since
+                ):
+                    return False
+            return self._has_announced_version() or self._fetch_announced()
 
     def confirm_at_store(self, since: float) -> bool:
         """Ensures the same as `confirm` but never calls a peer.
@@ -200,6 +222,25 @@
             self.record_confirmation(requested_at)
             return True
 
+    def _has_announced_version(self) -> bool:
+        return self._peers.announced_version() <= self.version()
+
+    def _fetch_announced(self) -> bool:
+        if clock.now() - self._fetch_failed_at < CONFIRM_RETRY_INTERVAL_S:
+            return False
+        fetched = self._peers.fetch_announced(self.version())
+        if fetched is not None and fetched.item is not None:
+            self.accept(fetched.item, "announced_by_peer")
+        if self._has_announced_version():
+            return True
+        self._fetch_failed_at = clock.now()
+        self._log.notable(
+            "announced_config_not_received",
+            version=self._peers.announced_version(),
+            own_version=self.version(),
+        )
+        return False
+
     def _confirm_by_peer(self, since: float) -> bool:
         requested_at = clock.now()
         confirmed = self._peers.confirm(self.version(), max(0.0, requested_at - since))
@@ -215,8 +256,18 @@
 
     def _swap(self, config: GatewayConfig, item: StoredItem) -> bool:
         with self._lock:
-            if config.version <= self.version():
+            if config.version <= self.version() and not self._is_replaced(config, item):
                 return False
             self._routing = RoutingTable(config)
             self._item = item
             return True
+
+    def _is_replaced(self, config: GatewayConfig, item: StoredItem) -> bool:
+        """Returns whether a restored store has other content under the version in force."""
+        known = self._item
+        return (
+            known is not None
+            and config.version == self.version()
+            and item.epoch > known.epoch
+            and item.document != known.document
+        )
--- a/src/sequoiadrum/gateway/peer_feed.py
+++ b/src/sequoiadrum/gateway/peer_feed.py
@@ -53,6 +53,8 @@
 """zlib level; higher levels save little on these documents."""
 MAX_WAIT_S: Final = 2.5
 """Maximum wait that a peer may request."""
+_ANY_AGE_MS: Final = 2**31 - 1
+"""Requests the configuration that a peer has in force, however long ago it was confirmed."""
 
 
 @frozen
@@ -110,6 +112,26 @@
             return None
         return self._request_config(member, known_version, int(max_age_s * 1e3))
 
+    def announced_version(self) -> int:
+        """See `ConfirmingPeers.announced_version`."""
+        return max((m.config_revision for m in self._announcers()), default=0)
+
+    def fetch_announced(self, known_version: int) -> ConfirmedConfig | None:
+        """See `ConfirmingPeers.fetch_announced`."""
+        newer = [m for m in self._announcers() if m.config_revision > known_version]
+        if not newer:
+            return None
+        member = max(newer, key=lambda m: (m.config_revision, self._rng.random()))
+        return self._request_config(member, known_version, _ANY_AGE_MS)
+
+    def _announcers(self) -> list[Member]:
+        own_id = self._gossip.self_id()
+        return [
+            member
+            for member in self._gossip.members().values()
+            if member.state is MemberState.ALIVE and member.id != own_id
+        ]
+
     def _request_config(
         self, member: Member, known_version: int, max_age_ms: int
     ) -> ConfirmedConfig | None:
--- a/tests/gateway/test_restored_store.py
+++ b/tests/gateway/test_restored_store.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import unittest
+from typing import Any
 from unittest import mock
 
 from sequoiadrum.gateway import clock
@@ -12,11 +13,17 @@
 from sequoiadrum.gateway.peer_feed import PeerResponder
 from sequoiadrum.messages import Address
 from tests.gateway.builders import an_entry
-from tests.gateway.world import World, config_document, eventually
+from tests.gateway.world import World, config_document, eventually, route_document
 
 UNUSED_ADDRESS = Address("127.0.0.1", 9)
 
 
+def _added_route_document(version: int) -> dict[str, Any]:
+    document = config_document(version)
+    document["routes"].append(route_document("idempotent", "shop", "/added/"))
+    return document
+
+
 class RestoredStoreTest(unittest.TestCase):
     """A gateway that watches the store itself."""
 
@@ -53,6 +60,21 @@
         eventually(lambda: "store_restored" in self.world.output.getvalue(), "the restore is known")
         self.assertEqual(self.configuration.version(), 3)
 
+    def test_version_that_is_written_with_other_content_replaces_the_lost_one(self) -> None:
+        """Guards against a version that a router ignores because it saw another one of its number.
+
+        The first one was never acknowledged: the store failed while it was written.
+        """
+        self._start()
+        copy = self.store.copy()
+        self._write_versions(2)
+        self.store.restore(copy)
+        self.store.put("config", "main", _added_route_document(2))
+        eventually(
+            lambda: self.configuration.routing().route("shop.example", "/added/x") is not None,
+            "the route is served",
+        )
+
     def test_watch_does_not_continue_in_another_epoch(self) -> None:
         """Guards against a change that the watch skips because its revision was given out before.
 
@@ -124,6 +146,22 @@
         eventually(lambda: self.configuration.version() == 6, "the last version is in force")
 
 
+class StartAfterRestoreTest(unittest.TestCase):
+    """A gateway starts while the store shows an older version than its peers have in force."""
+
+    def test_version_that_only_peers_know_is_fetched_from_them(self) -> None:
+        """Guards against a 404 for a route that was confirmed before the store was restored."""
+        first = World().start(_added_route_document(5))
+        self.addCleanup(first.stop)
+        second = World(instance_id="g2")
+        self.addCleanup(second.stop)
+        second.join(first)
+        second.start(config_document(1))
+        eventually(lambda: len(second.gateway.gossip.members()) == 2, "the routers know each other")
+        eventually(lambda: second.gateway.configuration.version() == 5, "it has the peer's version")
+        self.assertEqual(second.call("/added/x")[0], 503)  # There is no endpoint.
+
+
 class RestoredFollowerTest(unittest.TestCase):
     """Two gateways, one of which watches the store for both."""
 
