--- a/src/sequoiadrum/_config_history.py
+++ b/src/sequoiadrum/_config_history.py
@@ -55,6 +55,13 @@
             self.state = state
             return True
 
+    def changes_since(self, revision: int) -> tuple[Change, ...] | None:
+        """Returns the changes above a revision in order, or None if they are not all retained."""
+        with self._lock:
+            if revision < self.state.revision - len(self._recent):
+                return None
+            return tuple(change for change in self._recent if change.revision > revision)
+
     def update_since(self, revision: int) -> ConfigUpdate:
         """Returns the changes above a revision, or a snapshot if they are no longer retained.
 
--- a/src/sequoiadrum/app.py
+++ b/src/sequoiadrum/app.py
@@ -208,7 +208,15 @@
 
     def _create_operator_services(self) -> OperatorServices:
         self.config_writer = PlatformConfigWriter(
-            self._platform, self.config.current, self.config.accept, self.metrics, self.background
+            self._platform,
+            self.config.current,
+            self.config.changes_since,
+            self.config.accept,
+            self.metrics,
+            self.background,
+        )
+        self.config.subscribe_lost_changes(
+            lambda: self.background.submit(self.config_writer.restore_lost_changes)
         )
         parts = DriverParts(
             store=PlanStore(self._platform),
--- a/src/sequoiadrum/config_task.py
+++ b/src/sequoiadrum/config_task.py
@@ -30,6 +30,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from sequoiadrum.configuration import Change
     from sequoiadrum.interfaces import FleetLink
     from sequoiadrum.messages import Address, Member
     from sequoiadrum.metrics import Metrics
@@ -114,6 +115,7 @@
         self._history = ConfigHistory()
         self._created_at = time.monotonic()
         self._loaded = False
+        self._on_lost_changes: Callable[[], object] = lambda: None
         self._behind_since: float | None = None
         self._platform_contact_at: float | None = None
         self._platform_failed = False
@@ -179,6 +181,19 @@
         """Applies a log that this router's writer wrote or read; may be called from any thread."""
         self.post(_Accepted(log, version))
 
+    def changes_since(self, revision: int) -> tuple[Change, ...] | None:
+        """Returns the changes above a revision, or None if they are not all retained."""
+        return self._history.changes_since(revision)
+
+    def subscribe_lost_changes(self, on_lost: Callable[[], object]) -> None:
+        """Sets what is called when the log may lack changes; must be called before the start.
+
+        Args:
+            on_lost: Called by this task when the platform shows an older log than is in force, as
+                it does after it was restored from a copy; must not block.
+        """
+        self._on_lost_changes = on_lost
+
     def fetch_config(self, since_revision: int) -> ConfigUpdate:
         """Returns the reply to `Peer.fetch_config`; revision -1 if no configuration is loaded."""
         if not self._loaded:
@@ -269,6 +284,8 @@
         if isinstance(result, Failure):
             self._version = 0
             self._finish_loading(now)
+            if self.current().revision > 0:
+                self._on_lost_changes()
         elif (stored := result.unwrap()) is not None:
             self._apply_stored(stored)
         if message.watched and self._should_watch():
@@ -282,7 +299,12 @@
             self.metrics.count("config_log_unreadable_total")
             self._next_read = time.monotonic() + _CONTACT_TIMEOUT_S
             return
+        # Also a lower version, which a platform shows that was restored from a copy: a watch from
+        # the higher one would return at once, again and again.
+        self._version = stored.version
         self._apply_log(log, stored.version)
+        if self._loaded and log.revision < self.current().revision:
+            self._on_lost_changes()
 
     def _on_accepted(self, message: _Accepted) -> None:
         self._apply_log(message.log, message.version)
--- a/src/sequoiadrum/config_writer.py
+++ b/src/sequoiadrum/config_writer.py
@@ -60,6 +60,7 @@
         self,
         platform: PlatformClient,
         current: Callable[[], ConfigState],
+        changes_since: Callable[[int], tuple[Change, ...] | None],
         accepted: Callable[[ConfigLog, int], None],
         metrics: Metrics,
         compactions: Executor,
@@ -69,12 +70,15 @@
         Args:
             platform: Client of the store that holds the log.
             current: Returns the newest applied state.
+            changes_since: Returns the applied changes above a revision, or None if they are not all
+                known any more.
             accepted: Called with the log and its version after each accepted change.
             metrics: Counts outcomes.
             compactions: Runs compactions of the log.
         """
         self._platform = platform
         self._current = current
+        self._changes_since = changes_since
         self._accepted = accepted
         self._metrics = metrics
         self._compactions = compactions
@@ -89,6 +93,44 @@
         self._metrics.count("config_changes_total", outcome=value)
         return outcome
 
+    def restore_lost_changes(self) -> None:
+        """Appends the accepted changes that the log lacks since the platform was restored.
+
+        A failure is left to the next call.
+        """
+        with self._lock:
+            for _ in range(_MAX_ATTEMPTS):
+                read = self._platform.get(CONFIG_LOG_NAME)
+                stored = read.value_or(None)
+                if stored is None and read != Failure(PlatformFailure.NOT_FOUND):
+                    return
+                try:
+                    log = ConfigLog.decode(stored.value) if stored is not None else ConfigLog()
+                except ValueError:
+                    return
+                restored = self._with_lost_changes(log)
+                if restored is log:
+                    return
+                version = stored.version if stored is not None else 0
+                written = self._platform.put(CONFIG_LOG_NAME, restored.encode(), version)
+                if isinstance(written, Success):
+                    return
+                if written.failure() not in (PlatformFailure.CONFLICT, PlatformFailure.UNKNOWN):
+                    return
+
+    def _with_lost_changes(self, log: ConfigLog) -> ConfigLog:
+        """Returns the log with the changes that were applied here and that it lacks.
+
+        Only valid for a log whose version the write expects: a log that was read before another
+        write would lack that change as well.
+        """
+        lost = self._changes_since(log.revision)
+        if not lost:
+            return log
+        self._metrics.count("config_changes_restored_total", amount=len(lost))
+        _log.warning("config_changes_restored", revisions=[change.revision for change in lost])
+        return evolve(log, changes=(*log.changes, *lost), write_id=uuid4().hex)
+
     def _write_with_retries(self, attempt: _WriteAttempt) -> Outcome:
         for number in range(_MAX_ATTEMPTS):
             if number:
@@ -104,6 +146,11 @@
         if isinstance(read, Failure):
             return self._fail(attempt, read.failure().value)
         log, version = read.unwrap()
+        restored = self._with_lost_changes(log)
+        if restored is not log:
+            # Only a stored log proves that a change is accepted, so it is written and read first.
+            self._platform.put(CONFIG_LOG_NAME, restored.encode(), version)
+            return None
         request = attempt.request
         accepted_before = next((c for c in log.changes if c.change_id == request.change_id), None)
         if accepted_before is not None:
--- a/tests/fake_platform.py
+++ b/tests/fake_platform.py
@@ -59,6 +59,15 @@
             return Failure(PlatformFailure.UNKNOWN)
         return Failure(PlatformFailure.CONFLICT) if stored is None else Success(stored)
 
+    def copy(self) -> tuple[int, dict[str, StoredObject]]:
+        """Returns a copy of the state, to which `restore` goes back."""
+        return self._version, dict(self.objects)
+
+    def restore(self, copy: tuple[int, dict[str, StoredObject]]) -> None:
+        """Goes back to a copy; what was written since is lost, and its versions are reused."""
+        self._version, objects = copy
+        self.objects = dict(objects)
+
     def version_of(self, name: str) -> int:
         """Returns the version of an object, 0 if it does not exist."""
         found = self.objects.get(name)
--- a/tests/test_config_writer.py
+++ b/tests/test_config_writer.py
@@ -30,14 +30,19 @@
 from tests.fake_platform import FakePlatform
 
 
-class _Router:
+class Router:
     """A configuration writer with the history that its router would hold."""
 
     def __init__(self, platform: FakePlatform) -> None:
         self.history = ConfigHistory()
         self.pool = ThreadPoolExecutor(1)
         self.writer = PlatformConfigWriter(
-            platform, lambda: self.history.state, self._accept, Metrics(), self.pool
+            platform,
+            lambda: self.history.state,
+            self.history.changes_since,
+            self._accept,
+            Metrics(),
+            self.pool,
         )
 
     def _accept(self, log: ConfigLog, _version: int) -> None:
@@ -61,7 +66,7 @@
 
     def setUp(self) -> None:
         self.platform = FakePlatform()
-        self.routers = [_Router(self.platform), _Router(self.platform)]
+        self.routers = [Router(self.platform), Router(self.platform)]
         for router in self.routers:
             self.addCleanup(router.pool.shutdown)
 
@@ -87,7 +92,7 @@
         platform = FakePlatform(
             random.Random(seed), lose_before=0.2, lose_after=0.2, delay_lost=0.5
         )
-        routers = [_Router(platform), _Router(platform)]
+        routers = [Router(platform), Router(platform)]
         accepted = set()
         for number in range(12):
             with patch("sequoiadrum.config_writer.time.sleep"):
@@ -137,7 +142,7 @@
 class CompactionTest(unittest.TestCase):
     """Compaction neither loses changes nor restores deleted objects."""
 
-    def _fill(self, platform: FakePlatform, router: _Router) -> None:
+    def _fill(self, platform: FakePlatform, router: Router) -> None:
         """Appends 899 changes to the log in one write, which exceeds the size limit."""
         read = platform.get(CONFIG_LOG_NAME)
         log = ConfigLog.decode(read.unwrap().value) if isinstance(read, Success) else ConfigLog()
@@ -158,7 +163,7 @@
         The second round loses the responses to all writes, as an interrupted compaction would.
         """
         platform = FakePlatform()
-        router = _Router(platform)
+        router = Router(platform)
         router.writer._compact = lambda: None  # type: ignore[method-assign]
         self.addCleanup(router.pool.shutdown)
         stale_history = ConfigHistory()
@@ -184,7 +189,7 @@
     def test_append_during_compaction(self) -> None:
         """Guards against a compaction that overwrites a change accepted while it runs."""
         platform = FakePlatform()
-        first, second = _Router(platform), _Router(platform)
+        first, second = Router(platform), Router(platform)
         for router in (first, second):
             self.addCleanup(router.pool.shutdown)
             router.writer._compact = lambda: None  # type: ignore[method-assign]
--- /dev/null
+++ b/tests/test_restored_platform.py
@@ -0,0 +1,145 @@
+"""Tests of the product's own interface on a platform that is restored from an older copy."""
+
+from __future__ import annotations
+
+import threading
+import unittest
+from types import MappingProxyType
+from typing import TYPE_CHECKING, Any
+from unittest import mock
+
+from returns.result import Result, Success
+
+from sequoiadrum.config_compactor import CONFIG_LOG_NAME
+from sequoiadrum.config_task import ConfigTask
+from sequoiadrum.configuration import Change, ConfigLog, ObjectKind
+from sequoiadrum.messages import Member, MemberState
+from sequoiadrum.metrics import Metrics
+from sequoiadrum.timers import TimerService
+from tests.builders import a_change
+from tests.fake_platform import FakePlatform
+from tests.test_config_writer import Router
+
+if TYPE_CHECKING:
+    from sequoiadrum.platform_client import PlatformFailure, StoredObject
+
+
+def _stored_change_ids(platform: FakePlatform) -> list[str]:
+    log = ConfigLog.decode(platform.objects[CONFIG_LOG_NAME].value)
+    return [change.change_id for change in log.changes]
+
+
+class WriterTest(unittest.TestCase):
+    """Changes that were accepted after the copy was made."""
+
+    def setUp(self) -> None:
+        self.platform = FakePlatform()
+        self.first, self.second = Router(self.platform), Router(self.platform)
+        for router in (self.first, self.second):
+            self.addCleanup(router.pool.shutdown)
+        self.first.put("a", "acme", 1)
+        self.copy = self.platform.copy()
+        self.first.put("b", "bolt", 2)
+        self.first.put("c", "cord", 3)
+        self.platform.restore(self.copy)
+
+    def test_lost_changes_are_written_again(self) -> None:
+        """Guards against accepted changes that routers started later never learn of."""
+        self.first.writer.restore_lost_changes()
+        self.assertEqual(_stored_change_ids(self.platform), ["a", "b", "c"])
+
+    def test_lost_log_is_written_again(self) -> None:
+        """Guards against an empty configuration after a copy from before the first change."""
+        self.platform.restore((0, {}))
+        self.first.writer.restore_lost_changes()
+        self.assertEqual(_stored_change_ids(self.platform), ["a", "b", "c"])
+
+    def test_next_change_is_accepted_and_follows_the_lost_ones(self) -> None:
+        """Guards against a router that refuses every change until it restarts."""
+        self.assertEqual(self.first.put("d", "dent", 4).unwrap().revision, 4)
+        self.assertEqual(_stored_change_ids(self.platform), ["a", "b", "c", "d"])
+
+    def test_repeated_lost_change_is_stored(self) -> None:
+        """Guards against a change that is confirmed again although the log lacks it."""
+        self.assertEqual(self.first.put("c", "cord", 3).unwrap().revision, 3)
+        self.assertEqual(_stored_change_ids(self.platform), ["a", "b", "c"])
+
+    def test_change_with_a_reused_revision_is_in_force_everywhere(self) -> None:
+        """Guards against routers that keep another change under the same revision."""
+        self.assertEqual(self.second.put("d", "dent", 4).unwrap().revision, 2)
+        self.first.put("e", "echo", 5)
+        self.assertIn("dent", self.first.history.state.accounts_by_name)
+
+
+class _WatchedPlatform(FakePlatform):
+    """Watches wait while the version is the known one, as the platform's do."""
+
+    watches = 0
+
+    def watch(
+        self, name: str, known_version: int, timeout_s: float
+    ) -> Result[StoredObject | None, PlatformFailure]:
+        self.watches += 1
+        if self.version_of(name) == known_version:
+            threading.Event().wait(0.2)
+            return Success(None)
+        return self.get(name)
+
+
+def _lone_link() -> Any:
+    me = Member("r1", "h1", 1, 2, "z", "r", 1, 0, MemberState.ALIVE)
+    link = mock.Mock()
+    link.members.return_value = MappingProxyType({"r1": me})
+    link.self_id.return_value = "r1"
+    link.last_contact_at.return_value = None
+    return link
+
+
+class WatchTest(unittest.TestCase):
+    """The task that watches the log."""
+
+    def setUp(self) -> None:
+        self.platform = _WatchedPlatform()
+        self.changes: list[Change] = []
+        self._append(1)
+        self.copy = self.platform.copy()
+        self._append(2)
+        self._append(3)
+        self.task = ConfigTask(self.platform, _lone_link(), mock.Mock(), Metrics(), lambda: None)
+        self.lost = threading.Event()
+        self.task.subscribe_lost_changes(self.lost.set)
+        timers = TimerService()
+        self.addCleanup(timers.stop)
+        self.addCleanup(self.task.stop)
+        timers.start()
+        self.task.run_on(timers)
+        self._wait_for(lambda: self.task.current().revision == 3)
+
+    def _append(self, revision: int) -> None:
+        name, value = f"account-{revision}", {"requests_per_s": 1}
+        self.changes.append(a_change(ObjectKind.ACCOUNT, name, value, revision))
+        version = self.platform.version_of(CONFIG_LOG_NAME)
+        self.platform.put(
+            CONFIG_LOG_NAME, ConfigLog(tuple(self.changes)).encode(), version
+        ).unwrap()
+
+    def _wait_for(self, condition: Any) -> None:
+        for _ in range(1_000):
+            if condition():
+                return
+            threading.Event().wait(0.01)
+        self.fail("the condition did not hold in time")
+
+    def test_restore_does_not_make_the_watch_spin(self) -> None:
+        """Guards against a watch that returns at once, again and again, after a restore."""
+        self.platform.restore(self.copy)
+        self._wait_for(self.lost.is_set)
+        watches = self.platform.watches
+        threading.Event().wait(1.0)
+        self.assertLess(self.platform.watches - watches, 20)
+
+    def test_lost_changes_are_noticed(self) -> None:
+        """Guards against accepted changes that nobody writes again until the next change."""
+        self.platform.restore(self.copy)
+        self._wait_for(self.lost.is_set)
+        self.assertEqual(self.task.current().revision, 3)
