Keep the records of keyed calls when the platform is restored

A platform that was restored from a copy shows the owner of a ledger shard an older head. The owner took that for a takeover by another router, gave the shard up and took it over again from the older head, without the records written since: a repeated call ran a second time. An owner that holds the shard now tells an older head by its epoch and its own identity, and writes the newer one from memory again. Two tests failed before (records after the next claim, with an older head and without any).

--- a/src/sequoiadrum/_ledger_storage.py
+++ b/src/sequoiadrum/_ledger_storage.py
@@ -56,6 +56,8 @@
         """The read or write in flight."""
         self._must_read_head = False
         """Whether the head must be read to learn the effect of the last write."""
+        self._must_write_head = False
+        """Whether the head must be written because the platform shows an older one."""
         self._is_taking_over = False
         """Whether a takeover has started and its write has not been confirmed."""
         self._is_releasing = False
@@ -97,6 +99,8 @@
             return None
         if self._must_read_head or buffer.write or buffer.segment or self._segment_to_load:
             return self._earliest_io_at
+        if self.held and self._must_write_head:
+            return self._earliest_io_at
         if not self.held:
             return self._earliest_io_at if self._queue or self._is_taking_over else None
         if buffer.pending_by_key:
@@ -149,10 +153,13 @@
             return ReadObject(buffer.head_name)
         if buffer.segment is not None and not buffer.segment_stored:
             return buffer.segment_write()
-        if self.held and not (buffer.pending_by_key or buffer.segment or self._can_release()):
+        has_changes = buffer.pending_by_key or buffer.segment or self._must_write_head
+        if self.held and not (has_changes or self._can_release()):
             return ReadObject(buffer.head_name)
         owner = ("", 0) if self._can_release() else self._identity
-        return buffer.prepare(now_ms, owner, self._attempts_by_key)
+        io = buffer.prepare(now_ms, owner, self._attempts_by_key)
+        self._must_write_head &= buffer.write is None
+        return io
 
     def _can_release(self) -> bool:
         idle = not (self._queue or self._attempts_by_key or self._buffer.pending_by_key)
@@ -197,10 +204,26 @@
         if write is None and self.held and found.version == self._buffer.version:
             self._ownership_confirmed()
             return
+        if self.held and self._is_older(head):
+            # The platform was restored from a copy. The newer head is in memory.
+            self._buffer.version = found.version
+            if write is not None:
+                write.expected_version = found.version
+            self._must_write_head = write is None
+            return
         if write is not None or self.held:
             self._ownership_lost(head)
         self._unheld_head_read(head, found.version, now)
 
+    def _is_older(self, head: Head) -> bool:
+        """Returns whether a head was replaced by one that this process wrote as the owner.
+
+        Only valid while the shard is held: the epoch is then the one that this process began.
+        """
+        own_epoch = self._buffer.head.epoch
+        is_own = (head.owner, head.owner_process) == self._identity
+        return head.epoch < own_epoch or (head.epoch == own_epoch and is_own)
+
     def _segment_written(self, result: IoResult, now: float) -> None:
         if isinstance(result, Failure) and result.failure() is not PlatformFailure.CONFLICT:
             self._io_failed(result.failure(), now)
--- a/tests/test_ledger.py
+++ b/tests/test_ledger.py
@@ -39,6 +39,14 @@
         self.version = 0
         self.writes = 0
 
+    def copy(self) -> tuple[int, dict[str, tuple[int, bytes]]]:
+        """Returns a copy of the state, to which `restore` goes back."""
+        return self.version, dict(self.objects)
+
+    def restore(self, copy: tuple[int, dict[str, tuple[int, bytes]]]) -> None:
+        """Goes back to a copy; what was written since is lost, and its versions are reused."""
+        self.version, self.objects = copy[0], dict(copy[1])
+
     def execute(self, io: ReadObject | WriteObject) -> Result[StoredObject, PlatformFailure]:
         """Performs one read or write and returns its result."""
         version, value = self.objects.get(io.name, (0, b""))
--- a/tests/test_restored_platform.py
+++ b/tests/test_restored_platform.py
@@ -10,6 +10,7 @@
 
 from returns.result import Result, Success
 
+from sequoiadrum._ledger_types import Answered, Dispatch, ShardEvent
 from sequoiadrum.config_compactor import CONFIG_LOG_NAME
 from sequoiadrum.config_task import ConfigTask
 from sequoiadrum.configuration import Change, ConfigLog, ObjectKind
@@ -19,6 +20,8 @@
 from tests.builders import a_change
 from tests.fake_platform import FakePlatform
 from tests.test_config_writer import Router
+from tests.test_ledger import InMemoryStore
+from tests.test_ledger import Router as LedgerRouter
 
 if TYPE_CHECKING:
     from sequoiadrum.platform_client import PlatformFailure, StoredObject
@@ -143,3 +146,54 @@
         self.platform.restore(self.copy)
         self._wait_for(self.lost.is_set)
         self.assertEqual(self.task.current().revision, 3)
+
+
+def _is_dispatched(events: list[ShardEvent]) -> bool:
+    return any(isinstance(event, Dispatch) for event in events)
+
+
+class LedgerTest(unittest.TestCase):
+    """Keyed calls whose outcome was stored after the copy was made."""
+
+    def setUp(self) -> None:
+        self.store = InMemoryStore()
+        self.owner = LedgerRouter(self.store)
+        self.owner.run("1")
+        self.copy = self.store.copy()
+        self.assertTrue(_is_dispatched(self.owner.run("2")))
+
+    def _next_owner(self) -> LedgerRouter:
+        router = LedgerRouter(self.store, "r2")
+        router.dead_routers.add("r1")
+        return router
+
+    def test_owner_does_not_run_a_repeated_call_again(self) -> None:
+        """Guards against an owner that trusts the restored copy more than its own records."""
+        self.store.restore(self.copy)
+        events = self.owner.run("2")
+        self.assertFalse(_is_dispatched(events))
+        self.assertTrue(any(isinstance(event, Answered) for event in events))
+
+    def test_next_claim_keeps_the_lost_records(self) -> None:
+        """Guards against an owner that gives the shard up, and the records with it."""
+        self.store.restore(self.copy)
+        self.assertTrue(_is_dispatched(self.owner.run("3")))
+        self.assertFalse(_is_dispatched(self._next_owner().run("2")))
+
+    def test_next_claim_keeps_the_records_if_the_copy_has_none(self) -> None:
+        """Guards against an order that runs twice because all records of its shard were lost."""
+        self.store.restore((0, {}))
+        self.assertTrue(_is_dispatched(self.owner.run("3")))
+        self.assertFalse(_is_dispatched(self._next_owner().run("2")))
+
+    def test_next_owner_of_an_idle_shard_does_not_run_a_call_again(self) -> None:
+        """Guards against an order that runs twice after the only router that knew of it died."""
+        self.store.restore(self.copy)
+        self.assertFalse(_is_dispatched(self._next_owner().run("2")))
+
+    def test_shard_that_another_router_took_over_is_given_up(self) -> None:
+        """Guards against two owners of one shard after the restore."""
+        self.store.restore(self.copy)
+        self.assertTrue(_is_dispatched(self._next_owner().run("5")))
+        self.owner.run("6")
+        self.assertFalse(self.owner.shard.held)
