--- a/tests/platform/store_stand_in.py
+++ b/tests/platform/store_stand_in.py
@@ -109,13 +109,26 @@
             objects = {kind: dict(items) for kind, items in self._objects.items()}
             return StoreCopy(self._revision, objects, list(self._history))
 
-    def restore(self, copy: StoreCopy) -> None:
-        """Goes back to a copy; what was written since is lost, and its revisions are reused."""
+    def restore(self, copy: StoreCopy, written_again: tuple[str, ...] = ()) -> None:
+        """Goes back to a copy; what was written since is lost, and its revisions are reused.
+
+        Args:
+            copy: The state to go back to.
+            written_again: Kinds whose writers repeat at once what they wrote since.
+        """
         with self._changed:
+            lost = {kind: dict(self._objects.get(kind, {})) for kind in written_again}
             self.epoch += 1
             self._revision = copy.revision
             self._objects = {kind: dict(items) for kind, items in copy.objects.items()}
             self._history = list(copy.history)
+            for kind, items in lost.items():
+                restored = self._objects.get(kind, {})
+                for name, item in items.items():
+                    if restored.get(name) != item:
+                        self.put(kind, name, item["spec"])
+                for name in restored.keys() - items.keys():
+                    self.delete(kind, name)
             self._changed.notify_all()
 
     def has(self, kind: str, name: str) -> bool:
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -8,7 +8,7 @@
 from typing import Any, Final
 
 from tools.soak.checks import check
-from tools.soak.plan import draw_plan
+from tools.soak.plan import RESTORED, draw_plan
 from tools.soak.record import (
     CallKind,
     CallResult,
@@ -22,8 +22,10 @@
 from tools.soak.runner import Soak
 
 SEED: Final = 11
+RESTORING_SEED: Final = 22
+"""A seed whose store is restored from an older copy, twice."""
 DURATION_S: Final = 9.0
-"""Duration of the seed that this test runs; longer runs are started by hand."""
+"""Duration of the seeds that this test runs; longer runs are started by hand."""
 
 
 def make_result(request_id: str = "q1", **changes: Any) -> CallResult:
@@ -152,13 +154,22 @@
         self.assertEqual(draw_plan(7, 30.0, 4, 5), draw_plan(7, 30.0, 4, 5))
         self.assertNotEqual(draw_plan(7, 30.0, 4, 5), draw_plan(8, 30.0, 4, 5))
 
-    def test_short_seed_keeps_all_promises(self) -> None:
-        """Guards against promises that are broken when faults overlap."""
+    def _assert_promises_kept(self, seed: int) -> None:
         with tempfile.TemporaryDirectory() as log_dir:
-            record = Soak(SEED, DURATION_S, Path(log_dir)).run()
+            record = Soak(seed, DURATION_S, Path(log_dir)).run()
         self.assertEqual(check(record), [])
         self.assertGreater(sum(result.status == 200 for result in record.results), 50)
 
+    def test_short_seed_keeps_all_promises(self) -> None:
+        """Guards against promises that are broken when faults overlap."""
+        self._assert_promises_kept(SEED)
+
+    def test_short_seed_with_a_restored_store_keeps_all_promises(self) -> None:
+        """Guards against promises that are broken when the store comes back from an older copy."""
+        restores = [a for a in draw_plan(RESTORING_SEED, DURATION_S, 4, 5) if a.kind == RESTORED]
+        self.assertEqual(len(restores), 2)
+        self._assert_promises_kept(RESTORING_SEED)
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/tools/soak/plan.py
+++ b/tools/soak/plan.py
@@ -24,10 +24,12 @@
 refused; passes requests but no responses; is slow.
 """
 STORE_KINDS: Final = ("down", "silent", "lost", "forget", "muted")
-"""Faults of the store, in this order.
+"""Faults of the store that are drawn like all others, in this order.
 
 It refuses all requests; is unresponsive; loses responses; drops its history; sends no watch events.
 """
+RESTORED: Final = "restored"
+"""Fault of the store that is drawn separately: it is restored from an older copy."""
 ENDPOINT_KINDS: Final = (
     "crash",
     "reset",
@@ -88,4 +90,10 @@
             next_target = (actions[-1].target + 1) % gateways
             next_at = min(at + 0.3, seconds - RECOVERY_S - 0.5)
             actions.append(Action(round(next_at, 2), subject, kind, next_target, round(for_s, 2)))
+    # Drawn separately, so that the other actions of a seed stay as they were.
+    restores = random.Random(f"restores-{seed}")
+    for _ in range(restores.randint(0, 2)):
+        at = restores.uniform(WARM_UP_S, seconds - RECOVERY_S - 1.0)
+        for_s = min(restores.choice((0.0, 0.3, 2.0)), seconds - RECOVERY_S - at)
+        actions.append(Action(round(at, 2), "store", RESTORED, 0, round(for_s, 2)))
     return sorted(actions, key=lambda action: action.at)
--- a/tools/soak/runner.py
+++ b/tools/soak/runner.py
@@ -18,7 +18,7 @@
 from tools.soak.callers import Caller
 from tools.soak.endpoints import SoakEndpoint
 from tools.soak.gateway_process import GRACE_PERIOD_S, GatewayProcess, is_ready
-from tools.soak.plan import RECOVERY_S, draw_plan
+from tools.soak.plan import RECOVERY_S, RESTORED, draw_plan
 from tools.soak.proxy import Mode
 from tools.soak.record import KeyChange, Record
 
@@ -57,6 +57,8 @@
         self._seconds = seconds
         self._store = StoreStandIn()
         self._store_lock = threading.Lock()
+        self._store_copy = self._store.copy()
+        """Taken before the last change of the configuration; a restore goes back to it."""
         self._config_lock = threading.Lock()
         self._endpoint_numbers = 0
         self._endpoints = [self._new_endpoint() for _ in range(ENDPOINT_COUNT)]
@@ -204,7 +206,7 @@
             return
         try:
             with self._disturbance("store", action.kind):
-                self._store.status = 503 if action.kind == "down" else None
+                self._store.status = 503 if action.kind in ("down", RESTORED) else None
                 self._store.is_unresponsive = action.kind == "silent"
                 self._store.loses_responses = action.kind == "lost"
                 self._store.drops_watch_events = action.kind == "muted"
@@ -212,6 +214,8 @@
                 if action.kind in ("forget", "muted"):
                     # Ends the watches and drops the history of the events that they missed.
                     self._store.forget_history()
+                if action.kind == RESTORED:
+                    self._store.restore(self._store_copy, (CONFIG_KIND, ENDPOINT_KIND))
                 self._store.status = None
                 self._store.is_unresponsive = False
                 self._store.loses_responses = False
@@ -229,6 +233,7 @@
 
     def _write_config(self) -> None:
         with self._config_lock:
+            self._store_copy = self._store.copy()
             changes = self.record.key_changes
             version = changes[-1].version + 1 if changes else 1
             keys = frozenset({version, max(1, version - 1)})
