Forget the configuration version of a router's former process

A version that a router had before it restarted stayed in its member record, whatever the new process has in force. Since a version that an alive router announced and nobody shows keeps others from denying requests, a restart after a restore of the store could have kept them from it until the next version.

--- a/src/sequoiadrum/gateway/explain.py
+++ b/src/sequoiadrum/gateway/explain.py
@@ -26,6 +26,7 @@
 )
 _STATE_CHANGE_EVENTS: Final = frozenset(
     {
+        "announced_config_not_received",
         "config_in_force",
         "config_malformed",
         "config_not_confirmed",
@@ -41,6 +42,7 @@
         "stopping",
         "store_lost",
         "store_regained",
+        "store_restored",
         "watch_history_gone",
     }
 )
--- a/src/sequoiadrum/membership.py
+++ b/src/sequoiadrum/membership.py
@@ -167,7 +167,9 @@
                     continue
                 member = evolve(member, state=MemberState.SUSPECT)
             self._update_member(member, now, is_broadcast=False)
-            self._record_revision(member.id, member.config_revision)
+            known = self.members_by_id.get(member.id)
+            if known is not None and known.process_id == member.process_id:
+                self._record_revision(member.id, member.config_revision)
 
     def set_revision(self, revision: int, now: float) -> None:
         """Records the configuration revision in force here and pushes it to a few peers."""
@@ -395,9 +397,10 @@
     def _store(self, member: Member, now: float, is_broadcast: bool) -> None:
         known = self.members_by_id.get(member.id)
         if known is not None:
-            revision = max(known.config_revision, member.config_revision)
-            member = evolve(member, config_revision=revision)
-            if known.process_id != member.process_id:
+            if known.process_id == member.process_id:
+                revision = max(known.config_revision, member.config_revision)
+                member = evolve(member, config_revision=revision)
+            else:
                 self._suspect_until.pop(member.id, None)
         elif member.state is not MemberState.DEAD:
             self._probe_order.insert(self.rng.randrange(len(self._probe_order) + 1), member.id)
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -6,6 +6,7 @@
 import unittest
 from typing import Any
 
+from attrs import evolve
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
@@ -202,6 +203,16 @@
         )
         self.assertTrue(bus.run(4, reached))
 
+    def test_restarted_member_counts_with_its_own_revision(self) -> None:
+        """Guards against waiting for a version that a member had before it restarted."""
+        node = Membership(a_member(0), (), random.Random(1), 0.0)
+        former = evolve(a_member(1, process_id=1), config_revision=7)
+        node.merge([former], 1.0)
+        self.assertEqual(node.members_by_id["router-1"].config_revision, 7)
+        node.merge([evolve(a_member(1, process_id=2), config_revision=5)], 2.0)
+        node.merge([former], 3.0)
+        self.assertEqual(node.members_by_id["router-1"].config_revision, 5)
+
     def test_late_joiner_receives_rumor(self) -> None:
         """Guards against a crash rumor that a router that starts later never receives."""
         bus = _converged_bus()
