Release the placement when asking for a unit of a rate fails unexpectedly

Open from the incident on named rates, found by rereading: an unexpected error in that call left the request counted as in flight at the endpoint for ever. The test failed before.

--- a/src/sequoiadrum/gateway/relay.py
+++ b/src/sequoiadrum/gateway/relay.py
@@ -167,8 +167,14 @@
         for asked in range(MAX_QUOTA_ASKS):
             if isinstance(placement, PlacementFailure) or not placement.needs_quota:
                 return placement
-            if self._quotas.acquire(placement.endpoint_key):
-                self._pool.confirm(placement, placement_request)
+            try:
+                is_granted = self._quotas.acquire(placement.endpoint_key)
+                if is_granted:
+                    self._pool.confirm(placement, placement_request)
+            except Exception:
+                self._pool.cancel(placement)
+                raise
+            if is_granted:
                 return placement
             # The endpoint is withheld from further placements until it may have room.
             self._pool.cancel(placement)
--- a/tests/gateway/test_whole_path.py
+++ b/tests/gateway/test_whole_path.py
@@ -8,7 +8,10 @@
 import unittest
 from unittest import mock
 
+from sequoiadrum.gateway import clock
 from sequoiadrum.gateway.caller_app import key_fingerprint
+from sequoiadrum.gateway.load_board import endpoint_key
+from sequoiadrum.gateway.rate_limits import NamedLimit
 from sequoiadrum.gateway.sse_framing import EventSplitter
 from sequoiadrum.messages import Address
 from tests.gateway.scripted_endpoint import (
@@ -221,6 +224,16 @@
         eventually(lambda: '"request":"q1"' in self.world.output.getvalue(), "the error is logged")
         self.assertIn("RuntimeError: broken", self.world.output.getvalue())
 
+    def test_unexpected_error_while_a_unit_is_asked_for_leaks_no_placement(self) -> None:
+        """Guards against a request that counts as in flight for ever at an endpoint with a rate."""
+        self.world.add("e1", ScriptedEndpoint(ok))
+        gateway, now = self.world.gateway, clock.now()
+        (endpoint,) = gateway.pool._table.by_id.values()
+        gateway.pool.rate_limits.record(endpoint_key(endpoint.id_hash), NamedLimit(100.0, now), now)
+        with mock.patch.object(gateway._load_exchange, "acquire", side_effect=RuntimeError("x")):
+            self.assertEqual(self.world.call("/read/1")[0], 500)
+        self.assertEqual(gateway.pool.own_loads().in_flight_by_endpoint, {})
+
     def test_unexpected_error_in_a_stream_does_not_look_whole(self) -> None:
         """Guards against a stream that ends regularly after an error in the middle."""
         self.world.add("m1", ScriptedEndpoint(stream(1, 50, pause_s=0.02)), "model")
