--- a/src/sequoiadrum/gateway/store_sync.py
+++ b/src/sequoiadrum/gateway/store_sync.py
@@ -309,9 +309,10 @@
             self._availability.record_response()
             changes = watched.unwrap()
             if changes.epoch != page.epoch:
-                # Its revisions do not continue those of the list.
+                # Its revisions do not continue those of the list. A newer epoch needs a new list at
+                # once; an older one is a late answer, after which the next call waits.
                 self._availability.record_epoch(changes.epoch)
-                return True
+                return changes.epoch > page.epoch
             revision = max(revision, changes.revision)
             updates = self._mirror.apply_events(
                 self._kind,
--- a/tests/gateway/test_store_sync.py
+++ b/tests/gateway/test_store_sync.py
@@ -6,10 +6,12 @@
 import unittest
 from unittest import mock
 
+from returns.result import Success
+
 from sequoiadrum.gateway import clock
 from sequoiadrum.gateway.event_log import EventLog
 from sequoiadrum.gateway.mirror import MirrorView
-from sequoiadrum.gateway.model import StoreFailure
+from sequoiadrum.gateway.model import StoredPage, StoreFailure, WatchResult
 from sequoiadrum.gateway.store_sync import StoreAvailability
 from sequoiadrum.messages import Address
 from sequoiadrum.metrics import Metrics
@@ -130,6 +132,22 @@
         }
         self.assertEqual(stale, {"sequoiadrum-routers"})
 
+    def test_answers_of_different_epochs_do_not_cause_calls_without_a_pause(self) -> None:
+        """Guards against lists in a tight loop while two states of the store answer in turn."""
+        world = World()  # Not started, so that no other thread lists.
+        self.addCleanup(world.store.stop)
+        sync = world.gateway._syncs[1]
+        with (
+            mock.patch.object(sync._store, "list", return_value=Success(StoredPage((), 9, 2))),
+            mock.patch.object(sync._store, "watch", return_value=Success(WatchResult((), 9, 1))),
+        ):
+            self.assertFalse(sync._sync_from_store())
+        with (
+            mock.patch.object(sync._store, "list", return_value=Success(StoredPage((), 9, 2))),
+            mock.patch.object(sync._store, "watch", return_value=Success(WatchResult((), 9, 3))),
+        ):
+            self.assertTrue(sync._sync_from_store())
+
     def test_follower_whose_peers_fail_reads_the_newest_state(self) -> None:
         """Guards against requests to endpoints that left, when no peer has recent state."""
         world = World()  # Not started, so that no other thread lists.
