--- a/tests/gateway/test_peer_feed.py
+++ b/tests/gateway/test_peer_feed.py
@@ -28,7 +28,7 @@
 from sequoiadrum.metrics import Metrics
 from sequoiadrum.peer_client import PeerFailure
 from tests.gateway.scripted_endpoint import ScriptedEndpoint, ok
-from tests.gateway.world import World, config_document, eventually
+from tests.gateway.world import World, config_document, eventually, start_follower_and_watcher
 
 START = StorePosition(0, 0)
 """The position of a router that knows nothing yet."""
@@ -162,16 +162,7 @@
     """Two complete gateways, one of which watches the store for both."""
 
     def setUp(self) -> None:
-        for name in ("SMALL_FLEET_SIZE", "MIN_WATCHERS"):
-            self.enterContext(mock.patch(f"sequoiadrum.gateway.peer_feed.{name}", 1))
-        worlds = [World(instance_id=name) for name in ("g1", "g2")]
-        for world in worlds:
-            self.addCleanup(world.stop)
-        worlds[0].start()
-        worlds[1].join(worlds[0])
-        worlds[1].start()
-        eventually(lambda: sorted(map(_is_watcher, worlds)) == [False, True], "one of them watches")
-        self.follower, self.watcher = sorted(worlds, key=_is_watcher)
+        self.follower, self.watcher = start_follower_and_watcher(self)
         time.sleep(1.2)  # Until then the read at the start is a recent confirmation.
 
     def _reads(self, world: World) -> int:
@@ -206,10 +197,6 @@
         self.assertEqual(self.follower.call("/nowhere/x")[0], 503)
 
 
-def _is_watcher(world: World) -> bool:
-    return world.gateway.configuration._peers.is_watcher()
-
-
 class StoreUnreachableTest(unittest.TestCase):
     """Two complete gateways, one of which cannot reach the store."""
 
--- a/tests/gateway/test_restored_store.py
+++ b/tests/gateway/test_restored_store.py
@@ -13,7 +13,13 @@
 from sequoiadrum.gateway.peer_feed import PeerResponder
 from sequoiadrum.messages import Address
 from tests.gateway.builders import an_entry
-from tests.gateway.world import World, config_document, eventually, route_document
+from tests.gateway.world import (
+    World,
+    config_document,
+    eventually,
+    route_document,
+    start_follower_and_watcher,
+)
 
 UNUSED_ADDRESS = Address("127.0.0.1", 9)
 
@@ -166,16 +172,7 @@
     """Two gateways, one of which watches the store for both."""
 
     def setUp(self) -> None:
-        for name in ("SMALL_FLEET_SIZE", "MIN_WATCHERS"):
-            self.enterContext(mock.patch(f"sequoiadrum.gateway.peer_feed.{name}", 1))
-        worlds = [World(instance_id=name) for name in ("g1", "g2")]
-        for world in worlds:
-            self.addCleanup(world.stop)
-        worlds[0].start()
-        worlds[1].join(worlds[0])
-        worlds[1].start()
-        eventually(lambda: sorted(map(_is_watcher, worlds)) == [False, True], "one of them watches")
-        self.follower, self.watcher = sorted(worlds, key=_is_watcher)
+        self.follower, self.watcher = start_follower_and_watcher(self)
 
     def test_changes_with_reused_revisions_reach_the_follower(self) -> None:
         """Guards against followers that keep the state from before the restore."""
@@ -197,10 +194,6 @@
         eventually(lambda: not pool.can_route_to("e1"), "the endpoint gets no request")
 
 
-def _is_watcher(world: World) -> bool:
-    return world.gateway.configuration._peers.is_watcher()
-
-
 class ResponderTest(unittest.TestCase):
     """What a router tells its peers after a restore."""
 
--- a/tests/gateway/world.py
+++ b/tests/gateway/world.py
@@ -7,6 +7,7 @@
 import socket
 import time
 from typing import TYPE_CHECKING, Any
+from unittest import mock
 
 from returns.result import Success
 
@@ -19,6 +20,7 @@
 from tests.platform.store_stand_in import StoreStandIn
 
 if TYPE_CHECKING:
+    import unittest
     from collections.abc import Callable
 
     from sequoiadrum.gateway.settings import GatewaySettings
@@ -231,3 +233,26 @@
             return response.status, response.read()
         finally:
             connection.close()
+
+
+def start_follower_and_watcher(test: unittest.TestCase) -> tuple[World, World]:
+    """Starts two gateways that know each other and have stores of their own.
+
+    Only the second one returned watches its store; the other one follows it. Both are stopped when
+    the test ends.
+    """
+    for name in ("SMALL_FLEET_SIZE", "MIN_WATCHERS"):
+        test.enterContext(mock.patch(f"sequoiadrum.gateway.peer_feed.{name}", 1))
+    worlds = [World(instance_id=name) for name in ("g1", "g2")]
+    for world in worlds:
+        test.addCleanup(world.stop)
+    worlds[0].start()
+    worlds[1].join(worlds[0])
+    worlds[1].start()
+    eventually(lambda: sorted(map(_is_watcher, worlds)) == [False, True], "one of them watches")
+    follower, watcher = sorted(worlds, key=_is_watcher)
+    return follower, watcher
+
+
+def _is_watcher(world: World) -> bool:
+    return world.gateway.configuration._peers.is_watcher()
