--- a/src/sequoiadrum/gateway/configuration.py
+++ b/src/sequoiadrum/gateway/configuration.py
@@ -234,6 +234,7 @@
         if self._has_announced_version():
             return True
         self._fetch_failed_at = clock.now()
+        self._metrics.count("announced_configs_not_received_total")
         self._log.notable(
             "announced_config_not_received",
             version=self._peers.announced_version(),
--- a/src/sequoiadrum/gateway/store_sync.py
+++ b/src/sequoiadrum/gateway/store_sync.py
@@ -347,6 +347,7 @@
         """Applies a list; returns False if it is from an older epoch than the known state."""
         self._availability.record_epoch(page.epoch)
         if page.epoch < self._mirror.position(self._kind).epoch:
+            self._metrics.count("store_answers_outdated_total", kind=self._kind)
             self._log.notable("store_answer_outdated", kind=self._kind, epoch=page.epoch)
             return False
         visible_from = self._availability.expiry_hold_until()
