--- a/review/standin/client.py
+++ b/review/standin/client.py
@@ -68,6 +68,8 @@
         self.host = host
         self.sent_at = sent_at
         self.status: int | None = None
+        self.was_kept = False
+        """Whether it was sent on a connection that had been used before."""
         self.is_sealed = False
         self.size = 0
         self.is_whole = False
@@ -116,6 +118,7 @@
             "Sequoiadrum-Deadline-Ms": "4000",
             "Sequoiadrum-Key": KEY,
         }
+        result.was_kept = self._connection is not None
         if self._connection is None:
             self._connection = http.client.HTTPConnection(self._host, self._port, timeout=5)
         try:
