Name each request that the end of a gateway process cuts off

The log had the lines `stopping` and `stopped` with a number; nothing named a request that was cut, how old it was, or when after the stop signal it had been accepted, so the hypotheses could not be told apart.

Change: `requests_in_flight` keeps the accepted requests. The lines are written at once, because the process may be killed before the next regular write. What is accepted and when a stop ends is as before.

--- a/src/sequoiadrum/gateway/app.py
+++ b/src/sequoiadrum/gateway/app.py
@@ -37,6 +37,7 @@
 from sequoiadrum.gateway.peer_feed import PeerFeed, PeerResponder
 from sequoiadrum.gateway.pool import EndpointPool
 from sequoiadrum.gateway.relay import Relay
+from sequoiadrum.gateway.requests_in_flight import RequestsInFlight
 from sequoiadrum.gateway.settings_watch import SettingsWatch
 from sequoiadrum.gateway.stop_plan import StopPlan
 from sequoiadrum.gateway.store_sync import ConfigSync, EndpointSync, StoreAvailability
@@ -174,6 +175,7 @@
         )
         self._syncs: Final = (config_sync, endpoint_sync)
         self.state: Final = ServingState(self.configuration, pauses, endpoint_sync.refresh)
+        self._in_flight: Final = RequestsInFlight(self.metrics, self.log)
         relay = Relay(
             adapter.header_codec,
             self.pool,
@@ -181,6 +183,7 @@
             self.crashes,
             self._load_exchange,
             settings.failure_domain,
+            self._in_flight,
             self.metrics,
             self.log,
         )
@@ -245,7 +248,10 @@
             time.sleep(_POLL_INTERVAL_S)
         # Between the last check and the end, callers may send requests on open connections.
         is_drained = self.servers.drain(plan.drain_s(clock.now()))
-        self.log.notable("stopped", in_flight=self.servers.active(), is_drained=is_drained)
+        cut = self._in_flight.record_cut(plan.started_at)
+        self.log.notable("stopped", in_flight=self.servers.active(), is_drained=is_drained, cut=cut)
+        # The process may be killed before all its parts are stopped.
+        self.log.flush_soon()
         self.kill()
 
     def kill(self) -> None:
--- a/src/sequoiadrum/gateway/event_log.py
+++ b/src/sequoiadrum/gateway/event_log.py
@@ -71,6 +71,10 @@
         self._wake.set()
         self._thread.join(1.0)
 
+    def flush_soon(self) -> None:
+        """Makes the writer thread write the waiting lines without delay."""
+        self._wake.set()
+
     def routine(self, event: str, **fields: Any) -> None:
         """Logs a served request; the line may be dropped by the rate limit."""
         self._add(LogPriority.ROUTINE, event, fields)
@@ -140,6 +144,7 @@
     def _run(self) -> None:
         while not self._stopped:
             self._wake.wait(_FLUSH_S)
+            self._wake.clear()
             self._flush()
         self._flush()
 
--- a/src/sequoiadrum/gateway/explain.py
+++ b/src/sequoiadrum/gateway/explain.py
@@ -152,6 +152,12 @@
             return (
                 f"refused, {reason}: {_CAUSE_BY_REASON.get(reason, 'see the lines below')}{detail}"
             )
+        if last["event"] == "request_cut":
+            state = "sent, and may have run" if last.get("was_sent") else "not sent"
+            return (
+                f"cut off: this router ended after {last.get('age_ms')} ms, before the response of "
+                f"endpoint {last.get('endpoint') or 'none'}; {state}"
+            )
         if last["event"] == "request_failed_unexpectedly":
             return f"refused, internal_error: {_CAUSE_BY_REASON['internal_error']}"
         return f"no outcome is logged; the last event is {last['event']}"
--- a/src/sequoiadrum/gateway/relay.py
+++ b/src/sequoiadrum/gateway/relay.py
@@ -36,6 +36,7 @@
     from sequoiadrum.gateway.pool import EndpointPlacement, EndpointPool
     from sequoiadrum.gateway.ports import HeaderCodec
     from sequoiadrum.gateway.rate_limits import QuotaSource
+    from sequoiadrum.gateway.requests_in_flight import RequestsInFlight
     from sequoiadrum.metrics import Metrics
 
 MAX_PLAIN_RESPONSE_BYTES: Final = 8_000_000
@@ -68,10 +69,12 @@
         crashes: CrashReports,
         quotas: QuotaSource,
         failure_domain: str,
+        in_flight: RequestsInFlight,
         metrics: Metrics,
         log: EventLog,
     ) -> None:
         self._codec = codec
+        self._in_flight = in_flight
         self._quotas = quotas
         self._pool = pool
         self._connections = connections
@@ -97,10 +100,21 @@
         run = RequestRun(
             call, body, route, service, account, caller, caller.arrived_at + wait_s, fingerprint
         )
-        self._pool.record_request(service.name)
-        if self._crashes.is_refused(fingerprint):
+        self._in_flight.add(run)
+        is_streaming = False
+        try:
+            response = self._run(run)
+            is_streaming = isinstance(response.body, StreamBody)
+        finally:
+            if not is_streaming:
+                self._in_flight.remove(run)
+        return response
+
+    def _run(self, run: RequestRun) -> CallerResponse:
+        self._pool.record_request(run.service.name)
+        if self._crashes.is_refused(run.fingerprint):
             return self._refuse(run, Refused.CRASHES_ENDPOINTS)
-        return self._run_attempts(run, call.last_event_id)
+        return self._run_attempts(run, run.call.last_event_id)
 
     def _run_attempts(self, run: RequestRun, last_event_id: str | None) -> CallerResponse:
         while True:
@@ -212,6 +226,7 @@
             ),
         )
         run.sent_at = clock.now()
+        run.endpoint_id = placement.endpoint.id
         run.has_event = False
         result = self._connections.send(
             entry.instance_id,
@@ -428,6 +443,10 @@
         """See `StreamOwner.release`."""
         self._pool.release(placement)
 
+    def forget(self, run: RequestRun) -> None:
+        """See `StreamOwner.forget`."""
+        self._in_flight.remove(run)
+
     def _refuse_expired(self, run: RequestRun) -> CallerResponse:
         if run.was_sent:
             return self._refuse(run, Refused.DEADLINE, run.last_error)
--- a/src/sequoiadrum/gateway/request_run.py
+++ b/src/sequoiadrum/gateway/request_run.py
@@ -110,8 +110,12 @@
     last_error: str = ""
     progress_at: float = 0.0
     """Monotonic seconds at which the last event of a stream was complete."""
+    accepted_at: float = field(factory=clock.now)
+    """Monotonic seconds at which the whole request was accepted."""
     sent_at: float = 0.0
-    """Monotonic seconds at which the current attempt was sent."""
+    """Monotonic seconds at which the current attempt was sent; 0 before the first one."""
+    endpoint_id: str = ""
+    """Id of the endpoint of the current attempt."""
     has_event: bool = False
     """Whether the endpoint of the current attempt has sent a complete event."""
 
--- a/src/sequoiadrum/gateway/stream_body.py
+++ b/src/sequoiadrum/gateway/stream_body.py
@@ -51,6 +51,10 @@
     def release(self, placement: EndpointPlacement) -> None:
         """Releases a placement; releasing it again has no effect."""
 
+    @abstractmethod
+    def forget(self, run: RequestRun) -> None:
+        """Ends a request, completed or not; it is no longer in flight."""
+
 
 class StreamBody:
     """Yields the bytes of a stream as they arrive.
@@ -116,6 +120,7 @@
         """Closes the exchange, so that the endpoint cancels a request that is still running."""
         self._exchange.close()
         self._owner.release(self._placement)
+        self._owner.forget(self._run)
 
     def _end(self) -> None:
         self._owner.release(self._placement)
--- a/tests/gateway/test_explain.py
+++ b/tests/gateway/test_explain.py
@@ -57,6 +57,16 @@
         self.assertEqual([line["instance"] for line in explanation.other_lines], ["g2", "g3"])
         self.assertIn("state=removed", explanation.text())
 
+    def test_request_that_the_end_of_the_process_cut_is_explained(self) -> None:
+        """Guards against an order without an answer whose logs do not say how it ended."""
+        fields = {"request": "q1", "endpoint": "e1", "age_ms": 4100, "was_sent": True}
+        explanation = explain(
+            "q1", [a_line(9.0, "stopping"), a_line(12.0, "request_cut", **fields)]
+        )
+        self.assertIn("cut off: this router ended after 4100 ms", explanation.summary())
+        self.assertIn("may have run", explanation.summary())
+        self.assertIn("stopping", explanation.text())
+
     def test_unknown_request_is_reported(self) -> None:
         """Guards against an empty explanation of a request that has no log lines."""
         self.assertIn("no log line has this id", explain("q1", []).text())
