--- a/tests/gateway/test_planned_stop.py
+++ b/tests/gateway/test_planned_stop.py
@@ -8,6 +8,7 @@
 import time
 import unittest
 from typing import Any
+from unittest import mock
 
 from sequoiadrum.gateway import app
 from tests.gateway.builders import bounds
@@ -69,12 +70,24 @@
         while app.clock.now() < plan.started_at + seconds:
             time.sleep(0.01)
 
-    def order(self, request_id: str) -> int | None:
-        """Sends an order; returns the status, or None if the connection ends without a response."""
+    def order(self, request_id: str, kept: http.client.HTTPConnection | None = None) -> int | None:
+        """Sends an order; returns the status, or None if the connection ends without a response.
+
+        Args:
+            request_id: Id of the request.
+            kept: Connection to send it on; None for a new one.
+        """
+        connection = kept or self.world.connect()
         try:
-            return self.world.call("/order/x", request_id, headers=self.headers(request_id))[0]
+            connection.request("POST", "/order/x", b"a", self.headers(request_id))
+            response = connection.getresponse()
+            response.read()
+            return response.status
         except (OSError, http.client.HTTPException):
             return None
+        finally:
+            if kept is None:
+                connection.close()
 
     def received(self, request_id: str) -> bool:
         """Returns whether the endpoint received a request."""
@@ -138,3 +151,112 @@
         stopping.await_stop()
         self.assertEqual(stopping.lines("request_cut"), [])
         self.assertEqual(stopping.lines("stopped")[0]["cut"], 0)
+
+
+class AcceptedRequestTest(unittest.TestCase):
+    """A request that a stopping gateway has read gets its response."""
+
+    def assert_answered(self, stopping: StoppingWorld, statuses: dict[str, int | None]) -> None:
+        """Asserts that each request has a response, and that refused ones were not sent."""
+        for request_id, status in statuses.items():
+            with self.subTest(request_id):
+                self.assertIn(status, (200, 503))
+                if status == 503:
+                    self.assertFalse(stopping.received(request_id))
+
+    def test_long_order_accepted_late_is_answered(self) -> None:
+        """Guards against an accepted order that lasts as long as its route permits and is cut."""
+        stopping = StoppingWorld(self, 3.0, 2.0, after(1.8))
+        stopping.begin_stop()
+        statuses: dict[str, int | None] = {}
+        callers = []
+        for number, seconds in enumerate((0.2, 0.8, 1.3, 1.45, 2.0)):
+            stopping.wait_until(seconds)
+            name = f"q{number}"
+            callers.append(
+                threading.Thread(target=lambda n=name: statuses.update({n: stopping.order(n)}))
+            )
+            callers[-1].start()
+        for caller in callers:
+            caller.join(WAIT_S)
+        stopping.await_stop()
+        self.assertEqual(len(statuses), 5)
+        self.assert_answered(stopping, statuses)
+        self.assertEqual(statuses["q0"], 200)
+
+    def test_order_that_arrives_during_the_drain_is_answered(self) -> None:
+        """Guards against an order that is accepted while connections close, and cut 0.3 s later."""
+        self.enterContext(mock.patch.object(app, "DIRECTORY_LIFETIME_S", 0.1))
+        stopping = StoppingWorld(self, 5.0, 2.0, after(0.8))
+        connection = stopping.world.connect()
+        self.addCleanup(connection.close)
+        connection.putrequest("POST", "/order/x", skip_host=True)
+        for name, value in stopping.headers("q1").items():
+            connection.putheader(name, value)
+        connection.putheader("Transfer-Encoding", "chunked")
+        connection.endheaders()
+        connection.send(b"5\r\nhello\r\n")
+        stopping.begin_stop()
+        eventually(lambda: stopping.gateway.servers._is_draining, "the drain has begun")
+        connection.send(b"0\r\n\r\n")
+        self.assertEqual(connection.getresponse().status, 200)
+        stopping.await_stop()
+
+    def test_order_that_arrives_just_before_the_drain_is_answered(self) -> None:
+        """Guards against an order that is accepted after the last count of requests in flight."""
+        self.enterContext(mock.patch.object(app, "DIRECTORY_LIFETIME_S", 0.1))
+        for is_kept in (False, True):
+            with self.subTest(is_kept=is_kept):
+                self._send_before_drain(is_kept)
+
+    def _send_before_drain(self, is_kept: bool) -> None:
+        stopping = StoppingWorld(self, 5.0, 2.0, after(0.8))
+        connection = stopping.world.connect()
+        self.addCleanup(connection.close)
+        if is_kept:
+            connection.request("POST", "/order/x", b"a", stopping.headers("q0"))
+            connection.getresponse().read()
+        drain, is_sent = stopping.gateway.servers.drain, threading.Event()
+
+        def send_and_drain(*arguments: Any) -> bool:
+            connection.request("POST", "/order/x", b"a", stopping.headers("q1"))
+            eventually(lambda: stopping.received("q1"), "the order has begun")
+            is_sent.set()
+            return drain(*arguments)
+
+        with mock.patch.object(stopping.gateway.servers, "drain", send_and_drain):
+            stopping.begin_stop()
+            self.assertTrue(is_sent.wait(WAIT_S))
+            self.assertEqual(connection.getresponse().status, 200)
+            stopping.await_stop()
+
+    def test_many_orders_that_cross_the_end_are_answered_or_not_sent(self) -> None:
+        """Guards against an order between two counts when the gateway decides to end."""
+        self.enterContext(mock.patch.object(app, "DIRECTORY_LIFETIME_S", 0.1))
+        stopping = StoppingWorld(self, 5.0, 2.0, after(0.02))
+        outcomes: dict[str, int | None] = {}
+
+        def order_again_and_again(caller: int) -> None:
+            kept = stopping.world.connect() if caller % 2 else None
+            for number in range(1_000):
+                name = f"q{caller}-{number}"
+                outcomes[name] = stopping.order(name, kept)
+                if outcomes[name] is None:
+                    break
+            if kept is not None:
+                kept.close()
+
+        callers = [
+            threading.Thread(target=order_again_and_again, args=(n,), daemon=True)
+            for n in range(16)
+        ]
+        for caller in callers:
+            caller.start()
+        eventually(lambda: len(outcomes) > 100, "orders are answered")
+        stopping.begin_stop()
+        for caller in callers:
+            caller.join(WAIT_S)
+        stopping.await_stop()
+        lost = [name for name, status in outcomes.items() if status is None]
+        self.assertEqual([name for name in lost if stopping.received(name)], [])
+        self.assertEqual(stopping.lines("request_cut"), [])
