Accept only what ends before a stopping gateway does

A usual duration was taken for a bound, twice: a call was accepted until 1.5 s before the end of the grace period, although a healthy endpoint may take as long as the route's timeout; and the process ended 0.3 s after the last count of requests in flight, although requests that had begun to arrive were accepted in that time.

Change: `StopPlan.accepts` compares the deadline of a request (the smaller of the route's timeout and the caller's wait) with the time at which the responses are due; others are refused at once with 503 and are not sent. The drain lasts until the last request that was read has its response, or until the exit. Before the exit, the guard of a wait ends a request whose response has not begun: 504 `stopped`, which promises nothing, or 503 `stopping` if no byte was sent. A connection attempt ends with the request. A stopping gateway no longer spends time to confirm that a route or a key is missing; another router can.

Conclusion: the latest possible end is known when a request arrives, so what is accepted cannot outlast the process; what remains at its end is answered.

--- a/src/sequoiadrum/gateway/app.py
+++ b/src/sequoiadrum/gateway/app.py
@@ -39,7 +39,7 @@
 from sequoiadrum.gateway.relay import Relay
 from sequoiadrum.gateway.requests_in_flight import RequestsInFlight
 from sequoiadrum.gateway.settings_watch import SettingsWatch
-from sequoiadrum.gateway.stop_plan import StopPlan
+from sequoiadrum.gateway.stop_plan import Shutdown, StopPlan
 from sequoiadrum.gateway.store_sync import ConfigSync, EndpointSync, StoreAvailability
 from sequoiadrum.gossip_task import GossipTask
 from sequoiadrum.messages import Address
@@ -174,7 +174,10 @@
             self.log,
         )
         self._syncs: Final = (config_sync, endpoint_sync)
-        self.state: Final = ServingState(self.configuration, pauses, endpoint_sync.refresh)
+        self.shutdown: Final = Shutdown()
+        self.state: Final = ServingState(
+            self.configuration, pauses, endpoint_sync.refresh, self.shutdown
+        )
         self._in_flight: Final = RequestsInFlight(self.metrics, self.log)
         relay = Relay(
             adapter.header_codec,
@@ -184,6 +187,7 @@
             self._load_exchange,
             settings.failure_domain,
             self._in_flight,
+            self.shutdown,
             self.metrics,
             self.log,
         )
@@ -237,14 +241,15 @@
         """Shuts down gracefully and returns when all parts are stopped.
 
         Leaves the fleet and its directory, serves callers that have cached the address of this
-        router, and waits for requests in flight, all within the grace period.
+        router, and waits for requests in flight, all within the grace period. Shortly before its
+        end, requests whose response has not begun are answered without their endpoint.
         """
         plan = StopPlan(clock.now(), self.settings.bounds.stop_grace_s)
-        self.state.stop_plan = plan
+        self.shutdown.plan = plan
         self.log.notable("stopping", in_flight=self.servers.active())
         self.gossip.leave()
         self._instances.withdraw()
-        while not plan.can_exit(self.servers.active(), DIRECTORY_LIFETIME_S, clock.now()):
+        while not plan.can_drain(self.servers.active(), DIRECTORY_LIFETIME_S, clock.now()):
             time.sleep(_POLL_INTERVAL_S)
         # Between the last check and the end, callers may send requests on open connections.
         is_drained = self.servers.drain(plan.drain_s(clock.now()))
--- a/src/sequoiadrum/gateway/caller_app.py
+++ b/src/sequoiadrum/gateway/caller_app.py
@@ -7,10 +7,16 @@
 
 from returns.result import Failure
 
-from sequoiadrum.gateway import clock
+from sequoiadrum.gateway import clock, stop_plan
 from sequoiadrum.gateway.front import ARRIVED_AT, CLOSE_AFTER_RESPONSE
 from sequoiadrum.gateway.model import Route
-from sequoiadrum.gateway.request_run import Caller, CallerResponse, Refused, refusal_response
+from sequoiadrum.gateway.request_run import (
+    Caller,
+    CallerResponse,
+    Refused,
+    refusal_response,
+    response_deadline,
+)
 from sequoiadrum.hashing import stable_hash
 
 if TYPE_CHECKING:
@@ -23,7 +29,7 @@
     from sequoiadrum.gateway.pause_detector import PauseDetector
     from sequoiadrum.gateway.ports import DirectoryCodec, HeaderCodec
     from sequoiadrum.gateway.relay import Relay
-    from sequoiadrum.gateway.stop_plan import StopPlan
+    from sequoiadrum.gateway.stop_plan import Shutdown
     from sequoiadrum.metrics import Metrics
 
     StartResponse = Callable[..., object]
@@ -36,8 +42,6 @@
 """
 UNCONFIRMED_RETRY_AFTER_S: Final = 0.4
 """`Retry-After` sent when the configuration cannot be confirmed as the newest."""
-STOPPING_RETRY_AFTER_S: Final = 0.05
-"""`Retry-After` sent by a router that is stopping; the retry reaches another router."""
 DIRECTORY_LIFETIME_S: Final = 2.0
 """How long callers may cache addresses.
 
@@ -56,6 +60,7 @@
         configuration: ConfigurationHolder,
         pauses: PauseDetector,
         refresh_endpoints: Callable[[float], bool],
+        shutdown: Shutdown,
     ) -> None:
         """Creates the state of a router that serves.
 
@@ -64,17 +69,17 @@
             pauses: Detects that the process was suspended.
             refresh_endpoints: Applies all changes of endpoints up to a time in monotonic seconds;
                 returns whether it could.
+            shutdown: The shutdown of this process.
         """
+        self.shutdown: Final = shutdown
         self._configuration = configuration
         self._pauses = pauses
         self._refresh_endpoints = refresh_endpoints
         self._current_since = float("-inf")
-        self.stop_plan: StopPlan | None = None
-        """Set when a graceful shutdown has begun."""
 
     def is_ready(self) -> bool:
         """Returns whether callers should send requests to this router."""
-        return self.stop_plan is None and self._configuration.routing() is not None
+        return not self.shutdown.has_begun and self._configuration.routing() is not None
 
     def is_current(self) -> bool:
         """Returns whether configuration and endpoints were read since the last pause, if any.
@@ -114,7 +119,7 @@
     ) -> Iterable[bytes]:
         """Handles one request; see PEP 3333."""
         response = self._handle(environ)
-        if self._state.stop_plan is not None:
+        if self._state.shutdown.has_begun:
             # Callers with persistent connections send their next request to another router.
             environ[CLOSE_AFTER_RESPONSE]()
         headers = list(response.headers)
@@ -145,9 +150,9 @@
         account = self._resolve_account(call, route, caller)
         if isinstance(account, CallerResponse):
             return account
-        plan = self._state.stop_plan
-        if plan is not None and not plan.accepts(route.kind, clock.now()):
-            return self._refuse(call, Refused.STOPPING, "", STOPPING_RETRY_AFTER_S)
+        deadline = response_deadline(call, route, caller)
+        if not self._state.shutdown.accepts(route.kind, deadline, clock.now()):
+            return self._refuse_stopping(call)
         routing = self._configuration.routing()
         assert routing is not None
         service = routing.config.service_by_name.get(routing.service(route, call.request_id))
@@ -163,6 +168,9 @@
         route = routing.route(call.host, call.path) if routing is not None else None
         if route is not None:
             return route
+        if self._state.shutdown.has_begun:
+            # Another router can take the time to confirm that it is missing.
+            return self._refuse_stopping(call)
         # A route is known to be missing only if the configuration is confirmed as the newest.
         is_confirmed = self._configuration.confirm(caller.arrived_at - MAX_CONFIRMATION_AGE_S)
         routing = self._configuration.routing()
@@ -181,6 +189,8 @@
         account = self._find_account(call, route)
         if not isinstance(account, Refused):
             return account
+        if self._state.shutdown.has_begun:
+            return self._refuse_stopping(call)
         is_confirmed = self._configuration.confirm(caller.arrived_at - MAX_CONFIRMATION_AGE_S)
         account = self._find_account(call, route)
         if not isinstance(account, Refused):
@@ -198,6 +208,9 @@
             return account
         return Refused.KEY_UNKNOWN
 
+    def _refuse_stopping(self, call: RequestHead) -> CallerResponse:
+        return self._refuse(call, Refused.STOPPING, "", stop_plan.RETRY_AFTER_S)
+
     def _refuse(
         self,
         call: RequestHead | None,
--- a/src/sequoiadrum/gateway/exchange.py
+++ b/src/sequoiadrum/gateway/exchange.py
@@ -55,6 +55,8 @@
 
     CALLER_GONE = "caller_gone"
     DEADLINE = "deadline"
+    STOPPED = "stopped"
+    """The process ends before the response to the caller has begun."""
     SLOW_ENDPOINT = "slow_endpoint"
     """The first byte did not arrive within the time limit of one attempt."""
     STALLED = "stalled"
@@ -201,6 +203,7 @@
         body: bytes,
         guard: Callable[[], None],
         is_retryable: bool,
+        connect_timeout_s: float = CONNECT_TIMEOUT_S,
     ) -> Exchange | NotSent | ExchangeFailure:
         """Sends a request and waits for the head of its response.
 
@@ -215,6 +218,7 @@
             body: Body of the request.
             guard: Called while the exchange waits; raises `InterruptedWaitError` to end the wait.
             is_retryable: Whether the request may be sent again after it may have run.
+            connect_timeout_s: Longest wait for a new connection; at most `CONNECT_TIMEOUT_S`.
 
         Returns:
             The exchange, ready to read the body, or why there is no response.
@@ -222,7 +226,7 @@
         stream = self._take_idle(endpoint_id, None if is_retryable else NON_RETRYABLE_MAX_IDLE_S)
         if stream is None:
             try:
-                stream = GuardedStream(connect_stream(address, CONNECT_TIMEOUT_S))
+                stream = GuardedStream(connect_stream(address, connect_timeout_s))
             except OSError as error:
                 return NotSent(f"no connection: {error!r}"[:200])
             self.opened += 1
--- a/src/sequoiadrum/gateway/explain.py
+++ b/src/sequoiadrum/gateway/explain.py
@@ -61,6 +61,7 @@
     "no_endpoint": "no endpoint of the service was listed as ready; not run",
     "resumed": "this router had been suspended and could not read what had changed; not run",
     "route_unknown": "the newest configuration has no such route",
+    "stopped": "this router ended before the response began; the request may have run",
     "stopping": "this router was shutting down and could not have completed the request; not run",
     "uncertain_key": "the key is unknown here and the store could not be read; not run",
     "uncertain_route": "the route is unknown here and the store could not be read; not run",
--- a/src/sequoiadrum/gateway/guards.py
+++ b/src/sequoiadrum/gateway/guards.py
@@ -54,10 +54,11 @@
 def stream_guard(run: RequestRun) -> Callable[[], None]:
     """Returns a guard for the wait for the next event of a stream that has begun.
 
-    The guard raises `InterruptedWaitError` as the guard of `body_guard` does, and also when no
-    event was completed for longer than the callers of the route wait, whatever bytes arrive.
+    The guard raises `InterruptedWaitError` at the deadline, when the caller has disconnected, and
+    when no event was completed for longer than the callers of the route wait, whatever bytes
+    arrive. A shutdown leaves the stream its time until the process ends.
     """
-    check_body = body_guard(run)
+    check_body = _request_guard(run)
     stall_s = STALL_MARGIN_S + max(
         MIN_STALL_S,
         STALL_GOAL_MULTIPLE * run.route.goal_s,
@@ -73,11 +74,22 @@
 
 
 def body_guard(run: RequestRun) -> Callable[[], None]:
-    """Returns a guard for the wait for the rest of a response.
+    """Returns a guard for the wait for the rest of a response that the caller gets as a whole.
 
-    The guard raises `InterruptedWaitError` at the deadline, and also when the caller has
-    disconnected, unless the request is non-idempotent.
+    The guard raises `InterruptedWaitError` at the deadline, shortly before the process ends, and
+    also when the caller has disconnected, unless the request is non-idempotent.
     """
+    check_request = _request_guard(run)
+
+    def check() -> None:
+        check_request()
+        if run.is_stopped():
+            raise InterruptedWaitError(Interrupt.STOPPED)
+
+    return check
+
+
+def _request_guard(run: RequestRun) -> Callable[[], None]:
     # A non-idempotent request that has started is completed even if its caller disconnects.
     watches_caller = run.kind is not RequestKind.NON_IDEMPOTENT
 
--- a/src/sequoiadrum/gateway/relay.py
+++ b/src/sequoiadrum/gateway/relay.py
@@ -5,8 +5,14 @@
 from http import HTTPStatus
 from typing import TYPE_CHECKING, Final
 
-from sequoiadrum.gateway import clock
-from sequoiadrum.gateway.exchange import Exchange, ExchangeFailure, Interrupt, NotSent
+from sequoiadrum.gateway import clock, stop_plan
+from sequoiadrum.gateway.exchange import (
+    CONNECT_TIMEOUT_S,
+    Exchange,
+    ExchangeFailure,
+    Interrupt,
+    NotSent,
+)
 from sequoiadrum.gateway.guards import body_guard, first_byte_guard, stream_guard
 from sequoiadrum.gateway.model import RequestKind
 from sequoiadrum.gateway.placement import (
@@ -22,6 +28,7 @@
     RequestRun,
     fingerprint_of,
     refusal_response,
+    response_deadline,
 )
 from sequoiadrum.gateway.sse_framing import EventSplitter
 from sequoiadrum.gateway.stream_body import StreamBody, StreamOwner, read_events
@@ -37,6 +44,7 @@
     from sequoiadrum.gateway.ports import HeaderCodec
     from sequoiadrum.gateway.rate_limits import QuotaSource
     from sequoiadrum.gateway.requests_in_flight import RequestsInFlight
+    from sequoiadrum.gateway.stop_plan import Shutdown
     from sequoiadrum.metrics import Metrics
 
 MAX_PLAIN_RESPONSE_BYTES: Final = 8_000_000
@@ -54,8 +62,8 @@
 """Endpoints with a named rate that are asked for; then one without is chosen, if there is any."""
 MAX_UNSENT_ATTEMPTS: Final = 6
 """Endpoints that are tried as long as no byte of the request was sent."""
-REFUSAL_MARGIN_S: Final = 0.02
-"""A request that is not complete in time is refused this long before its caller stops waiting."""
+MIN_CONNECT_TIMEOUT_S: Final = 0.01
+"""Shortest wait for a connection to an endpoint; about five round trips."""
 
 
 class Relay(StreamOwner):
@@ -70,11 +78,13 @@
         quotas: QuotaSource,
         failure_domain: str,
         in_flight: RequestsInFlight,
+        shutdown: Shutdown,
         metrics: Metrics,
         log: EventLog,
     ) -> None:
         self._codec = codec
         self._in_flight = in_flight
+        self._shutdown = shutdown
         self._quotas = quotas
         self._pool = pool
         self._connections = connections
@@ -93,12 +103,16 @@
         caller: Caller,
     ) -> CallerResponse:
         """Runs a request; blocks until its response begins."""
-        wait_s = route.timeout_s
-        if call.deadline_s is not None:
-            wait_s = min(wait_s, call.deadline_s - REFUSAL_MARGIN_S)
-        fingerprint = fingerprint_of(call, body, account)
         run = RequestRun(
-            call, body, route, service, account, caller, caller.arrived_at + wait_s, fingerprint
+            call,
+            body,
+            route,
+            service,
+            account,
+            caller,
+            response_deadline(call, route, caller),
+            fingerprint_of(call, body, account),
+            shutdown=self._shutdown,
         )
         self._in_flight.add(run)
         is_streaming = False
@@ -145,6 +159,8 @@
         while True:
             if run.time_left() <= 0:
                 return self._refuse_expired(run)
+            if run.is_stopped():
+                return self._refuse_stopped(run)
             part = self._crashes.crashing_part(run.shared_parts())
             if part is not None:
                 return self._refuse_crashing_part(run, part)
@@ -236,6 +252,7 @@
             run.body,
             first_byte_guard(run, run.sent_at),
             run.kind.is_retryable,
+            _connect_timeout_s(run),
         )
         self._metrics.record_seconds("endpoint_first_byte_seconds", clock.now() - run.sent_at)
         if not isinstance(result, NotSent):
@@ -267,6 +284,8 @@
         self._metrics.count("exchange_failures_total", reason=reason)
         if result.interrupt is Interrupt.CALLER_GONE:
             return self._refuse(run, Refused.CALLER_GONE)
+        if result.interrupt is Interrupt.STOPPED:
+            return self._refuse_stopped(run)
         if result.interrupt is Interrupt.DEADLINE:
             self._pool.record_exchange_failure(placement)
             return self._refuse_expired(run)
@@ -303,7 +322,7 @@
         """Spends a retry of a request that may have run; returns False if none is allowed."""
         if not run.kind.is_retryable or run.attempts >= run.route.max_attempts:
             return False
-        if run.time_left() <= 0 or self._crashes.is_refused(run.fingerprint):
+        if run.time_left() <= 0 or run.is_stopped() or self._crashes.is_refused(run.fingerprint):
             return False
         if self._crashes.crashing_part(run.shared_parts()) is not None:
             return False
@@ -452,6 +471,11 @@
             return self._refuse(run, Refused.DEADLINE, run.last_error)
         return self._refuse(run, Refused.DEADLINE_BEFORE_SEND, run.last_error)
 
+    def _refuse_stopped(self, run: RequestRun) -> CallerResponse:
+        if run.was_sent:
+            return self._refuse(run, Refused.STOPPED, run.last_error)
+        return self._refuse(run, Refused.STOPPING, run.last_error, stop_plan.RETRY_AFTER_S)
+
     def _refuse_crashing_part(self, run: RequestRun, part: str) -> CallerResponse:
         detail = f"prompt part {_loggable([part])[0]}"
         if run.was_sent:
@@ -539,6 +563,12 @@
         )
 
 
+def _connect_timeout_s(run: RequestRun) -> float:
+    """Returns the longest wait for a connection, which ends before the request does."""
+    left_s = min(run.deadline, run.shutdown.responses_due_at()) - clock.now()
+    return max(MIN_CONNECT_TIMEOUT_S, min(CONNECT_TIMEOUT_S, left_s))
+
+
 def _loggable(parts: Sequence[str]) -> list[str]:
     """Returns the last of some prompt parts, shortened for a log line."""
     return [part[:MAX_LOGGED_PART_CHARS] for part in parts[-MAX_LOGGED_PARTS:]]
--- a/src/sequoiadrum/gateway/request_run.py
+++ b/src/sequoiadrum/gateway/request_run.py
@@ -9,6 +9,7 @@
 from attrs import define, field, frozen
 
 from sequoiadrum.gateway import clock
+from sequoiadrum.gateway.stop_plan import Shutdown
 from sequoiadrum.hashing import stable_hash
 
 if TYPE_CHECKING:
@@ -17,6 +18,10 @@
     from sequoiadrum.gateway.model import Account, RequestHead, RequestKind, Route, Service
 
 
+REFUSAL_MARGIN_S: Final = 0.02
+"""A request that is not complete in time is refused this long before its caller stops waiting."""
+
+
 class Refused(Enum):
     """Why the gateway refuses a request or reports its failure; each reason has a counter."""
 
@@ -31,6 +36,8 @@
     RESUMED = "resumed"
     """The router was suspended and cannot read yet what has changed meanwhile."""
     STOPPING = "stopping"
+    STOPPED = "stopped"
+    """The router ends before the response has begun; the request may have run."""
     OVERLOADED = "overloaded"
     NO_ENDPOINT = "no_endpoint"
     ENDPOINTS_UNREACHABLE = "endpoints_unreachable"
@@ -53,6 +60,7 @@
     Refused.ROUTE_UNKNOWN: HTTPStatus.NOT_FOUND,
     Refused.KEY_UNKNOWN: HTTPStatus.UNAUTHORIZED,
     Refused.DEADLINE: HTTPStatus.GATEWAY_TIMEOUT,
+    Refused.STOPPED: HTTPStatus.GATEWAY_TIMEOUT,
     Refused.ENDPOINT_FAILED: HTTPStatus.BAD_GATEWAY,
     Refused.CALLER_GONE: HTTPStatus.BAD_GATEWAY,
     Refused.INTERNAL_ERROR: HTTPStatus.INTERNAL_SERVER_ERROR,
@@ -118,6 +126,8 @@
     """Id of the endpoint of the current attempt."""
     has_event: bool = False
     """Whether the endpoint of the current attempt has sent a complete event."""
+    shutdown: Shutdown = field(factory=Shutdown)
+    """The shutdown of this process; it ends a request whose response has not begun."""
 
     @property
     def kind(self) -> RequestKind:
@@ -132,6 +142,10 @@
         """Returns the seconds until the deadline, negative after it."""
         return self.deadline - clock.now()
 
+    def is_stopped(self) -> bool:
+        """Returns whether the process ends too soon for a response that has not begun."""
+        return clock.now() >= self.shutdown.responses_due_at()
+
     def age_ms(self) -> int:
         """Returns the milliseconds since the request arrived."""
         return int((clock.now() - self.caller.arrived_at) * 1e3)
@@ -142,6 +156,14 @@
         return max(0, min(9, self.route.priority if own is None else own))
 
 
+def response_deadline(call: RequestHead, route: Route, caller: Caller) -> float:
+    """Returns the monotonic seconds at which the response to a request must be complete."""
+    wait_s = route.timeout_s
+    if call.deadline_s is not None:
+        wait_s = min(wait_s, call.deadline_s - REFUSAL_MARGIN_S)
+    return caller.arrived_at + wait_s
+
+
 def refusal_response(
     reason: Refused, detail: str = "", retry_after_s: float | None = None
 ) -> CallerResponse:
--- a/tests/gateway/test_planned_stop.py
+++ b/tests/gateway/test_planned_stop.py
@@ -4,6 +4,7 @@
 
 import http.client
 import json
+import socket
 import threading
 import time
 import unittest
@@ -11,6 +12,7 @@
 from unittest import mock
 
 from sequoiadrum.gateway import app
+from sequoiadrum.messages import Address
 from tests.gateway.builders import bounds
 from tests.gateway.scripted_endpoint import (
     Connection,
@@ -57,7 +59,7 @@
     def begin_stop(self) -> None:
         """Stops the gateway in another thread; returns when the stop has begun."""
         self._stopper.start()
-        eventually(lambda: self.gateway.state.stop_plan is not None, "the stop has begun")
+        eventually(lambda: self.gateway.shutdown.has_begun, "the stop has begun")
 
     def await_stop(self) -> None:
         """Waits until the gateway has stopped."""
@@ -65,7 +67,7 @@
 
     def wait_until(self, seconds: float) -> None:
         """Waits until some seconds after the begin of the stop."""
-        plan = self.gateway.state.stop_plan
+        plan = self.gateway.shutdown.plan
         assert plan is not None
         while app.clock.now() < plan.started_at + seconds:
             time.sleep(0.01)
@@ -260,3 +262,79 @@
         lost = [name for name, status in outcomes.items() if status is None]
         self.assertEqual([name for name in lost if stopping.received(name)], [])
         self.assertEqual(stopping.lines("request_cut"), [])
+
+
+class UnfinishedRequestTest(unittest.TestCase):
+    """A request that cannot be completed is answered before the process ends."""
+
+    def test_order_without_response_is_answered(self) -> None:
+        """Guards against an order that ends with its connection when the process ends."""
+
+        def be_silent(connection: Connection, _: Received) -> None:
+            connection.wait_for_end()
+
+        def send_part(connection: Connection, request: Received) -> None:
+            connection.send(answer(request, b"x" * 10)[:-5])
+            connection.wait_for_end()
+
+        scripts: dict[str, Script] = {"silent": be_silent, "part of a body": send_part}
+        for name, script in scripts.items():
+            with self.subTest(name):
+                stopping = StoppingWorld(self, 1.0, 20.0, script)
+                statuses: list[int | None] = []
+                caller = threading.Thread(
+                    target=lambda s=stopping, found=statuses: found.append(s.order("q1"))
+                )
+                caller.start()
+                eventually(lambda s=stopping: s.received("q1"), "the order has begun")
+                stopping.begin_stop()
+                caller.join(WAIT_S)
+                stopping.await_stop()
+                self.assertEqual(statuses, [504])
+                self.assertEqual(stopping.lines("request_refused")[0]["reason"], "stopped")
+                self.assertEqual(stopping.lines("request_cut"), [])
+
+    def test_stream_without_event_is_answered(self) -> None:
+        """Guards against a stream whose caller waits for the first event and gets no answer."""
+
+        def begin_only(connection: Connection, request: Received) -> None:
+            connection.send(stream_head(request))
+            connection.wait_for_end()
+
+        stopping = StoppingWorld(self, 1.0, 20.0, begin_only)
+        connection = stopping.world.connect()
+        self.addCleanup(connection.close)
+        connection.request("POST", "/tag/x", b"a", stopping.headers("s1"))
+        eventually(lambda: stopping.received("s1"), "the stream has begun")
+        stopping.begin_stop()
+        self.assertEqual(connection.getresponse().status, 504)
+        stopping.await_stop()
+
+    def test_request_that_was_not_sent_is_refused_as_not_run(self) -> None:
+        """Guards against an answer that leaves open whether an order ran that was never sent."""
+        stopping = StoppingWorld(self, 1.0, 20.0, after(0.0))
+        stopping.world.endpoints["e1"].stop()
+        stopping.world.store.delete("servers", "e1")
+        for number in range(3):
+            stopping.world.register(f"f{number}", self.full_listener())
+        eventually(lambda: stopping.gateway.pool.can_route_to("f2"), "the endpoints are known")
+        statuses: list[int | None] = []
+        caller = threading.Thread(target=lambda: statuses.append(stopping.order("q1")))
+        caller.start()
+        time.sleep(0.1)  # Lets the first connection attempt begin.
+        stopping.begin_stop()
+        caller.join(WAIT_S)
+        stopping.await_stop()
+        self.assertEqual(statuses, [503])
+        self.assertEqual(stopping.lines("request_refused")[0]["reason"], "stopping")
+
+    def full_listener(self) -> Address:
+        """Returns the address of a listener on which new connections stay unanswered."""
+        listener = socket.create_server(("127.0.0.1", 0), backlog=0)
+        self.addCleanup(listener.close)
+        for _ in range(3):
+            filling = socket.socket()
+            self.addCleanup(filling.close)
+            filling.setblocking(False)
+            filling.connect_ex(listener.getsockname())
+        return Address("127.0.0.1", listener.getsockname()[1])
