Count the grace period from the stop signal

After a suspension another thread may get the signal; the main thread then noticed it up to 0.5 s later, and the plan of the shutdown began only then, so that the process could be killed before its planned end, which is 0.1 to 0.4 s before the kill.

Change: the handler records the time of the first signal, the plan starts from it, and pending handlers run every 0.1 s. A second SIGTERM changes nothing. A test pins that a reload with another grace period does not change a shutdown that has begun; it held before.

Conclusion: a late notice takes time from the shutdown and does not move its end.

--- a/src/sequoiadrum/_signals.py
+++ b/src/sequoiadrum/_signals.py
@@ -7,10 +7,10 @@
 if TYPE_CHECKING:
     from threading import Event
 
-CHECK_INTERVAL_S: Final = 0.5
+CHECK_INTERVAL_S: Final = 0.1
 """How often the main thread runs pending signal handlers.
 
-It is short compared with the grace period of a graceful shutdown.
+A graceful shutdown ends later by up to this time, which its margin before the kill must contain.
 """
 
 
--- a/src/sequoiadrum/gateway/app.py
+++ b/src/sequoiadrum/gateway/app.py
@@ -105,6 +105,8 @@
         self.log: Final = EventLog(settings.instance_id, self.metrics, output)
         self.timers: Final = TimerService()
         self._stop_requested = threading.Event()
+        self._stop_requested_at: float | None = None
+        """Monotonic seconds of the stop signal."""
         self._failed = False
         self._is_killed = False
         self._store = adapter.store(self.metrics)
@@ -227,7 +229,7 @@
             The exit status: 1 after a broken invariant, otherwise 0.
         """
         for number in (signal.SIGTERM, signal.SIGINT):
-            signal.signal(number, lambda *_: self._stop_requested.set())
+            signal.signal(number, lambda *_: self._request_stop())
         signal.signal(signal.SIGHUP, lambda *_: self._settings_watch.request())
         self.start()
         wait_for_signal(self._stop_requested)
@@ -244,7 +246,9 @@
         router, and waits for requests in flight, all within the grace period. Shortly before its
         end, requests whose response has not begun are answered without their endpoint.
         """
-        plan = StopPlan(clock.now(), self.settings.bounds.stop_grace_s)
+        # The grace period runs from the signal, even if it is noticed late.
+        started_at = clock.now() if self._stop_requested_at is None else self._stop_requested_at
+        plan = StopPlan(started_at, self.settings.bounds.stop_grace_s)
         self.shutdown.plan = plan
         self.log.notable("stopping", in_flight=self.servers.active())
         self.gossip.leave()
@@ -307,4 +311,9 @@
 
     def _invariant_broken(self) -> None:
         self._failed = True
+        self._request_stop()
+
+    def _request_stop(self) -> None:
+        if self._stop_requested_at is None:
+            self._stop_requested_at = clock.now()
         self._stop_requested.set()
--- a/tests/gateway/test_planned_stop.py
+++ b/tests/gateway/test_planned_stop.py
@@ -4,6 +4,8 @@
 
 import http.client
 import json
+import os
+import signal
 import socket
 import threading
 import time
@@ -11,7 +13,9 @@
 from typing import Any
 from unittest import mock
 
-from sequoiadrum.gateway import app
+from attrs import evolve
+
+from sequoiadrum.gateway import app, clock
 from sequoiadrum.messages import Address
 from tests.gateway.builders import bounds
 from tests.gateway.scripted_endpoint import (
@@ -69,7 +73,7 @@
         """Waits until some seconds after the begin of the stop."""
         plan = self.gateway.shutdown.plan
         assert plan is not None
-        while app.clock.now() < plan.started_at + seconds:
+        while clock.now() < plan.started_at + seconds:
             time.sleep(0.01)
 
     def order(self, request_id: str, kept: http.client.HTTPConnection | None = None) -> int | None:
@@ -338,3 +342,39 @@
             filling.setblocking(False)
             filling.connect_ex(listener.getsockname())
         return Address("127.0.0.1", listener.getsockname()[1])
+
+
+class LateStopTest(unittest.TestCase):
+    """The end of the process does not move when something is late or changes."""
+
+    def test_grace_period_begins_with_the_signal(self) -> None:
+        """Guards against a process that is killed because it noticed its stop signal late."""
+        world = World(bounds=bounds(stop_grace_s=1.0))
+        self.addCleanup(world.stop)
+        for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+            self.addCleanup(signal.signal, number, signal.getsignal(number))
+        sent: list[float] = []
+
+        def notice_late(_: threading.Event) -> None:
+            os.kill(os.getpid(), signal.SIGTERM)
+            sent.append(clock.now())
+            time.sleep(0.5)
+            os.kill(os.getpid(), signal.SIGTERM)
+
+        with mock.patch.object(app, "wait_for_signal", notice_late):
+            self.assertEqual(world.gateway.run(), 0)
+        plan = world.gateway.shutdown.plan
+        assert plan is not None
+        self.assertLessEqual(plan.started_at, sent[0])
+
+    def test_reload_does_not_change_a_stop_that_has_begun(self) -> None:
+        """Guards against requests that are accepted by a grace period that does not apply."""
+        stopping = StoppingWorld(self, 1.0, 20.0, after(0.0))
+        stopping.begin_stop()
+        changed = evolve(stopping.gateway.settings, bounds=bounds(stop_grace_s=30.0))
+        stopping.gateway._apply_settings(changed)
+        plan = stopping.gateway.shutdown.plan
+        assert plan is not None
+        self.assertEqual(plan.grace_s, 1.0)
+        self.assertEqual(stopping.order("q1"), 503)
+        stopping.await_stop()
