Remove the registration in the background when a gateway stops

Change: the thread that registers the router also removes the registration, after a registration that is in progress.

Measured: `test_unresponsive_store_does_not_delay_the_stop` failed before (the shutdown had not ended after 10 s with a grace period of 1 s) and passes now, with `test_fleet` and `test_restored_store`.

--- a/src/sequoiadrum/gateway/fleet.py
+++ b/src/sequoiadrum/gateway/fleet.py
@@ -72,7 +72,7 @@
         self._thread = threading.Thread(target=self._run, name="register", daemon=True)
 
     def start(self) -> None:
-        """Registers this router in the background."""
+        """Registers this router in the background, until `withdraw` is called."""
         self._thread.start()
 
     def register_again(self) -> None:
@@ -83,14 +83,12 @@
         self._is_due.set()
 
     def withdraw(self) -> None:
-        """Removes the registration before a graceful shutdown.
+        """Removes the registration in the background, before a graceful shutdown.
 
         A failure is only logged, as the other routers detect the stop anyway.
         """
         self._stopped.set()
         self._is_due.set()
-        result = self._store.delete(ROUTER_KIND, self._settings.instance_id)
-        self._log.notable("registration_withdrawn", outcome=_outcome(result))
 
     def forget(self, router_id: str) -> None:
         """Removes the registration of a dead router; registrations do not expire on their own."""
@@ -120,6 +118,8 @@
             self._is_due.clear()
             if not self._stopped.wait(random.uniform(0.0, REGISTRATION_SPREAD_S)):
                 self._register()
+        result = self._store.delete(ROUTER_KIND, self._settings.instance_id)
+        self._log.notable("registration_withdrawn", outcome=_outcome(result))
 
     def _register(self) -> None:
         document = {"host": self._settings.host, "peer_port": self._settings.peer_port}
--- a/tests/gateway/test_planned_stop.py
+++ b/tests/gateway/test_planned_stop.py
@@ -14,8 +14,10 @@
 from unittest import mock
 
 from attrs import evolve
+from returns.result import Failure
 
 from sequoiadrum.gateway import app, clock
+from sequoiadrum.gateway.model import StoreFailure
 from sequoiadrum.messages import Address
 from tests.gateway.builders import bounds
 from tests.gateway.scripted_endpoint import (
@@ -367,6 +369,25 @@
         assert plan is not None
         self.assertLessEqual(plan.started_at, sent[0])
 
+    def test_unresponsive_store_does_not_delay_the_stop(self) -> None:
+        """Guards against a shutdown that waits for the store while its grace period passes."""
+        stopping = StoppingWorld(self, 1.0, 20.0, after(0.0))
+        instances, may_end = stopping.gateway._instances, threading.Event()
+        self.addCleanup(may_end.set)
+        has_called = threading.Event()
+
+        def delete(*_: Any) -> Any:
+            has_called.set()
+            may_end.wait(WAIT_S)
+            return Failure(StoreFailure.UNREACHABLE)
+
+        with mock.patch.object(instances._store, "delete", delete):
+            stopping.begin_stop()
+            stopping.await_stop()
+            self.assertTrue(has_called.wait(WAIT_S))
+        self.assertFalse(may_end.is_set())
+        self.assertEqual(len(stopping.lines("stopped")), 1)
+
     def test_reload_does_not_change_a_stop_that_has_begun(self) -> None:
         """Guards against requests that are accepted by a grace period that does not apply."""
         stopping = StoppingWorld(self, 1.0, 20.0, after(0.0))
