Refuse requests that need the store while a gateway stops

Change: a stopping gateway reads nothing for a request after a pause and refuses it with 503 `resumed`; for routes and keys that are not known it did so already with 503 `stopping`, and the test covers both.

Measured: `test_request_that_needs_the_store_is_refused_at_once` failed before and passes now. With it `test_planned_stop`, `test_stop_plan`, `test_pause_detector`, `test_signals`, `test_fleet` and `test_restored_store`: 58 tests passed.

Conclusion: the time between reading a request and accepting it no longer depends on other processes during a shutdown.

--- a/src/sequoiadrum/gateway/caller_app.py
+++ b/src/sequoiadrum/gateway/caller_app.py
@@ -84,11 +84,14 @@
     def is_current(self) -> bool:
         """Returns whether configuration and endpoints were read since the last pause, if any.
 
-        Reads them if necessary; concurrent callers share the reads.
+        Reads them if necessary, except during a shutdown; concurrent callers share the reads.
         """
         resumed_at = self._pauses.observe(clock.now())
         if resumed_at <= self._current_since:
             return True
+        if self.shutdown.has_begun:
+            # The reads may take longer than the process lasts.
+            return False
         if not (self._configuration.confirm(resumed_at) and self._refresh_endpoints(resumed_at)):
             return False
         self._current_since = max(self._current_since, resumed_at)
--- a/tests/gateway/test_planned_stop.py
+++ b/tests/gateway/test_planned_stop.py
@@ -399,3 +399,21 @@
         self.assertEqual(plan.grace_s, 1.0)
         self.assertEqual(stopping.order("q1"), 503)
         stopping.await_stop()
+
+    def test_request_that_needs_the_store_is_refused_at_once(self) -> None:
+        """Guards against a request that waits for the store when the process ends."""
+        stopping = StoppingWorld(self, 2.0, 0.5, after(0.0))
+        confirm = stopping.gateway.configuration.confirm
+        pauses = stopping.gateway.state._pauses
+        stopping.begin_stop()
+        with mock.patch.object(
+            stopping.gateway.configuration, "confirm", wraps=confirm
+        ) as confirmed:
+            self.assertEqual(stopping.world.call("/nowhere/x", "q1")[0], 503)
+            unknown = {"Sequoiadrum-Key": "other"}
+            self.assertEqual(stopping.world.call("/order/x", "q2", headers=unknown)[0], 503)
+            with mock.patch.object(pauses, "observe", return_value=clock.now()):
+                self.assertEqual(stopping.world.call("/order/x", "q3")[0], 503)
+            confirmed.assert_not_called()
+        self.assertEqual(stopping.order("q4"), 200)
+        stopping.await_stop()
