Log how the body of each response was framed, and its bytes

Cause: the record of the incident shows parts of answers that reached callers as successes. From `request_served` it cannot be told whether such an answer had a length, chunks or neither, nor how much of it was received, so that the three hypotheses look the same.

Change: `Transfer` (framing, received and declared bytes) of each exchange; `request_served` and `exchange_broken` name it, `response_bodies_total{framing,outcome}` counts it, `explain` shows it. No decision depends on it.

Conclusion: a whole answer with a length shows as received equal to declared, and a short answer that passed for whole is one framed by its connection.

--- a/src/sequoiadrum/gateway/exchange.py
+++ b/src/sequoiadrum/gateway/exchange.py
@@ -8,7 +8,7 @@
 from enum import Enum
 from typing import TYPE_CHECKING, Final
 
-from attrs import define, frozen
+from attrs import define, field, frozen
 
 from sequoiadrum.gateway import clock
 from sequoiadrum.gateway._sockets import GuardedStream, OversizedError, connect_stream
@@ -78,6 +78,33 @@
     detail: str
 
 
+class Framing(Enum):
+    """What marks the end of a response's body."""
+
+    LENGTH = "length"
+    CHUNKS = "chunks"
+    CONNECTION = "connection"
+    """The end of the connection."""
+
+
+@frozen
+class Transfer:
+    """How the body of a response was framed, and how much of it was received."""
+
+    framing: Framing
+    received_bytes: int
+    declared_bytes: int | None
+    """None for a body without a declared length."""
+
+    def log_fields(self) -> dict[str, object]:
+        """Returns the fields of a log line that describe the transfer."""
+        return {
+            "framing": self.framing.value,
+            "received": self.received_bytes,
+            "declared": self.declared_bytes,
+        }
+
+
 @frozen
 class ExchangeFailure:
     """The exchange ended without a complete response; the request may have run."""
@@ -85,6 +112,8 @@
     detail: str
     interrupt: Interrupt | None = None
     """Set if the gateway ended the exchange."""
+    transfer: Transfer | None = field(default=None, eq=False)
+    """None if no head was received."""
 
 
 @define(eq=False)
@@ -98,6 +127,15 @@
     _remaining: int | None
     """Bytes of the body still to be read; None for a body without a declared length."""
     _is_closed: bool = False
+    _received: int = 0
+
+    def transfer(self) -> Transfer:
+        """Returns how the body is framed and how much of it was received so far."""
+        if self._response.chunked:
+            return Transfer(Framing.CHUNKS, self._received, None)
+        if self._remaining is None:
+            return Transfer(Framing.CONNECTION, self._received, None)
+        return Transfer(Framing.LENGTH, self._received, self._received + self._remaining)
 
     @property
     def ends_with_connection(self) -> bool:
@@ -114,12 +152,12 @@
             return self._read()
         except InterruptedWaitError as error:
             self.close()
-            return ExchangeFailure(error.interrupt.value, error.interrupt)
+            return ExchangeFailure(error.interrupt.value, error.interrupt, self.transfer())
         except OversizedError as error:
             return self.give_up(f"answer cut off: {error}")
         except (OSError, http.client.HTTPException, ValueError) as error:
             self.close()
-            return ExchangeFailure(f"answer cut off: {error!r}"[:200])
+            return ExchangeFailure(f"answer cut off: {error!r}"[:200], None, self.transfer())
 
     def read_all(self, limit: int) -> bytes | ExchangeFailure:
         """Reads the complete body; fails if it is larger than `limit` bytes."""
@@ -139,7 +177,7 @@
     def give_up(self, detail: str) -> ExchangeFailure:
         """Closes the connection because of the size of the response; returns the failure."""
         self.close()
-        return ExchangeFailure(detail, Interrupt.OVERSIZED)
+        return ExchangeFailure(detail, Interrupt.OVERSIZED, self.transfer())
 
     def close(self) -> None:
         """Closes the connection, so that the endpoint cancels a request that is still running."""
@@ -161,6 +199,7 @@
             self._remaining -= len(data)
         elif not data:
             self._finish()
+        self._received += len(data)
         return data
 
     def _finish(self) -> None:
--- a/src/sequoiadrum/gateway/explain.py
+++ b/src/sequoiadrum/gateway/explain.py
@@ -145,6 +145,7 @@
             return (
                 f"served with status {last.get('status')} by endpoint {last.get('endpoint')} "
                 f"after {last.get('ms')} ms, in attempt {last.get('attempts')}"
+                f"{_transfer_text(last)}"
             )
         if last["event"] == "request_refused":
             reason = str(last.get("reason"))
@@ -216,6 +217,15 @@
     return float(at) if isinstance(at, int | float) else 0.0
 
 
+def _transfer_text(record: dict[str, Any]) -> str:
+    """Describes the body of a response; returns an empty text for lines of older versions."""
+    if "framing" not in record:
+        return ""
+    declared = record.get("declared")
+    size = record.get("received") if declared is None else f"{record.get('received')} of {declared}"
+    return f"; body of {size} bytes, framed by {record['framing']}"
+
+
 def _format_record(record: dict[str, Any]) -> str:
     fields = " ".join(
         f"{key}={value}"
--- a/src/sequoiadrum/gateway/relay.py
+++ b/src/sequoiadrum/gateway/relay.py
@@ -31,7 +31,7 @@
 
     from sequoiadrum.gateway.crash_reports import CrashReports
     from sequoiadrum.gateway.event_log import EventLog
-    from sequoiadrum.gateway.exchange import EndpointConnections
+    from sequoiadrum.gateway.exchange import EndpointConnections, Transfer
     from sequoiadrum.gateway.model import Account, RequestHead, ResponseHead, Route, Service
     from sequoiadrum.gateway.pool import EndpointPlacement, EndpointPool
     from sequoiadrum.gateway.ports import HeaderCodec
@@ -250,6 +250,8 @@
         run.tried.append(placement.endpoint.id)
         reason = result.interrupt.value if result.interrupt is not None else "broken"
         self._metrics.count("exchange_failures_total", reason=reason)
+        if result.transfer is not None:
+            self._count_body(result.transfer, "broken")
         if result.interrupt is Interrupt.CALLER_GONE:
             return self._refuse(run, Refused.CALLER_GONE)
         if result.interrupt is Interrupt.DEADLINE:
@@ -264,6 +266,7 @@
             detail=result.detail,
             had_event=run.has_event,
             parts=_loggable(run.shared_parts()),
+            **(result.transfer.log_fields() if result.transfer is not None else {}),
         )
         if result.interrupt in (None, Interrupt.OVERSIZED):
             self._connections.forget(placement.endpoint.id)
@@ -323,7 +326,7 @@
         if failed and self._may_retry_after(run, placement):
             self._record_event("endpoint_error_repeated", run, placement, status=head.status)
             return None
-        self._record_served(run, placement, head)
+        self._record_served(run, placement, head, exchange.transfer())
         return CallerResponse(head.status, head.reason, head.headers, body)
 
     def _may_retry_after(self, run: RequestRun, placement: EndpointPlacement) -> bool:
@@ -415,10 +418,16 @@
         self._metrics.count("streams_broken_total")
         raise IncompleteStreamError(run.last_error)
 
-    def end_stream(self, run: RequestRun, placement: EndpointPlacement, head: ResponseHead) -> None:
+    def end_stream(
+        self,
+        run: RequestRun,
+        placement: EndpointPlacement,
+        head: ResponseHead,
+        transfer: Transfer,
+    ) -> None:
         """See `StreamOwner.end_stream`."""
         self._crashes.record_completion(run.fingerprint, run.shared_parts())
-        self._record_served(run, placement, head)
+        self._record_served(run, placement, head, transfer)
 
     def record_unexpected(self, run: RequestRun, error: Exception) -> None:
         """See `StreamOwner.record_unexpected`."""
@@ -482,9 +491,19 @@
         if self._pool.record_response(placement, head, failed):
             self._record_event("endpoint_limit_changed", run, placement, rate_limit=head.rate_limit)
 
+    def _count_body(self, transfer: Transfer, outcome: str) -> None:
+        self._metrics.count(
+            "response_bodies_total", framing=transfer.framing.value, outcome=outcome
+        )
+
     def _record_served(
-        self, run: RequestRun, placement: EndpointPlacement, head: ResponseHead
+        self,
+        run: RequestRun,
+        placement: EndpointPlacement,
+        head: ResponseHead,
+        transfer: Transfer,
     ) -> None:
+        self._count_body(transfer, "whole")
         age_s = clock.now() - run.caller.arrived_at
         self._metrics.count("requests_total", status=str(head.status))
         self._metrics.record_seconds("request_seconds", age_s)
@@ -503,6 +522,7 @@
             attempts=run.attempts,
             status=head.status,
             ms=int(age_s * 1e3),
+            **transfer.log_fields(),
         )
 
     def _record_event(
--- a/src/sequoiadrum/gateway/stream_body.py
+++ b/src/sequoiadrum/gateway/stream_body.py
@@ -12,7 +12,7 @@
 if TYPE_CHECKING:
     from collections.abc import Iterator
 
-    from sequoiadrum.gateway.exchange import Exchange
+    from sequoiadrum.gateway.exchange import Exchange, Transfer
     from sequoiadrum.gateway.model import ResponseHead
     from sequoiadrum.gateway.pool import EndpointPlacement
     from sequoiadrum.gateway.request_run import RequestRun
@@ -40,8 +40,21 @@
         """
 
     @abstractmethod
-    def end_stream(self, run: RequestRun, placement: EndpointPlacement, head: ResponseHead) -> None:
-        """Records that a stream was forwarded completely."""
+    def end_stream(
+        self,
+        run: RequestRun,
+        placement: EndpointPlacement,
+        head: ResponseHead,
+        transfer: Transfer,
+    ) -> None:
+        """Records that a stream was forwarded completely.
+
+        Args:
+            run: The request.
+            placement: Where the last part of the stream came from.
+            head: Head of the response that the caller received.
+            transfer: Body of the response that ended the stream.
+        """
 
     @abstractmethod
     def record_unexpected(self, run: RequestRun, error: Exception) -> None:
@@ -119,7 +132,7 @@
 
     def _end(self) -> None:
         self._owner.release(self._placement)
-        self._owner.end_stream(self._run, self._placement, self._head)
+        self._owner.end_stream(self._run, self._placement, self._head, self._exchange.transfer())
 
 
 def read_events(
@@ -136,9 +149,13 @@
             return data
         if not data:
             if splitter.has_partial_event:
-                return ExchangeFailure("the stream ended inside an event")
+                return ExchangeFailure(
+                    "the stream ended inside an event", None, exchange.transfer()
+                )
             if exchange.ends_with_connection and not run.has_event:
-                return ExchangeFailure("the connection ended before the first event")
+                return ExchangeFailure(
+                    "the connection ended before the first event", None, exchange.transfer()
+                )
             return data
         completed = splitter.completed
         data = splitter.feed(data)
--- a/tests/gateway/test_explain.py
+++ b/tests/gateway/test_explain.py
@@ -44,6 +44,18 @@
         )
         self.assertIn("served with status 200 by endpoint e2", explanation.summary())
 
+    def test_size_and_framing_of_the_body_are_shown(self) -> None:
+        """Guards against a short answer that cannot be told from a whole one by its line."""
+        fields = {"request": "q1", "endpoint": "e1", "status": 200, "attempts": 1, "ms": 2}
+        for framing, declared, expected in (
+            ("length", 9, "body of 4 of 9 bytes, framed by length"),
+            ("connection", None, "body of 4 bytes, framed by connection"),
+        ):
+            line = a_line(
+                1.0, "request_served", framing=framing, received=4, declared=declared, **fields
+            )
+            self.assertIn(expected, explain("q1", [line]).summary())
+
     def test_failure_is_compared_with_other_requests(self) -> None:
         """Guards against attributing the crash of an endpoint to a single request."""
         lines = [
--- a/tests/gateway/test_unframed_responses.py
+++ b/tests/gateway/test_unframed_responses.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import http.client
+import json
 import socket
 import time
 import unittest
@@ -14,10 +15,11 @@
     ScriptedEndpoint,
     chunk,
     event,
+    ok,
     stream,
     stream_head,
 )
-from tests.gateway.world import World
+from tests.gateway.world import World, eventually
 
 _HALF_EVENT = event(3)[:-4]
 
@@ -61,6 +63,35 @@
             status, _, body = self.world.call("/order/x", f"q{number}")
             self.assertEqual((status, body), (200, b"done"))
 
+    def test_line_names_the_framing_and_the_bytes(self) -> None:
+        """Guards against a log from which a short answer and its kind of end cannot be told."""
+        self.world.add("e1", ScriptedEndpoint(unframed(b"do", b"ne")))
+        self.world.call("/order/x", "q1")
+        self.world.endpoints["e1"].script = ok
+        self.world.call("/order/x", "q2")
+        self.world.endpoints["e1"].script = unframed(b"do", is_reset=True)
+        self.world.call("/order/x", "q3")
+        metrics = self.world.gateway.metrics
+        for framing, outcome in (
+            ("connection", "whole"),
+            ("length", "whole"),
+            ("connection", "broken"),
+        ):
+            self.assertEqual(
+                metrics.value("response_bodies_total", framing=framing, outcome=outcome), 1
+            )
+        eventually(lambda: '"q3","route"' in self.world.output.getvalue(), "the lines are written")
+        lines = [json.loads(line) for line in self.world.output.getvalue().splitlines()]
+        fields = {
+            line["request"]: (line["framing"], line["received"], line["declared"])
+            for line in lines
+            if line["event"] in ("request_served", "exchange_broken")
+        }
+        self.assertEqual(
+            fields,
+            {"q1": ("connection", 4, None), "q2": ("length", 4, 4), "q3": ("connection", 2, None)},
+        )
+
     def test_reset_plain_response_is_not_whole(self) -> None:
         """Guards against half of an answer that reaches its caller as a success."""
         self.world.add("e1", ScriptedEndpoint(unframed(b"do", is_reset=True)))
