Print the settings in force, and log them as fields

The router logs one line with all settings at the start, the gateway logs its own as fields of `started`. There are no secrets among the settings.

Measured: both new tests fail without the change (the flag is unknown, the field is a text); tests.test_settings and StartTest pass.

--- a/src/sequoiadrum/cli.py
+++ b/src/sequoiadrum/cli.py
@@ -5,7 +5,7 @@
 import logging
 import os
 import sys
-from typing import TYPE_CHECKING, Annotated, Final
+from typing import TYPE_CHECKING, Annotated, Any, Final
 
 import cappa
 import structlog
@@ -16,6 +16,7 @@
 from sequoiadrum.app import Router
 from sequoiadrum.cli_operator import OperatorCommands  # noqa: TC001 (cappa evaluates it)
 from sequoiadrum.gateway.explain import explain
+from sequoiadrum.logs import get_logger
 from sequoiadrum.settings import Settings, unknown_variables
 
 if TYPE_CHECKING:
@@ -27,22 +28,33 @@
 EXIT_USAGE: Final = 2
 
 
+def given_arguments() -> Sequence[str]:
+    """Returns the arguments of the command line; `run` replaces it by those that it was given."""
+    return sys.argv[1:]
+
+
 @cappa.command(name="serve", help="Run a router until SIGTERM.")
 @define
 class Serve(Settings):
     """Runs a router."""
 
-    def __call__(self) -> int:
-        """Validates the settings, then serves; with `--check`, only validates them."""
+    def __call__(self, arguments: Annotated[Any, cappa.Dep(given_arguments)]) -> int:
+        """Validates the settings, then serves; `--check` and `--print-settings` do not serve."""
         problems = [*unknown_variables(os.environ, {ROUTER_VARIABLE}), *self.problems()]
         for problem in problems:
             sys.stderr.write(f"sequoiadrum: {problem}\n")
         if problems:
             return EXIT_USAGE
+        if self.print_settings:
+            for setting in self.effective(arguments, os.environ):
+                sys.stdout.write(f"{setting}\n")
+            return EXIT_OK
         if self.check:
             sys.stdout.write("settings are valid\n")
             return EXIT_OK
         configure_logs(self.log_format)
+        effective = self.effective(arguments, os.environ)
+        get_logger(__name__).info("settings", **{each.name: each.value for each in effective})
         return Router(self).run()
 
 
@@ -145,7 +157,12 @@
 def run(arguments: Sequence[str]) -> int:
     """Runs one command; returns the exit status."""
     try:
-        result = cappa.invoke(Program, argv=list(arguments), version=__version__)
+        result = cappa.invoke(
+            Program,
+            argv=list(arguments),
+            version=__version__,
+            deps={given_arguments: arguments},
+        )
     except cappa.Exit as error:
         return int(error.code or 0)
     return int(result or 0)
--- a/src/sequoiadrum/gateway/app.py
+++ b/src/sequoiadrum/gateway/app.py
@@ -9,7 +9,7 @@
 import time
 from typing import TYPE_CHECKING, Final, TextIO
 
-from attrs import frozen
+from attrs import asdict, frozen
 
 from sequoiadrum import __version__
 from sequoiadrum._signals import wait_for_signal
@@ -203,7 +203,7 @@
         self.log.start()
         # The event log records failed requests; waitress would write tracebacks to standard error.
         _waitress_log.setLevel(logging.CRITICAL)
-        self.log.notable("started", version=__version__, settings=str(self.settings))
+        self.log.notable("started", version=__version__, settings=asdict(self.settings))
         self.timers.start()
         for sync in self._syncs:
             sync.start()
--- a/src/sequoiadrum/settings.py
+++ b/src/sequoiadrum/settings.py
@@ -4,16 +4,17 @@
 
 import ipaddress
 from difflib import get_close_matches
+from enum import Enum
 from functools import partial
 from typing import TYPE_CHECKING, Annotated, Any, Final, Protocol
 
 import cappa
-from attrs import frozen
+from attrs import fields_dict, frozen
 
 from sequoiadrum.addressing import parse_address
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Collection, Mapping
+    from collections.abc import Callable, Collection, Mapping, Sequence
 
     from sequoiadrum.messages import Address
 
@@ -88,6 +89,33 @@
 SettingProblem = SettingError | MissingSetting | UnknownVariable
 
 
+class SettingSource(Enum):
+    """Where the value of a setting comes from."""
+
+    FLAG = "flag"
+    ENVIRONMENT = "environment"
+    DEFAULT = "default"
+
+
+@frozen
+class EffectiveSetting:
+    """The value of a setting, and where it comes from."""
+
+    name: str
+    value: Any
+    unit: str
+    """Empty for values without a unit."""
+    default: Any
+    """None for a required setting."""
+    source: SettingSource
+
+    def __str__(self) -> str:
+        unit = f" {self.unit}" if self.unit else ""
+        default = "required" if self.default is None else f"default {self.default!r}"
+        origin = f"{self.source.value}; {default}; {_variable(self.name)}"
+        return f"{_flag(self.name)} = {self.value!r}{unit} ({origin})"
+
+
 class MemberSettings(Protocol):
     """Settings of a router that the membership uses."""
 
@@ -207,6 +235,32 @@
     """Each line contains one event."""
     check: Annotated[bool, cappa.Arg(long="--check", help="Validate the settings and exit")] = False
     """Validates the settings without starting the router."""
+    print_settings: Annotated[
+        bool, cappa.Arg(long="--print-settings", help="Print the settings and exit")
+    ] = False
+    """Prints each setting with its unit, its default and its source."""
+
+    def effective(
+        self, arguments: Sequence[str], environment: Mapping[str, str]
+    ) -> list[EffectiveSetting]:
+        """Returns all settings with their sources; there are no secrets among them.
+
+        Args:
+            arguments: The arguments of the command line.
+            environment: Values by variable.
+        """
+        given = {argument.partition("=")[0] for argument in arguments}
+        defaults = fields_dict(Settings)
+        return [
+            EffectiveSetting(
+                name,
+                getattr(self, name),
+                _UNIT_BY_NAME.get(name, ""),
+                None if name in _REQUIRED else defaults[name].default,
+                _source(name, given, environment),
+            )
+            for name in _VALIDATION_RULES
+        ]
 
     def problems(self) -> list[SettingProblem]:
         """Returns a problem for each value that is missing or not allowed."""
@@ -317,6 +371,32 @@
 }
 
 
+_REQUIRED: Final = ("instance_id", "host", "failure_domain", "platform")
+_UNIT_BY_NAME: Final = {
+    "max_streams": "requests",
+    "max_body_bytes": "bytes",
+    "address_ttl_s": "s",
+    "request_timeout_s": "s",
+    "platform_timeout_s": "s",
+    "bound_multiple": "x the mean load",
+    "admit_multiple": "x the mean load",
+    "cold_choices": "engines",
+    "engine_slots": "requests",
+    "ledger_shards": "shards",
+    "plan_lease_s": "s",
+    "load_interval_s": "s",
+    "ledger_window_s": "s",
+}
+
+
+def _source(name: str, given: Collection[str], environment: Mapping[str, str]) -> SettingSource:
+    if _flag(name) in given:
+        return SettingSource.FLAG
+    if _variable(name) in environment:
+        return SettingSource.ENVIRONMENT
+    return SettingSource.DEFAULT
+
+
 def unknown_variables(
     environment: Mapping[str, str], foreign: Collection[str] = ()
 ) -> list[SettingProblem]:
--- a/tests/gateway/test_whole_path.py
+++ b/tests/gateway/test_whole_path.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import http.client
+import json
 import socket
 import time
 import unittest
@@ -455,6 +456,20 @@
         self.assertIn(b'refusals_total{reason="no_endpoint"}', body)
 
 
+class StartTest(_WorldTest):
+    """What the log says of a gateway that starts."""
+
+    def test_settings_in_force_are_logged_as_fields(self) -> None:
+        """Guards against settings that can be read by people only."""
+        eventually(self.world.output.getvalue, "a line is written")
+        started = json.loads(self.world.output.getvalue().splitlines()[0])
+        self.assertEqual(started["event"], "started")
+        self.assertEqual(started["settings"]["memory_mb"], self.world.settings.memory_mb)
+        self.assertEqual(
+            started["settings"]["bounds"]["stop_grace_s"], self.world.settings.bounds.stop_grace_s
+        )
+
+
 class StopTest(_WorldTest):
     """The gateway shuts down gracefully."""
 
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -118,6 +118,29 @@
         status, _, errors = self._run("serve", "--check", *_VALID, "--bound-multiple=x")
         self.assertIn("--bound-multiple: 'x' is not allowed, expected a number from 1.01", errors)
 
+    def test_print_settings_names_value_unit_default_and_source(self) -> None:
+        """Guards against a router whose effective settings have to be guessed."""
+        arguments = [*_VALID, "--max-streams", "7", "--region=south"]
+        environment = {"SEQUOIADRUM_ADDRESS_TTL_S": "3", "SEQUOIADRUM_REGION": "north"}
+        status, output, _ = self._run("serve", "--print-settings", *arguments, **environment)
+        self.assertEqual(status, 0)
+        lines = dict(line.split(" = ", 1) for line in output.splitlines())
+        for flag, expected in {
+            "--max-streams": "7 requests (flag; default 200; SEQUOIADRUM_MAX_STREAMS)",
+            "--address-ttl-s": "3.0 s (environment; default 5.0; SEQUOIADRUM_ADDRESS_TTL_S)",
+            "--region": "'south' (flag; default 'default'; SEQUOIADRUM_REGION)",
+            "--instance-id": "'a' (flag; required; SEQUOIADRUM_INSTANCE_ID)",
+            "--engine-slots": "64 requests (default; default 64; SEQUOIADRUM_ENGINE_SLOTS)",
+        }.items():
+            self.assertEqual(lines[flag], expected)
+        self.assertEqual(len(lines), 23)
+
+    def test_print_settings_reports_wrong_values(self) -> None:
+        """Guards against a list of settings with which no router starts."""
+        status, output, errors = self._run("serve", "--print-settings", *_VALID, "--max-streams=0")
+        self.assertEqual((status, output), (2, ""))
+        self.assertIn("--max-streams", errors)
+
     def test_explain_says_whether_the_request_was_found(self) -> None:
         """Guards against a script that takes an empty explanation for a success."""
         line = b'{"t": 1.0, "instance": "g1", "event": "request_served", "request": "q1"}\n'
