Wait for unsent responses when a router stops

A request between the check for a shutdown and its count was run although the shutdown had seen none in flight. A response that the server had buffered for a caller that reads slowly no longer counted as in flight, so the process could end before it was sent. No operator has reported either.

Change: the front checks for a shutdown again under the lock of the count; the shutdown waits, within `request_timeout_s`, until no connection has a request or unsent output.

Measured: `StopTest` in `test_http_front`: the first test failed before (200, with a count of 0). The second shows that the count is 0 while the response is still buffered; before, there was nothing else to ask.

--- a/src/sequoiadrum/app.py
+++ b/src/sequoiadrum/app.py
@@ -141,7 +141,7 @@
         time.sleep(self.settings.address_ttl_s)
         self.front.refuse_new_requests()
         deadline = time.monotonic() + self.settings.request_timeout_s
-        while self.front.active() and time.monotonic() < deadline:
+        while not self.front.is_drained() and time.monotonic() < deadline:
             time.sleep(_DRAIN_POLL_INTERVAL_S)
         if not self.ledger.drain(self.settings.request_timeout_s):
             _log.warning("ledger_shards_not_released")
--- a/src/sequoiadrum/http_front.py
+++ b/src/sequoiadrum/http_front.py
@@ -37,6 +37,7 @@
 """
 _MAX_LINGER_S: Final = 0.02
 """Far below the 68 ms between two tokens that callers are promised."""
+_STOPPING: Final = Refusal(RefusalReason.STOPPING, "this router is stopping", 0)
 _SERVICE_METHODS: Final = frozenset({"GET", "HEAD", "POST", "PUT", "PATCH", "DELETE"})
 
 
@@ -81,11 +82,18 @@
 
     def refuse_new_requests(self) -> None:
         """Refuses new requests from now on; requests in flight continue."""
-        self._stopping = True
+        with self._lock:
+            self._stopping = True
 
     def active(self) -> int:
         """Returns the number of requests in flight."""
-        return self._active
+        with self._lock:
+            return self._active
+
+    def is_drained(self) -> bool:
+        """Returns whether every request that was read has its complete response."""
+        channels = list(self.server.active_channels.values())
+        return not self.active() and all(channel.is_idle() for channel in channels)
 
     def stop(self) -> None:
         """Closes the listening socket and the connections."""
@@ -156,7 +164,7 @@
     def _admit(self, request: HttpRequest) -> Refusal | None:
         """Counts the request as active, or returns why it is refused before any other work."""
         if self._stopping:
-            return Refusal(RefusalReason.STOPPING, "this router is stopping", 0)
+            return _STOPPING
         config_refusal = self._parts.config.refusal()
         if config_refusal is not None:
             return config_refusal
@@ -164,6 +172,9 @@
             detail = f"the body is larger than {self._settings.max_body_bytes} bytes"
             return Refusal(RefusalReason.BODY_TOO_LARGE, detail)
         with self._lock:
+            # Checked again, since a shutdown counts the requests in flight under this lock.
+            if self._stopping:
+                return _STOPPING
             if self._active >= self._settings.max_streams:
                 return Refusal(RefusalReason.OVERLOADED, "too many requests in flight", 200)
             self._active += 1
--- a/tests/test_http_front.py
+++ b/tests/test_http_front.py
@@ -4,6 +4,7 @@
 
 import json
 import socket
+import threading
 import time
 import unittest
 from http.client import HTTPConnection
@@ -12,6 +13,7 @@
 
 from structlog.testing import capture_logs
 
+from sequoiadrum._front_server import BoundedChannel
 from sequoiadrum.http_front import FrontParts, HttpFront
 from sequoiadrum.messages import Address
 from tests.builders import a_chat_body, a_settings
@@ -145,6 +147,39 @@
         self.assertEqual(tokens, [3, 9])
 
 
+class StopTest(FrontTest):
+    """A graceful shutdown counts every request until its response was sent."""
+
+    def test_request_that_crosses_the_refusal_is_counted_or_refused(self) -> None:
+        """Guards against a request that runs although the shutdown counted none in flight."""
+        counted: list[int] = []
+
+        def refuse_meanwhile() -> None:
+            self.front.refuse_new_requests()
+            counted.append(self.front.active())
+
+        with mock.patch.object(self.rig.config, "refusal", refuse_meanwhile):
+            status, _, _ = self.call("POST", "/v1/chat/completions", a_chat_body())
+        self.assertEqual((status, counted), (503, [0]))
+
+    def test_response_that_is_not_sent_yet_is_waited_for(self) -> None:
+        """Guards against a process that ends with a response in its output buffer."""
+        with mock.patch.object(BoundedChannel, "_flush_some", return_value=False):
+            caller = threading.Thread(
+                target=self.call, args=("POST", "/v1/chat/completions", a_chat_body())
+            )
+            caller.start()
+            self.wait_for(self.has_output)
+            self.wait_for(lambda: self.front.active() == 0)
+            self.assertFalse(self.front.is_drained())
+        caller.join(20)
+        self.wait_for(self.front.is_drained)
+
+    def has_output(self) -> bool:
+        channels = list(self.front.server.active_channels.values())
+        return any(channel.total_outbufs_len for channel in channels)
+
+
 class WholeAnswerTest(FrontTest):
     """An incomplete response is never presented as complete."""
 
