--- a/tests/gateway/test_planned_stop.py
+++ b/tests/gateway/test_planned_stop.py
@@ -4,13 +4,21 @@
 
 import http.client
 import json
+import os
+import signal
+import socket
 import threading
 import time
 import unittest
 from typing import Any
 from unittest import mock
 
-from sequoiadrum.gateway import app
+from attrs import evolve
+from returns.result import Failure
+
+from sequoiadrum.gateway import app, clock
+from sequoiadrum.gateway.model import StoreFailure
+from sequoiadrum.messages import Address
 from tests.gateway.builders import bounds
 from tests.gateway.scripted_endpoint import (
     Connection,
@@ -57,7 +65,7 @@
     def begin_stop(self) -> None:
         """Stops the gateway in another thread; returns when the stop has begun."""
         self._stopper.start()
-        eventually(lambda: self.gateway.state.stop_plan is not None, "the stop has begun")
+        eventually(lambda: self.gateway.shutdown.has_begun, "the stop has begun")
 
     def await_stop(self) -> None:
         """Waits until the gateway has stopped."""
@@ -65,9 +73,9 @@
 
     def wait_until(self, seconds: float) -> None:
         """Waits until some seconds after the begin of the stop."""
-        plan = self.gateway.state.stop_plan
+        plan = self.gateway.shutdown.plan
         assert plan is not None
-        while app.clock.now() < plan.started_at + seconds:
+        while clock.now() < plan.started_at + seconds:
             time.sleep(0.01)
 
     def order(self, request_id: str, kept: http.client.HTTPConnection | None = None) -> int | None:
@@ -260,3 +268,152 @@
         lost = [name for name, status in outcomes.items() if status is None]
         self.assertEqual([name for name in lost if stopping.received(name)], [])
         self.assertEqual(stopping.lines("request_cut"), [])
+
+
+class UnfinishedRequestTest(unittest.TestCase):
+    """A request that cannot be completed is answered before the process ends."""
+
+    def test_order_without_response_is_answered(self) -> None:
+        """Guards against an order that ends with its connection when the process ends."""
+
+        def be_silent(connection: Connection, _: Received) -> None:
+            connection.wait_for_end()
+
+        def send_part(connection: Connection, request: Received) -> None:
+            connection.send(answer(request, b"x" * 10)[:-5])
+            connection.wait_for_end()
+
+        scripts: dict[str, Script] = {"silent": be_silent, "part of a body": send_part}
+        for name, script in scripts.items():
+            with self.subTest(name):
+                stopping = StoppingWorld(self, 1.0, 20.0, script)
+                statuses: list[int | None] = []
+                caller = threading.Thread(
+                    target=lambda s=stopping, found=statuses: found.append(s.order("q1"))
+                )
+                caller.start()
+                eventually(lambda s=stopping: s.received("q1"), "the order has begun")
+                stopping.begin_stop()
+                caller.join(WAIT_S)
+                stopping.await_stop()
+                self.assertEqual(statuses, [504])
+                self.assertEqual(stopping.lines("request_refused")[0]["reason"], "stopped")
+                self.assertEqual(stopping.lines("request_cut"), [])
+
+    def test_stream_without_event_is_answered(self) -> None:
+        """Guards against a stream whose caller waits for the first event and gets no answer."""
+
+        def begin_only(connection: Connection, request: Received) -> None:
+            connection.send(stream_head(request))
+            connection.wait_for_end()
+
+        stopping = StoppingWorld(self, 1.0, 20.0, begin_only)
+        connection = stopping.world.connect()
+        self.addCleanup(connection.close)
+        connection.request("POST", "/tag/x", b"a", stopping.headers("s1"))
+        eventually(lambda: stopping.received("s1"), "the stream has begun")
+        stopping.begin_stop()
+        self.assertEqual(connection.getresponse().status, 504)
+        stopping.await_stop()
+
+    def test_request_that_was_not_sent_is_refused_as_not_run(self) -> None:
+        """Guards against an answer that leaves open whether an order ran that was never sent."""
+        stopping = StoppingWorld(self, 1.0, 20.0, after(0.0))
+        stopping.world.endpoints["e1"].stop()
+        stopping.world.store.delete("servers", "e1")
+        for number in range(3):
+            stopping.world.register(f"f{number}", self.full_listener())
+        eventually(lambda: stopping.gateway.pool.can_route_to("f2"), "the endpoints are known")
+        statuses: list[int | None] = []
+        caller = threading.Thread(target=lambda: statuses.append(stopping.order("q1")))
+        caller.start()
+        time.sleep(0.1)  # Lets the first connection attempt begin.
+        stopping.begin_stop()
+        caller.join(WAIT_S)
+        stopping.await_stop()
+        self.assertEqual(statuses, [503])
+        self.assertEqual(stopping.lines("request_refused")[0]["reason"], "stopping")
+
+    def full_listener(self) -> Address:
+        """Returns the address of a listener on which new connections stay unanswered."""
+        listener = socket.create_server(("127.0.0.1", 0), backlog=0)
+        self.addCleanup(listener.close)
+        for _ in range(3):
+            filling = socket.socket()
+            self.addCleanup(filling.close)
+            filling.setblocking(False)
+            filling.connect_ex(listener.getsockname())
+        return Address("127.0.0.1", listener.getsockname()[1])
+
+
+class LateStopTest(unittest.TestCase):
+    """The end of the process does not move when something is late or changes."""
+
+    def test_grace_period_begins_with_the_signal(self) -> None:
+        """Guards against a process that is killed because it noticed its stop signal late."""
+        world = World(bounds=bounds(stop_grace_s=1.0))
+        self.addCleanup(world.stop)
+        for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+            self.addCleanup(signal.signal, number, signal.getsignal(number))
+        sent: list[float] = []
+
+        def notice_late(_: threading.Event) -> None:
+            os.kill(os.getpid(), signal.SIGTERM)
+            sent.append(clock.now())
+            time.sleep(0.5)
+            os.kill(os.getpid(), signal.SIGTERM)
+
+        with mock.patch.object(app, "wait_for_signal", notice_late):
+            self.assertEqual(world.gateway.run(), 0)
+        plan = world.gateway.shutdown.plan
+        assert plan is not None
+        self.assertLessEqual(plan.started_at, sent[0])
+
+    def test_unresponsive_store_does_not_delay_the_stop(self) -> None:
+        """Guards against a shutdown that waits for the store while its grace period passes."""
+        stopping = StoppingWorld(self, 1.0, 20.0, after(0.0))
+        instances, may_end = stopping.gateway._instances, threading.Event()
+        self.addCleanup(may_end.set)
+        has_called = threading.Event()
+
+        def delete(*_: Any) -> Any:
+            has_called.set()
+            may_end.wait(WAIT_S)
+            return Failure(StoreFailure.UNREACHABLE)
+
+        with mock.patch.object(instances._store, "delete", delete):
+            stopping.begin_stop()
+            stopping.await_stop()
+            self.assertTrue(has_called.wait(WAIT_S))
+        self.assertFalse(may_end.is_set())
+        self.assertEqual(len(stopping.lines("stopped")), 1)
+
+    def test_reload_does_not_change_a_stop_that_has_begun(self) -> None:
+        """Guards against requests that are accepted by a grace period that does not apply."""
+        stopping = StoppingWorld(self, 1.0, 20.0, after(0.0))
+        stopping.begin_stop()
+        changed = evolve(stopping.gateway.settings, bounds=bounds(stop_grace_s=30.0))
+        stopping.gateway._apply_settings(changed)
+        plan = stopping.gateway.shutdown.plan
+        assert plan is not None
+        self.assertEqual(plan.grace_s, 1.0)
+        self.assertEqual(stopping.order("q1"), 503)
+        stopping.await_stop()
+
+    def test_request_that_needs_the_store_is_refused_at_once(self) -> None:
+        """Guards against a request that waits for the store when the process ends."""
+        stopping = StoppingWorld(self, 2.0, 0.5, after(0.0))
+        confirm = stopping.gateway.configuration.confirm
+        pauses = stopping.gateway.state._pauses
+        stopping.begin_stop()
+        with mock.patch.object(
+            stopping.gateway.configuration, "confirm", wraps=confirm
+        ) as confirmed:
+            self.assertEqual(stopping.world.call("/nowhere/x", "q1")[0], 503)
+            unknown = {"Sequoiadrum-Key": "other"}
+            self.assertEqual(stopping.world.call("/order/x", "q2", headers=unknown)[0], 503)
+            with mock.patch.object(pauses, "observe", return_value=clock.now()):
+                self.assertEqual(stopping.world.call("/order/x", "q3")[0], 503)
+            confirmed.assert_not_called()
+        self.assertEqual(stopping.order("q4"), 200)
+        stopping.await_stop()
