Leave out values that can be decoded but not used

Cause: The decoders checked the form of what other processes write, not its values. A name with a lone surrogate passed `decode_endpoint` and failed in `EndpointTable.apply`, which ended the thread that follows the endpoints; a number of 400 digits failed in the decoder itself, with an error that it did not catch. Bytes that are no UTF-8, numbers of over 4,300 digits or deep nesting in one object failed the whole page or watch, at each try.

Change: Values are checked once, where they are decoded (`field_values`), for entries, registrations, the configuration, pages, watches and the answers of peers. A response of the store that cannot be decoded as a whole is decoded part by part (`lenient_json`); an object without readable content is kept without it, so that it does not count as removed. What is left out is counted, with at most 20 log lines a minute for each event. The stand-in of the store passes on names as bytes.

--- a/src/sequoiadrum/gateway/app.py
+++ b/src/sequoiadrum/gateway/app.py
@@ -109,7 +109,7 @@
         self._is_killed = False
         self._store = adapter.store(self.metrics)
         self._store_availability = StoreAvailability(self.log, self.metrics)
-        self._instances = StoreInstanceList(self._store, settings, self.log)
+        self._instances = StoreInstanceList(self._store, settings, self.metrics, self.log)
         self._peers = ThriftPeerClient(self.metrics)
         self.gossip: Final = GossipTask(
             settings,
@@ -121,7 +121,7 @@
         )
         self.gossip.set_http_port(settings.http_port)
         self.directory: Final = RouterDirectory(self.gossip, settings)
-        peer_feed = PeerFeed(self.gossip, self._peers, self.log)
+        peer_feed = PeerFeed(self.gossip, self._peers, self.metrics, self.log)
         self.configuration: Final = ConfigurationHolder(
             self._store,
             adapter.documents,
--- a/src/sequoiadrum/gateway/configuration.py
+++ b/src/sequoiadrum/gateway/configuration.py
@@ -144,7 +144,7 @@
         decoded = self._documents.decode_config(item)
         if isinstance(decoded, Failure):
             self._metrics.count("malformed_entries_total", kind="config")
-            self._log.notable("config_malformed", revision=item.revision, detail=decoded.failure())
+            self._log.repeated("config_malformed", revision=item.revision, detail=decoded.failure())
             return
         config = decoded.unwrap()
         if self._swap(config, item):
--- a/src/sequoiadrum/gateway/event_log.py
+++ b/src/sequoiadrum/gateway/event_log.py
@@ -13,7 +13,7 @@
 from typing import TYPE_CHECKING, Any, Final, TextIO
 
 from sequoiadrum.gateway import clock
-from sequoiadrum.logs import configure_on_first_use
+from sequoiadrum.logs import LineLimit, configure_on_first_use
 
 if TYPE_CHECKING:
     from collections.abc import MutableMapping
@@ -56,6 +56,7 @@
         self._rate_second = 0
         self._routine_count = 0
         self._dropped = 0
+        self._limits_by_event: dict[str, LineLimit] = {}
         self._wake = threading.Event()
         self._stopped = False
         self._thread = threading.Thread(target=self._run, name="event-log", daemon=True)
@@ -83,6 +84,14 @@
         """Logs a refusal, a failure or a change of the known state."""
         self._add(LogPriority.NOTABLE, event, fields)
 
+    def repeated(self, event: str, **fields: Any) -> None:
+        """Logs a fault that another process can repeat; see `LineLimit`."""
+        limit = self._limits_by_event.setdefault(event, LineLimit())
+        if limit.allows():
+            self.notable(event, **fields)
+        else:
+            self._metrics.count("log_lines_dropped_total", reason="repeated")
+
     def unexpected(self, request_id: str, error: Exception) -> None:
         """Logs and counts an unexpected error that failed a request."""
         self._metrics.count("unexpected_errors_total", type=type(error).__name__)
--- a/src/sequoiadrum/gateway/fleet.py
+++ b/src/sequoiadrum/gateway/fleet.py
@@ -11,6 +11,8 @@
 
 from sequoiadrum._gen.peer import Peer
 from sequoiadrum._thrift_transport import COMPACT
+from sequoiadrum.addressing import parse_address
+from sequoiadrum.field_values import name, whole_number
 from sequoiadrum.gateway import clock
 from sequoiadrum.gateway.model import StoreFailure, StorePosition
 from sequoiadrum.gateway.pause_detector import OBSERVATION_INTERVAL_S
@@ -63,9 +65,12 @@
 class StoreInstanceList(InstanceList):
     """Lists the routers registered in the store, some of which may no longer run."""
 
-    def __init__(self, store: Store, settings: GatewaySettings, log: EventLog) -> None:
+    def __init__(
+        self, store: Store, settings: GatewaySettings, metrics: Metrics, log: EventLog
+    ) -> None:
         self._store = store
         self._settings = settings
+        self._metrics = metrics
         self._log = log
         self._stopped = threading.Event()
         self._is_due = threading.Event()
@@ -104,13 +109,17 @@
             return Failure(_FAILURES.get(listed.failure(), PlatformFailure.UNREACHABLE))
         routers = []
         for item in listed.unwrap().items:
-            document: Any = item.document
+            document = item.document if isinstance(item.document, dict) else {}
             try:
-                host, port = str(document["host"]), int(document["peer_port"])
-            except (KeyError, TypeError, ValueError) as error:
-                self._log.notable("router_entry_malformed", name=item.name, detail=repr(error))
+                port = whole_number(document.get("peer_port"), 1)
+                address = parse_address(f"{name(document.get('host'))}:{port}")
+            except ValueError as error:
+                self._metrics.count("malformed_entries_total", kind="router")
+                self._log.repeated("router_entry_malformed", name=item.name, detail=str(error))
                 continue
-            routers.append(ListedInstance(item.name, host, port, "router", leaving=False))
+            routers.append(
+                ListedInstance(item.name, address.host, address.port, "router", leaving=False)
+            )
         return Success(routers)
 
     def _run(self) -> None:
@@ -124,10 +133,10 @@
     def _register(self) -> None:
         document = {"host": self._settings.host, "peer_port": self._settings.peer_port}
         while not self._stopped.is_set():
-            name = self._settings.instance_id
-            result = self._store.create(ROUTER_KIND, name, document)
+            own_id = self._settings.instance_id
+            result = self._store.create(ROUTER_KIND, own_id, document)
             if isinstance(result, Failure) and result.failure() is StoreFailure.CONFLICT:
-                result = self._store.replace(ROUTER_KIND, name, document)
+                result = self._store.replace(ROUTER_KIND, own_id, document)
             if isinstance(result, Success):
                 self._log.notable("registered", host=self._settings.host)
                 return
--- a/src/sequoiadrum/gateway/peer_feed.py
+++ b/src/sequoiadrum/gateway/peer_feed.py
@@ -11,9 +11,10 @@
 from typing import TYPE_CHECKING, Any, Final
 
 from attrs import frozen
-from returns.result import Failure
+from returns.result import Failure, Success
 
 from sequoiadrum._gen.peer import ttypes
+from sequoiadrum.field_values import is_readable, name, whole_number
 from sequoiadrum.gateway import clock
 from sequoiadrum.gateway.configuration import ConfirmedConfig, ConfirmingPeers
 from sequoiadrum.gateway.mirror import MirrorView
@@ -24,11 +25,14 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from returns.result import Result
+
     from sequoiadrum.gateway.configuration import ConfigurationHolder
     from sequoiadrum.gateway.event_log import EventLog
     from sequoiadrum.gateway.mirror import Mirror
     from sequoiadrum.gossip_task import GossipTask
     from sequoiadrum.messages import Member
+    from sequoiadrum.metrics import Metrics
     from sequoiadrum.peer_client import PeerClient
 
 SMALL_FLEET_SIZE: Final = 20
@@ -51,6 +55,9 @@
 """Encoded documents that are cached; peers request a change at about the same time."""
 COMPRESSION_LEVEL: Final = 1
 """zlib level; higher levels save little on these documents."""
+MAX_DETAIL_CHARS: Final = 200
+MAX_DOCUMENT_BYTES: Final = 16_000_000
+"""Size of a decompressed document; far above the objects of a store."""
 MAX_WAIT_S: Final = 2.5
 """Maximum wait that a peer may request."""
 _ANY_AGE_MS: Final = 2**31 - 1
@@ -69,9 +76,12 @@
 class PeerFeed(ConfirmingPeers):
     """Requests changes of the store from peers; safe to use from any thread."""
 
-    def __init__(self, gossip: GossipTask, peers: PeerClient, log: EventLog) -> None:
+    def __init__(
+        self, gossip: GossipTask, peers: PeerClient, metrics: Metrics, log: EventLog
+    ) -> None:
         self._gossip = gossip
         self._peers = peers
+        self._metrics = metrics
         self._log = log
         self._rng = random.Random()
         self._ranking = self._rank()
@@ -178,25 +188,12 @@
         return result.unwrap()
 
     def _decode(self, response: ttypes.SeenObjects, peer: str) -> MirrorView | None:
-        epoch = response.epoch or 0
-        try:
-            events = tuple(
-                StoreEvent(
-                    StoredItem(
-                        entry.name,
-                        entry.revision,
-                        None if entry.is_removed else json.loads(zlib.decompress(entry.document)),
-                        epoch,
-                    ),
-                    bool(entry.is_removed),
-                )
-                for entry in response.objects
-            )
-        except (ValueError, TypeError, zlib.error) as error:
-            self._log.notable("peer_answer_malformed", peer=peer, detail=repr(error)[:200])
-            return None
-        age_s, is_complete = response.age_ms / 1e3, bool(response.is_complete)
-        return MirrorView(events, response.revision, age_s, epoch, is_complete)
+        decoded = decode_objects(response)
+        if not isinstance(decoded, Failure):
+            return decoded.unwrap()
+        self._metrics.count("peer_answers_malformed_total")
+        self._log.repeated("peer_answer_malformed", peer=peer, detail=decoded.failure())
+        return None
 
     def _current_ranking(self) -> _Ranking:
         if self._ranking.members is not self._gossip.members():
@@ -276,6 +273,32 @@
             return encoded
 
 
+def decode_objects(response: ttypes.SeenObjects) -> Result[MirrorView, str]:
+    """Decodes the changes that a peer sent; a failure describes what cannot be used.
+
+    A peer sends only what it could decode itself. One object that cannot be used therefore shows a
+    faulty peer, and none of its objects counts.
+    """
+    try:
+        epoch = whole_number(response.epoch or 0)
+        revision, age_ms = whole_number(response.revision), whole_number(response.age_ms)
+        events = tuple(_decode_event(entry, epoch) for entry in response.objects)
+    except (ValueError, TypeError, RecursionError, zlib.error) as error:
+        return Failure(repr(error)[:MAX_DETAIL_CHARS])
+    return Success(MirrorView(events, revision, age_ms / 1e3, epoch, bool(response.is_complete)))
+
+
+def _decode_event(entry: ttypes.SeenObject, epoch: int) -> StoreEvent:
+    document = None
+    if not entry.is_removed:
+        decoder = zlib.decompressobj()
+        document = json.loads(decoder.decompress(entry.document, MAX_DOCUMENT_BYTES))
+        if not (decoder.eof and is_readable(document)):
+            raise ValueError("a document cannot be read")
+    item = StoredItem(name(entry.name), whole_number(entry.revision), document, epoch)
+    return StoreEvent(item, bool(entry.is_removed))
+
+
 def _milliseconds(age_s: float) -> int:
     # Rounded up, so that a peer never considers the information more recent than it is.
     return math.ceil(min(age_s, 1e6) * 1e3)
--- a/src/sequoiadrum/gateway/store_sync.py
+++ b/src/sequoiadrum/gateway/store_sync.py
@@ -495,7 +495,7 @@
         if not isinstance(decoded, Failure):
             return decoded.unwrap()
         self._metrics.count("malformed_entries_total", kind="endpoint")
-        self._log.notable(
+        self._log.repeated(
             "endpoint_entry_malformed",
             endpoint=item.name,
             revision=item.revision,
--- a/src/sequoiadrum/logs.py
+++ b/src/sequoiadrum/logs.py
@@ -7,7 +7,9 @@
 from __future__ import annotations
 
 import functools
-from typing import TYPE_CHECKING, Any
+import threading
+import time
+from typing import TYPE_CHECKING, Any, Final
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -46,3 +48,27 @@
 def get_logger(name: str) -> Any:
     """Returns a logger that imports structlog on first use."""
     return LazyLogger(name)
+
+
+REPEATED_LINES: Final = 20
+"""Lines about one kind of fault in `REPEATED_LINES_PERIOD_S`; the others are only counted."""
+REPEATED_LINES_PERIOD_S: Final = 60.0
+
+
+class LineLimit:
+    """Limits the number of log lines about a fault that another process can cause at any rate."""
+
+    def __init__(self) -> None:
+        self._lock = threading.Lock()
+        self._period_began_at = float("-inf")
+        self._lines = 0
+
+    def allows(self) -> bool:
+        """Counts a line; returns whether it is within the limit."""
+        now = time.monotonic()
+        with self._lock:
+            if now - self._period_began_at >= REPEATED_LINES_PERIOD_S:
+                self._period_began_at = now
+                self._lines = 0
+            self._lines += 1
+            return self._lines <= REPEATED_LINES
--- a/src/sequoiadrum/platform/store_client.py
+++ b/src/sequoiadrum/platform/store_client.py
@@ -7,11 +7,12 @@
 import threading
 from http import HTTPStatus
 from typing import TYPE_CHECKING, Any, Final
-from urllib.parse import quote, urlencode
+from urllib.parse import quote
 
 from attrs import frozen
 from returns.result import Failure, Result, Success
 
+from sequoiadrum import field_values as values
 from sequoiadrum.gateway import clock
 from sequoiadrum.gateway._sockets import connect_stream
 from sequoiadrum.gateway.model import (
@@ -22,7 +23,8 @@
     WatchResult,
 )
 from sequoiadrum.gateway.ports import Store
-from sequoiadrum.logs import get_logger
+from sequoiadrum.logs import LineLimit, get_logger
+from sequoiadrum.platform import lenient_json
 
 if TYPE_CHECKING:
     from sequoiadrum.messages import Address
@@ -61,6 +63,7 @@
         self._address = address
         self._metrics = metrics
         self._local = threading.local()
+        self._line_limit = LineLimit()
 
     def list(self, kind: str, may_be_stale: bool = False) -> Result[StoredPage, StoreFailure]:
         """See `Store.list`."""
@@ -83,14 +86,18 @@
                 continue
             document, epoch = response.document, response.epoch
             try:
-                page = [_decode_item(entry, epoch) for entry in document["items"]]
-                revision = int(document["at"]) if revision is None else revision
-                items += [item for item in page if item is not None]
-                if not document.get("more") or not document["items"]:
-                    return Success(StoredPage(tuple(items), revision, epoch))
-                after = str(document["items"][-1]["metadata"]["name"])
-            except (KeyError, TypeError, ValueError) as error:
+                objects = _array(document, "items")
+                page = [self._decode_item(kind, entry, epoch) for entry in objects]
+                revision = _revision(document) if revision is None else revision
+            except ValueError as error:
                 return self._malformed_failure(kind, error)
+            items += [item for item in page if item is not None]
+            if not document.get("more") or not objects:
+                return Success(StoredPage(tuple(items), revision, epoch))
+            last = next(filter(None, map(_name, reversed(objects))), after)
+            if last == after:
+                return self._malformed_failure(kind, ValueError("a page names no object"))
+            after = last
         return self._malformed_failure(kind, ValueError("the list has too many pages"))
 
     def get(self, kind: str, name: str) -> Result[StoredItem, StoreFailure]:
@@ -99,7 +106,7 @@
         if isinstance(result, Failure):
             return result
         response = result.unwrap()
-        item = _decode_item(response.document, response.epoch)
+        item = self._decode_item(kind, response.document, response.epoch)
         return self._malformed_failure(kind, ValueError(name)) if item is None else Success(item)
 
     def watch(self, kind: str, revision: int, wait_s: float) -> Result[WatchResult, StoreFailure]:
@@ -111,14 +118,17 @@
         response = result.unwrap()
         document, epoch = response.document, response.epoch
         try:
-            events = []
-            for entry in document["events"]:
-                item = _decode_item(entry["object"], epoch)
-                if item is not None:
-                    events.append(StoreEvent(item, bool(entry.get("deleted"))))
-            return Success(WatchResult(tuple(events), int(document["at"]), epoch))
-        except (KeyError, TypeError, ValueError) as error:
+            changes = _array(document, "events")
+            at = _revision(document)
+        except ValueError as error:
             return self._malformed_failure(kind, error)
+        events = []
+        for change in changes:
+            fields = change if isinstance(change, dict) else {}
+            item = self._decode_item(kind, fields.get("object"), epoch)
+            if item is not None:
+                events.append(StoreEvent(item, bool(fields.get("deleted"))))
+        return Success(WatchResult(tuple(events), at, epoch))
 
     def create(self, kind: str, name: str, document: object) -> Result[None, StoreFailure]:
         """See `Store.create`."""
@@ -160,8 +170,9 @@
         if response.status >= HTTPStatus.BAD_REQUEST:
             return Failure(_FAILURE_BY_STATUS.get(response.status, StoreFailure.MALFORMED))
         try:
-            epoch = int(response.getheader(_EPOCH_HEADER, "0"))
-            return Success(_Response(response.status, json.loads(raw) if raw else None, epoch))
+            epoch = values.whole_number(int(response.getheader(_EPOCH_HEADER, "0")))
+            document = lenient_json.loads(raw) if raw else None
+            return Success(_Response(response.status, document, epoch))
         except ValueError as error:
             return self._malformed_failure(path, error)
 
@@ -180,6 +191,33 @@
         if connection is not None:
             connection.close()
 
+    def _decode_item(self, kind: str, document: Any, epoch: int) -> StoredItem | None:
+        """Decodes one object; returns None if its name cannot be used.
+
+        An object whose revision or content cannot be read has no document: it exists, so that a
+        list that includes it does not show it as removed.
+        """
+        try:
+            name = values.name(_name(document))
+        except ValueError as error:
+            self._record_unreadable(kind, "", str(error))
+            return None
+        content = document.get("spec")
+        try:
+            revision = values.whole_number(_metadata(document).get("revision"))
+        except ValueError as error:
+            self._record_unreadable(kind, name, str(error))
+            return StoredItem(name, 0, None, epoch)
+        if content is lenient_json.UNREADABLE or not values.is_readable(content):
+            self._record_unreadable(kind, name, "the content cannot be read")
+            content = None
+        return StoredItem(name, revision, content, epoch)
+
+    def _record_unreadable(self, kind: str, name: str, detail: str) -> None:
+        self._metrics.count("unreadable_objects_total", kind=kind)
+        if self._line_limit.allows():
+            _log.warning("store_object_unreadable", kind=kind, name=name, detail=detail)
+
     def _malformed_failure(self, what: str, error: Exception) -> Result[Any, StoreFailure]:
         """Logs and counts a malformed response; returns the failure."""
         _log.warning("store_response_malformed", what=what, error=repr(error)[:200])
@@ -190,16 +228,37 @@
 def _object_path(kind: str, name: str = "", query: dict[str, str] | None = None) -> str:
     path = f"/objects/{quote(kind, safe='')}"
     if name:
-        path += f"/{quote(name, safe='')}"
-    return f"{path}?{urlencode(query)}" if query else path
+        path += f"/{_quoted(name)}"
+    if not query:
+        return path
+    return f"{path}?" + "&".join(f"{key}={_quoted(value)}" for key, value in query.items())
 
 
-def _decode_item(document: Any, epoch: int) -> StoredItem | None:
-    """Decodes one object; returns None if its name or revision is missing or malformed."""
+def _quoted(text: str) -> str:
+    """Quotes a text for a path or query; lone surrogates become the bytes that they stand for."""
     try:
-        metadata = document["metadata"]
-        name, revision = str(metadata["name"]), int(metadata["revision"])
-        return StoredItem(name, revision, document.get("spec"), epoch)
-    except (KeyError, TypeError, ValueError, AttributeError) as error:
-        _log.warning("store_object_malformed", error=repr(error)[:200])
-        return None
+        return quote(text, safe="", errors="surrogateescape")
+    except UnicodeEncodeError:
+        return quote(text, safe="", errors="surrogatepass")
+
+
+def _array(document: Any, field: str) -> list[Any]:
+    entries = document.get(field) if isinstance(document, dict) else None
+    if not isinstance(entries, list):
+        raise ValueError(f"the response has no list of {field}")
+    return entries
+
+
+def _revision(document: dict[str, Any]) -> int:
+    return values.whole_number(document.get("at"))
+
+
+def _metadata(document: Any) -> dict[str, Any]:
+    metadata = document.get("metadata") if isinstance(document, dict) else None
+    return metadata if isinstance(metadata, dict) else {}
+
+
+def _name(document: Any) -> str | None:
+    """Returns the name of an object, even if it cannot be used; None if it has none."""
+    name = _metadata(document).get("name")
+    return name if isinstance(name, str) else None
--- a/tests/gateway/test_peer_feed.py
+++ b/tests/gateway/test_peer_feed.py
@@ -67,8 +67,9 @@
 
 
 def _feed(own_id: str, size: int, value: Any = None) -> PeerFeed:
-    log = EventLog("g1", Metrics(), None)  # type: ignore[arg-type]
-    return PeerFeed(_Fleet(own_id, size), _Peers(value), log)  # type: ignore[arg-type]
+    metrics = Metrics()
+    log = EventLog("g1", metrics, None)  # type: ignore[arg-type]
+    return PeerFeed(_Fleet(own_id, size), _Peers(value), metrics, log)  # type: ignore[arg-type]
 
 
 class WatcherTest(unittest.TestCase):
--- a/tests/platform/store_stand_in.py
+++ b/tests/platform/store_stand_in.py
@@ -48,6 +48,8 @@
         """Watches report no changes."""
         self.epoch = 1
         """Named in all responses; rises with each restore."""
+        self.replaced_bytes: dict[bytes, bytes] = {}
+        """Bytes that each response contains in place of others."""
         self.calls: list[tuple[str, str]] = []
         self._stale_objects: dict[str, dict[str, dict[str, Any]]] | None = None
         self._stale_revision = 0
@@ -249,7 +251,9 @@
         parts = urlsplit(self.path)
         self.store.calls.append((self.command, self.path))
         words = [unquote(word) for word in parts.path.split("/")[2:]]
-        query = {key: values[0] for key, values in parse_qs(parts.query).items()}
+        # Names are bytes: those that are no UTF-8 must come back as they were sent.
+        fields = parse_qs(parts.query, errors="surrogateescape")
+        query = {key: values[0] for key, values in fields.items()}
         return words[0], words[1] if len(words) > 1 else "", query
 
     def _body(self) -> Any:
@@ -270,6 +274,8 @@
             self.close_connection = True
             return
         data = json.dumps(document).encode()
+        for former, replacement in self.store.replaced_bytes.items():
+            data = data.replace(former, replacement)
         self.send_response(status)
         self.send_header("Content-Type", "application/json")
         self.send_header("Store-Era", str(self.store.epoch))
