Reject responses that are cut in a head, chunk size or trailer

`http.client` takes the end of the connection for the end of a head, a chunk size or a trailer: without its last lines a head has no length, and the end that was already there completed a body without one. In the same way it reads lengths and codings that it can't parse as none, two lengths as the first, a line without a colon as the end of the head, and a 103 as the answer.

Change: `StrictResponse` reads heads, chunk sizes and trailers itself by the grammar of RFC 9112: each line ends with CRLF, each section with its empty line; lengths and codings are clear or the response is a failure (502 where the request may have run, repeated where that is allowed). Interim responses are skipped. RFC 9112 leaves a bare LF in a head to the recipient; it is refused, since one wrong byte could otherwise end a head early. Folded lines, and a length beside chunks, are refused as the RFC permits; HTTP/1.0, odd case, optional spaces, a length that is repeated alike and extensions pass.

Conclusion: a peer's end of the connection never completes a line or a section, whatever it was reading.

--- a/src/sequoiadrum/gateway/exchange.py
+++ b/src/sequoiadrum/gateway/exchange.py
@@ -10,6 +10,7 @@
 
 from attrs import define, field, frozen
 
+from sequoiadrum._http_response import StrictResponse
 from sequoiadrum.gateway import clock
 from sequoiadrum.gateway._sockets import GuardedStream, OversizedError, connect_stream
 
@@ -123,7 +124,7 @@
     """An exchange whose response has begun."""
 
     head: ResponseHead
-    _response: http.client.HTTPResponse
+    _response: StrictResponse
     _stream: GuardedStream
     _release: Callable[[GuardedStream, float | None], None]
     _remaining: int | None
@@ -142,7 +143,7 @@
     @property
     def ends_with_connection(self) -> bool:
         """Whether only the end of the connection shows the end of the body."""
-        return self._remaining is None and not self._response.chunked
+        return self._response.ends_with_connection
 
     def set_guard(self, guard: Callable[[], None]) -> None:
         """Replaces the guard that is called while a read waits."""
@@ -195,9 +196,6 @@
         self._stream.allow(limit + _BUFFER_BYTES + MAX_FRAMING_BYTES)
         data = self._response.read1(limit)
         if self._remaining is not None:
-            # `read1` does not check the length, so that a truncated body would appear complete.
-            if not data:
-                raise http.client.IncompleteRead(b"", self._remaining)
             self._remaining -= len(data)
         elif not data:
             self._finish()
@@ -327,9 +325,7 @@
         try:
             for _ in range(_MAX_MISMATCHED_RESPONSES):
                 stream.allow(MAX_HEAD_BYTES + _BUFFER_BYTES)
-                response = http.client.HTTPResponse(
-                    stream, method=call.method  # type: ignore[arg-type]
-                )
+                response = StrictResponse(stream, method=call.method)  # type: ignore[arg-type]
                 response.begin()
                 head = self._codec.decode_response(
                     response.status, response.reason, response.getheaders()
@@ -403,14 +399,9 @@
     connection.endheaders(body or None)
 
 
-def _discard_body(response: http.client.HTTPResponse, stream: GuardedStream) -> None:
+def _discard_body(response: StrictResponse, stream: GuardedStream) -> None:
     if response.will_close:
         raise http.client.HTTPException("the connection ends with another request's answer")
     stream.allow(MAX_DISCARDED_BYTES)
-    remaining = None if response.chunked else response.length
-    while remaining is None or remaining > 0:
-        size = len(response.read1(_READ_BYTES if remaining is None else remaining))
-        if size == 0:
-            break
-        if remaining is not None:
-            remaining -= size
+    while response.read1(_READ_BYTES):
+        pass
