Reject unframed bodies whose connection failed or whose endpoint is gone

Cause: a body without a length or chunks counted as whole at any end of its connection that the reads saw as regular. A reset that the write of the request met first was consumed by it (Linux reports it once), and the kernel ends the connections of a killed process regularly.

Change: such a body is whole only if no write failed, the socket shows neither an error nor a hang-up, and the endpoint still accepts a connection. The connection for the last costs a round trip, for unframed bodies alone. An endpoint that leaves right after its unframed answer, and closes its listener before the connection, cannot be told from a killed one: its caller gets 502, or the answer of another endpoint where the request may be repeated. `unclear_ends_total{reason}` counts both reasons.

Conclusion: the end of a connection completes a body only if the endpoint is there to have ended it.

--- a/src/sequoiadrum/gateway/_sockets.py
+++ b/src/sequoiadrum/gateway/_sockets.py
@@ -63,6 +63,9 @@
         self.guard: Callable[[], None] = _no_guard
         self.bytes_sent = 0
         """Bytes passed to the operating system since the last `begin`."""
+        self.has_write_error = False
+        """Whether a write failed. The failure may have been a reset, which is reported only once:
+        reads that follow it see a regular end."""
         self._allowance = 0
         self._next_check = 0.0
         self._reader = _PersistentReader(_GuardedRaw(self))
@@ -83,6 +86,13 @@
             return False
         return not self._poll.poll(0)
 
+    def has_regular_end(self) -> bool:
+        """Returns whether the peer ended the connection by itself, without a reset or a timeout."""
+        flags = [flags for _, flags in self._poll.poll(0)]
+        return not self.has_write_error and not any(
+            each & (select.POLLERR | select.POLLHUP) for each in flags
+        )
+
     def sendall(self, data: bytes) -> None:
         """Writes all bytes; see `socket.socket.sendall`."""
         view = memoryview(data).cast("B")
@@ -92,6 +102,9 @@
             except BlockingIOError:
                 self._wait(select.POLLOUT)
                 continue
+            except OSError:
+                self.has_write_error = True
+                raise
             self.bytes_sent += sent
             view = view[sent:]
             self._check_guard()
--- a/src/sequoiadrum/gateway/exchange.py
+++ b/src/sequoiadrum/gateway/exchange.py
@@ -66,6 +66,23 @@
     """The endpoint sent more bytes than a response, or a part of it, may have."""
 
 
+class UnclearEnd(Enum):
+    """Why the end of a connection does not show that the body before it is whole."""
+
+    CONNECTION_FAILED = "connection_failed"
+    """The connection was reset, timed out, or failed while the request was written."""
+    ENDPOINT_GONE = "endpoint_gone"
+    """The endpoint accepts no connections: the kernel ends those of a killed process regularly."""
+
+
+class UnclearEndError(Exception):
+    """A body without a length or chunks may not be whole, although its connection has ended."""
+
+    def __init__(self, reason: UnclearEnd) -> None:
+        super().__init__(reason.value)
+        self.reason: Final = reason
+
+
 class InterruptedWaitError(Exception):
     """Raised by a guard to end a wait for an endpoint."""
 
@@ -117,6 +134,8 @@
     """Set if the gateway ended the exchange."""
     transfer: Transfer | None = field(default=None, eq=False)
     """None if no head was received."""
+    unclear_end: UnclearEnd | None = None
+    """Set if the connection ended in a way that does not complete a body."""
 
 
 @define(eq=False)
@@ -127,6 +146,7 @@
     _response: StrictResponse
     _stream: GuardedStream
     _release: Callable[[GuardedStream, float | None], None]
+    _has_endpoint_crashed: Callable[[], bool]
     _remaining: int | None
     """Bytes of the body still to be read; None for a body without a declared length."""
     _is_closed: bool = False
@@ -158,6 +178,10 @@
             return ExchangeFailure(error.interrupt.value, error.interrupt, self.transfer())
         except OversizedError as error:
             return self.give_up(f"answer cut off: {error}")
+        except UnclearEndError as error:
+            self.close()
+            detail = f"answer cut off: {error}"
+            return ExchangeFailure(detail, None, self.transfer(), error.reason)
         except (OSError, http.client.HTTPException, ValueError) as error:
             self.close()
             return ExchangeFailure(f"answer cut off: {error!r}"[:200], None, self.transfer())
@@ -198,10 +222,19 @@
         if self._remaining is not None:
             self._remaining -= len(data)
         elif not data:
+            if self.ends_with_connection:
+                self._check_end()
             self._finish()
         self._received += len(data)
         return data
 
+    def _check_end(self) -> None:
+        """Raises `UnclearEndError` if the end of the connection may not be the end of the body."""
+        if not self._stream.has_regular_end():
+            raise UnclearEndError(UnclearEnd.CONNECTION_FAILED)
+        if self._has_endpoint_crashed():
+            raise UnclearEndError(UnclearEnd.ENDPOINT_GONE)
+
     def _finish(self) -> None:
         if self._is_closed:
             return
@@ -281,7 +314,7 @@
         except (ValueError, http.client.HTTPException) as error:
             stream.close()
             return NotSent(f"cannot be written: {error!r}"[:200])
-        return self._receive(endpoint_id, stream, call)
+        return self._receive(endpoint_id, address, stream, call)
 
     def has_crashed(self, address: Address) -> bool:
         """Returns whether an endpoint refuses new connections, after an exchange with it broke.
@@ -320,7 +353,7 @@
             entry.stream.close()
 
     def _receive(
-        self, endpoint_id: str, stream: GuardedStream, call: RequestHead
+        self, endpoint_id: str, address: Address, stream: GuardedStream, call: RequestHead
     ) -> Exchange | ExchangeFailure:
         try:
             for _ in range(_MAX_MISMATCHED_RESPONSES):
@@ -352,6 +385,7 @@
             response,
             stream,
             lambda kept, idle_timeout_s: self._keep_idle(endpoint_id, kept, idle_timeout_s),
+            lambda: self.has_crashed(address),
             remaining,
         )
 
--- a/src/sequoiadrum/gateway/relay.py
+++ b/src/sequoiadrum/gateway/relay.py
@@ -284,6 +284,8 @@
         self._metrics.count("exchange_failures_total", reason=reason)
         if result.transfer is not None:
             self._count_body(result.transfer, "broken")
+        if result.unclear_end is not None:
+            self._metrics.count("unclear_ends_total", reason=result.unclear_end.value)
         if result.interrupt is Interrupt.CALLER_GONE:
             return self._refuse(run, Refused.CALLER_GONE)
         if result.interrupt is Interrupt.STOPPED:
--- a/tests/gateway/test_unframed_responses.py
+++ b/tests/gateway/test_unframed_responses.py
@@ -97,6 +97,41 @@
         self.world.add("e1", ScriptedEndpoint(unframed(b"do", is_reset=True)))
         self.assertEqual(self.world.call("/order/x")[0], 502)
 
+    def test_response_of_an_endpoint_that_is_gone_is_not_whole(self) -> None:
+        """Guards against a part of an answer whose endpoint was killed, which ends regularly."""
+        endpoint = ScriptedEndpoint(self._leave_after(b"do"))
+        self.world.add("e1", endpoint)
+        self.assertEqual(self.world.call("/order/x")[0], 502)
+        metrics = self.world.gateway.metrics
+        self.assertEqual(metrics.value("unclear_ends_total", reason="endpoint_gone"), 1)
+
+    def test_read_from_an_endpoint_that_is_gone_is_retried(self) -> None:
+        """Guards against a failure where another endpoint has the whole answer."""
+        self.world.add("e1", ScriptedEndpoint(self._leave_after(b"do")))
+        self.world.add("e2", ScriptedEndpoint(unframed(b"do", b"ne")))
+        for number in range(4):
+            status, _, body = self.world.call("/read/x", f"q{number}")
+            self.assertEqual((status, body), (200, b"done"))
+
+    def test_stream_of_an_engine_that_is_gone_continues_elsewhere(self) -> None:
+        """Guards against a stream that passes for whole because its engine died between events."""
+        self.world.add("e1", ScriptedEndpoint(self._leave_after(event(1), event(2))), "model")
+        self.world.endpoints["e1"].script = _rest(self.world.endpoints["e1"].script)
+        bodies = []
+        self.world.add("e2", ScriptedEndpoint(stream(1, 5)), "model")
+        for number in range(4):
+            bodies.append(self.world.call("/draft/x", f"q{number}")[2])
+        self.assertEqual(set(bodies), {b"".join(map(event, range(1, 6)))})
+
+    def _leave_after(self, *parts: bytes) -> Script:
+        """Returns a script that stops its endpoint before it ends the response regularly."""
+
+        def script(connection: Connection, request: Received) -> None:
+            self.world.endpoints["e1"].stop()
+            unframed(*parts)(connection, request)
+
+        return script
+
     def test_stream_is_whole(self) -> None:
         """Guards against a complete stream that is broken off or sent again."""
         endpoint = ScriptedEndpoint(unframed(event(1), event(2)))
