Reject successes that do not name their request

Cause: a response without a request id was taken for that of the request that is due, and of several ids the last one counted. Endpoints echo the id; on a kept connection a late response of which the line with the id is missing or spoiled reached the next caller.

Change: a success needs the id of its request; different ids in one head match no request. Other responses without an id count as before: they hold nothing that is taken for an answer.

Conclusion: whose answer a success is follows from the answer itself, not from its place on a connection.

--- a/src/sequoiadrum/gateway/exchange.py
+++ b/src/sequoiadrum/gateway/exchange.py
@@ -6,6 +6,7 @@
 import io
 import threading
 from enum import Enum
+from http import HTTPStatus
 from typing import TYPE_CHECKING, Final
 
 from attrs import define, field, frozen
@@ -363,7 +364,12 @@
                 head = self._codec.decode_response(
                     response.status, response.reason, response.getheaders()
                 )
-                if head.request_id in (None, call.request_id):
+                if head.request_id == call.request_id:
+                    break
+                if head.request_id is None:
+                    if HTTPStatus.OK <= head.status < HTTPStatus.MULTIPLE_CHOICES:
+                        stream.close()
+                        return ExchangeFailure("an answer without a request id")
                     break
                 # A late response to an earlier request; the response to this request follows it.
                 _discard_body(response, stream)
--- a/src/sequoiadrum/platform/headers.py
+++ b/src/sequoiadrum/platform/headers.py
@@ -141,7 +141,7 @@
         return ResponseHead(
             status=status,
             reason=reason,
-            request_id=by_name.get(REQUEST_ID.lower()),
+            request_id=_decode_request_id(pairs),
             instance_id=by_name.get(RESPONDING_ENDPOINT_ID.lower()),
             # A misdirected request (421) was not executed either.
             is_not_executed=NOT_EXECUTED.lower() in by_name
@@ -201,6 +201,12 @@
     return min(max(int(text), 0), _MAX_DEADLINE_MS) / 1e3
 
 
+def _decode_request_id(pairs: Iterable[tuple[str, str]]) -> str | None:
+    """Returns the request id; different ids are joined, so that they match none."""
+    ids = {value for name, value in pairs if name.lower() == REQUEST_ID.lower()}
+    return ", ".join(sorted(ids)) if ids else None
+
+
 def _decode_load(text: str) -> EngineLoad | None:
     try:
         running, waiting, slots = (int(word) for word in text.split(","))
