Reject replies of the store that are cut

Cause: the store's client read with `http.client` as the exchanges did. A reply that was cut in its head counted as one with an empty body: a write counted as done, a read raised out of the client or was malformed; cut last chunks and trailers counted as whole.

Change: the client reads with `StrictResponse`. An unframed reply with a document still counts, since a document shows its own end (a part of an object is no JSON); one without a body does not.

Conclusion: the same reader, so that the same rules hold for what the gateway decides by.

--- a/src/sequoiadrum/platform/store_client.py
+++ b/src/sequoiadrum/platform/store_client.py
@@ -13,6 +13,7 @@
 from returns.result import Failure, Result, Success
 
 from sequoiadrum import field_values as values
+from sequoiadrum._http_response import StrictResponse
 from sequoiadrum.gateway import clock
 from sequoiadrum.gateway._sockets import connect_stream
 from sequoiadrum.gateway.model import (
@@ -157,6 +158,9 @@
             connection.request(method, path, payload, headers)
             response = connection.getresponse()
             raw = response.read()
+            # A document shows its own end; an empty body does not.
+            if isinstance(response, StrictResponse) and response.ends_with_connection and not raw:
+                raise http.client.HTTPException("the connection ended without a body")
             if response.will_close:
                 self._close_connection()
         except (OSError, http.client.HTTPException) as error:
@@ -181,6 +185,7 @@
         connection = getattr(self._local, "connection", None)
         if connection is None or connection.sock is None:
             connection = http.client.HTTPConnection(self._address.host, self._address.port)
+            connection.response_class = StrictResponse
             connection.sock = connect_stream(self._address, CALL_TIMEOUT_S)
             self._local.connection = connection
         connection.sock.settimeout(timeout_s)
--- /dev/null
+++ b/tests/test_cut_messages.py
@@ -0,0 +1,253 @@
+"""Tests that cut what every reader but the gateway's exchanges receives, at every byte.
+
+The responses of endpoints to the gateway are in `tests.gateway.test_cut_responses`.
+"""
+
+from __future__ import annotations
+
+import contextlib
+import json
+import socket
+import threading
+import unittest
+from typing import TYPE_CHECKING, Any
+
+from attrs import field, frozen
+from returns.result import Success
+from thrift.Thrift import TMessageType
+from thrift.transport.TTransport import TFramedTransport, TMemoryBuffer
+
+from sequoiadrum._front_server import FrontServer
+from sequoiadrum._gen.peer import Peer, ttypes
+from sequoiadrum._thrift_transport import COMPACT
+from sequoiadrum.gateway.front import ServerGroup
+from sequoiadrum.messages import Address
+from sequoiadrum.metrics import Metrics
+from sequoiadrum.peer_client import ThriftPeerClient
+from sequoiadrum.platform.store_client import HttpStore
+from tests.builders import a_settings
+from tests.gateway.world import WAIT_S, eventually, free_ports
+from tests.http_messages import BODY
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Iterator
+
+_FAILED = "failed"
+"""Outcome of a call that reported a failure."""
+
+
+@frozen
+class Case:
+    """A call of a client, and the reply that it gets."""
+
+    name: str
+    reply: bytes
+    call: Callable[[Address], Any] = field(repr=False)
+    """Returns the result of the call, `_FAILED` if the client reports a failure."""
+
+
+class CuttingServer:
+    """Sends the first bytes of a reply to each request, and ends the connection."""
+
+    def __init__(self) -> None:
+        self.data = b""
+        self.is_reset = False
+        self._listener = socket.create_server(("127.0.0.1", 0))
+        self.address = Address("127.0.0.1", self._listener.getsockname()[1])
+        threading.Thread(target=self._accept, daemon=True).start()
+
+    def stop(self) -> None:
+        """Closes the listener."""
+        with contextlib.suppress(OSError):
+            self._listener.shutdown(socket.SHUT_RDWR)
+        self._listener.close()
+
+    def _accept(self) -> None:
+        while True:
+            try:
+                connection, _ = self._listener.accept()
+            except OSError:
+                return
+            with connection, contextlib.suppress(OSError):
+                connection.settimeout(WAIT_S)
+                _read_request(connection)
+                connection.sendall(self.data)
+                if self.is_reset:
+                    end = b"\x01\x00\x00\x00\x00\x00\x00\x00"
+                    connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, end)
+
+
+def _read_request(connection: socket.socket) -> None:
+    """Reads an HTTP request with a length, or a frame of thrift."""
+    data = b""
+    while True:
+        received = connection.recv(65_536)
+        if not received:
+            return
+        data += received
+        if data[0] == 0:
+            if len(data) >= 4 and len(data) >= 4 + int.from_bytes(data[:4]):
+                return
+            continue
+        head, end, body = data.partition(b"\r\n\r\n")
+        if not end:
+            continue
+        lengths = [
+            int(line.split(b":")[1])
+            for line in head.lower().split(b"\r\n")
+            if line.startswith(b"content-length:")
+        ]
+        if len(body) >= sum(lengths):
+            return
+
+
+def _replies(status: str, lines: str, body: bytes) -> Iterator[tuple[str, bytes]]:
+    """Yields a reply in each framing, with the lines that matter before those of the framing."""
+    head = f"HTTP/1.1 {status}\r\n{lines}".encode()
+    yield "length", head + b"Content-Length: %d\r\n\r\n%b" % (len(body), body)
+    chunks = b"%03x;a=b\r\n%b\r\n" % (len(body), body) if body else b""
+    chunked = head + b"Transfer-Encoding: chunked\r\n\r\n" + chunks
+    yield "chunks", chunked + b"00\r\n\r\n"
+    yield "trailers", chunked + b"0\r\nX-Sum: 1\r\n\r\n"
+
+
+def _store_cases() -> Iterator[Case]:
+    item = {"metadata": {"name": "n", "revision": 7}, "spec": {"a": 1}}
+    documents: dict[str, tuple[Any, Callable[[HttpStore], Any]]] = {
+        "list": ({"items": [item], "at": 7}, lambda store: store.list("k")),
+        "get": (item, lambda store: store.get("k", "n")),
+        "watch": (
+            {"events": [{"object": item}], "at": 7},
+            lambda store: store.watch("k", 1, 1.0),
+        ),
+        "create": (item, lambda store: store.create("k", "n", {})),
+        "replace": (item, lambda store: store.replace("k", "n", {})),
+        "delete": (item, lambda store: store.delete("k", "n")),
+    }
+    for name, (document, call) in documents.items():
+        body = json.dumps(document).encode()
+        unframed = b"HTTP/1.1 200 OK\r\nStore-Era: 12\r\n\r\n" + body
+        for framing, reply in (
+            *_replies("200 OK", "Store-Era: 12\r\n", body),
+            ("unframed", unframed),
+        ):
+
+            def run(address: Address, call: Callable[[HttpStore], Any] = call) -> Any:
+                return _value(call(HttpStore(address, Metrics())))
+
+            yield Case(f"store {name}, {framing}", reply, run)
+
+
+def _peer_cases() -> Iterator[Case]:
+    buffer = TMemoryBuffer()
+    protocol = COMPACT.getProtocol(TFramedTransport(buffer))
+    protocol.writeMessageBegin("list_rumors", TMessageType.REPLY, 0)
+    Peer.list_rumors_result(success=[ttypes.Rumor("k", "n", 3, b"payload", 5)]).write(protocol)
+    protocol.writeMessageEnd()
+    protocol.trans.flush()
+
+    def run(address: Address) -> Any:
+        client = ThriftPeerClient(Metrics())
+        try:
+            return _value(client.call(address, lambda peer: peer.list_rumors(), WAIT_S))
+        finally:
+            client.close()
+
+    yield Case("peer", buffer.getvalue(), run)
+
+
+def _value(result: Any) -> Any:
+    return result.unwrap() if isinstance(result, Success) else _FAILED
+
+
+class CutReplyTest(unittest.TestCase):
+    """What a client reports is the whole reply or a failure, for each byte at which it is cut."""
+
+    def _check(self, cases: Iterator[Case]) -> None:
+        server = CuttingServer()
+        self.addCleanup(server.stop)
+        for case in cases:
+            with self.subTest(case.name):
+                server.data, server.is_reset = case.reply, False
+                whole = case.call(server.address)
+                self.assertNotEqual(whole, _FAILED)
+                wrong = []
+                for server.is_reset in (False, True):
+                    for size in range(len(case.reply)):
+                        server.data = case.reply[:size]
+                        result = case.call(server.address)
+                        if result != _FAILED:
+                            wrong.append((size, server.is_reset, result))
+                self.assertEqual(wrong, [])
+
+    def test_replies_of_the_store(self) -> None:
+        """Guards against objects that vanish, or writes that count, because a reply was cut."""
+        self._check(_store_cases())
+
+    def test_replies_of_peers(self) -> None:
+        """Guards against a call between routers that ends in an error of the decoder."""
+        self._check(_peer_cases())
+
+
+_HEAD = b"POST /a HTTP/1.1\r\nHost: x\r\nX-Account: a1\r\n"
+_REQUESTS = {
+    "length": _HEAD + b"Content-Length: 13\r\n\r\n" + BODY,
+    "chunks": _HEAD
+    + b"Transfer-Encoding: chunked\r\n\r\n005;a=b\r\nHello\r\n08\r\n, world!\r\n00\r\n\r\n",
+    "trailers": _HEAD
+    + b"Transfer-Encoding: chunked\r\n\r\nd\r\nHello, world!\r\n0\r\nX-Sum: 1\r\n\r\n",
+}
+
+
+class CutRequestTest(unittest.TestCase):
+    """A request that its caller cuts is not run."""
+
+    def setUp(self) -> None:
+        self.bodies: list[bytes] = []
+
+    def _application(self, environ: Any, start_response: Any) -> list[bytes]:
+        self.bodies.append(environ["wsgi.input"].read())
+        start_response("200 OK", [("Content-Length", "0")])
+        return []
+
+    def _check(self, port: int) -> None:
+        for name, request in _REQUESTS.items():
+            for is_reset in (False, True):
+                self.bodies.clear()
+                for size in range(1, len(request)):
+                    with socket.create_connection(("127.0.0.1", port), WAIT_S) as caller:
+                        caller.sendall(request[:size])
+                        if is_reset:
+                            end = b"\x01\x00\x00\x00\x00\x00\x00\x00"
+                            caller.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, end)
+                        else:
+                            caller.shutdown(socket.SHUT_WR)
+                            while caller.recv(65_536):
+                                pass
+                with self.subTest(name, is_reset=is_reset):
+                    self.assertEqual(self.bodies, [])
+            with socket.create_connection(("127.0.0.1", port), WAIT_S) as caller:
+                caller.sendall(request)
+                eventually(lambda: self.bodies == [BODY], "the whole request is run")
+
+    def test_request_to_the_gateway(self) -> None:
+        """Guards against an order that is passed on with a part of its body."""
+        (port,) = free_ports(1)
+        group = ServerGroup(2_000, 200, Metrics())
+        group.add_callers(self._application, Address("127.0.0.1", port))
+        group.start()
+        self.addCleanup(group.stop)
+        self._check(port)
+
+    def test_request_to_the_own_interface(self) -> None:
+        """Guards against a call that is run with a part of its body."""
+        server = FrontServer(self._application, a_settings(http_port=0), Metrics())
+        thread = threading.Thread(target=server.run, daemon=True)
+        thread.start()
+        self.addCleanup(thread.join, WAIT_S)
+        self.addCleanup(server.close)
+        self._check(server.effective_port)
+
+
+if __name__ == "__main__":
+    unittest.main()
