Reject replies to the product's own interface that are cut

Cause: the clients of the platform, the engines and the services read with `http.client`. A platform's value that was cut before its length counted as an empty value, and one without a length as whole wherever it ended; a spoiled version raised out of the client. A cut head of an engine's load raised out of the poller; a cut last chunk or trailer of a service's reply counted as whole.

Change: `HttpPool` reads with `StrictResponse`; `read_framed_body` refuses a body that only the end of its connection ends, where nothing inside shows its end. A malformed ETag is an unknown outcome. The reader of event streams uses the same grammar of chunk sizes; the mark in the last event already completes a stream.

Conclusion: both data paths have one reader.

--- a/src/sequoiadrum/_engine_http.py
+++ b/src/sequoiadrum/_engine_http.py
@@ -21,7 +21,7 @@
 
 from returns.result import Failure, Result, Success
 
-from sequoiadrum._http_pool import HttpPool
+from sequoiadrum._http_pool import HttpPool, read_framed_body
 from sequoiadrum._sse import SseReader
 from sequoiadrum.engine_client import EngineClient, EngineFailure, EngineOrder, EngineStream
 from sequoiadrum.messages import LoadReport
@@ -164,7 +164,7 @@
         try:
             connection.request(method, path, body, {"Content-Type": "application/json"})
             response = connection.getresponse()
-            response_body = response.read()
+            response_body = read_framed_body(response)
         except (OSError, HTTPException):
             connection.close()
             return Failure(EngineFailure.BROKEN)
--- a/src/sequoiadrum/_http_pool.py
+++ b/src/sequoiadrum/_http_pool.py
@@ -5,9 +5,11 @@
 import socket
 import threading
 from collections import defaultdict
-from http.client import HTTPConnection
+from http.client import HTTPConnection, HTTPException
 from typing import TYPE_CHECKING, Final
 
+from sequoiadrum._http_response import StrictResponse
+
 if TYPE_CHECKING:
     from http.client import HTTPResponse
 
@@ -21,7 +23,7 @@
     """Pools keep-alive connections; safe to use from any thread.
 
     A connection is reused only after its response was read completely, so a late response can
-    never be taken for the response to the next request.
+    never be taken for the response to the next request. Its responses are `StrictResponse`s.
     """
 
     def __init__(self, timeout_s: float) -> None:
@@ -38,6 +40,7 @@
         connection = HTTPConnection(
             address.host, address.port, timeout=timeout_s or self._timeout_s
         )
+        connection.response_class = StrictResponse
         connection.connect()
         connection.sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         return connection
@@ -86,6 +89,18 @@
             self._idle_by_address.clear()
 
 
+def read_framed_body(response: HTTPResponse) -> bytes:
+    """Reads a body that has a length or chunks.
+
+    Raises:
+        OSError: The connection failed or timed out.
+        HTTPException: The body is cut, or only the end of the connection would show its end.
+    """
+    if response.length is None and not response.chunked:
+        raise HTTPException("a body without a length or chunks")
+    return response.read()
+
+
 def _is_open(connection: HTTPConnection) -> bool:
     # An idle socket is readable only if the server has closed it or has sent unexpected bytes.
     if connection.sock is None:
--- a/src/sequoiadrum/_http_response.py
+++ b/src/sequoiadrum/_http_response.py
@@ -36,7 +36,7 @@
 _LENGTH: Final = re.compile(r"[0-9]{1,18}")
 
 
-class MalformedResponseError(HTTPException):
+class MalformedResponseError(HTTPException, ValueError):
     """A part of a response breaks the rules of HTTP/1.1 or has no end."""
 
 
--- a/src/sequoiadrum/_platform_http.py
+++ b/src/sequoiadrum/_platform_http.py
@@ -15,7 +15,7 @@
 
 from returns.result import Failure, Result, Success
 
-from sequoiadrum._http_pool import HttpPool
+from sequoiadrum._http_pool import HttpPool, read_framed_body
 from sequoiadrum.platform_client import (
     ListedInstance,
     PlatformClient,
@@ -129,12 +129,12 @@
         try:
             connection.request(method, path, body=value, headers=headers)
             response = connection.getresponse()
-            body = response.read()
-        except (OSError, HTTPException):
+            body = read_framed_body(response)
+            version = int((response.getheader("ETag") or '"0"').strip('"'))
+        except (OSError, HTTPException, ValueError):
             connection.close()
             return Failure(PlatformFailure.UNKNOWN)
         self._pool.release_connection(self._address, connection, response)
         if response.status >= 300:
             return Failure(_FAILURES_BY_STATUS.get(response.status, PlatformFailure.UNKNOWN))
-        version = int((response.getheader("ETag") or '"0"').strip('"'))
         return Success((response.status, version, body))
--- a/src/sequoiadrum/_sse.py
+++ b/src/sequoiadrum/_sse.py
@@ -9,6 +9,7 @@
 import time
 from typing import TYPE_CHECKING, Final
 
+from sequoiadrum._http_response import parse_chunk_size
 from sequoiadrum.messages import StreamEvent
 
 if TYPE_CHECKING:
@@ -121,9 +122,9 @@
             line_end = raw.find(b"\r\n", at)
             if line_end < 0:
                 break
-            size = int(raw[at:line_end].split(b";", 1)[0], 16)
+            size = parse_chunk_size(raw[at:line_end])
             end = line_end + 2 + size
-            if size < 0 or len(raw) < end + 2:
+            if len(raw) < end + 2:
                 break
             if raw[end : end + 2] != b"\r\n":
                 raise ValueError("chunk does not end with CRLF")
--- a/tests/test_cut_messages.py
+++ b/tests/test_cut_messages.py
@@ -13,18 +13,22 @@
 from typing import TYPE_CHECKING, Any
 
 from attrs import field, frozen
-from returns.result import Success
+from returns.result import Failure, Success
 from thrift.Thrift import TMessageType
 from thrift.transport.TTransport import TFramedTransport, TMemoryBuffer
 
+from sequoiadrum._engine_http import HttpEngineClient
 from sequoiadrum._front_server import FrontServer
 from sequoiadrum._gen.peer import Peer, ttypes
+from sequoiadrum._platform_http import HttpPlatformClient
+from sequoiadrum._service_http import HttpServiceClient
 from sequoiadrum._thrift_transport import COMPACT
 from sequoiadrum.gateway.front import ServerGroup
-from sequoiadrum.messages import Address
+from sequoiadrum.messages import Address, ChatRequest
 from sequoiadrum.metrics import Metrics
 from sequoiadrum.peer_client import ThriftPeerClient
 from sequoiadrum.platform.store_client import HttpStore
+from sequoiadrum.service_client import Answered, ServiceRequest
 from tests.builders import a_settings
 from tests.gateway.world import WAIT_S, eventually, free_ports
 from tests.http_messages import BODY
@@ -138,6 +142,71 @@
             yield Case(f"store {name}, {framing}", reply, run)
 
 
+def _platform_cases() -> Iterator[Case]:
+    calls: dict[str, tuple[bytes, Callable[[HttpPlatformClient], Any]]] = {
+        "get": (b"value", lambda client: client.get("a")),
+        "put": (b"", lambda client: client.put("a", b"v", 0)),
+        "delete": (b"", lambda client: client.delete("a", 1)),
+        "list": (b'[{"name":"a","version":12}]', lambda client: client.list_names("a")),
+        "watch": (b"value", lambda client: client.watch("a", 0, 1.0)),
+    }
+    for name, (body, call) in calls.items():
+        for framing, reply in _replies("200 OK", 'ETag: "12"\r\n', body):
+
+            def run(address: Address, call: Callable[[HttpPlatformClient], Any] = call) -> Any:
+                client = HttpPlatformClient(address, Metrics(), WAIT_S)
+                try:
+                    return _value(call(client))
+                finally:
+                    client.close()
+
+            yield Case(f"platform {name}, {framing}", reply, run)
+
+
+def _service_cases() -> Iterator[Case]:
+    def run(address: Address) -> Any:
+        request = ServiceRequest("POST", "/confirm", "application/json", b"{}", "k")
+        outcome = HttpServiceClient().call(address, request, WAIT_S)
+        return outcome if isinstance(outcome, Answered) else _FAILED
+
+    for framing, reply in _replies("200 OK", "Content-Type: text/plain\r\n", BODY):
+        yield Case(f"service, {framing}", reply, run)
+
+
+def _engine_cases() -> Iterator[Case]:
+    def load(address: Address) -> Any:
+        client = HttpEngineClient(WAIT_S, WAIT_S)
+        try:
+            return _value(client.load(address))
+        finally:
+            client.close()
+
+    def stream(address: Address) -> Any:
+        client = HttpEngineClient(WAIT_S, WAIT_S)
+        try:
+            opened = client.open(address, ChatRequest("r", "c", "a", "m", b"{}"))
+            if isinstance(opened, Failure):
+                return _FAILED
+            events = []
+            while True:
+                read = opened.unwrap().read(WAIT_S)
+                if isinstance(read, Failure):
+                    return _FAILED
+                if not read.unwrap():
+                    return events
+                events += read.unwrap()
+        finally:
+            client.close()
+
+    for framing, reply in _replies("200 OK", "", b'{"in_flight": 12, "models": ["m"]}'):
+        yield Case(f"engine load, {framing}", reply, load)
+    body = b"id: 0\ndata: a\n\nid: 1\ndata: b\n\ndata: [DONE]\n\n"
+    yield Case("engine stream, unframed", b"HTTP/1.1 200 OK\r\n\r\n" + body, stream)
+    # The mark in the last event ends a stream, whatever follows the chunk that contains it.
+    for (framing, reply), end in zip(_replies("200 OK", "", body), (8, 10), strict=False):
+        yield Case(f"engine stream, {framing}", reply[: reply.index(b"[DONE]") + end], stream)
+
+
 def _peer_cases() -> Iterator[Case]:
     buffer = TMemoryBuffer()
     protocol = COMPACT.getProtocol(TFramedTransport(buffer))
@@ -184,10 +253,35 @@
         """Guards against objects that vanish, or writes that count, because a reply was cut."""
         self._check(_store_cases())
 
+    def test_replies_of_the_platform(self) -> None:
+        """Guards against a value that is replaced by a part of it, or by nothing."""
+        self._check(_platform_cases())
+
+    def test_replies_of_services(self) -> None:
+        """Guards against a part of a service's reply that a caller gets as a whole one."""
+        self._check(_service_cases())
+
+    def test_replies_of_engines(self) -> None:
+        """Guards against a load or a stream of which the end is missing."""
+        self._check(_engine_cases())
+
     def test_replies_of_peers(self) -> None:
         """Guards against a call between routers that ends in an error of the decoder."""
         self._check(_peer_cases())
 
+    def test_unframed_replies_are_failures(self) -> None:
+        """Guards against a part of a body that only the end of its connection ends."""
+        server = CuttingServer()
+        self.addCleanup(server.stop)
+        for cases in (_platform_cases, _service_cases, _engine_cases):
+            for case in cases():
+                head, end, body = case.reply.partition(b"Content-Length")
+                if not end or "stream" in case.name:
+                    continue
+                server.data = head + b"\r\n" + body.partition(b"\r\n\r\n")[2]
+                with self.subTest(case.name):
+                    self.assertEqual(case.call(server.address), _FAILED)
+
 
 _HEAD = b"POST /a HTTP/1.1\r\nHost: x\r\nX-Account: a1\r\n"
 _REQUESTS = {
@@ -228,6 +322,7 @@
                     self.assertEqual(self.bodies, [])
             with socket.create_connection(("127.0.0.1", port), WAIT_S) as caller:
                 caller.sendall(request)
+                self.assertTrue(caller.recv(65_536))
                 eventually(lambda: self.bodies == [BODY], "the whole request is run")
 
     def test_request_to_the_gateway(self) -> None:
