--- a/src/sequoiadrum/gateway/exchange.py
+++ b/src/sequoiadrum/gateway/exchange.py
@@ -6,10 +6,12 @@
 import io
 import threading
 from enum import Enum
+from http import HTTPStatus
 from typing import TYPE_CHECKING, Final
 
 from attrs import define, field, frozen
 
+from sequoiadrum._http_response import StrictResponse
 from sequoiadrum.gateway import clock
 from sequoiadrum.gateway._sockets import GuardedStream, OversizedError, connect_stream
 
@@ -65,6 +67,23 @@
     """The endpoint sent more bytes than a response, or a part of it, may have."""
 
 
+class UnclearEnd(Enum):
+    """Why the end of a connection does not show that the body before it is whole."""
+
+    CONNECTION_FAILED = "connection_failed"
+    """The connection was reset, timed out, or failed while the request was written."""
+    ENDPOINT_GONE = "endpoint_gone"
+    """The endpoint accepts no connections: the kernel ends those of a killed process regularly."""
+
+
+class UnclearEndError(Exception):
+    """A body without a length or chunks may not be whole, although its connection has ended."""
+
+    def __init__(self, reason: UnclearEnd) -> None:
+        super().__init__(reason.value)
+        self.reason: Final = reason
+
+
 class InterruptedWaitError(Exception):
     """Raised by a guard to end a wait for an endpoint."""
 
@@ -116,6 +135,8 @@
     """Set if the gateway ended the exchange."""
     transfer: Transfer | None = field(default=None, eq=False)
     """None if no head was received."""
+    unclear_end: UnclearEnd | None = None
+    """Set if the connection ended in a way that does not complete a body."""
 
 
 @define(eq=False)
@@ -123,9 +144,10 @@
     """An exchange whose response has begun."""
 
     head: ResponseHead
-    _response: http.client.HTTPResponse
+    _response: StrictResponse
     _stream: GuardedStream
     _release: Callable[[GuardedStream, float | None], None]
+    _has_endpoint_crashed: Callable[[], bool]
     _remaining: int | None
     """Bytes of the body still to be read; None for a body without a declared length."""
     _is_closed: bool = False
@@ -142,7 +164,7 @@
     @property
     def ends_with_connection(self) -> bool:
         """Whether only the end of the connection shows the end of the body."""
-        return self._remaining is None and not self._response.chunked
+        return self._response.ends_with_connection
 
     def set_guard(self, guard: Callable[[], None]) -> None:
         """Replaces the guard that is called while a read waits."""
@@ -157,6 +179,10 @@
             return ExchangeFailure(error.interrupt.value, error.interrupt, self.transfer())
         except OversizedError as error:
             return self.give_up(f"answer cut off: {error}")
+        except UnclearEndError as error:
+            self.close()
+            detail = f"answer cut off: {error}"
+            return ExchangeFailure(detail, None, self.transfer(), error.reason)
         except (OSError, http.client.HTTPException, ValueError) as error:
             self.close()
             return ExchangeFailure(f"answer cut off: {error!r}"[:200], None, self.transfer())
@@ -195,15 +221,21 @@
         self._stream.allow(limit + _BUFFER_BYTES + MAX_FRAMING_BYTES)
         data = self._response.read1(limit)
         if self._remaining is not None:
-            # `read1` does not check the length, so that a truncated body would appear complete.
-            if not data:
-                raise http.client.IncompleteRead(b"", self._remaining)
             self._remaining -= len(data)
         elif not data:
+            if self.ends_with_connection:
+                self._check_end()
             self._finish()
         self._received += len(data)
         return data
 
+    def _check_end(self) -> None:
+        """Raises `UnclearEndError` if the end of the connection may not be the end of the body."""
+        if not self._stream.has_regular_end():
+            raise UnclearEndError(UnclearEnd.CONNECTION_FAILED)
+        if self._has_endpoint_crashed():
+            raise UnclearEndError(UnclearEnd.ENDPOINT_GONE)
+
     def _finish(self) -> None:
         if self._is_closed:
             return
@@ -283,7 +315,7 @@
         except (ValueError, http.client.HTTPException) as error:
             stream.close()
             return NotSent(f"cannot be written: {error!r}"[:200])
-        return self._receive(endpoint_id, stream, call)
+        return self._receive(endpoint_id, address, stream, call)
 
     def has_crashed(self, address: Address) -> bool:
         """Returns whether an endpoint refuses new connections, after an exchange with it broke.
@@ -322,19 +354,22 @@
             entry.stream.close()
 
     def _receive(
-        self, endpoint_id: str, stream: GuardedStream, call: RequestHead
+        self, endpoint_id: str, address: Address, stream: GuardedStream, call: RequestHead
     ) -> Exchange | ExchangeFailure:
         try:
             for _ in range(_MAX_MISMATCHED_RESPONSES):
                 stream.allow(MAX_HEAD_BYTES + _BUFFER_BYTES)
-                response = http.client.HTTPResponse(
-                    stream, method=call.method  # type: ignore[arg-type]
-                )
+                response = StrictResponse(stream, method=call.method)  # type: ignore[arg-type]
                 response.begin()
                 head = self._codec.decode_response(
                     response.status, response.reason, response.getheaders()
                 )
-                if head.request_id in (None, call.request_id):
+                if head.request_id == call.request_id:
+                    break
+                if head.request_id is None:
+                    if HTTPStatus.OK <= head.status < HTTPStatus.MULTIPLE_CHOICES:
+                        stream.close()
+                        return ExchangeFailure("an answer without a request id")
                     break
                 # A late response to an earlier request; the response to this request follows it.
                 _discard_body(response, stream)
@@ -356,6 +391,7 @@
             response,
             stream,
             lambda kept, idle_timeout_s: self._keep_idle(endpoint_id, kept, idle_timeout_s),
+            lambda: self.has_crashed(address),
             remaining,
         )
 
@@ -403,14 +439,9 @@
     connection.endheaders(body or None)
 
 
-def _discard_body(response: http.client.HTTPResponse, stream: GuardedStream) -> None:
+def _discard_body(response: StrictResponse, stream: GuardedStream) -> None:
     if response.will_close:
         raise http.client.HTTPException("the connection ends with another request's answer")
     stream.allow(MAX_DISCARDED_BYTES)
-    remaining = None if response.chunked else response.length
-    while remaining is None or remaining > 0:
-        size = len(response.read1(_READ_BYTES if remaining is None else remaining))
-        if size == 0:
-            break
-        if remaining is not None:
-            remaining -= size
+    while response.read1(_READ_BYTES):
+        pass
