Let a new connection last before it shows that an endpoint is there

Half of an unframed answer still reached callers as whole when a real endpoint process was killed in the middle of it. The kernel closes the sockets of a killed process one after the other, the listener last, so that the connection that checks whether the endpoint is there was accepted by the kernel of a process that had gone.

Change: the connection must last 0.1 s without a reset. If it is reset, a second one tells a listener that closed (refused: the answer is cut) from an endpoint at its connection limit (accepted: it is there). Only the end of an unframed body waits for this; nothing else does.

Conclusion: an accepted connection is no sign of life by itself; one that lasts is.

--- a/src/sequoiadrum/gateway/_sockets.py
+++ b/src/sequoiadrum/gateway/_sockets.py
@@ -48,6 +48,13 @@
     return stream
 
 
+def fails_within(stream: socket.socket, wait_s: float) -> bool:
+    """Returns whether a connection is reset within some seconds."""
+    poll = select.poll()
+    poll.register(stream, 0)  # Errors are reported always.
+    return bool(poll.poll(wait_s * 1e3))
+
+
 class GuardedStream:
     """A socket for `http.client` whose reads and writes call a guard at intervals.
 
--- a/src/sequoiadrum/gateway/exchange.py
+++ b/src/sequoiadrum/gateway/exchange.py
@@ -13,7 +13,12 @@
 
 from sequoiadrum._http_response import StrictResponse
 from sequoiadrum.gateway import clock
-from sequoiadrum.gateway._sockets import GuardedStream, OversizedError, connect_stream
+from sequoiadrum.gateway._sockets import (
+    GuardedStream,
+    OversizedError,
+    connect_stream,
+    fails_within,
+)
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -26,6 +31,8 @@
 """A round trip takes 2 ms. TCP resends a lost SYN only after 1 s; another endpoint is faster."""
 PROBE_TIMEOUT_S: Final = 0.2
 """Longest wait for a connection that only shows whether an endpoint still listens."""
+END_SETTLE_S: Final = 0.1
+"""How long a new connection must last to show that an endpoint ended a response by itself."""
 IDLE_MARGIN_S: Final = 1.0
 """An idle connection is closed this long before its endpoint would close it."""
 DEFAULT_IDLE_TIMEOUT_S: Final = 4.0
@@ -45,6 +52,7 @@
 """Size of the chunk sizes, extensions and trailers that one read of the body may meet."""
 MAX_DISCARDED_BYTES: Final = 1_000_000
 """Size of a response to another request that is skipped to reach the one to this request."""
+_PROBES: Final = 2
 _READ_BYTES: Final = 65_536
 _BUFFER_BYTES: Final = io.DEFAULT_BUFFER_SIZE
 """Bytes that the reader of a connection may receive ahead of what is read from it."""
@@ -317,19 +325,30 @@
             return NotSent(f"cannot be written: {error!r}"[:200])
         return self._receive(endpoint_id, address, stream, call)
 
-    def has_crashed(self, address: Address) -> bool:
+    def has_crashed(self, address: Address, settle_s: float = 0.0) -> bool:
         """Returns whether an endpoint refuses new connections, after an exchange with it broke.
 
         A lost or reset connection alone does not show that the process ended; an address that does
         not respond at all may be cut off.
+
+        Args:
+            address: Where the endpoint listens.
+            settle_s: How long a new connection must last to show that the endpoint accepts it. The
+                kernel closes the listener of a killed process last, and then resets connections
+                that were not accepted.
         """
         try:
-            connect_stream(address, PROBE_TIMEOUT_S).close()
+            # An endpoint with too many connections resets a new one as well, but not as refused.
+            for _ in range(_PROBES):
+                probe = connect_stream(address, PROBE_TIMEOUT_S)
+                self.opened += 1
+                with probe:
+                    if not settle_s or not fails_within(probe, settle_s):
+                        return False
         except ConnectionRefusedError:
             return True
         except OSError:
             return False
-        self.opened += 1
         return False
 
     def forget(self, endpoint_id: str) -> None:
@@ -391,7 +410,7 @@
             response,
             stream,
             lambda kept, idle_timeout_s: self._keep_idle(endpoint_id, kept, idle_timeout_s),
-            lambda: self.has_crashed(address),
+            lambda: self.has_crashed(address, END_SETTLE_S),
             remaining,
         )
 
--- a/tests/gateway/test_unframed_responses.py
+++ b/tests/gateway/test_unframed_responses.py
@@ -5,9 +5,12 @@
 import http.client
 import json
 import socket
+import threading
 import time
 import unittest
+from unittest import mock
 
+from sequoiadrum.messages import Address
 from tests.gateway.scripted_endpoint import (
     Connection,
     Received,
@@ -132,6 +135,40 @@
 
         return script
 
+    def test_listener_that_closes_after_the_connection_is_no_sign_of_life(self) -> None:
+        """Guards against a killed process whose kernel still accepts a connection for a moment."""
+        listener = socket.create_server(("127.0.0.1", 0))
+        self.addCleanup(listener.close)
+
+        def serve_and_end() -> None:
+            sock, _ = listener.accept()
+            connection = Connection(sock)
+            request = connection.read()
+            assert request is not None
+            unframed(b"do")(connection, request)
+            time.sleep(0.03)  # Lets the gateway connect, which nothing accepts any more.
+            listener.close()
+
+        threading.Thread(target=serve_and_end, daemon=True).start()
+        self.world.register("e1", Address("127.0.0.1", listener.getsockname()[1]))
+        eventually(lambda: self.world.gateway.pool.can_route_to("e1"), "e1 is known")
+        self.assertEqual(self.world.call("/order/x")[0], 502)
+
+    def test_endpoint_that_resets_further_connections_is_there(self) -> None:
+        """Guards against answers that are lost because their endpoint is at its connection limit."""
+        endpoint = ScriptedEndpoint(unframed(b"done"))
+        serve = endpoint._serve
+
+        def serve_first(connection: Connection) -> None:
+            if endpoint.connections == 1:
+                serve(connection)
+            else:
+                connection.reset()
+
+        with mock.patch.object(endpoint, "_serve", serve_first):
+            self.world.add("e1", endpoint)
+            self.assertEqual(self.world.call("/order/x")[::2], (200, b"done"))
+
     def test_stream_is_whole(self) -> None:
         """Guards against a complete stream that is broken off or sent again."""
         endpoint = ScriptedEndpoint(unframed(event(1), event(2)))
