--- a/tests/gateway/test_unframed_responses.py
+++ b/tests/gateway/test_unframed_responses.py
@@ -155,7 +155,7 @@
         self.assertEqual(self.world.call("/order/x")[0], 502)
 
     def test_endpoint_that_resets_further_connections_is_there(self) -> None:
-        """Guards against answers that are lost because their endpoint is at its connection limit."""
+        """Guards against answers that are lost because the endpoint has too many connections."""
         endpoint = ScriptedEndpoint(unframed(b"done"))
         serve = endpoint._serve
 
