Play long orders and planned work without faults in the soak

Change: three in ten orders last 2.6 s of their 3 s, with bodies in chunks that arrive over up to 1.5 s, and three in ten streams last 2.4 s. `--planned` plays stops in series and overlapping, reloads, configuration changes and leaving endpoints without faults. The events of a stream come by a schedule, so that a busy machine does not make it longer. A test holds the check to 2.9 s.

--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -2,13 +2,14 @@
 
 from __future__ import annotations
 
+import itertools
 import tempfile
 import unittest
 from pathlib import Path
 from typing import Any, Final
 
 from tools.soak.checks import check
-from tools.soak.plan import RESTORED, draw_plan
+from tools.soak.plan import GRACE_PERIOD_S, RESTORED, draw_plan, draw_planned_work
 from tools.soak.record import (
     CallKind,
     CallResult,
@@ -132,6 +133,14 @@
         record.disturbances.append(Disturbance("e1", "reset", 100.0, 101.0))
         self.assertEqual(self._broken_promises(record), [])
 
+    def test_request_that_reached_its_deadline(self) -> None:
+        """Guards against a long request that counts as cut off by a stop, or is never counted."""
+        stop = Disturbance("g0", "term", 99.0, 107.0)
+        for ended_at, promises in ((102.9, ["planned stop"]), (103.0, [])):
+            lost = make_result(status=None, is_complete=False, ended_at=ended_at)
+            record = make_record(lost, disturbances=[stop])
+            self.assertEqual(self._broken_promises(record), promises)
+
     def test_processes(self) -> None:
         """Guards against processes that exit unexpectedly or too late."""
         exits = [Exit("g0", 1, 1, False), Exit("g1", 1, 0, True, 0.5), Exit("g2", 1, 0, True)]
@@ -153,6 +162,27 @@
         """Guards against a failed seed that cannot be reproduced."""
         self.assertEqual(draw_plan(7, 30.0, 4, 5), draw_plan(7, 30.0, 4, 5))
         self.assertNotEqual(draw_plan(7, 30.0, 4, 5), draw_plan(8, 30.0, 4, 5))
+        self.assertEqual(draw_planned_work(7, 30.0, 4, 5), draw_planned_work(7, 30.0, 4, 5))
+
+    def test_planned_work_stops_gateways_in_series_and_overlapping(self) -> None:
+        """Guards against a soak whose faults excuse all requests that a stop cuts off."""
+        overlapping = 0
+        for seed in range(20):
+            plan = draw_planned_work(seed, 40.0, 4, 5)
+            self.assertEqual(
+                {(a.subject, a.kind) for a in plan},
+                {
+                    ("gateway", "term"),
+                    ("config", "config"),
+                    ("reload", "reload"),
+                    ("endpoint", "leave"),
+                },
+            )
+            stops = [action for action in plan if action.kind == "term"]
+            self.assertGreaterEqual(len(stops), 4)
+            pairs = itertools.pairwise(stops)
+            overlapping += sum(after.at - before.at < GRACE_PERIOD_S for before, after in pairs)
+        self.assertGreater(overlapping, 20)
 
     def _assert_promises_kept(self, seed: int) -> None:
         with tempfile.TemporaryDirectory() as log_dir:
--- a/tools/soak/__main__.py
+++ b/tools/soak/__main__.py
@@ -30,20 +30,21 @@
     parser.add_argument(
         "--minutes", type=float, help="run further seeds until this time has passed"
     )
+    parser.add_argument("--planned", action="store_true", help="planned work only, no faults")
     parser.add_argument("--keep", type=Path, help="directory for gateway logs")
     options = parser.parse_args(arguments)
     seed = random.randrange(1_000_000) if options.seed is None else options.seed
     ends_at = time.monotonic() + 60 * (options.minutes or 0)
     failed, seed_count = [], 0
     while seed_count < options.seeds or time.monotonic() < ends_at:
-        if not run_seed(seed + seed_count, options.seconds, options.keep):
+        if not run_seed(seed + seed_count, options.seconds, options.keep, not options.planned):
             failed.append(seed + seed_count)
         seed_count += 1
     print(f"{seed_count} seeds, {len(failed)} with a broken promise: {failed}")
     return 1 if failed else 0
 
 
-def run_seed(seed: int, seconds: float, log_root: Path | None) -> bool:
+def run_seed(seed: int, seconds: float, log_root: Path | None, has_faults: bool = True) -> bool:
     """Runs one seed, prints a summary and all violations, and returns whether all promises held.
 
     If a promise was broken, writes the plan next to the gateway logs and prints their directory.
@@ -52,10 +53,11 @@
         seed: Seed of the plan and of the callers.
         seconds: Duration of the run.
         log_root: Directory below which logs are written; the system's temporary directory if None.
+        has_faults: Whether the plan contains faults beside planned work.
     """
     log_dir = (log_root or Path(tempfile.gettempdir())) / f"soak-{seed}"
     log_dir.mkdir(parents=True, exist_ok=True)
-    soak = Soak(seed, seconds, log_dir)
+    soak = Soak(seed, seconds, log_dir, has_faults)
     record = soak.run()
     violations = check(record)
     print(f"seed {seed}: {len(soak.plan)} actions, {_summary(record)}")
--- a/tools/soak/callers.py
+++ b/tools/soak/callers.py
@@ -22,22 +22,27 @@
     SEAL,
     TOKEN_COUNTS,
 )
-from tools.soak.record import CallKind, CallResult
+from tools.soak.record import DEADLINE_S, CallKind, CallResult
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Callable, Iterator
 
     from sequoiadrum.messages import Address
     from tools.soak.record import Record
 
 HOST: Final = "shop.example"
-DEADLINE_S: Final = 3.0
-"""Deadline of each request; sent to the gateway in a header."""
 MEAN_PAUSE_S: Final = 0.06
 """Mean pause between two requests of one caller."""
 STALE_TTL_FACTOR: Final = 3
 """Some callers use resolved addresses for three times their TTL."""
 MAX_STREAM_EVENTS: Final = 80
+LONG_RATIO: Final = 0.3
+"""Ratio of orders and streams that last nearly as long as their deadline permits."""
+LONG_ORDER_S: Final = 2.6
+UPLOADS_S: Final = (0.0, 0.5, 1.5)
+"""Times that the body of a long order takes to be sent, in chunks; part of the order's time."""
+LONG_STREAM_EVENTS: Final = 120
+"""The events of a stream are 20 ms apart; reads are never long, as gateways try them elsewhere."""
 CHAT_COUNT: Final = 40
 """Number of recurring chats; requests of one chat share a prompt part."""
 _KIND_WEIGHTS: Final = {CallKind.READ: 4, CallKind.ORDER: 4, CallKind.DRAFT: 2, CallKind.TAG: 2}
@@ -76,6 +81,8 @@
             record: Receives the result of each call.
         """
         self._rng = random.Random(f"{seed}-{number}")
+        # Drawn separately, so that the other requests of a seed stay as they were.
+        self._long_rng = random.Random(f"long-{seed}-{number}")
         self._name = f"c{number}"
         self._gateways = gateways
         self._key_version = key_version
@@ -130,10 +137,18 @@
     def _call(self, request_id: str) -> None:
         kind = self._rng.choices(list(_KIND_WEIGHTS), list(_KIND_WEIGHTS.values()))[0]
         count = self._rng.choice((3, 10, MAX_STREAM_EVENTS)) if kind.is_stream else 0
+        body: bytes | Iterator[bytes] = b"hello"
+        if kind is not CallKind.READ and self._long_rng.random() < LONG_RATIO:
+            if kind.is_stream:
+                count = LONG_STREAM_EVENTS
+            else:
+                upload_s = self._long_rng.choice(UPLOADS_S)
+                count = int((LONG_ORDER_S - upload_s) * 1e3)
+                body = _slow_chunks(upload_s)
         key = self._key_version(self._rng)
         connection, gateway = self._connect()
         process, sent_at = gateway.process, time.monotonic()
-        status, sealed, complete, body, error = None, False, False, b"", ""
+        status, sealed, complete, data, error = None, False, False, b"", ""
         try:
             headers = {
                 "Host": HOST,
@@ -145,10 +160,10 @@
                 chat = self._rng.randrange(CHAT_COUNT)
                 headers[PROMPT_PARTS] = f"5a:400,{chat:x}:300,{unique_part_id(request_id):x}:50"
                 headers[TOKEN_COUNTS] = f"750,{count}"
-            connection.request("POST", f"/{kind.value}/{count}", b"hello", headers)
+            connection.request("POST", f"/{kind.value}/{count}", body, headers)
             response = connection.getresponse()
             status, sealed = response.status, response.getheader(SEAL) is not None
-            body, complete = _read_body(response)
+            data, complete = _read_body(response)
             if not complete or response.will_close:
                 self._close_connection()
         except (OSError, http.client.HTTPException) as exception:
@@ -167,8 +182,8 @@
                 status,
                 sealed,
                 complete,
-                body,
-                _event_numbers(body) if kind.is_stream else (),
+                data,
+                _event_numbers(data) if kind.is_stream else (),
                 count,
                 error,
             )
@@ -197,6 +212,13 @@
     return zlib.crc32(request_id.encode())
 
 
+def _slow_chunks(upload_s: float) -> Iterator[bytes]:
+    """Yields the chunks of a body; the last one comes after `upload_s` seconds."""
+    yield b"hel"
+    time.sleep(upload_s)
+    yield b"lo"
+
+
 def _read_body(response: http.client.HTTPResponse) -> tuple[bytes, bool]:
     """Returns the received part of a response body, and whether the body is complete."""
     body = b""
--- a/tools/soak/checks.py
+++ b/tools/soak/checks.py
@@ -7,7 +7,8 @@
 
 from attrs import frozen
 
-from tools.soak.record import PROMISES_NOT_RUN, expected_body
+from sequoiadrum.gateway.request_run import REFUSAL_MARGIN_S
+from tools.soak.record import DEADLINE_S, PROMISES_NOT_RUN, expected_body
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterator
@@ -117,7 +118,8 @@
 def check_graceful_shutdowns(record: Record) -> Iterator[Violation]:
     """Checks that every request that ran gets its response during a graceful shutdown.
 
-    Requests with another disturbance at the gateway, the endpoint or the store are exempt.
+    Requests with another disturbance at the gateway, the endpoint or the store are exempt, and so
+    are those that reached their deadline.
     """
     endpoint_by_id = {run.request_id: run.endpoint for run in record.runs}
     stops = defaultdict(list)
@@ -128,6 +130,8 @@
         endpoint = endpoint_by_id.get(result.request_id)
         if endpoint is None or result.is_complete:
             continue
+        if result.ended_at - result.sent_at >= DEADLINE_S - REFUSAL_MARGIN_S:
+            continue
         for stop in stops[result.gateway]:
             if not stop.since <= result.ended_at <= stop.until:
                 continue
--- a/tools/soak/endpoints.py
+++ b/tools/soak/endpoints.py
@@ -15,7 +15,7 @@
     from tools.soak.record import Record
 
 SERVICE_TIME_S: Final = 0.03
-"""Time that an endpoint takes to serve a plain call."""
+"""Shortest time that an endpoint takes to serve a plain call; the call may name a longer one."""
 EVENT_INTERVAL_S: Final = 0.02
 
 
@@ -55,13 +55,14 @@
             return
         self._record.add_run(request.request_id, self.id)
         path = request.line.split(" ")[1]
+        count = int(path.rsplit("/", 1)[1])
         if path.startswith(("/draft/", "/tag/")):
-            self._serve_stream(connection, request, int(path.rsplit("/", 1)[1]))
+            self._serve_stream(connection, request, count)
         else:
-            self._serve_plain(connection, request)
+            self._serve_plain(connection, request, max(SERVICE_TIME_S, count / 1e3))
 
-    def _serve_plain(self, connection: Connection, request: Received) -> None:
-        time.sleep(SERVICE_TIME_S)
+    def _serve_plain(self, connection: Connection, request: Received, seconds: float) -> None:
+        time.sleep(seconds)
         if self.loses_responses:
             connection.reset()
             return
@@ -78,8 +79,10 @@
             connection.reset()
             return
         connection.send(stream_head(request))
+        started = time.monotonic()
         for number in range(first, count + 1):
-            time.sleep(EVENT_INTERVAL_S)
+            due_at = started + (number - first + 1) * EVENT_INTERVAL_S
+            time.sleep(max(0.0, due_at - time.monotonic()))
             data = event(number)
             if self.truncates_responses and number == (first + count) // 2:
                 connection.send(chunk(data)[:12])
--- a/tools/soak/gateway_process.py
+++ b/tools/soak/gateway_process.py
@@ -22,8 +22,6 @@
 if TYPE_CHECKING:
     from tools.soak.record import Record
 
-GRACE_PERIOD_S: Final = 8.0
-"""Grace period between SIGTERM and SIGKILL; the same as `grace_s` in the settings."""
 _PROJECT_ROOT: Final = Path(__file__).parent.parent.parent
 _SETTINGS_TEMPLATE: Final = """
 node_name = "{name}"
--- a/tools/soak/plan.py
+++ b/tools/soak/plan.py
@@ -46,6 +46,10 @@
 responses do not pass; is slow; loses responses; ends responses before they are complete; leaves and
 is replaced.
 """
+GRACE_PERIOD_S: Final = 8.0
+"""Grace period between SIGTERM and SIGKILL; the same as `grace_s` in the settings of gateways."""
+PLANNED_INTERVAL_S: Final = 6.0
+"""Mean time between two reloads, configuration changes or leaving endpoints without faults."""
 _SUBJECT_WEIGHTS: Final = {"gateway": 5, "store": 2, "endpoint": 5, "config": 4, "reload": 1}
 
 
@@ -64,6 +68,28 @@
     """Duration of a fault, in seconds."""
 
 
+def draw_planned_work(seed: int, seconds: float, gateways: int, endpoints: int) -> list[Action]:
+    """Returns the actions of a soak without faults, ordered by time; see `draw_plan`.
+
+    Gateways stop in series and overlapping, beside reloads, configuration changes and endpoints
+    that leave. Faults would excuse most requests that a graceful shutdown cuts off.
+    """
+    rng = random.Random(f"planned-{seed}")
+    last_at = seconds - RECOVERY_S - 1.0
+    actions = []
+    at, target = WARM_UP_S, rng.randrange(gateways)
+    while at < last_at:
+        actions.append(Action(round(at, 2), "gateway", "term", target, 0.0))
+        target = (target + 1) % gateways
+        at += rng.choice((0.1, 1.5, 4.0, GRACE_PERIOD_S))
+    for subject, kind in (("config", "config"), ("reload", "reload"), ("endpoint", "leave")):
+        count = endpoints if subject == "endpoint" else gateways
+        for _ in range(int(seconds / PLANNED_INTERVAL_S)):
+            at = round(rng.uniform(WARM_UP_S, last_at), 2)
+            actions.append(Action(at, subject, kind, rng.randrange(count), 0.0))
+    return sorted(actions, key=lambda action: action.at)
+
+
 def draw_plan(seed: int, seconds: float, gateways: int, endpoints: int) -> list[Action]:
     """Returns the actions of a soak, ordered by time.
 
--- a/tools/soak/record.py
+++ b/tools/soak/record.py
@@ -9,6 +9,8 @@
 
 from attrs import define, field, frozen
 
+DEADLINE_S: Final = 3.0
+"""Deadline of each request; sent to the gateway in a header."""
 PROMISES_NOT_RUN: Final = frozenset({408, 421, 429, 503})
 """Statuses by which a gateway promises that the request did not run and never will."""
 
--- a/tools/soak/runner.py
+++ b/tools/soak/runner.py
@@ -17,8 +17,14 @@
 from tests.platform.store_stand_in import StoreStandIn
 from tools.soak.callers import Caller
 from tools.soak.endpoints import SoakEndpoint
-from tools.soak.gateway_process import GRACE_PERIOD_S, GatewayProcess, is_ready
-from tools.soak.plan import RECOVERY_S, RESTORED, draw_plan
+from tools.soak.gateway_process import GatewayProcess, is_ready
+from tools.soak.plan import (
+    GRACE_PERIOD_S,
+    RECOVERY_S,
+    RESTORED,
+    draw_plan,
+    draw_planned_work,
+)
 from tools.soak.proxy import Mode
 from tools.soak.record import KeyChange, Record
 
@@ -50,9 +56,10 @@
 class Soak:
     """The processes, callers, plan and record of one seed."""
 
-    def __init__(self, seed: int, seconds: float, log_dir: Path) -> None:
+    def __init__(self, seed: int, seconds: float, log_dir: Path, has_faults: bool = True) -> None:
         self.record: Final = Record()
-        self.plan: Final = draw_plan(seed, seconds, GATEWAY_COUNT, ENDPOINT_COUNT)
+        draw = draw_plan if has_faults else draw_planned_work
+        self.plan: Final = draw(seed, seconds, GATEWAY_COUNT, ENDPOINT_COUNT)
         self._seed = seed
         self._seconds = seconds
         self._store = StoreStandIn()
