Cut, leave unframed and end by a death the responses of the soak's endpoints

Cause: the soak's endpoints broke off responses only by a reset in the middle of a framed body, which was always recognised. A cut head, a regular end, an unframed response and a process that dies in one never came up, and so no seed showed short answers that pass for whole.

Change: four faults of responses, drawn beside the others: a regular end at any byte, unframed and sound, unframed and reset, unframed and the endpoint gone when it ends. Plans of a seed get these in addition.

--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -8,7 +8,7 @@
 from typing import Any, Final
 
 from tools.soak.checks import check
-from tools.soak.plan import RESTORED, draw_plan
+from tools.soak.plan import RESPONSE_KINDS, RESTORED, draw_plan
 from tools.soak.record import (
     CallKind,
     CallResult,
@@ -154,6 +154,14 @@
         self.assertEqual(draw_plan(7, 30.0, 4, 5), draw_plan(7, 30.0, 4, 5))
         self.assertNotEqual(draw_plan(7, 30.0, 4, 5), draw_plan(8, 30.0, 4, 5))
 
+    def test_short_seed_contains_faults_of_responses(self) -> None:
+        """Guards against a soak that no longer cuts responses in the ways that passed for whole."""
+        kinds = {action.kind for action in draw_plan(SEED, DURATION_S, 4, 5)}
+        kinds |= {action.kind for action in draw_plan(RESTORING_SEED, DURATION_S, 4, 5)}
+        self.assertGreaterEqual(len(kinds & set(RESPONSE_KINDS)), 2)
+        longer = {action.kind for n in range(9) for action in draw_plan(n, 20.0, 4, 5)}
+        self.assertLessEqual(set(RESPONSE_KINDS), longer)
+
     def _assert_promises_kept(self, seed: int) -> None:
         with tempfile.TemporaryDirectory() as log_dir:
             record = Soak(seed, DURATION_S, Path(log_dir)).run()
--- a/tools/soak/endpoints.py
+++ b/tools/soak/endpoints.py
@@ -2,10 +2,13 @@
 
 from __future__ import annotations
 
+import random
+import socket
 import time
+from enum import Enum
 from typing import TYPE_CHECKING, Final
 
-from sequoiadrum.platform.headers import LAST_EVENT_ID
+from sequoiadrum.platform.headers import LAST_EVENT_ID, REQUEST_ID, SEAL
 from tests.gateway.scripted_endpoint import ScriptedEndpoint, answer, chunk, event, stream_head
 from tools.soak.proxy import FaultProxy, Mode
 from tools.soak.record import expected_body
@@ -19,6 +22,19 @@
 EVENT_INTERVAL_S: Final = 0.02
 
 
+class ResponseFault(Enum):
+    """A fault of all responses of an endpoint; the values are kinds of the plan."""
+
+    CUT_ANYWHERE = "cut_anywhere"
+    """Responses end regularly at any byte."""
+    UNFRAMED = "unframed"
+    """Responses have neither a length nor chunks; they are whole."""
+    UNFRAMED_RESET = "unframed_reset"
+    """Responses of that kind are reset before their end."""
+    UNFRAMED_DEATH = "unframed_death"
+    """Responses of that kind end regularly before their end; the endpoint is gone by then."""
+
+
 class SoakEndpoint:
     """A plain service and a model engine at one address, behind a fault proxy."""
 
@@ -31,7 +47,9 @@
         """Whether the endpoint runs requests but resets the connection instead of responding."""
         self.truncates_responses = False
         """Whether the endpoint resets the connection in the middle of each response."""
+        self.response_fault: ResponseFault | None = None
         self.is_crashed = False
+        self._rng = random.Random(endpoint_id)
 
     def crash(self) -> None:
         """Resets all open connections and refuses new ones until `restart`."""
@@ -43,6 +61,7 @@
         """Accepts connections again."""
         self.is_crashed = False
         self.proxy.set_mode(Mode.PASS)
+        self.proxy.reopen_listener()
 
     def stop(self) -> None:
         """Closes all sockets of the endpoint and its proxy."""
@@ -65,25 +84,68 @@
         if self.loses_responses:
             connection.reset()
             return
-        response = answer(request, expected_body(request.request_id))
+        fault = self.response_fault
+        body = expected_body(request.request_id)
+        response = answer(request, body)
         if self.truncates_responses:
             connection.send(response[: len(response) // 2])
             connection.reset()
-            return
-        connection.send(response)
+        elif fault is None:
+            connection.send(response)
+        elif fault is ResponseFault.CUT_ANYWHERE:
+            connection.send(response[: self._rng.randrange(1, len(response))])
+            _end(connection)
+        else:
+            connection.send(_unframed_head(request))
+            is_whole = fault is ResponseFault.UNFRAMED
+            connection.send(body if is_whole else body[: len(body) // 2])
+            self._end_unframed(connection, fault)
 
     def _serve_stream(self, connection: Connection, request: Received, count: int) -> None:
         first = int(request.headers.get(LAST_EVENT_ID.lower(), 0)) + 1
         if self.loses_responses:
             connection.reset()
             return
-        connection.send(stream_head(request))
+        fault = self.response_fault
+        is_unframed = fault not in (None, ResponseFault.CUT_ANYWHERE)
+        connection.send(_unframed_head(request) if is_unframed else stream_head(request))
         for number in range(first, count + 1):
             time.sleep(EVENT_INTERVAL_S)
             data = event(number)
-            if self.truncates_responses and number == (first + count) // 2:
+            is_middle = number == (first + count) // 2
+            if is_middle and self.truncates_responses:
                 connection.send(chunk(data)[:12])
                 connection.reset()
                 return
-            connection.send(chunk(data))
-        connection.send(chunk(b""))
+            if is_middle and fault is ResponseFault.CUT_ANYWHERE:
+                connection.send(chunk(data)[: self._rng.randrange(len(chunk(data)))])
+                _end(connection)
+                return
+            connection.send(data if is_unframed else chunk(data))
+            if is_middle and number < count and is_unframed and fault is not ResponseFault.UNFRAMED:
+                break
+        if is_unframed:
+            self._end_unframed(connection, fault)
+        else:
+            connection.send(chunk(b""))
+
+    def _end_unframed(self, connection: Connection, fault: ResponseFault | None) -> None:
+        """Ends a response that ends with its connection, as the fault says."""
+        if fault is ResponseFault.UNFRAMED_RESET:
+            time.sleep(EVENT_INTERVAL_S)
+            connection.reset()
+            return
+        if fault is ResponseFault.UNFRAMED_DEATH:
+            self.proxy.close_listener()
+        _end(connection)
+
+
+def _unframed_head(request: Received) -> bytes:
+    return (
+        f"HTTP/1.1 200 OK\r\n{REQUEST_ID}: {request.request_id}\r\n{SEAL}: s.1\r\n\r\n"
+    ).encode()
+
+
+def _end(connection: Connection) -> None:
+    """Ends the connection regularly."""
+    connection.sock.shutdown(socket.SHUT_WR)
--- a/tools/soak/plan.py
+++ b/tools/soak/plan.py
@@ -46,6 +46,13 @@
 responses do not pass; is slow; loses responses; ends responses before they are complete; leaves and
 is replaced.
 """
+RESPONSE_KINDS: Final = ("cut_anywhere", "unframed", "unframed_reset", "unframed_death")
+"""Faults of the responses of one endpoint, drawn separately, in this order.
+
+Responses end regularly at any byte; have neither a length nor chunks, and are sound; are of that
+kind and reset; are of that kind, and the endpoint is gone when they end.
+"""
+RESPONSE_FAULTS_PER_S: Final = 0.25
 _SUBJECT_WEIGHTS: Final = {"gateway": 5, "store": 2, "endpoint": 5, "config": 4, "reload": 1}
 
 
@@ -96,4 +103,10 @@
         at = restores.uniform(WARM_UP_S, seconds - RECOVERY_S - 1.0)
         for_s = min(restores.choice((0.0, 0.3, 2.0)), seconds - RECOVERY_S - at)
         actions.append(Action(round(at, 2), "store", RESTORED, 0, round(for_s, 2)))
+    responses = random.Random(f"responses-{seed}")
+    for _ in range(int(RESPONSE_FAULTS_PER_S * seconds)):
+        at = responses.uniform(WARM_UP_S, seconds - RECOVERY_S - 1.0)
+        for_s = min(responses.choice((0.3, 1.0, 2.0)), seconds - RECOVERY_S - at)
+        kind, target = responses.choice(RESPONSE_KINDS), responses.randrange(endpoints)
+        actions.append(Action(round(at, 2), "endpoint", kind, target, round(for_s, 2)))
     return sorted(actions, key=lambda action: action.at)
--- a/tools/soak/proxy.py
+++ b/tools/soak/proxy.py
@@ -19,6 +19,7 @@
 SLOW_S: Final = 0.25
 """Delay of each received block of data in mode `SLOW`; a slow store takes this long."""
 _POLL_S: Final = 0.02
+_REOPEN_S: Final = 5.0
 
 
 class Mode(Enum):
@@ -44,7 +45,7 @@
         self._open_sockets: set[socket.socket] = set()
         self._listener = socket.create_server((host, 0), backlog=256)
         self.address: Final = Address(host, self._listener.getsockname()[1])
-        threading.Thread(target=self._accept, daemon=True).start()
+        self._start_accepting()
 
     def set_mode(self, mode: Mode) -> None:
         """Sets the mode, also for open connections.
@@ -53,6 +54,33 @@
         """
         self._mode = mode
 
+    def close_listener(self) -> None:
+        """Refuses new connections, as the system does for a process that has ended."""
+        with contextlib.suppress(OSError):
+            self._listener.shutdown(socket.SHUT_RDWR)
+        self._listener.close()
+
+    def reopen_listener(self) -> None:
+        """Accepts connections again after `close_listener`; otherwise has no effect.
+
+        Raises:
+            OSError: The port is used by another socket and does not become free in time.
+        """
+        if self._listener.fileno() >= 0:
+            return
+        give_up_at = time.monotonic() + _REOPEN_S
+        while True:
+            try:
+                self._listener = socket.create_server(
+                    (self.address.host, self.address.port), backlog=256
+                )
+                break
+            except OSError:
+                if time.monotonic() > give_up_at:
+                    raise
+                time.sleep(_POLL_S)
+        self._start_accepting()
+
     def reset(self) -> None:
         """Resets all open connections."""
         with self._lock:
@@ -61,15 +89,16 @@
 
     def stop(self) -> None:
         """Closes the listener and resets all connections."""
-        with contextlib.suppress(OSError):
-            self._listener.shutdown(socket.SHUT_RDWR)
-        self._listener.close()
+        self.close_listener()
         self.reset()
 
-    def _accept(self) -> None:
+    def _start_accepting(self) -> None:
+        threading.Thread(target=self._accept, args=(self._listener,), daemon=True).start()
+
+    def _accept(self, listener: socket.socket) -> None:
         while True:
             try:
-                inbound = self._listener.accept()[0]
+                inbound = listener.accept()[0]
             except OSError:
                 return
             if self._mode is Mode.REFUSE:
--- a/tools/soak/runner.py
+++ b/tools/soak/runner.py
@@ -16,9 +16,9 @@
 from tests.gateway.world import config_document
 from tests.platform.store_stand_in import StoreStandIn
 from tools.soak.callers import Caller
-from tools.soak.endpoints import SoakEndpoint
+from tools.soak.endpoints import ResponseFault, SoakEndpoint
 from tools.soak.gateway_process import GRACE_PERIOD_S, GatewayProcess, is_ready
-from tools.soak.plan import RECOVERY_S, RESTORED, draw_plan
+from tools.soak.plan import RECOVERY_S, RESPONSE_KINDS, RESTORED, draw_plan
 from tools.soak.proxy import Mode
 from tools.soak.record import KeyChange, Record
 
@@ -185,10 +185,13 @@
                 endpoint.loses_responses = True
             elif action.kind == "cut_answers":
                 endpoint.truncates_responses = True
+            elif action.kind in RESPONSE_KINDS:
+                endpoint.response_fault = ResponseFault(action.kind)
             else:
                 endpoint.proxy.set_mode(_ENDPOINT_MODES[action.kind])
             time.sleep(action.for_s)
             endpoint.loses_responses = endpoint.truncates_responses = False
+            endpoint.response_fault = None
             endpoint.restart()
 
     def _replace_endpoint(self, target: int) -> None:
