Cut the calls of peers and the replies to the operator at every byte

Cause: the search for the same cause elsewhere had left out two readers of thrift frames.

Change: tests that cut a call of a peer, and a reply to the operator, at every byte.

Measured: both pass on the code as it is; a frame has its length in front, and its decoder runs only once it is complete.

Conclusion: these two readers do not have the fault.

--- a/tests/test_cut_messages.py
+++ b/tests/test_cut_messages.py
@@ -10,6 +10,7 @@
 import socket
 import threading
 import unittest
+from types import SimpleNamespace
 from typing import TYPE_CHECKING, Any
 
 from attrs import field, frozen
@@ -19,16 +20,20 @@
 
 from sequoiadrum._engine_http import HttpEngineClient
 from sequoiadrum._front_server import FrontServer
+from sequoiadrum._gen.operator import Operator
+from sequoiadrum._gen.operator import ttypes as operator_ttypes
 from sequoiadrum._gen.peer import Peer, ttypes
 from sequoiadrum._platform_http import HttpPlatformClient
 from sequoiadrum._service_http import HttpServiceClient
-from sequoiadrum._thrift_transport import COMPACT
+from sequoiadrum._thrift_transport import BINARY, COMPACT
 from sequoiadrum.gateway.front import ServerGroup
 from sequoiadrum.messages import Address, ChatRequest
 from sequoiadrum.metrics import Metrics
+from sequoiadrum.operator_client import OperatorClient
 from sequoiadrum.peer_client import ThriftPeerClient
 from sequoiadrum.platform.store_client import HttpStore
 from sequoiadrum.service_client import Answered, ServiceRequest
+from sequoiadrum.thrift_server import ThriftServer
 from tests.builders import a_settings
 from tests.gateway.world import WAIT_S, eventually, free_ports
 from tests.http_messages import BODY
@@ -225,6 +230,21 @@
     yield Case("peer", buffer.getvalue(), run)
 
 
+def _operator_cases() -> Iterator[Case]:
+    buffer = TMemoryBuffer()
+    protocol = BINARY.getProtocol(TFramedTransport(buffer))
+    protocol.writeMessageBegin("get_object", TMessageType.REPLY, 0)
+    found = operator_ttypes.ConfigObject(1, "n", 3, "{}", "")
+    Operator.get_object_result(success=found).write(protocol)
+    protocol.writeMessageEnd()
+    protocol.trans.flush()
+
+    def run(address: Address) -> Any:
+        return _value(OperatorClient([address], WAIT_S).read(lambda c: c.get_object(1, "n")))
+
+    yield Case("operator", buffer.getvalue(), run)
+
+
 def _value(result: Any) -> Any:
     return result.unwrap() if isinstance(result, Success) else _FAILED
 
@@ -269,6 +289,10 @@
         """Guards against a call between routers that ends in an error of the decoder."""
         self._check(_peer_cases())
 
+    def test_replies_to_the_operator(self) -> None:
+        """Guards against a command of the operator that shows a part of an object."""
+        self._check(_operator_cases())
+
     def test_unframed_replies_are_failures(self) -> None:
         """Guards against a part of a body that only the end of its connection ends."""
         server = CuttingServer()
@@ -334,6 +358,30 @@
         self.addCleanup(group.stop)
         self._check(port)
 
+    def test_call_of_a_peer(self) -> None:
+        """Guards against releases of grants that are applied from a part of a call."""
+        buffer = TMemoryBuffer()
+        protocol = COMPACT.getProtocol(TFramedTransport(buffer))
+        Peer.Client(protocol).send_release("pool", [ttypes.Release(7)])
+        call = buffer.getvalue()
+        releases: list[Any] = []
+        handler = SimpleNamespace(release=lambda pool, grants: releases.append((pool, grants)))
+        server = ThriftServer(
+            "peer", Address("127.0.0.1", 0), Peer.Processor(handler), COMPACT, Metrics(), 8
+        )
+        server.start()
+        self.addCleanup(server.stop)
+        for size in range(len(call)):
+            with socket.create_connection(("127.0.0.1", server.port), WAIT_S) as caller:
+                caller.sendall(call[:size])
+                caller.shutdown(socket.SHUT_WR)
+                self.assertEqual(caller.recv(65_536), b"")
+        self.assertEqual(releases, [])
+        with socket.create_connection(("127.0.0.1", server.port), WAIT_S) as caller:
+            caller.sendall(call)
+            self.assertTrue(caller.recv(65_536))
+        self.assertEqual(len(releases), 1)
+
     def test_request_to_the_own_interface(self) -> None:
         """Guards against a call that is run with a part of its body."""
         server = FrontServer(self._application, a_settings(http_port=0), Metrics())
