Reset the connection of a caller whose unframed stream broke off

A caller of HTTP/1.0 gets a stream without chunks, and a stream that could not be completed ended with the regular end of the connection, as a whole one does.

Change: if a response that only the end of its connection ends fails after its head was written, the connection ends with a reset. Chunked streams end as before, without their last chunk.

Measured: `test_broken_stream_ends_with_a_reset_for_a_caller_without_chunks` failed before; the 18 tests of the two modules pass, among them a whole stream for such a caller that ends regularly.

Conclusion: no response that the gateway knows to be cut ends like a whole one. A gateway process that is killed still ends such a connection regularly; callers of HTTP/1.1 see it by the missing chunk.

--- a/src/sequoiadrum/gateway/front.py
+++ b/src/sequoiadrum/gateway/front.py
@@ -2,6 +2,9 @@
 
 from __future__ import annotations
 
+import contextlib
+import socket
+import struct
 import threading
 from concurrent.futures import ThreadPoolExecutor
 from typing import TYPE_CHECKING, Any, Final
@@ -16,7 +19,6 @@
 from sequoiadrum.gateway import clock
 
 if TYPE_CHECKING:
-    import socket
     from collections.abc import Callable, Mapping
 
     from sequoiadrum.messages import Address
@@ -51,6 +53,7 @@
 """How often connections are checked while the server closes them."""
 RESERVED_DESCRIPTORS: Final = 200
 """File descriptors that connections must leave free for files."""
+_LINGER_RESET: Final = struct.pack("ii", 1, 0)
 _OVERLOAD_RESPONSE: Final = (
     b"HTTP/1.1 503 Service Unavailable\r\nConnection: close\r\nRetry-After: 0.25\r\n"
     b"Content-Type: text/plain\r\nContent-Length: 11\r\n\r\noverloaded\n"
@@ -93,6 +96,18 @@
         environ[CLOSE_AFTER_RESPONSE] = self.set_close_on_finish
         return environ
 
+    def execute(self) -> None:
+        """See `WSGITask.execute`; resets the connection if its end would complete a cut response.
+
+        Callers that use HTTP/1.0 get streams without chunks.
+        """
+        try:
+            super().execute()
+        except Exception:
+            if self.wrote_header and not self.chunked_response and self.content_length is None:
+                self.channel.reset_on_close()
+            raise
+
 
 class _Channel(BoundedChannel):
     """One connection to a server of the gateway."""
@@ -100,6 +115,12 @@
     parser_class = _RequestParser
     task_class = _Task
 
+    def reset_on_close(self) -> None:
+        """Makes the connection end with a reset when it is closed."""
+        # The caller may have closed the connection already.
+        with contextlib.suppress(OSError):
+            self.socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _LINGER_RESET)
+
 
 class PoolDispatcher:
     """Runs the requests of waitress on a thread pool that creates threads on demand."""
--- a/tests/gateway/test_unframed_responses.py
+++ b/tests/gateway/test_unframed_responses.py
@@ -19,7 +19,7 @@
     stream,
     stream_head,
 )
-from tests.gateway.world import World, eventually
+from tests.gateway.world import WAIT_S, World, eventually
 
 _HALF_EVENT = event(3)[:-4]
 
@@ -123,6 +123,36 @@
             bodies.append(self.world.call("/draft/x", f"q{number}")[2])
         self.assertEqual(set(bodies), {b"".join(map(event, range(1, 6)))})
 
+    def test_broken_stream_ends_with_a_reset_for_a_caller_without_chunks(self) -> None:
+        """Guards against a caller of HTTP/1.0 that takes a broken stream for a whole one."""
+
+        def script(connection: Connection, request: Received) -> None:
+            connection.send(stream_head(request) + chunk(event(1)))
+            time.sleep(0.05)
+            connection.reset()
+
+        self.world.add("e1", ScriptedEndpoint(script), "model")
+        head = "".join(f"{name}: {value}\r\n" for name, value in self.world.headers().items())
+        request = f"POST /tag/x HTTP/1.0\r\n{head}Content-Length: 0\r\n\r\n".encode()
+        address = ("127.0.0.1", self.world.ports[0])
+        with socket.create_connection(address, WAIT_S) as caller:
+            caller.sendall(request)
+            with self.assertRaises(ConnectionResetError):
+                while caller.recv(65_536):
+                    pass
+
+    def test_whole_stream_ends_regularly_for_a_caller_without_chunks(self) -> None:
+        """Guards against a caller of HTTP/1.0 whose whole streams look broken."""
+        self.world.add("e1", ScriptedEndpoint(stream(1, 3)), "model")
+        head = "".join(f"{name}: {value}\r\n" for name, value in self.world.headers().items())
+        request = f"POST /tag/x HTTP/1.0\r\n{head}Content-Length: 0\r\n\r\n".encode()
+        received = b""
+        with socket.create_connection(("127.0.0.1", self.world.ports[0]), WAIT_S) as caller:
+            caller.sendall(request)
+            while data := caller.recv(65_536):
+                received += data
+        self.assertTrue(received.endswith(b"\r\n\r\n" + b"".join(map(event, range(1, 4)))))
+
     def _leave_after(self, *parts: bytes) -> Script:
         """Returns a script that stops its endpoint before it ends the response regularly."""
 
