Accept trailers after the last chunk of an engine's stream

Cause: the reader of event streams took the line after the last chunk for its end, and raised for trailers. Those that arrived with the last event broke off a whole stream. Found while each reader was cut at every byte.

Change: the empty line after the trailers ends the body; the connection is reused after it only.

Measured: `test_stream_with_trailers_is_whole` failed before with whole and with cut trailers; 29 tests of the two modules and `make check` pass.

Conclusion: what follows the mark in the last event does not undo the events.

--- a/src/sequoiadrum/_sse.py
+++ b/src/sequoiadrum/_sse.py
@@ -123,6 +123,12 @@
             if line_end < 0:
                 break
             size = parse_chunk_size(raw[at:line_end])
+            if size == 0:
+                # The empty line after the trailers follows the last chunk if there are none.
+                trailers_end = raw.find(b"\r\n\r\n", line_end)
+                self._body_ended = trailers_end >= 0
+                at = trailers_end + 4 if self._body_ended else at
+                break
             end = line_end + 2 + size
             if len(raw) < end + 2:
                 break
@@ -130,7 +136,6 @@
                 raise ValueError("chunk does not end with CRLF")
             parts.append(raw[line_end + 2 : end])
             at = end + 2
-            self._body_ended = size == 0
         self._raw = raw[at:]
         self._body += b"".join(parts)
 
--- a/tests/test_cut_messages.py
+++ b/tests/test_cut_messages.py
@@ -285,6 +285,17 @@
         """Guards against a load or a stream of which the end is missing."""
         self._check(_engine_cases())
 
+    def test_stream_with_trailers_is_whole(self) -> None:
+        """Guards against a whole stream that is broken off because of the trailers after it."""
+        *_, stream = _engine_cases()
+        server = CuttingServer()
+        self.addCleanup(server.stop)
+        head, _, body = stream.reply.partition(b"\r\n\r\n")
+        for end in (b"0\r\n\r\n", b"0\r\nX-Sum: 1\r\nX-More: 2\r\n\r\n", b"0\r\nX-Su"):
+            server.data = head + b"\r\n\r\n" + body + end
+            with self.subTest(end):
+                self.assertEqual([e.offset for e in stream.call(server.address)], [0, 1])
+
     def test_replies_of_peers(self) -> None:
         """Guards against a call between routers that ends in an error of the decoder."""
         self._check(_peer_cases())
