--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -9,7 +9,13 @@
 from typing import Any, Final
 
 from tools.soak.checks import check
-from tools.soak.plan import GRACE_PERIOD_S, RESTORED, draw_plan, draw_planned_work
+from tools.soak.plan import (
+    GRACE_PERIOD_S,
+    RESPONSE_KINDS,
+    RESTORED,
+    draw_plan,
+    draw_planned_work,
+)
 from tools.soak.record import (
     CallKind,
     CallResult,
@@ -184,6 +190,14 @@
             overlapping += sum(after.at - before.at < GRACE_PERIOD_S for before, after in pairs)
         self.assertGreater(overlapping, 20)
 
+    def test_short_seed_contains_faults_of_responses(self) -> None:
+        """Guards against a soak that no longer cuts responses in the ways that passed for whole."""
+        kinds = {action.kind for action in draw_plan(SEED, DURATION_S, 4, 5)}
+        kinds |= {action.kind for action in draw_plan(RESTORING_SEED, DURATION_S, 4, 5)}
+        self.assertGreaterEqual(len(kinds & set(RESPONSE_KINDS)), 2)
+        longer = {action.kind for n in range(9) for action in draw_plan(n, 20.0, 4, 5)}
+        self.assertLessEqual(set(RESPONSE_KINDS), longer)
+
     def _assert_promises_kept(self, seed: int) -> None:
         with tempfile.TemporaryDirectory() as log_dir:
             record = Soak(seed, DURATION_S, Path(log_dir)).run()
