Count crashes at any moment of a response against its prompt parts

Cause: a prompt part that crashes engines after the first event of their answer was never recognised. The relay cleared the parts of a request with its first event, and reported no crash after it. What callers saw: nearly each request with the part ended an engine and all streams there, for as long as they came.

Change: every exchange that an engine's crash breaks reports its shared parts. Only a complete, signed answer speaks for a part, against the crashes before its request was sent. A part that was completed within ten minutes needs four crashes, another one three; the one furthest above its limit is convicted, then the one not completed for longest. Reports name when their router last saw a part completed. Crashes within 0.2 s count apart for all suspects, or for none, if a request was sent between them.

Test test_failed_response_does_not_acquit fails if failed answers acquit (trial).

test_begun_response_acquits_its_parts demanded the fault: that a begun answer acquits. It is replaced by test_only_a_complete_response_acquits_its_parts, which demands that it does not, and that a complete one does. The other tests are only renamed with the methods that they call.

Conclusion: progress was taken for success. The guilty part never completes, so complete answers separate it from the popular parts beside it, wherever in the answer the crash comes.

--- a/src/sequoiadrum/gateway/crashing_parts.py
+++ b/src/sequoiadrum/gateway/crashing_parts.py
@@ -1,8 +1,9 @@
 """Finds the prompt parts that crash engines; performs no I/O.
 
-Designed for many different requests that share one part which crashes each engine that begins to
-respond to it. A crash breaks the exchanges of healthy requests too, and the crashing requests share
-their other parts with healthy ones, so that a single crash does not identify the part.
+Designed for many different requests that share one part which crashes each engine that responds to
+it, at any moment until the response is complete. A crash breaks the exchanges of healthy requests
+too, and the crashing requests share their other parts with healthy ones, so that a single crash
+does not identify the part. Only complete responses tell healthy parts from the crashing one.
 """
 
 from __future__ import annotations
@@ -16,7 +17,10 @@
     from collections.abc import Iterable, Sequence
 
 CRASH_LIMIT: Final = 3
-"""Crashes without a response in between after which requests with a part are refused."""
+"""Crashes after which requests with a part that no engine has completed are refused."""
+COMPLETED_PART_CRASH_LIMIT: Final = 4
+"""Crashes since the last completed request after which requests with a part are refused. Parts that
+many requests share meet some crashes between two of their responses."""
 RECORD_TTL_S: Final = 600.0
 """Time after which a crash no longer counts."""
 MIN_SEPARATION_S: Final = 0.2
@@ -26,13 +30,28 @@
 """Crashes that are kept; the first recorded one is evicted."""
 MAX_PARTS_PER_CRASH: Final = 200
 """Parts that are kept for one crash; further ones are ignored."""
-MAX_RESPONDED_PARTS: Final = 4_000
-"""Parts whose last response is kept; the one that was responded to first is evicted."""
+MAX_COMPLETED_PARTS: Final = 4_000
+"""Parts whose last complete response is kept; the one that was recorded first is evicted."""
+NEVER: Final = float("-inf")
+"""Time of an event that did not happen."""
+
+
+@frozen
+class Suspicion:
+    """A prompt part of requests that were in flight at an engine when it crashed."""
+
+    part: str
+    depth: int
+    """Position of the part in a prompt."""
+    sent_at: float
+    """Unix seconds at which the last of the requests was sent to the engine."""
+    completed_at: float = NEVER
+    """Unix seconds at which the last request with the part that was completed was sent."""
 
 
 @frozen
 class SuspectRun:
-    """A request that was broken before its response began, because its engine crashed."""
+    """A request that was in flight at an engine when it crashed."""
 
     process: str
     """Identifies the process that crashed; reports of the same crash share it."""
@@ -44,48 +63,38 @@
     """Ids of the prompt parts that other requests may share, in the order of the prompt."""
 
 
-@define(eq=False)
-class _Suspicion:
-    """A part of the requests that an engine may have crashed on."""
-
-    depth: int
-    """Position of the part in a prompt."""
-    sent_at: float
-    """When the last of the requests was sent."""
-
-
 @define(eq=False)
 class _Crash:
     at: float
-    suspicion_by_part: dict[str, _Suspicion] = field(factory=dict)
+    suspicion_by_part: dict[str, Suspicion] = field(factory=dict)
 
-    def suspect(self, part: str, depth: int, sent_at: float) -> bool:
+    def suspect(self, suspicion: Suspicion) -> bool:
         """Adds a part; returns False if nothing changed."""
-        known = self.suspicion_by_part.get(part)
-        if known is None:
-            if len(self.suspicion_by_part) < MAX_PARTS_PER_CRASH:
-                self.suspicion_by_part[part] = _Suspicion(depth, sent_at)
-                return True
-            return False
-        if known.depth >= depth and known.sent_at >= sent_at:
+        known = self.suspicion_by_part.get(suspicion.part)
+        if known is None and len(self.suspicion_by_part) >= MAX_PARTS_PER_CRASH:
             return False
-        known.depth = max(known.depth, depth)
-        known.sent_at = max(known.sent_at, sent_at)
-        return True
+        merged = suspicion if known is None else merge_suspicions(known, suspicion)
+        self.suspicion_by_part[suspicion.part] = merged
+        return merged != known
+
+    def last_sent_at(self) -> float:
+        """Returns the last time at which the engine is known to have run."""
+        return max((each.sent_at for each in self.suspicion_by_part.values()), default=NEVER)
 
 
 @define(eq=False)
 class CrashingParts:
-    """Convicts a part of crashes if no response acquits it and no other part explains them.
+    """Convicts a part of crashes that no complete response since and no other part explains.
 
-    An engine that has begun to respond to a request was not crashed by any part of it.
+    A complete response for a part speaks against the crashes before its request was sent, not
+    against those after it. The first events prove nothing: the engine may crash at the next one.
 
     Times are Unix seconds because routers exchange them. Reports may come late, repeatedly and in
     any order.
     """
 
     _crash_by_process: OrderedDict[str, _Crash] = field(factory=OrderedDict)
-    _responded_at_by_part: OrderedDict[str, float] = field(factory=OrderedDict)
+    _completed_at_by_part: OrderedDict[str, float] = field(factory=OrderedDict)
     _convicted: frozenset[str] = frozenset()
     _is_current: bool = True
     """Whether `_convicted` includes all reports."""
@@ -94,22 +103,46 @@
 
     def record_crash(self, run: SuspectRun, now: float) -> bool:
         """Records a suspect run; returns False if it adds nothing."""
-        if run.crashed_at <= now - RECORD_TTL_S:
+        suspicions = [Suspicion(part, depth, run.sent_at) for depth, part in enumerate(run.parts)]
+        return self.record_suspicions(run.process, run.crashed_at, suspicions, now)
+
+    def record_suspicions(
+        self, process: str, crashed_at: float, suspicions: Iterable[Suspicion], now: float
+    ) -> bool:
+        """Records parts of requests that were in flight at an engine when it crashed.
+
+        Args:
+            process: Identifies the process that crashed.
+            crashed_at: Unix seconds.
+            suspicions: The parts.
+            now: Unix seconds.
+
+        Returns:
+            False if the report adds nothing.
+        """
+        if crashed_at <= now - RECORD_TTL_S:
             return False
-        crash = self._crash_by_process.get(run.process)
+        crash = self._crash_by_process.get(process)
         if crash is None:
-            crash = self._crash_by_process[run.process] = _Crash(run.crashed_at)
+            crash = self._crash_by_process[process] = _Crash(crashed_at)
             if len(self._crash_by_process) > MAX_CRASHES:
                 self._crash_by_process.popitem(last=False)
-        crash.at = min(crash.at, run.crashed_at)
+        crash.at = min(crash.at, crashed_at)
         changed = False
-        for depth, part in enumerate(run.parts):
-            changed |= crash.suspect(part, depth, run.sent_at)
+        for suspicion in suspicions:
+            changed |= crash.suspect(suspicion)
+            if suspicion.completed_at > max(self.completed_at(suspicion.part), now - RECORD_TTL_S):
+                self._record_completed(suspicion.part, suspicion.completed_at)
+                changed = True
         self._is_current = self._is_current and not changed
         return changed
 
-    def record_response(self, parts: Iterable[str], at: float) -> list[str]:
-        """Records that an engine began to respond to a request with these parts.
+    def record_completion(self, parts: Iterable[str], sent_at: float) -> list[str]:
+        """Records that an engine completed the response to a request with these parts.
+
+        Args:
+            parts: The parts.
+            sent_at: Unix seconds at which the request was sent to the engine.
 
         Returns:
             The parts that at least two crashes counted against until now; other routers should
@@ -120,34 +153,45 @@
             crashes = [
                 crash for crash in self._crash_by_process.values() if _counts(part, crash, self)
             ]
-            known = self._responded_at_by_part.pop(part, float("-inf"))
-            self._responded_at_by_part[part] = max(known, at)
+            self._record_completed(part, sent_at)
             if crashes:
                 self._is_current = False
             if len(crashes) > 1:
                 cleared.append(part)
-        while len(self._responded_at_by_part) > MAX_RESPONDED_PARTS:
-            self._responded_at_by_part.popitem(last=False)
         return cleared
 
     def convicted_part(self, parts: Iterable[str], now: float) -> str | None:
         """Returns the first of some parts that crashes engines; None if there is none."""
+        convicted = self.convicted(now)
+        if not convicted:
+            return None
+        return next((part for part in parts if part in convicted), None)
+
+    def convicted(self, now: float) -> frozenset[str]:
+        """Returns all parts that crash engines."""
         if not self._is_current or now >= self._valid_until:
             self._expire(now)
             self._convicted = self._convict()
             self._is_current = True
-        if not self._convicted:
-            return None
-        return next((part for part in parts if part in self._convicted), None)
+        return self._convicted
+
+    def completed_at(self, part: str) -> float:
+        """Returns when the last request with a part that was completed was sent, or `NEVER`."""
+        return self._completed_at_by_part.get(part, NEVER)
 
-    def responded_at(self, part: str) -> float:
-        """Returns the Unix seconds of the last response for a part, or negative infinity."""
-        return self._responded_at_by_part.get(part, float("-inf"))
+    def _record_completed(self, part: str, at: float) -> None:
+        known = self._completed_at_by_part.pop(part, NEVER)
+        self._completed_at_by_part[part] = max(known, at)
+        if len(self._completed_at_by_part) > MAX_COMPLETED_PARTS:
+            self._completed_at_by_part.popitem(last=False)
 
     def _expire(self, now: float) -> None:
         for process, crash in list(self._crash_by_process.items()):
             if crash.at <= now - RECORD_TTL_S:
                 del self._crash_by_process[process]
+        for part, at in list(self._completed_at_by_part.items()):
+            if at <= now - RECORD_TTL_S:
+                del self._completed_at_by_part[part]
         oldest = min((c.at for c in self._crash_by_process.values()), default=float("inf"))
         self._valid_until = oldest + RECORD_TTL_S
 
@@ -155,31 +199,39 @@
         """Convicts parts, the worst one first, until no other part has enough crashes left.
 
         A convicted part explains its crashes: they no longer count against the parts beside it in
-        the prompt, nor against those of other requests that were broken at the same time. Of parts
-        with as many crashes, the one nearest to the end of the prompt is convicted, because the
-        fewest healthy requests share it.
+        the prompt, nor against those of other requests that were broken at the same time. The part
+        that is furthest above its limit comes first. Of several, the one that was not completed
+        for longest does, and then the one nearest to the end of the prompt, because the fewest
+        healthy requests share it.
         """
         crashes = sorted(self._crash_by_process.values(), key=lambda crash: crash.at)
-        convicted = set()
-        while len(crashes) >= CRASH_LIMIT:
+        convicted: set[str] = set()
+        while True:
             times_by_part, depth_by_part = self._count(crashes)
-            if not times_by_part:
-                break
+            guilty = [part for part, at in times_by_part.items() if len(at) >= self._limit(part)]
+            if not guilty:
+                return frozenset(convicted)
             worst = max(
-                times_by_part,
-                key=lambda part: (len(times_by_part[part]), depth_by_part[part], part),
+                guilty,
+                key=lambda part: (
+                    len(times_by_part[part]) - self._limit(part),
+                    -self.completed_at(part),
+                    depth_by_part[part],
+                    part,
+                ),
             )
-            if len(times_by_part[worst]) < CRASH_LIMIT:
-                break
             convicted.add(worst)
             crashes = [crash for crash in crashes if not _counts(worst, crash, self)]
-        return frozenset(convicted)
+
+    def _limit(self, part: str) -> int:
+        return CRASH_LIMIT if self.completed_at(part) == NEVER else COMPLETED_PART_CRASH_LIMIT
 
     def _count(self, crashes: Sequence[_Crash]) -> tuple[dict[str, list[float]], dict[str, int]]:
         """Returns the times of the separate crashes, and the depth in prompts, by part."""
         times_by_part: dict[str, list[float]] = {}
         depth_by_part: dict[str, int] = {}
         for crash in crashes:
+            last_sent_at = crash.last_sent_at()
             for part, suspicion in crash.suspicion_by_part.items():
                 if not _counts(part, crash, self):
                     continue
@@ -188,12 +240,22 @@
                 if (
                     not times
                     or crash.at - times[-1] >= MIN_SEPARATION_S
-                    or suspicion.sent_at > times[-1]
+                    or last_sent_at > times[-1]
                 ):
                     times.append(crash.at)
         return times_by_part, depth_by_part
 
 
+def merge_suspicions(one: Suspicion, other: Suspicion) -> Suspicion:
+    """Returns what two reports state about one part of one crash."""
+    return Suspicion(
+        one.part,
+        max(one.depth, other.depth),
+        max(one.sent_at, other.sent_at),
+        max(one.completed_at, other.completed_at),
+    )
+
+
 def _counts(part: str, crash: _Crash, records: CrashingParts) -> bool:
-    """Returns whether a crash counts against a part: no engine responded for the part since."""
-    return part in crash.suspicion_by_part and records.responded_at(part) < crash.at
+    """Returns whether a crash counts against a part: no request sent since was completed."""
+    return part in crash.suspicion_by_part and records.completed_at(part) < crash.at
--- a/src/sequoiadrum/gateway/relay.py
+++ b/src/sequoiadrum/gateway/relay.py
@@ -316,13 +316,17 @@
     def _report_crashed_engine(self, run: RequestRun, placement: EndpointPlacement) -> None:
         """Reports the prompt parts of a request that an engine may have crashed on."""
         parts = run.shared_parts()
-        if not parts or run.has_event:
+        if not parts:
             return
         if self._connections.has_crashed(placement.endpoint.entry.address):
             sent_s_ago = clock.now() - run.sent_at
             self._crashes.record_part_crash(placement.endpoint.entry, parts, sent_s_ago)
             self._record_event("engine_crashed", run, placement, parts=_loggable(parts))
 
+    def _record_completion(self, run: RequestRun, parts: Sequence[str]) -> None:
+        sent_s_ago = clock.now() - run.sent_at
+        self._crashes.record_completion(run.fingerprint, parts, sent_s_ago)
+
     def _may_retry(self, run: RequestRun) -> bool:
         """Spends a retry of a request that may have run; returns False if none is allowed."""
         if not run.kind.is_retryable or run.attempts >= run.route.max_attempts:
@@ -353,7 +357,9 @@
         self._record_response(run, placement, head, failed)
         if head.is_not_executed:
             return self._handle_rejection(run, placement, head)
-        self._crashes.record_completion(run.fingerprint, run.shared_parts())
+        # Errors and unsigned responses do not show that an engine processed the prompt.
+        is_answer = head.is_sealed and head.status < HTTPStatus.MULTIPLE_CHOICES
+        self._record_completion(run, run.shared_parts() if is_answer else ())
         if head.status < HTTPStatus.MULTIPLE_CHOICES and not head.is_sealed:
             self._record_event("answer_unsealed", run, placement, status=head.status)
             if self._may_retry_after(run, placement):
@@ -414,8 +420,6 @@
                 return None
             return self._refuse(run, Refused.ENDPOINT_FAILED, "the answer is not signed")
         self._record_response(run, placement, head, failed=False)
-        if run.has_event:
-            self._crashes.record_response_begun(run.shared_parts())
         run.progress_at = clock.now()
         exchange.set_guard(stream_guard(run))
         body = StreamBody(self, run, placement, exchange, splitter, first)
@@ -462,7 +466,7 @@
         transfer: Transfer,
     ) -> None:
         """See `StreamOwner.end_stream`."""
-        self._crashes.record_completion(run.fingerprint, run.shared_parts())
+        self._record_completion(run, run.shared_parts())
         self._record_served(run, placement, head, transfer)
 
     def record_unexpected(self, run: RequestRun, error: Exception) -> None:
--- /dev/null
+++ b/tests/gateway/test_crashing_fleet.py
@@ -0,0 +1,34 @@
+"""Tests of the rules on crashing prompt parts over simulated days."""
+
+from __future__ import annotations
+
+import random
+import unittest
+
+from tests.gateway.crashing_fleet import ALLOWED_LATE, CrashingFleet, random_day
+
+DAYS = 120
+
+
+class CrashingFleetTest(unittest.TestCase):
+    """Routers with reports of their own find the part, whenever and however it crashes engines."""
+
+    def test_both_rules_hold_on_random_days(self) -> None:
+        """Guards against engines that crash on one part, and against refusing healthy requests."""
+        judged = 0
+        for seed in range(DAYS):
+            rng = random.Random(seed)
+            day = random_day(rng)
+            fleet = CrashingFleet(day, rng)
+            fleet.run()
+            with self.subTest(seed=seed, day=day):
+                self.assertLessEqual(fleet.late_arrivals(), ALLOWED_LATE)
+                shares = fleet.shares_begun()
+                if shares is not None:
+                    judged += 1
+                    self.assertGreaterEqual(shares[1], shares[0] / 2)
+        self.assertGreater(judged, DAYS // 2)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/gateway/test_crashing_parts.py
+++ b/tests/gateway/test_crashing_parts.py
@@ -6,6 +6,7 @@
 import itertools
 import json
 import threading
+import time
 import unittest
 from typing import Any
 
@@ -13,21 +14,26 @@
 from hypothesis import strategies as st
 
 from sequoiadrum._rumors import BroadcastQueue
+from sequoiadrum.gateway.crash_rumors import part_key
 from sequoiadrum.gateway.crashing_parts import (
+    COMPLETED_PART_CRASH_LIMIT,
     CRASH_LIMIT,
+    MAX_COMPLETED_PARTS,
     MAX_CRASHES,
     MAX_PARTS_PER_CRASH,
-    MAX_RESPONDED_PARTS,
     MIN_SEPARATION_S,
+    NEVER,
     RECORD_TTL_S,
     CrashingParts,
     SuspectRun,
+    Suspicion,
 )
 from tests.gateway.builders import an_entry
 from tests.gateway.scripted_endpoint import (
     Connection,
     Received,
     ScriptedEndpoint,
+    answer,
     chunk,
     event,
     stream,
@@ -59,7 +65,7 @@
         """Guards against engines that crash one after the other on different requests."""
         for number in range(CRASH_LIMIT):
             self._crash(number, (SYSTEM, CHAT, DEADLY))
-            self.records.record_response([SYSTEM, CHAT], 100.5 + number)
+            self.records.record_completion([SYSTEM, CHAT], 100.5 + number)
         self.assertEqual(self._convicted(), {DEADLY})
 
     def test_parts_beside_it_are_not_refused(self) -> None:
@@ -72,14 +78,14 @@
         """Guards against a second crashing part that the first one hides."""
         for number in range(2 * CRASH_LIMIT):
             self._crash(number, (SYSTEM, DEADLY) if number % 2 else (SYSTEM, "x"))
-            self.records.record_response([SYSTEM], 100.5 + number)
+            self.records.record_completion([SYSTEM], 100.5 + number)
         self.assertEqual(self._convicted(), {DEADLY, "x"})
 
     def test_sound_part_in_many_crashes_is_served(self) -> None:
         """Guards against refusing a popular part because engines crash for other reasons."""
         for number in range(10):
             self._crash(number, (SYSTEM, f"chat{number}"))
-            self.records.record_response([SYSTEM], 100.5 + number)
+            self.records.record_completion([SYSTEM], 100.5 + number)
         self.assertEqual(self._convicted(), set())
 
     def test_common_loss_of_power_convicts_nothing(self) -> None:
@@ -110,12 +116,52 @@
         self.assertEqual(self._convicted(), {DEADLY})
         self.assertEqual(self._convicted(100.0 + RECORD_TTL_S), set())
 
-    def test_response_acquits(self) -> None:
+    def test_complete_response_acquits(self) -> None:
         """Guards against a sound part that stays refused although engines respond for it."""
         for number in range(CRASH_LIMIT):
             self._crash(number, (DEADLY,))
         self.assertEqual(self._convicted(), {DEADLY})
-        self.assertEqual(self.records.record_response([DEADLY], 150.0), [DEADLY])
+        self.assertEqual(self.records.record_completion([DEADLY], 150.0), [DEADLY])
+        self.assertEqual(self._convicted(), set())
+
+    def test_completion_does_not_speak_against_later_crashes(self) -> None:
+        """Guards against a part that crashes engines for ever because it was sound before."""
+        self.records.record_completion([SYSTEM, DEADLY], 99.0)
+        for number in range(COMPLETED_PART_CRASH_LIMIT):
+            self._crash(number, (SYSTEM, DEADLY))
+            self.records.record_completion([SYSTEM], 100.5 + number)
+        self.assertEqual(self._convicted(), {DEADLY})
+
+    def test_response_that_had_begun_before_does_not_acquit(self) -> None:
+        """Guards against clearing a part by requests from before it began to crash engines."""
+        for number in range(COMPLETED_PART_CRASH_LIMIT):
+            self._crash(number, (SYSTEM, DEADLY))
+            self.records.record_completion([SYSTEM], 100.5 + number)
+            self.records.record_completion([DEADLY], 90.0 + number)
+        self.assertEqual(self._convicted(), {DEADLY})
+
+    def test_crashes_in_a_row_count_for_all_suspects(self) -> None:
+        """Guards against convicting a popular part because requests with it came in between."""
+        for number in range(CRASH_LIMIT):
+            at = 100.0 + number * MIN_SEPARATION_S / 4
+            for sent_s_ago, parts in ((5.0, (DEADLY, SYSTEM)), (0.01, (SYSTEM, f"chat{number}"))):
+                run = SuspectRun(f"e{number}", at - sent_s_ago, at, parts)
+                self.records.record_crash(run, at)
+        self.records.record_completion([SYSTEM], 99.0)
+        self.assertEqual(self._convicted(), {DEADLY})
+
+    def test_popular_part_is_not_refused_for_crashes_in_quick_succession(self) -> None:
+        """Guards against refusing a part that others share, before any of its responses ends."""
+        self.records.record_completion([SYSTEM], 99.0)
+        for number in range(CRASH_LIMIT):
+            self._crash(number, (DEADLY, SYSTEM), (SYSTEM, f"chat{number}"))
+        self.assertEqual(self._convicted(), {DEADLY})
+
+    def test_reported_completion_counts(self) -> None:
+        """Guards against a router without requests for a part that convicts it of all crashes."""
+        for number in range(10):
+            suspicion = Suspicion(SYSTEM, 0, 99.0, completed_at=99.5 + number)
+            self.records.record_suspicions(f"e{number}", 100.0 + number, [suspicion], 110.0)
         self.assertEqual(self._convicted(), set())
 
     def test_records_are_bounded(self) -> None:
@@ -125,14 +171,14 @@
             parts = tuple(map(str, range(MAX_PARTS_PER_CRASH + 10)))
             run = SuspectRun(f"e{number}", 90.0, 100.0, parts)
             self.records.record_crash(run, 100.0)
-        for number in range(MAX_RESPONDED_PARTS + 10):
-            self.records.record_response([f"p{number}"], 100.0)
+        for number in range(MAX_COMPLETED_PARTS + 10):
+            self.records.record_completion([f"p{number}"], 100.0)
         crashes = self.records._crash_by_process
         self.assertEqual(len(crashes), MAX_CRASHES)
         self.assertEqual(
             {len(c.suspicion_by_part) for c in crashes.values()}, {MAX_PARTS_PER_CRASH}
         )
-        self.assertEqual(len(self.records._responded_at_by_part), MAX_RESPONDED_PARTS)
+        self.assertEqual(len(self.records._completed_at_by_part), MAX_COMPLETED_PARTS)
 
     @given(st.permutations(range(8)))
     def test_reports_may_come_in_any_order(self, order: list[int]) -> None:
@@ -144,7 +190,7 @@
                 records.record_crash(run, 110.0)
                 records.record_crash(run, 110.0)
             else:
-                records.record_response([SYSTEM, CHAT], 99.5 + number - 4)
+                records.record_completion([SYSTEM, CHAT], 99.5 + number - 4)
         verdicts = [records.convicted_part([part], 110.0) for part in (SYSTEM, CHAT, DEADLY)]
         self.assertEqual(verdicts, [None, None, DEADLY])
 
@@ -158,14 +204,18 @@
         self.numbers = itertools.count()
         self.crashed: list[ScriptedEndpoint] = []
 
-    def _add_engine(self, name: str) -> None:
-        """Adds an engine that ends with all its connections when it begins to respond."""
+    def _add_engine(self, name: str, events: int = 0) -> None:
+        """Adds an engine that ends with all its connections after some events of a response."""
         connections: list[Connection] = []
 
         def respond(connection: Connection, request: Received) -> None:
             connections.append(connection)
             if f"{DEADLY}:" in request.headers["sequoiadrum-prefix-hash"]:
                 self.crashed.append(engine)
+                if events:
+                    connection.send(stream_head(request))
+                for number in range(1, events + 1):
+                    connection.send(chunk(event(number)))
                 engine.stop()
                 for each in connections:
                     each.reset()
@@ -199,26 +249,64 @@
         self.assertEqual(statuses[-6:], [503] * 6)
         self.assertIn(b"crashing_part", self._ask(SYSTEM, CHAT, DEADLY)[1])
 
-    def test_begun_response_acquits_its_parts(self) -> None:
-        """Guards against refusing a sound part while long responses for it are under way."""
-        release = threading.Event()
-        self.addCleanup(release.set)
+    def test_part_that_crashes_engines_after_events_is_refused(self) -> None:
+        """Guards against taking the first events of a response for a sign of a sound part."""
+        for number in range(8):
+            self._add_engine(f"e{number}", events=1 + number % 3)
+        statuses = []
+        for _ in range(10):
+            statuses.append(self._ask(SYSTEM, CHAT, DEADLY)[0])
+            self.assertEqual(self._ask(SYSTEM, CHAT)[0], 200)
+        self.assertLessEqual(len(self.crashed), CRASH_LIMIT)
+        self.assertEqual(statuses[-6:], [503] * 6)
+
+    def _begin_response(self, release: threading.Event) -> http.client.HTTPResponse:
+        """Returns a response of which one event has come; the others follow the release."""
 
-        def begin(connection: Connection, request: Received) -> None:
+        def respond(connection: Connection, request: Received) -> None:
             connection.send(stream_head(request) + chunk(event(1)))
             release.wait(10)
+            connection.send(chunk(event(2)) + chunk(b""))
 
-        self.world.add("e9", ScriptedEndpoint(begin), "model")
-        reports = self.world.gateway.crashes
-        for number in range(CRASH_LIMIT - 1):
-            reports.record_part_crash(an_entry(f"x{number}"), [SYSTEM, CHAT], 0.0)
+        self.world.add("e9", ScriptedEndpoint(respond), "model")
         connection = self.world.connect()
         self.addCleanup(connection.close)
         headers = {**self.world.headers(), "Sequoiadrum-Prefix-Hash": f"{SYSTEM}:50,{CHAT}:9,1:5"}
         connection.request("POST", "/draft/x", b"", headers)
-        self.assertEqual(connection.getresponse().read1(100), event(1))
-        reports.record_part_crash(an_entry("x9"), [SYSTEM, CHAT], 0.0)
-        self.assertIsNone(reports.crashing_part([SYSTEM, CHAT]))
+        response = connection.getresponse()
+        self.assertEqual(response.read1(100), event(1))
+        return response
+
+    def test_only_a_complete_response_acquits_its_parts(self) -> None:
+        """Guards against clearing a part that crashes its engine at the next event."""
+        release = threading.Event()
+        self.addCleanup(release.set)
+        reports = self.world.gateway.crashes
+        for number in range(CRASH_LIMIT):
+            reports.record_part_crash(an_entry(f"x{number}"), [SYSTEM], 0.0)
+            time.sleep(2 * MIN_SEPARATION_S)
+            if number == 0:
+                response = self._begin_response(release)
+        self.assertEqual(reports.crashing_part([SYSTEM, CHAT]), SYSTEM)
+        release.set()
+        self.assertEqual(response.read(), event(2))
+        eventually(lambda: reports.crashing_part([SYSTEM, CHAT]) is None, "the part is acquitted")
+
+    def test_failed_response_does_not_acquit(self) -> None:
+        """Guards against clearing a part by a response that no engine wrote on its prompt."""
+
+        def fail(connection: Connection, request: Received) -> None:
+            connection.send(answer(request, status="500 Internal Server Error"))
+
+        self.world.add("e9", ScriptedEndpoint(fail), "model")
+        reports = self.world.gateway.crashes
+        for number in range(CRASH_LIMIT):
+            reports.record_part_crash(an_entry(f"x{number}"), [SYSTEM, CHAT], 0.0)
+            time.sleep(2 * MIN_SEPARATION_S)
+        self.assertEqual(reports.crashing_part([CHAT]), CHAT)
+        headers = {"Sequoiadrum-Prefix-Hash": f"{SYSTEM}:50,1:5"}
+        self.assertEqual(self.world.call("/tag/x", headers=headers)[0], 500)
+        self.assertEqual(reports._parts.completed_at(part_key(SYSTEM)), NEVER)
 
 
 class RestartedRouterTest(unittest.TestCase):
@@ -270,7 +358,7 @@
         self.assertFalse(self._broken()[0]["had_event"])
 
     def test_a_response_that_had_begun_is_told_apart(self) -> None:
-        """Guards against suspecting a request whose response had already begun."""
+        """Guards against logs that do not show at which moment a response was broken off."""
 
         def break_off(connection: Any, request: Any) -> None:
             connection.send(stream_head(request) + chunk(event(1)))
