Reject every response that does not name its request

Cause: a rejection without a request id counted as that of the request that is due. A late rejection of another request on a kept connection, its id spoiled, would have told the caller of an order that it was not run (REFUSED), and an error of another would have been passed on with its seal (MIXED).

Change: a response without the id of its request is a failure, whatever its status: what was sent may have run.

Measured: the new test fails on the code before for all four statuses. 275 tests of tests/gateway pass.

Conclusion: whose answer a response is, and what it says of a request, follows from its id alone.

--- a/src/sequoiadrum/gateway/exchange.py
+++ b/src/sequoiadrum/gateway/exchange.py
@@ -6,7 +6,6 @@
 import io
 import threading
 from enum import Enum
-from http import HTTPStatus
 from typing import TYPE_CHECKING, Final
 
 from attrs import define, field, frozen
@@ -386,10 +385,9 @@
                 if head.request_id == call.request_id:
                     break
                 if head.request_id is None:
-                    if HTTPStatus.OK <= head.status < HTTPStatus.MULTIPLE_CHOICES:
-                        stream.close()
-                        return ExchangeFailure("an answer without a request id")
-                    break
+                    # It may be of another request, and say that one did not run.
+                    stream.close()
+                    return ExchangeFailure("an answer without a request id")
                 # A late response to an earlier request; the response to this request follows it.
                 _discard_body(response, stream)
             else:
--- a/tests/gateway/test_cut_responses.py
+++ b/tests/gateway/test_cut_responses.py
@@ -299,6 +299,14 @@
             with self.subTest(replaced):
                 self.assertIsInstance(self._run(data), ExchangeFailure)
 
+    def test_rejection_without_the_id_of_its_request_is_a_failure(self) -> None:
+        """Guards against a run order that counts as not run by the rejection of another."""
+        for status in ("503 Full", "421 Misdirected Request", "429 Too Many", "500 Error"):
+            head = response_head("Sequoiadrum-Not-Executed: 1", "Content-Length: 13", status=status)
+            data = head.replace(b"Sequoiadrum-Request-Id: q1\r\n", b"") + BODY
+            with self.subTest(status):
+                self.assertIsInstance(self._run(data), ExchangeFailure)
+
     def test_two_ids_are_a_failure(self) -> None:
         """Guards against a head that belongs to two requests."""
         head = response_head("Sequoiadrum-Request-Id: q2", "Content-Length: 13")
