Send responses byte by byte, and wait generously for sound ones, in the tests

Cause: the tests cut responses, but none sent a whole one in the smallest pieces; the tests of sound heads ended their wait 20 ms after the endpoint had sent, which a busy machine could exceed.

Change: each kind of response sent byte by byte; sound heads get 10 s.

Conclusion: the strict reader does not depend on how bytes arrive.

--- a/tests/gateway/test_cut_responses.py
+++ b/tests/gateway/test_cut_responses.py
@@ -6,6 +6,7 @@
 import subprocess
 import sys
 import threading
+import time
 import unittest
 from typing import TYPE_CHECKING
 from unittest import mock
@@ -131,6 +132,24 @@
             with self.subTest(message.name):
                 self.assertEqual(self._wrong_cuts(message), [])
 
+    def test_response_that_arrives_byte_by_byte_is_whole(self) -> None:
+        """Guards against a reader that takes the bytes of one read for a whole line or chunk."""
+
+        def send_slowly(connection: Connection, request: Received) -> None:
+            connection.sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            for position in range(len(self.data)):
+                connection.send(self.data[position : position + 1])
+                time.sleep(0.001)
+            connection.sock.shutdown(socket.SHUT_WR)
+
+        self.endpoint.script = send_slowly
+        for message in response_messages():
+            self.data = message.data
+            with self.subTest(message.name):
+                result = run_exchange(self.endpoint.address)
+                assert isinstance(result, Whole), result
+                self.assertEqual(result.body, message.body)
+
     def test_cut_response_to_another_request_is_a_failure(self) -> None:
         """Guards against a late response to another request that is cut and passes for its own."""
         for message in response_messages():
@@ -187,8 +206,13 @@
 class AlteredResponseTest(unittest.TestCase):
     """Responses whose head or framing breaks the rules of HTTP are failures."""
 
-    def _run(self, data: bytes) -> Whole | ExchangeFailure:
-        """Runs an exchange with an endpoint that keeps the connection open after its response."""
+    def _run(self, data: bytes, max_checks: int = 10) -> Whole | ExchangeFailure:
+        """Runs an exchange with an endpoint that keeps the connection open after its response.
+
+        Args:
+            data: Bytes of the response.
+            max_checks: How often the guard is called, every 2 ms, before it ends the wait for more.
+        """
         was_sent = threading.Event()
 
         def script(connection: Connection, request: Received) -> None:
@@ -202,7 +226,7 @@
         def guard() -> None:
             nonlocal checks
             checks += was_sent.is_set()
-            if checks > 10:
+            if checks > max_checks:
                 raise InterruptedWaitError(Interrupt.DEADLINE)
 
         try:
@@ -328,7 +352,7 @@
             + chunked.replace(b"d\r\nH", b'd;a="b;c"\r\nH'),
         }.items():
             with self.subTest(name):
-                self.assertEqual(self._run(data), Whole(200, BODY))
+                self.assertEqual(self._run(data, 5000), Whole(200, BODY))
 
     def test_http_1_0_response_that_ends_with_its_connection_passes(self) -> None:
         """Guards against a sound endpoint of the older version that is never heard."""
