Run all long-lived threads under an owner

Cause: Threads were started with a bare `threading.Thread`. An exception, or a loop that returned, ended them; only standard error said so, and nothing else changed. The threads that follow the store had one more fault: what the mirror knew and a failed run had not applied would never have been applied, as only newer changes are.

Change: `SupervisedThread` logs a failure with its traceback, counts it and starts the work again after a bounded delay; `ThreadMonitor` makes the process not ready while a needed thread cannot be kept running (gateway and own interface). A thread that follows the store first applies all that is known; one entry that fails costs no other one. A check finds threads that are started in any other way. The private outbox of `AdmissionTask` got a public name, `TimerService` and `PeerFeed` take the metrics.

Conclusion: A thread that ends is seen, counted and started again, and callers are kept away while that does not help. A thread that hangs is not noticed.

--- a/src/sequoiadrum/admission_task.py
+++ b/src/sequoiadrum/admission_task.py
@@ -119,11 +119,11 @@
         self._owner = PoolOwner(
             self._router_id, policy, parts.config, parts.metrics, parts.membership.broadcast
         )
-        self._outbox = GrantOutbox(
+        self.outbox: Final = GrantOutbox(
             self._holder, parts.peers, self._directory.address_of, parts.metrics
         )
         self._remote = RemoteAdmission(
-            self._holder, parts.peers, self._directory, self._outbox, parts.config, parts.metrics
+            self._holder, parts.peers, self._directory, self.outbox, parts.config, parts.metrics
         )
         self._peer_admission = PeerAdmission(
             self._router_id, self._owner, self._directory, parts.config
@@ -155,7 +155,7 @@
     def start(self) -> None:
         """See `Task.start`."""
         super().start()
-        self._outbox.start()
+        self.outbox.start()
         self._parts.membership.subscribe(self)
         timers = self._parts.timers
         timers.subscribe(self, _TICK_INTERVAL_S, _Tick())
@@ -166,7 +166,7 @@
     def stop(self, timeout_s: float = 5.0) -> None:
         """See `Task.stop`."""
         self._poller.stop()
-        self._outbox.stop()
+        self.outbox.stop()
         super().stop(timeout_s)
 
     def acquire(
@@ -199,12 +199,12 @@
         if isinstance(decision, Future):
             decision = self._wait(decision, request.deadline)
         if isinstance(decision, Success):
-            self._outbox.hold(decision.unwrap(), request)
+            self.outbox.hold(decision.unwrap(), request)
         return decision
 
     def release(self, grant: Grant, outcome: GrantOutcome) -> None:
         """See `Admission.release`."""
-        if self._outbox.release(grant, outcome):
+        if self.outbox.release(grant, outcome):
             self._owner.release(grant.pool, [(grant.grant_id, outcome)])
 
     def acquire_for_peer(self, request: Any) -> Any:
@@ -399,16 +399,16 @@
             only_new_owners: Whether only owners that do not count a grant yet receive a report, as
                 after a change of the membership.
         """
-        for owner, pools in self._outbox.unreported_pools(self._directory.owner_of).items():
+        for owner, pools in self.outbox.unreported_pools(self._directory.owner_of).items():
             self._report_to(owner, pools, ids_only=False)
         if only_new_owners:
             return
         wanted: dict[str, set[str]] = {}
-        for pool in self._outbox.held_pools(REPORT_INTERVAL_S):
+        for pool in self.outbox.held_pools(REPORT_INTERVAL_S):
             owner_id = self._directory.owner_of(pool)
             if owner_id is not None:
                 wanted.setdefault(owner_id, set()).add(pool)
-        for owner, pools in self._outbox.take_requested_reports().items():
+        for owner, pools in self.outbox.take_requested_reports().items():
             wanted.setdefault(owner, set()).update(pools)
         previous, self._reported_pools_by_owner = self._reported_pools_by_owner, wanted
         for owner in wanted.keys() | previous.keys():
@@ -418,7 +418,7 @@
     def _report_to(self, owner: str, pools: Collection[str], ids_only: bool) -> None:
         for pool in pools:
             if owner != self._router_id:
-                self._outbox.queue_report(owner, pool, ids_only)
+                self.outbox.queue_report(owner, pool, ids_only)
             else:
-                entries = self._outbox.build_report(owner, pool)
+                entries = self.outbox.build_report(owner, pool)
                 self._peer_admission.report(pool, self._holder, entries)
--- a/src/sequoiadrum/app.py
+++ b/src/sequoiadrum/app.py
@@ -37,6 +37,7 @@
 from sequoiadrum.pool_inspector import PeerPoolInspector
 from sequoiadrum.service_relay import ServiceRelay
 from sequoiadrum.stream_cancel import StreamCanceller
+from sequoiadrum.supervised_thread import ThreadMonitor
 from sequoiadrum.timers import TimerService
 
 if TYPE_CHECKING:
@@ -60,7 +61,8 @@
         """
         self.settings: Final = settings
         self.metrics: Final = Metrics()
-        self.timers: Final = TimerService()
+        self.threads: Final = ThreadMonitor(self.metrics)
+        self.timers: Final = TimerService(self.metrics)
         self._stop_requested = threading.Event()
         self._failed = False
         self._platform = HttpPlatformClient(
@@ -100,6 +102,21 @@
             self.gossip.listener,
         )
         self.metrics.gauge("requests_in_flight", lambda: float(self.front.active()))
+        self.threads.add(
+            self.timers.thread,
+            self.peer_server.thread,
+            self.gossip.thread,
+            self.gossip.reader,
+            self.config.thread,
+            self.admission.thread,
+            self.admission.outbox.thread,
+            self.limits.thread,
+            self.canceller.thread,
+            self.ledger.thread,
+            self.front.thread,
+            self.operators.server.thread,
+            self.operators.plans.thread,
+        )
 
     def start(self) -> None:
         """Starts all components."""
@@ -203,6 +220,7 @@
                 keyed=self.keyed,
                 directory=MemberDirectory(self.gossip),
                 metrics=self.metrics,
+                can_serve=self.threads.can_serve,
             ),
         )
 
--- a/src/sequoiadrum/gateway/app.py
+++ b/src/sequoiadrum/gateway/app.py
@@ -45,6 +45,7 @@
 from sequoiadrum.messages import Address
 from sequoiadrum.metrics import Metrics
 from sequoiadrum.peer_client import ThriftPeerClient
+from sequoiadrum.supervised_thread import ThreadMonitor
 from sequoiadrum.timers import TimerService
 
 if TYPE_CHECKING:
@@ -103,7 +104,8 @@
         """The current settings; changed ports and addresses take effect only in a new process."""
         self.metrics: Final = Metrics()
         self.log: Final = EventLog(settings.instance_id, self.metrics, output)
-        self.timers: Final = TimerService()
+        self.threads: Final = ThreadMonitor(self.metrics)
+        self.timers: Final = TimerService(self.metrics)
         self._stop_requested = threading.Event()
         self._stop_requested_at: float | None = None
         """Monotonic seconds of the stop signal."""
@@ -178,7 +180,11 @@
         self._syncs: Final = (config_sync, endpoint_sync)
         self.shutdown: Final = Shutdown()
         self.state: Final = ServingState(
-            self.configuration, pauses, endpoint_sync.refresh, self.shutdown
+            self.configuration,
+            pauses,
+            endpoint_sync.refresh,
+            self.shutdown,
+            self.threads.can_serve,
         )
         self._in_flight: Final = RequestsInFlight(self.metrics, self.log)
         relay = Relay(
@@ -203,6 +209,19 @@
             self.metrics,
             Address(settings.host, settings.peer_port),
         )
+        self.threads.add(
+            self.log.thread,
+            self.timers.thread,
+            *(sync.thread for sync in self._syncs),
+            self.servers.thread,
+            self._peer_server.thread,
+            self.peer_events.thread,
+            self._load_exchange.thread,
+            self.gossip.thread,
+            self.gossip.reader,
+            self._instances.thread,
+            self._settings_watch.thread,
+        )
 
     def start(self) -> None:
         """Starts the servers, tasks and threads."""
--- a/src/sequoiadrum/gateway/caller_app.py
+++ b/src/sequoiadrum/gateway/caller_app.py
@@ -61,6 +61,7 @@
         pauses: PauseDetector,
         refresh_endpoints: Callable[[float], bool],
         shutdown: Shutdown,
+        can_serve: Callable[[], bool],
     ) -> None:
         """Creates the state of a router that serves.
 
@@ -70,8 +71,10 @@
             refresh_endpoints: Applies all changes of endpoints up to a time in monotonic seconds;
                 returns whether it could.
             shutdown: The shutdown of this process.
+            can_serve: Returns whether the threads that serving needs can be kept running.
         """
         self.shutdown: Final = shutdown
+        self._can_serve = can_serve
         self._configuration = configuration
         self._pauses = pauses
         self._refresh_endpoints = refresh_endpoints
@@ -79,7 +82,8 @@
 
     def is_ready(self) -> bool:
         """Returns whether callers should send requests to this router."""
-        return not self.shutdown.has_begun and self._configuration.routing() is not None
+        has_configuration = self._configuration.routing() is not None
+        return not self.shutdown.has_begun and has_configuration and self._can_serve()
 
     def is_current(self) -> bool:
         """Returns whether configuration and endpoints were read since the last pause, if any.
--- a/src/sequoiadrum/gateway/event_log.py
+++ b/src/sequoiadrum/gateway/event_log.py
@@ -7,13 +7,13 @@
 import sys
 import threading
 import time
-import traceback
 from collections import deque
 from enum import IntEnum
 from typing import TYPE_CHECKING, Any, Final, TextIO
 
 from sequoiadrum.gateway import clock
-from sequoiadrum.logs import LineLimit, configure_on_first_use
+from sequoiadrum.logs import LineLimit, configure_on_first_use, traceback_of
+from sequoiadrum.supervised_thread import SupervisedThread
 
 if TYPE_CHECKING:
     from collections.abc import MutableMapping
@@ -24,8 +24,6 @@
 """Maximum number of lines that wait to be written to a slow output; about 2 MB."""
 ROUTINE_LINES_PER_S: Final = 100
 """Limit on lines per second for served requests; it does not apply to refusals and failures."""
-MAX_TRACEBACK_CHARS: Final = 1_500
-"""Length of the end of a traceback that is logged."""
 _FLUSH_S: Final = 0.5
 """How often lines are written; writing many lines together saves CPU time."""
 
@@ -59,18 +57,19 @@
         self._limits_by_event: dict[str, LineLimit] = {}
         self._wake = threading.Event()
         self._stopped = False
-        self._thread = threading.Thread(target=self._run, name="event-log", daemon=True)
+        self.thread: Final = SupervisedThread("event-log", self._run, metrics, is_needed=False)
 
     def start(self) -> None:
         """Starts the writer thread and routes the lines of structlog through this log."""
         configure_on_first_use(self._configure_structlog)
-        self._thread.start()
+        self.thread.start()
 
     def stop(self) -> None:
         """Writes the waiting lines and ends the writer thread; waits for up to one second."""
         self._stopped = True
+        self.thread.stop()
         self._wake.set()
-        self._thread.join(1.0)
+        self.thread.join(1.0)
 
     def flush_soon(self) -> None:
         """Makes the writer thread write the waiting lines without delay."""
@@ -95,8 +94,8 @@
     def unexpected(self, request_id: str, error: Exception) -> None:
         """Logs and counts an unexpected error that failed a request."""
         self._metrics.count("unexpected_errors_total", type=type(error).__name__)
-        text = "".join(traceback.format_exception(error))[-MAX_TRACEBACK_CHARS:]
-        self.notable("request_failed_unexpectedly", request=request_id, detail=text)
+        detail = traceback_of(error)
+        self.notable("request_failed_unexpectedly", request=request_id, detail=detail)
 
     def _configure_structlog(self) -> None:
         import structlog
--- a/src/sequoiadrum/gateway/fleet.py
+++ b/src/sequoiadrum/gateway/fleet.py
@@ -19,6 +19,7 @@
 from sequoiadrum.hashing import first_ranked
 from sequoiadrum.messages import MembersChanged, MemberState, RevisionReceived, RumorReceived
 from sequoiadrum.platform_client import InstanceList, ListedInstance, PlatformFailure
+from sequoiadrum.supervised_thread import SupervisedThread
 from sequoiadrum.tasks import Task
 from sequoiadrum.thrift_server import ThriftServer
 
@@ -74,11 +75,11 @@
         self._log = log
         self._stopped = threading.Event()
         self._is_due = threading.Event()
-        self._thread = threading.Thread(target=self._run, name="register", daemon=True)
+        self.thread: Final = SupervisedThread("register", self._run, metrics)
 
     def start(self) -> None:
         """Registers this router in the background, until `withdraw` is called."""
-        self._thread.start()
+        self.thread.start()
 
     def register_again(self) -> None:
         """Registers this router again, since a restored store may lack its registration.
@@ -129,6 +130,7 @@
                 self._register()
         result = self._store.delete(ROUTER_KIND, self._settings.instance_id)
         self._log.notable("registration_withdrawn", outcome=_outcome(result))
+        self.thread.stop()
 
     def _register(self) -> None:
         document = {"host": self._settings.host, "peer_port": self._settings.peer_port}
--- a/src/sequoiadrum/gateway/front.py
+++ b/src/sequoiadrum/gateway/front.py
@@ -14,6 +14,7 @@
 
 from sequoiadrum._front_server import BoundedChannel, BoundedServer
 from sequoiadrum.gateway import clock
+from sequoiadrum.supervised_thread import SupervisedThread
 
 if TYPE_CHECKING:
     import socket
@@ -228,7 +229,7 @@
         )
         self._callers = PoolDispatcher(CALLER_THREADS, "caller")
         self._control = PoolDispatcher(CONTROL_THREADS, "control")
-        self._thread = threading.Thread(target=self._run, name="front", daemon=True)
+        self.thread: Final = SupervisedThread("front", self._run, metrics)
         self._servers: list[GatewayServer] = []
         self._caller_servers: list[GatewayServer] = []
         self._is_draining = False
@@ -245,7 +246,7 @@
 
     def start(self) -> None:
         """Starts the event loop."""
-        self._thread.start()
+        self.thread.start()
 
     def active(self) -> int:
         """Returns the number of requests of callers that are running or waiting."""
@@ -271,9 +272,10 @@
     def stop(self) -> None:
         """Stops the event loop and closes all sockets."""
         self._stopped = True
+        self.thread.stop()
         for server in self._servers:
             server.trigger.pull_trigger()
-        self._thread.join(EVENT_LOOP_WAIT_S)
+        self.thread.join(EVENT_LOOP_WAIT_S)
         wasyncore.close_all(self._loop_map, ignore_all=True)
         self._callers.shutdown()
         self._control.shutdown()
--- a/src/sequoiadrum/gateway/mirror.py
+++ b/src/sequoiadrum/gateway/mirror.py
@@ -82,6 +82,11 @@
         with self._changed:
             return self._state_of(kind).seen_at
 
+    def changes(self, kind: str) -> list[StoreEvent]:
+        """Returns the last known change of each object, including removals."""
+        with self._changed:
+            return [c.event for c in self._state_of(kind).changes_by_name.values()]
+
     def apply_events(
         self,
         kind: str,
--- a/src/sequoiadrum/gateway/settings_watch.py
+++ b/src/sequoiadrum/gateway/settings_watch.py
@@ -8,6 +8,8 @@
 import attrs
 from returns.result import Failure
 
+from sequoiadrum.supervised_thread import SupervisedThread
+
 if TYPE_CHECKING:
     from collections.abc import Callable
 
@@ -40,15 +42,16 @@
         self._last_problem = ""
         self._wake = threading.Event()
         self._stopped = False
-        self._thread = threading.Thread(target=self._run, name="settings", daemon=True)
+        self.thread: Final = SupervisedThread("settings", self._run, metrics, is_needed=False)
 
     def start(self) -> None:
         """Starts the polling thread."""
-        self._thread.start()
+        self.thread.start()
 
     def stop(self) -> None:
         """Requests the polling thread to end; does not wait for it."""
         self._stopped = True
+        self.thread.stop()
         self._wake.set()
 
     def request(self) -> None:
--- a/src/sequoiadrum/gateway/store_sync.py
+++ b/src/sequoiadrum/gateway/store_sync.py
@@ -12,6 +12,8 @@
 from sequoiadrum.gateway import clock
 from sequoiadrum.gateway.endpoints import REREGISTRATION_PERIOD_S
 from sequoiadrum.gateway.model import StoreFailure
+from sequoiadrum.logs import traceback_of
+from sequoiadrum.supervised_thread import SupervisedThread
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable
@@ -199,16 +201,17 @@
         self._refresh_lock = threading.Lock()
         self._listed_at = float("-inf")
         self._stopped = threading.Event()
-        self._thread = threading.Thread(target=self._run, name=f"sync-{kind}", daemon=True)
+        self.thread: Final = SupervisedThread(f"sync-{kind}", self._run, metrics)
 
     def start(self) -> None:
         """Starts the thread."""
         self._started_at = clock.now()
-        self._thread.start()
+        self.thread.start()
 
     def stop(self) -> None:
         """Requests the thread to end; returns without waiting for a call in progress."""
         self._stopped.set()
+        self.thread.stop()
 
     def has_listed(self) -> bool:
         """Returns whether the objects have been received once, from the store or a peer."""
@@ -245,7 +248,7 @@
 
         Args:
             updates: The changes; may be empty.
-            source: `list`, `watch` or `peer`; reported in log lines and metrics.
+            source: `list`, `watch`, `peer` or `restart`; reported in log lines and metrics.
         """
 
     def batch_delay_s(self, age_s: float) -> float:
@@ -264,6 +267,8 @@
         """
 
     def _run(self) -> None:
+        # What was known when an earlier run failed may not have been applied.
+        self.apply(self._mirror.changes(self._kind), "restart")
         retry_delay_s = INITIAL_RETRY_DELAY_S
         while not self._stopped.is_set():
             if not self._feed.is_watcher() and self._sync_from_peers():
@@ -474,14 +479,11 @@
         """See `KindSync.apply`."""
         is_initial = not self._pool.has_endpoints()
         for event in updates:
-            name = event.item.name
-            if event.is_deleted:
-                if self._pool.remove(name, event.item.position, self._availability.outage_ended):
-                    self._record_change(name, None, event.item.revision, source)
-                continue
-            entry = self._decode(event.item)
-            if entry is not None and self._pool.apply(entry, is_newly_joined=not is_initial):
-                self._record_change(name, entry, entry.revision, source)
+            try:
+                self._apply_change(event, is_initial, source)
+            except Exception as error:  # One entry must not keep the others from being applied.
+                self._metrics.count("entry_failures_total", kind=self._kind)
+                self._log.repeated("entry_failed", name=event.item.name, detail=traceback_of(error))
         for entry in self._pool.expire():
             self._record_change(entry.instance_id, entry, entry.revision, "held_back")
         self._connections.expire(clock.now())
@@ -490,6 +492,16 @@
         """See `KindSync.batch_delay_s`."""
         return STARTUP_BATCH_DELAY_S if age_s < STARTUP_S else BATCH_DELAY_S
 
+    def _apply_change(self, event: StoreEvent, is_initial: bool, source: str) -> None:
+        name = event.item.name
+        if event.is_deleted:
+            if self._pool.remove(name, event.item.position, self._availability.outage_ended):
+                self._record_change(name, None, event.item.revision, source)
+            return
+        entry = self._decode(event.item)
+        if entry is not None and self._pool.apply(entry, is_newly_joined=not is_initial):
+            self._record_change(name, entry, entry.revision, source)
+
     def _decode(self, item: StoredItem) -> EndpointEntry | None:
         decoded = self._documents.decode_endpoint(item)
         if not isinstance(decoded, Failure):
--- a/src/sequoiadrum/gossip_task.py
+++ b/src/sequoiadrum/gossip_task.py
@@ -5,7 +5,6 @@
 import random
 import secrets
 import socket
-import threading
 import time
 from concurrent.futures import ThreadPoolExecutor
 from types import MappingProxyType
@@ -27,6 +26,7 @@
     RumorReceived,
     SideDatagram,
 )
+from sequoiadrum.supervised_thread import SupervisedThread
 from sequoiadrum.tasks import Ask, Task
 
 if TYPE_CHECKING:
@@ -222,9 +222,7 @@
         self._may_have_missed_rumors = False
         self._raises_process_id = raises_process_id
         self._has_raised_process_id = False
-        self._reader = threading.Thread(
-            target=self._read_datagrams, name="gossip-read", daemon=True
-        )
+        self.reader: Final = SupervisedThread("gossip-read", self._read_datagrams, metrics)
         metrics.gauge("routers_alive", lambda: float(self._count_alive()))
 
     def handlers(self) -> dict[type, Callable[[Any], None]]:
@@ -253,7 +251,7 @@
     def run_on(self, timers: TimerService) -> None:
         """Starts the task, the thread that receives datagrams, and the periodic ticks."""
         self.start()
-        self._reader.start()
+        self.reader.start()
         timers.subscribe(self, TICK_S, _Tick())
 
     def stop(self, timeout_s: float = 5.0) -> None:
@@ -267,6 +265,7 @@
         self.ask(_Depart()).result(timeout_s)
         super().stop(timeout_s)
         self._stopped = True
+        self.reader.stop()
         self._socket.close()
         self._executor.shutdown(wait=False, cancel_futures=True)
 
--- a/src/sequoiadrum/grant_outbox.py
+++ b/src/sequoiadrum/grant_outbox.py
@@ -14,6 +14,7 @@
 from sequoiadrum._gen.peer import ttypes
 from sequoiadrum._grant_wire import encode_hex
 from sequoiadrum.interfaces import GrantOutcome
+from sequoiadrum.supervised_thread import SupervisedThread
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Mapping
@@ -92,19 +93,20 @@
         self._busy_owners: set[str] = set()
         self._stopped = False
         self._executor = ThreadPoolExecutor(_SENDER_THREADS, thread_name_prefix="grant-sender")
-        self._thread = threading.Thread(target=self._run, name="grant-outbox", daemon=True)
+        self.thread: Final = SupervisedThread("grant-outbox", self._run, metrics)
 
     def start(self) -> None:
         """Starts the thread that sends due batches."""
-        self._thread.start()
+        self.thread.start()
 
     def stop(self) -> None:
         """Stops the threads and sends the pending releases."""
+        self.thread.stop()
         with self._condition:
             self._stopped = True
             self._condition.notify()
-        if self._thread.is_alive():
-            self._thread.join(2 * _CALL_TIMEOUT_S)
+        if self.thread.is_alive():
+            self.thread.join(2 * _CALL_TIMEOUT_S)
         for owner in list(self._pending_releases):
             self.flush_releases(owner)
         self._executor.shutdown(wait=False, cancel_futures=True)
--- a/src/sequoiadrum/http_front.py
+++ b/src/sequoiadrum/http_front.py
@@ -17,6 +17,7 @@
 from sequoiadrum.chat_front import ChatFront
 from sequoiadrum.errors import Refusal, RefusalReason
 from sequoiadrum.service_front import ServiceFront
+from sequoiadrum.supervised_thread import SupervisedThread
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable, Iterator
@@ -52,6 +53,8 @@
     keyed: KeyedCalls
     directory: Directory
     metrics: Metrics
+    can_serve: Callable[[], bool]
+    """Returns whether the threads that serving needs can be kept running."""
 
 
 class HttpFront:
@@ -74,11 +77,11 @@
         self.port: Final[int] = int(self.server.effective_port)
         self._metrics.gauge("requests_queued", lambda: float(self.server.queued()))
         self._metrics.gauge("connections", lambda: float(len(self.server.active_channels)))
-        self._thread = threading.Thread(target=self._serve, name="http-front", daemon=True)
+        self.thread: Final = SupervisedThread("http-front", self._serve, parts.metrics)
 
     def start(self) -> None:
         """Starts the thread that serves requests."""
-        self._thread.start()
+        self.thread.start()
 
     def refuse_new_requests(self) -> None:
         """Refuses new requests from now on; requests in flight continue."""
@@ -98,6 +101,7 @@
     def stop(self) -> None:
         """Closes the listening socket and the connections."""
         self._stopping = True
+        self.thread.stop()
         self.server.close()
 
     def application(
@@ -145,7 +149,7 @@
         if path == "/v1/address":
             return {"GET"}, self._resolve_address
         if path == "/readyz":
-            return {"GET"}, lambda _, start: respond_json(start, 200, {"ready": True})
+            return {"GET"}, self._report_readiness
         if path == "/v1/chat/completions":
             return {"POST"}, self._chats.complete
         if path.startswith("/v1/streams/"):
@@ -195,6 +199,12 @@
             return 0.0
         return min(_MAX_LINGER_S, streams * _LINGER_S_PER_STREAM)
 
+    def _report_readiness(self, _: HttpRequest, start_response: StartResponse) -> Iterable[bytes]:
+        if self._parts.can_serve():
+            return respond_json(start_response, 200, {"ready": True})
+        refusal = Refusal(RefusalReason.NOT_READY, "a thread cannot be kept running", 1_000)
+        return refuse(self._metrics, start_response, refusal)
+
     def _resolve_address(
         self, request: HttpRequest, start_response: StartResponse
     ) -> Iterable[bytes]:
--- a/src/sequoiadrum/logs.py
+++ b/src/sequoiadrum/logs.py
@@ -9,6 +9,7 @@
 import functools
 import threading
 import time
+import traceback
 from typing import TYPE_CHECKING, Any, Final
 
 if TYPE_CHECKING:
@@ -50,11 +51,17 @@
     return LazyLogger(name)
 
 
+MAX_TRACEBACK_CHARS: Final = 1_500
 REPEATED_LINES: Final = 20
 """Lines about one kind of fault in `REPEATED_LINES_PERIOD_S`; the others are only counted."""
 REPEATED_LINES_PERIOD_S: Final = 60.0
 
 
+def traceback_of(error: BaseException) -> str:
+    """Returns the end of the traceback of an error, limited to `MAX_TRACEBACK_CHARS`."""
+    return "".join(traceback.format_exception(error))[-MAX_TRACEBACK_CHARS:]
+
+
 class LineLimit:
     """Limits the number of log lines about a fault that another process can cause at any rate."""
 
--- a/src/sequoiadrum/operator_server.py
+++ b/src/sequoiadrum/operator_server.py
@@ -291,4 +291,6 @@
         OSError: The address is in use or not local.
     """
     processor = Operator.Processor(OperatorHandler(parts))
-    return ThriftServer("operator", address, processor, BINARY, parts.metrics, max_connections)
+    return ThriftServer(
+        "operator", address, processor, BINARY, parts.metrics, max_connections, is_needed=False
+    )
--- a/src/sequoiadrum/plan_task.py
+++ b/src/sequoiadrum/plan_task.py
@@ -114,6 +114,8 @@
 class PlanTask(Task, PlanListener):
     """Drives the plans in whose rendezvous ranking this router is first, or a standby."""
 
+    is_needed = False
+
     def __init__(
         self,
         parts: DriverParts,
--- a/src/sequoiadrum/stream_cancel.py
+++ b/src/sequoiadrum/stream_cancel.py
@@ -62,6 +62,8 @@
 class StreamCanceller(Task):
     """Cancels abandoned streams after the grace period unless another reader has attached."""
 
+    is_needed = False
+
     def __init__(
         self,
         engines: EngineClient,
--- a/src/sequoiadrum/tasks.py
+++ b/src/sequoiadrum/tasks.py
@@ -3,15 +3,15 @@
 from __future__ import annotations
 
 import queue
-import threading
 from abc import ABC, abstractmethod
 from concurrent.futures import Future
-from typing import TYPE_CHECKING, Any, Final, Generic, TypeVar
+from typing import TYPE_CHECKING, Any, ClassVar, Final, Generic, TypeVar
 
 from attrs import define, field
 
 from sequoiadrum.errors import InvariantError
 from sequoiadrum.logs import get_logger
+from sequoiadrum.supervised_thread import SupervisedThread
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -55,12 +55,15 @@
     state of a task, so it needs no locks.
     """
 
+    is_needed: ClassVar[bool] = True
+    """Whether the process must not serve while the thread cannot be kept running."""
+
     def __init__(self, name: str, metrics: Metrics, on_invariant: Callable[[], None]) -> None:
         self.name: Final = name
         self.metrics: Final = metrics
         self._on_invariant = on_invariant
         self._mailbox: queue.Queue[object] = queue.Queue(MAILBOX_LIMIT)
-        self._thread = threading.Thread(target=self._run, name=name, daemon=True)
+        self.thread: Final = SupervisedThread(name, self._run, metrics, is_needed=self.is_needed)
         self._handlers = self.handlers()
 
     @abstractmethod
@@ -69,7 +72,7 @@
 
     def start(self) -> None:
         """Starts the task's thread."""
-        self._thread.start()
+        self.thread.start()
 
     def stop(self, timeout_s: float = 5.0) -> None:
         """Stops the thread after the queued messages are handled.
@@ -81,7 +84,7 @@
             queue.Full: The mailbox stayed full for `timeout_s` seconds.
         """
         self._mailbox.put(_Stop(), timeout=timeout_s)
-        self._thread.join(timeout_s)
+        self.thread.join(timeout_s)
 
     def post(self, message: object) -> bool:
         """Queues a message without blocking.
@@ -109,6 +112,7 @@
         while True:
             message = self._mailbox.get()
             if isinstance(message, _Stop):
+                self.thread.stop()
                 return
             self._handle(message)
 
--- a/src/sequoiadrum/thrift_server.py
+++ b/src/sequoiadrum/thrift_server.py
@@ -4,6 +4,7 @@
 
 import socket
 import threading
+import time
 from concurrent.futures import ThreadPoolExecutor
 from typing import TYPE_CHECKING, Any, Final
 
@@ -11,6 +12,7 @@
 
 from sequoiadrum._thrift_transport import MAX_FRAME_BYTES, CountingSocket
 from sequoiadrum.logs import get_logger
+from sequoiadrum.supervised_thread import SupervisedThread
 
 if TYPE_CHECKING:
     from sequoiadrum.messages import Address
@@ -18,6 +20,7 @@
 
 _IDLE_TIMEOUT_MS: Final = 60_000
 _BACKLOG: Final = 512
+_ACCEPT_RETRY_S: Final = 0.02
 _MALFORMED_TYPES: Final = (TTransportException.NEGATIVE_SIZE, TTransportException.SIZE_LIMIT)
 
 _log = get_logger(__name__)
@@ -35,6 +38,8 @@
         metrics: Metrics,
         max_connections: int,
         listener: socket.socket | None = None,
+        *,
+        is_needed: bool = True,
     ) -> None:
         """Binds the address, unless a listening socket is passed.
 
@@ -54,15 +59,18 @@
         self._lock = threading.Lock()
         self._open_connections: set[socket.socket] = set()
         self._stopped = False
-        self._thread = threading.Thread(target=self._accept_connections, name=channel, daemon=True)
+        self.thread: Final = SupervisedThread(
+            channel, self._accept_connections, metrics, is_needed=is_needed
+        )
 
     def start(self) -> None:
         """Starts to accept connections."""
-        self._thread.start()
+        self.thread.start()
 
     def stop(self) -> None:
         """Closes the listening socket and all connections."""
         self._stopped = True
+        self.thread.stop()
         # `close` alone does not end a blocked `accept`, which would accept one more connection.
         _shut_down(self._listener)
         self._listener.close()
@@ -79,6 +87,8 @@
             except OSError:
                 if self._stopped:
                     return
+                # Without a pause, a process that is out of descriptors would spin here.
+                time.sleep(_ACCEPT_RETRY_S)
                 continue
             with self._lock:
                 full = len(self._open_connections) >= self._max_connections
--- a/src/sequoiadrum/timers.py
+++ b/src/sequoiadrum/timers.py
@@ -7,11 +7,14 @@
 import random
 import threading
 import time
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Final
 
 from attrs import define
 
+from sequoiadrum.supervised_thread import SupervisedThread
+
 if TYPE_CHECKING:
+    from sequoiadrum.metrics import Metrics
     from sequoiadrum.tasks import Task
 
 
@@ -36,23 +39,24 @@
 class TimerService:
     """A thread that posts the messages of timers as they expire on the monotonic clock."""
 
-    def __init__(self) -> None:
+    def __init__(self, metrics: Metrics) -> None:
         self._condition = threading.Condition()
         self._heap: list[tuple[float, int, Subscription]] = []
         self._order = itertools.count()
         self._stopped = False
-        self._thread = threading.Thread(target=self._run, name="timers", daemon=True)
+        self.thread: Final = SupervisedThread("timers", self._run, metrics)
 
     def start(self) -> None:
         """Starts the timer thread."""
-        self._thread.start()
+        self.thread.start()
 
     def stop(self) -> None:
         """Stops the timer thread and discards pending timers."""
+        self.thread.stop()
         with self._condition:
             self._stopped = True
             self._condition.notify()
-        self._thread.join()
+        self.thread.join()
 
     def subscribe(self, task: Task, interval_s: float, message: object) -> Subscription:
         """Posts a message at a fixed interval, first after a random part of the interval.
--- a/tests/relay_fakes.py
+++ b/tests/relay_fakes.py
@@ -139,7 +139,7 @@
         self.admission = FakeAdmission(self.addresses)
         self.client = HttpEngineClient(2.0, 30.0)
         self.callback(self.client.close)
-        self.timers = TimerService()
+        self.timers = TimerService(Metrics())
         self.timers.start()
         self.callback(self.timers.stop)
         self.canceller = StreamCanceller(
--- a/tests/test_admission_task.py
+++ b/tests/test_admission_task.py
@@ -56,7 +56,7 @@
         self.engines = FakeEngines()
         self.platforms = {router_id: FakePlatform() for router_id in ids}
         self.config = FakeConfig(self.endpoints())
-        self.timers = TimerService()
+        self.timers = TimerService(Metrics())
         self.metrics = Metrics()
         self.views = {router_id: FakeMembership(router_id, members) for router_id in ids}
         self.tasks: dict[str, AdmissionTask] = {}
@@ -173,7 +173,7 @@
     def test_owner_that_lost_a_grant_gets_it_whole(self) -> None:
         """Guards against an owner that does not count a grant because reports carry only its id."""
         grant = self.granted(self.third)
-        owner, outbox = self.tasks[self.first], self.tasks[self.third]._outbox
+        owner, outbox = self.tasks[self.first], self.tasks[self.third].outbox
         outbox.queue_report(self.first, _POOL, True)
         self.eventually(lambda: "confirm_grants" in self.peers.calls)
         self.assertNotIn("report_grants", self.peers.calls)
--- a/tests/test_architecture.py
+++ b/tests/test_architecture.py
@@ -61,6 +61,19 @@
                 }
                 self.assertFalse(calls & _PROCESS_CALLS)
 
+    def test_long_lived_threads_have_an_owner(self) -> None:
+        """Guards against a thread that can end without anyone knowing."""
+        for path in _PACKAGE.rglob("*.py"):
+            if path.name in ("supervised_thread.py", "_standin_server.py"):
+                continue
+            with self.subTest(path.name):
+                names = {
+                    node.attr if isinstance(node, ast.Attribute) else node.id
+                    for node in ast.walk(ast.parse(path.read_text()))
+                    if isinstance(node, ast.Attribute | ast.Name)
+                }
+                self.assertFalse(names & {"Thread", "Timer", "start_new_thread"})
+
     def test_imports_form_no_cycle(self) -> None:
         """Guards against import cycles, whose modules can only be understood together."""
         names = {
--- a/tests/test_gossip_task.py
+++ b/tests/test_gossip_task.py
@@ -23,7 +23,7 @@
         It also guards against different port numbers for UDP and TCP.
         """
         metrics = Metrics()
-        timers = TimerService()
+        timers = TimerService(Metrics())
         timers.start()
         self.addCleanup(timers.stop)
         task = GossipTask(
--- a/tests/test_http_front.py
+++ b/tests/test_http_front.py
@@ -27,6 +27,7 @@
 
     options: dict[str, Any] = {}
     settings: dict[str, Any] = {"max_streams": 8, "max_body_bytes": 20_000}
+    can_serve = True
 
     def setUp(self) -> None:
         self.rig = self.enterContext(RelayRig(**self.options))
@@ -39,6 +40,7 @@
             keyed=unused,
             directory=unused,
             metrics=self.rig.metrics,
+            can_serve=lambda: self.can_serve,
         )
         self.front = HttpFront(a_settings(**self.settings), parts)
         self.front.start()
@@ -115,6 +117,13 @@
                 after = self.rig.metrics.value("refusals_total", reason=reason)
                 self.assertEqual(after, before + 1)
 
+    def test_readiness_shows_whether_threads_run(self) -> None:
+        """Guards against a router that stays in service without a thread that requests need."""
+        self.assertEqual(self.call("GET", "/readyz")[0], 200)
+        self.can_serve = False
+        status, raw, _ = self.call("GET", "/readyz")
+        self.assertEqual((status, json.loads(raw)["error"]["type"]), (503, "not_ready"))
+
     def test_unparsable_requests_are_typed(self) -> None:
         """Guards against plain-text error responses of waitress."""
         for data in (
--- a/tests/test_ledger_task.py
+++ b/tests/test_ledger_task.py
@@ -163,7 +163,7 @@
     def setUp(self) -> None:
         self.platform = _Platform()
         self.services = _Services()
-        self.timers = TimerService()
+        self.timers = TimerService(Metrics())
         self.timers.start()
         self.addCleanup(self.timers.stop)
         self.view: dict[str, Member] = {}
--- a/tests/test_limits_task.py
+++ b/tests/test_limits_task.py
@@ -41,7 +41,7 @@
         self.members: dict[str, Any] = {}
         self.tasks: dict[str, LimitsTask] = {}
         self.servers: dict[str, Any] = {}
-        timers = TimerService()
+        timers = TimerService(Metrics())
         timers.start()
         self.addCleanup(timers.stop)
         for router_id in ("r1", "r2", "r3"):
--- a/tests/test_restored_platform.py
+++ b/tests/test_restored_platform.py
@@ -111,7 +111,7 @@
         self.task = ConfigTask(self.platform, _lone_link(), mock.Mock(), Metrics(), lambda: None)
         self.lost = threading.Event()
         self.task.subscribe_lost_changes(self.lost.set)
-        timers = TimerService()
+        timers = TimerService(Metrics())
         self.addCleanup(timers.stop)
         self.addCleanup(self.task.stop)
         timers.start()
--- a/tests/test_tasks.py
+++ b/tests/test_tasks.py
@@ -85,7 +85,7 @@
 
     def test_repeats_until_cancelled(self) -> None:
         """Guards against a cancelled timer that still posts messages."""
-        timers = TimerService()
+        timers = TimerService(Metrics())
         timers.start()
         self.addCleanup(timers.stop)
         ticks = threading.Semaphore(0)
--- a/tools/bench_limits.py
+++ b/tools/bench_limits.py
@@ -194,7 +194,7 @@
         self.members: dict[str, Member] = {}
         self.tasks: list[LimitsTask] = []
         self.metrics: list[Metrics] = []
-        self._timers = TimerService()
+        self._timers = TimerService(Metrics())
         self._timers.start()
         self._servers = []
         for number in range(routers):
