Schedule a timer again before its message is posted

Cause: A timer was due again only after its message had been posted. An exception there lost the timer for good, also when the thread of the timers goes on.

Change: The next expiration is scheduled first.

Measured: `test_failed_post_does_not_end_the_timer` fails with the former order (1 message where 3 are needed) and passes now.

Conclusion: One failure costs one message, as a full mailbox does.

--- a/src/sequoiadrum/timers.py
+++ b/src/sequoiadrum/timers.py
@@ -93,10 +93,11 @@
     def _expire(self, due: float, subscription: Subscription) -> None:
         if not subscription.active:
             return
-        subscription.task.post(subscription.message)
         if subscription.interval_s is not None:
-            # Expirations that were missed while the process was paused are skipped.
+            # Expirations that were missed while the process was paused are skipped. The next one
+            # is scheduled first, so that a failure to post does not end the timer.
             self._push(
                 max(due, time.monotonic() - subscription.interval_s) + subscription.interval_s,
                 subscription,
             )
+        subscription.task.post(subscription.message)
--- a/tests/test_tasks.py
+++ b/tests/test_tasks.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import threading
+import time
 import unittest
 from typing import TYPE_CHECKING, Any
 from unittest import mock
@@ -83,6 +84,25 @@
 class TimerServiceTest(unittest.TestCase):
     """Timers deliver messages until they are cancelled."""
 
+    def test_failed_post_does_not_end_the_timer(self) -> None:
+        """Guards against a timer that is never due again after its message could not be posted."""
+        metrics = Metrics()
+        timers = TimerService(metrics)
+        timers.start()
+        self.addCleanup(timers.stop)
+        posted = threading.Event()
+        receiver = mock.Mock()
+        receiver.post.side_effect = lambda _: receiver.post.call_count == 1 or posted.set()
+        failing = mock.Mock(post=mock.Mock(side_effect=[LookupError("injected"), *[True] * 10_000]))
+        timers.subscribe(failing, 0.01, "tick")
+        timers.subscribe(receiver, 0.01, "tick")
+        self.assertTrue(posted.wait(10))
+        deadline = time.monotonic() + 10
+        while failing.post.call_count < 3 and time.monotonic() < deadline:
+            time.sleep(0.01)
+        self.assertGreaterEqual(failing.post.call_count, 3)
+        self.assertEqual(metrics.value("thread_failures_total", thread="timers"), 1)
+
     def test_repeats_until_cancelled(self) -> None:
         """Guards against a cancelled timer that still posts messages."""
         timers = TimerService(Metrics())
