Keep the thrift server when no thread can be started

Cause: `submit` raises a `RuntimeError` not only after the shutdown of the executor but also when the system starts no further thread. The thread that accepts connections took it for the shutdown and ended; the connection stayed among the open ones.

Change: Such a connection is closed, forgotten and counted as refused; the thread ends only with the server.

Measured: `test_connection_without_a_thread_costs_only_itself` fails with the former code (the connection is not refused) and passes now.

Conclusion: The limit of threads costs a connection, not the server.

--- a/src/sequoiadrum/thrift_server.py
+++ b/src/sequoiadrum/thrift_server.py
@@ -101,9 +101,11 @@
             try:
                 self._executor.submit(self._serve_connection, connection)
             except RuntimeError:
-                # The executor was shut down after the connection was accepted.
+                # The executor was shut down, or no thread can be started.
+                with self._lock:
+                    self._open_connections.discard(connection)
                 connection.close()
-                return
+                self._metrics.count("connections_refused_total", channel=self._channel)
 
     def _serve_connection(self, connection: socket.socket) -> None:
         connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
--- a/tests/test_supervised_thread.py
+++ b/tests/test_supervised_thread.py
@@ -298,6 +298,20 @@
         eventually(lambda: not pool.can_route_to("e1"), "the removal is applied")
         eventually(lambda: pool.can_route_to("e3"), "the registration is applied")
 
+    def test_connection_without_a_thread_costs_only_itself(self) -> None:
+        """Guards against a server for peers that ends when no thread can be started."""
+        server, metrics = self.world.gateway._peer_server, self.world.gateway.metrics
+        error = RuntimeError("can't start new thread")
+        with mock.patch.object(server._executor, "submit", side_effect=error):
+            _connect(server.port)
+            refused = "connections_refused_total"
+            eventually(lambda: metrics.value(refused, channel="peer") == 1, "it is refused")
+        self.assertFalse(server._open_connections)
+        _connect(server.port)
+        eventually(lambda: not server._open_connections, "the next one was served")
+        self.assertTrue(server.thread.is_alive())
+        self.assertEqual(metrics.value("thread_failures_total", thread="peer"), 0)
+
     def test_one_failing_entry_costs_no_other_one(self) -> None:
         """Guards against changes of one batch that are lost beside one that fails."""
         sync, pool = self.world.gateway._syncs[1], self.world.gateway.pool
