Go on with an owner after its batch could not be handed over

Cause: An owner counted as busy before its batch was handed to a thread. If no thread could be started, it stayed busy: neither releases nor reports reached it any more.

Change: The owner is free again, the loss is counted, and a report of its pools makes up for it.

Conclusion: The limit of threads costs one batch, which the next report replaces.

--- a/src/sequoiadrum/grant_outbox.py
+++ b/src/sequoiadrum/grant_outbox.py
@@ -228,7 +228,22 @@
                     self._busy_owners.add(owner)
                     pending = self._pending_releases.pop(owner, {})
                     pools = self._queued_reports.pop(owner, {})
-                    self._executor.submit(self._send, owner, pending, pools)
+                    self._start_sending(owner, pending, pools)
+
+    def _start_sending(
+        self,
+        owner: str,
+        pending: dict[str, list[tuple[str, GrantOutcome]]],
+        pools: dict[str, bool],
+    ) -> None:
+        try:
+            self._executor.submit(self._send, owner, pending, pools)
+        except RuntimeError:
+            # No thread can be started. A report makes up for the lost messages.
+            self._busy_owners.discard(owner)
+            self._metrics.count("grant_messages_lost_total")
+            for pool in pending.keys() | pools.keys():
+                self._requested_reports.setdefault(owner, set()).add(pool)
 
     def _send(
         self,
--- a/tests/test_admission_task.py
+++ b/tests/test_admission_task.py
@@ -17,6 +17,7 @@
 from sequoiadrum.admission_task import AdmissionParts, AdmissionTask
 from sequoiadrum.configuration import ObjectKind
 from sequoiadrum.errors import RefusalReason
+from sequoiadrum.grant_outbox import GrantOutbox
 from sequoiadrum.hashing import rank
 from sequoiadrum.interfaces import AdmissionRequest, Grant, GrantOutcome
 from sequoiadrum.messages import Address, LoadReport, MemberState
@@ -24,6 +25,7 @@
 from sequoiadrum.peer_client import PeerFailure, ThriftPeerClient
 from sequoiadrum.peer_server import PeerHandler, create_peer_server
 from sequoiadrum.platform_client import ListedInstance
+from sequoiadrum.pool_owner import GrantHolder
 from sequoiadrum.timers import TimerService
 from tests.builders import a_config, a_settings, an_endpoint_value
 from tests.fakes import FakeConfig, FakeEngines, FakeMembership, FakePeers, FakePlatform, a_member
@@ -287,6 +289,32 @@
         self.assertLess(admission_task.LIST_INTERVAL_S + admission_task.POLL_INTERVAL_S, 2.0)
 
 
+class GrantOutboxTest(unittest.TestCase):
+    """Messages to the owners of pools."""
+
+    def test_messages_without_a_thread_are_made_up_for(self) -> None:
+        """Guards against an owner that gets no message any more after a thread could not start."""
+        metrics, peers = Metrics(), FakePeers()
+        outbox = GrantOutbox(
+            GrantHolder("r1", 1), peers, lambda _: Address("127.0.0.1", 9), metrics
+        )
+        outbox.start()
+        self.addCleanup(outbox.stop)
+        deadline = time.monotonic() + _TIMEOUT_S
+        with patch.object(outbox._executor, "submit", side_effect=RuntimeError("no thread")):
+            outbox.queue_report("r2", "pool", ids_only=False)
+            requested: dict[str, set[str]] = {}
+            while not requested and time.monotonic() < deadline:
+                requested = outbox.take_requested_reports()
+        self.assertEqual(requested, {"r2": {"pool"}})
+        self.assertEqual(metrics.value("thread_failures_total", thread="grant-outbox"), 0)
+        with patch.object(outbox, "_send_report") as send:
+            outbox.queue_report("r2", "pool", ids_only=False)
+            while not send.called and time.monotonic() < deadline:
+                time.sleep(0.01)
+        send.assert_called_once()
+
+
 def _fail_success(result: Any) -> Any:
     """Replaces a success by a failure, as if the reply of an executed call were lost."""
     return Failure(PeerFailure.BROKEN) if isinstance(result, Success) else result
