Count only endpoints that refuse connections as crashed by a request

Cause: each exchange that broke without an interrupt counted as a crash of its endpoint by that request. What callers saw: a sound request whose answers were cut by a faulty link, or garbled, at three endpoints was refused (503 crashes_endpoints) for ten minutes, with all requests of the same path, body and account. The probe that tells a crash from a lost answer, used for prompt parts only, took one accepted connection for a living endpoint, though an ending process closes its sockets one by one.

Change: whole requests count by the same probe as prompt parts. The probe holds its connection for 50 ms; one that is accepted and ended, or reset while it opens, proves nothing, and another follows, up to five. The check at the end of an unframed body keeps its single connection without a wait. The log line engine_crashed is endpoint_crashed now, as it tells of plain endpoints too.

test_request_that_crashes_endpoints_is_stopped used endpoints that reset connections and go on listening, which the rule does not mean. Its endpoints end now, and it is stricter: exactly three requests reach endpoints (fewer than twelve before), all further ones are refused, and a healthy request is served.

Conclusion: a broken exchange is not a crash.

--- a/src/sequoiadrum/gateway/crash_reports.py
+++ b/src/sequoiadrum/gateway/crash_reports.py
@@ -29,8 +29,8 @@
 PART_COMPLETION_KIND: Final = "part-completion"
 """Kind of the rumor that an engine has completed the response to a request with a part."""
 CRASH_REFUSAL_THRESHOLD: Final = 3
-"""A request whose exchange failed at this many endpoints is refused by all routers. One less would
-refuse resumed streams that were affected by one crash and one lost response."""
+"""A request that ran at this many endpoints when they crashed is refused by all routers. One less
+would refuse resumed streams that met two crashes of other requests."""
 MAX_PARTS_PER_REPORT: Final = 64
 """Parts of one request that are reported, those nearest to its end."""
 
@@ -73,7 +73,7 @@
         return part_by_key[key] if key is not None else None
 
     def record_crash(self, endpoint_id: str, fingerprint: str) -> None:
-        """Counts an endpoint that failed while it ran a request; broadcasts the change."""
+        """Counts an endpoint that crashed while it ran a request; broadcasts the change."""
         now = self._wall_clock()
         with self._lock:
             changed = self._guard.crashed(crash_event(endpoint_id, now), [fingerprint], now)
--- a/src/sequoiadrum/gateway/exchange.py
+++ b/src/sequoiadrum/gateway/exchange.py
@@ -5,6 +5,7 @@
 import http.client
 import io
 import threading
+import time
 from enum import Enum
 from http import HTTPStatus
 from typing import TYPE_CHECKING, Final
@@ -16,6 +17,7 @@
 from sequoiadrum.gateway._sockets import GuardedStream, OversizedError, connect_stream
 
 if TYPE_CHECKING:
+    import socket
     from collections.abc import Callable
 
     from sequoiadrum.gateway.model import RequestHead, ResponseHead
@@ -26,6 +28,10 @@
 """A round trip takes 2 ms. TCP resends a lost SYN only after 1 s; another endpoint is faster."""
 PROBE_TIMEOUT_S: Final = 0.2
 """Longest wait for a connection that only shows whether an endpoint still listens."""
+PROBE_HOLD_S: Final = 0.05
+"""How long such a connection must last; an ending process closes its sockets one by one."""
+PROBE_PAUSE_S: Final = 0.02
+MAX_PROBES: Final = 5
 IDLE_MARGIN_S: Final = 1.0
 """An idle connection is closed this long before its endpoint would close it."""
 DEFAULT_IDLE_TIMEOUT_S: Final = 4.0
@@ -317,19 +323,30 @@
             return NotSent(f"cannot be written: {error!r}"[:200])
         return self._receive(endpoint_id, address, stream, call)
 
-    def has_crashed(self, address: Address) -> bool:
+    def has_crashed(self, address: Address, hold_s: float = PROBE_HOLD_S) -> bool:
         """Returns whether an endpoint refuses new connections, after an exchange with it broke.
 
         A lost or reset connection alone does not show that the process ended; an address that does
-        not respond at all may be cut off.
+        not respond at all may be cut off. A connection that the endpoint accepts and ends at once
+        proves neither, and another one follows.
+
+        Args:
+            address: Where the endpoint listens.
+            hold_s: Time that a connection must last to show that the endpoint has not crashed.
         """
-        try:
-            connect_stream(address, PROBE_TIMEOUT_S).close()
-        except ConnectionRefusedError:
-            return True
-        except OSError:
-            return False
-        self.opened += 1
+        for _ in range(MAX_PROBES):
+            try:
+                with connect_stream(address, PROBE_TIMEOUT_S) as probe:
+                    self.opened += 1
+                    if not _ends_within(probe, hold_s):
+                        return False
+            except ConnectionRefusedError:
+                return True
+            except ConnectionError:
+                pass
+            except OSError:
+                return False
+            time.sleep(PROBE_PAUSE_S)
         return False
 
     def forget(self, endpoint_id: str) -> None:
@@ -391,7 +408,7 @@
             response,
             stream,
             lambda kept, idle_timeout_s: self._keep_idle(endpoint_id, kept, idle_timeout_s),
-            lambda: self.has_crashed(address),
+            lambda: self.has_crashed(address, hold_s=0.0),
             remaining,
         )
 
@@ -439,6 +456,17 @@
     connection.endheaders(body or None)
 
 
+def _ends_within(stream: socket.socket, timeout_s: float) -> bool:
+    """Returns whether the peer ends an idle connection within a time."""
+    stream.settimeout(timeout_s)
+    try:
+        return not stream.recv(1)
+    except (TimeoutError, BlockingIOError):
+        return False
+    except OSError:
+        return True
+
+
 def _discard_body(response: StrictResponse, stream: GuardedStream) -> None:
     if response.will_close:
         raise http.client.HTTPException("the connection ends with another request's answer")
--- a/src/sequoiadrum/gateway/explain.py
+++ b/src/sequoiadrum/gateway/explain.py
@@ -49,7 +49,7 @@
 _CAUSE_BY_REASON: Final = {
     "bad_request": "the request could not be parsed",
     "caller_gone": "the caller disconnected before the response began",
-    "crashes_endpoints": "earlier requests with the same content ended early at several endpoints",
+    "crashes_endpoints": "several endpoints crashed while they ran requests with the same content",
     "deadline": "no endpoint finished before the deadline; the request may have run",
     "deadline_before_send": "the deadline passed before an endpoint could be reached; not run",
     "endpoint_failed": "an endpoint failed or broke the connection; the request may have run",
--- a/src/sequoiadrum/gateway/relay.py
+++ b/src/sequoiadrum/gateway/relay.py
@@ -307,21 +307,24 @@
         if result.interrupt in (None, Interrupt.OVERSIZED):
             self._connections.forget(placement.endpoint.id)
         if result.interrupt is None:
-            self._crashes.record_crash(placement.endpoint.id, run.fingerprint)
-            self._report_crashed_engine(run, placement)
+            self._report_crash(run, placement)
         if self._may_retry(run):
             return None
         return self._refuse(run, Refused.ENDPOINT_FAILED, run.last_error)
 
-    def _report_crashed_engine(self, run: RequestRun, placement: EndpointPlacement) -> None:
-        """Reports the prompt parts of a request that an engine may have crashed on."""
-        parts = run.shared_parts()
-        if not parts:
+    def _report_crash(self, run: RequestRun, placement: EndpointPlacement) -> None:
+        """Reports a request whose endpoint has crashed while it ran, and its prompt parts.
+
+        An endpoint that still listens lost a response or sent a malformed one.
+        """
+        if not self._connections.has_crashed(placement.endpoint.entry.address):
             return
-        if self._connections.has_crashed(placement.endpoint.entry.address):
+        self._crashes.record_crash(placement.endpoint.id, run.fingerprint)
+        parts = run.shared_parts()
+        if parts:
             sent_s_ago = clock.now() - run.sent_at
             self._crashes.record_part_crash(placement.endpoint.entry, parts, sent_s_ago)
-            self._record_event("engine_crashed", run, placement, parts=_loggable(parts))
+        self._record_event("endpoint_crashed", run, placement, parts=_loggable(parts))
 
     def _record_completion(self, run: RequestRun, parts: Sequence[str]) -> None:
         sent_s_ago = clock.now() - run.sent_at
--- a/tests/gateway/test_whole_path.py
+++ b/tests/gateway/test_whole_path.py
@@ -268,14 +268,56 @@
 
     def test_request_that_crashes_endpoints_is_stopped(self) -> None:
         """Guards against one request that crashes endpoint after endpoint."""
-        endpoints = [ScriptedEndpoint(lambda c, r: c.reset()) for _ in range(6)]
+
+        def crash(connection: Connection, request: Received) -> None:
+            if request.body != b"poison":
+                ok(connection, request)
+                return
+            next(e for e in endpoints if request in e.received).stop()
+            connection.reset()
+
+        endpoints = [ScriptedEndpoint(crash) for _ in range(8)]
         for n, endpoint in enumerate(endpoints):
             self.world.add(f"e{n}", endpoint)
         statuses = [self.world.call("/order/x", f"q{n}", b"poison")[0] for n in range(20)]
-        self.assertEqual(statuses[-1], 503)
-        # Crashes of one endpoint within 2 s count once, so a few more requests may be sent.
-        self.assertLess(sum(len(endpoint.received) for endpoint in endpoints), 12)
-        self.assertEqual(self.world.call("/order/x", "other", b"healthy")[0], 502)
+        self.assertEqual(statuses[3:], [503] * 17)
+        self.assertEqual(sum(len(endpoint.received) for endpoint in endpoints), 3)
+        self.assertEqual(self.world.call("/order/x", "other", b"healthy")[0], 200)
+
+    def test_request_whose_answers_are_cut_is_not_refused(self) -> None:
+        """Guards against refusing a sound request for ten minutes because links lose answers."""
+        cuts = [True]
+
+        def cut(connection: Connection, request: Received) -> None:
+            if cuts[0]:
+                connection.reset()
+            else:
+                ok(connection, request)
+
+        for n in range(6):
+            self.world.add(f"e{n}", ScriptedEndpoint(cut))
+        statuses = {self.world.call("/order/x", f"q{n}", b"sound")[0] for n in range(12)}
+        self.assertEqual(statuses, {502})
+        cuts[0] = False
+        self.assertEqual(self.world.call("/order/x", "later", b"sound")[0], 200)
+
+    def test_request_whose_answers_are_garbled_is_not_refused(self) -> None:
+        """Guards against refusing a sound request because endpoints send what is no answer."""
+        garbles = [True]
+
+        def garble(connection: Connection, request: Received) -> None:
+            if garbles[0]:
+                connection.send(b"\x16\x03\x01 no answer\r\n\r\n")
+                connection.sock.close()
+            else:
+                ok(connection, request)
+
+        for n in range(6):
+            self.world.add(f"e{n}", ScriptedEndpoint(garble))
+        statuses = {self.world.call("/order/x", f"q{n}", b"sound")[0] for n in range(12)}
+        self.assertEqual(statuses, {502})
+        garbles[0] = False
+        self.assertEqual(self.world.call("/order/x", "later", b"sound")[0], 200)
 
 
 class StreamTest(_WorldTest):
