--- a/tests/gateway/test_crash_rumors.py
+++ b/tests/gateway/test_crash_rumors.py
@@ -6,7 +6,7 @@
 import unittest
 from typing import Any
 
-from hypothesis import given
+from hypothesis import given, settings
 from hypothesis import strategies as st
 
 from sequoiadrum.gateway.crash_reports import ENGINE_CRASH_KIND, CrashReports
@@ -89,6 +89,7 @@
         sizes = {len(report.suspicion_by_part) for report in reports.values()}
         self.assertEqual(sizes, {MAX_PARTS_PER_CRASH})
 
+    @settings(derandomize=True, deadline=None, suppress_health_check=())
     @given(
         st.one_of(
             st.binary(max_size=40),
