--- a/src/sequoiadrum/gateway/_sockets.py
+++ b/src/sequoiadrum/gateway/_sockets.py
@@ -48,6 +48,13 @@
     return stream
 
 
+def ends_within(stream: socket.socket, wait_s: float) -> bool:
+    """Returns whether the peer ends or resets a connection within some seconds."""
+    poll = select.poll()
+    poll.register(stream, select.POLLRDHUP)  # Errors are reported always.
+    return bool(poll.poll(wait_s * 1e3))
+
+
 class GuardedStream:
     """A socket for `http.client` whose reads and writes call a guard at intervals.
 
--- a/src/sequoiadrum/gateway/exchange.py
+++ b/src/sequoiadrum/gateway/exchange.py
@@ -14,10 +14,14 @@
 
 from sequoiadrum._http_response import StrictResponse
 from sequoiadrum.gateway import clock
-from sequoiadrum.gateway._sockets import GuardedStream, OversizedError, connect_stream
+from sequoiadrum.gateway._sockets import (
+    GuardedStream,
+    OversizedError,
+    connect_stream,
+    ends_within,
+)
 
 if TYPE_CHECKING:
-    import socket
     from collections.abc import Callable
 
     from sequoiadrum.gateway.model import RequestHead, ResponseHead
@@ -28,10 +32,11 @@
 """A round trip takes 2 ms. TCP resends a lost SYN only after 1 s; another endpoint is faster."""
 PROBE_TIMEOUT_S: Final = 0.2
 """Longest wait for a connection that only shows whether an endpoint still listens."""
-PROBE_HOLD_S: Final = 0.05
-"""How long such a connection must last; an ending process closes its sockets one by one."""
+END_SETTLE_S: Final = 0.1
+"""How long a new connection must last to show that an endpoint ended a response by itself."""
+BREAK_SETTLE_S: Final = 0.05
+"""How long a new connection must last to show that an endpoint outlived a broken exchange."""
 PROBE_PAUSE_S: Final = 0.02
-MAX_PROBES: Final = 5
 IDLE_MARGIN_S: Final = 1.0
 """An idle connection is closed this long before its endpoint would close it."""
 DEFAULT_IDLE_TIMEOUT_S: Final = 4.0
@@ -51,6 +56,7 @@
 """Size of the chunk sizes, extensions and trailers that one read of the body may meet."""
 MAX_DISCARDED_BYTES: Final = 1_000_000
 """Size of a response to another request that is skipped to reach the one to this request."""
+_PROBES: Final = 5
 _READ_BYTES: Final = 65_536
 _BUFFER_BYTES: Final = io.DEFAULT_BUFFER_SIZE
 """Bytes that the reader of a connection may receive ahead of what is read from it."""
@@ -323,27 +329,28 @@
             return NotSent(f"cannot be written: {error!r}"[:200])
         return self._receive(endpoint_id, address, stream, call)
 
-    def has_crashed(self, address: Address, hold_s: float = PROBE_HOLD_S) -> bool:
-        """Returns whether an endpoint refuses new connections, after an exchange with it broke.
+    def has_crashed(self, address: Address, settle_s: float = BREAK_SETTLE_S) -> bool:
+        """Returns whether an endpoint refuses new connections, after an exchange with it ended.
 
         A lost or reset connection alone does not show that the process ended; an address that does
-        not respond at all may be cut off. A connection that the endpoint accepts and ends at once
-        proves neither, and another one follows.
+        not respond at all may be cut off. The kernel closes the listener of a killed process last,
+        and then resets connections that were not accepted; an endpoint with too many connections
+        resets a new one as well. After such a reset, another connection follows.
 
         Args:
             address: Where the endpoint listens.
-            hold_s: Time that a connection must last to show that the endpoint has not crashed.
+            settle_s: How long a new connection must last to show that the endpoint accepts it.
         """
-        for _ in range(MAX_PROBES):
+        for _ in range(_PROBES):
             try:
                 with connect_stream(address, PROBE_TIMEOUT_S) as probe:
                     self.opened += 1
-                    if not _ends_within(probe, hold_s):
+                    if not ends_within(probe, settle_s):
                         return False
             except ConnectionRefusedError:
                 return True
             except ConnectionError:
-                pass
+                pass  # It was reset while it opened.
             except OSError:
                 return False
             time.sleep(PROBE_PAUSE_S)
@@ -408,7 +415,7 @@
             response,
             stream,
             lambda kept, idle_timeout_s: self._keep_idle(endpoint_id, kept, idle_timeout_s),
-            lambda: self.has_crashed(address, hold_s=0.0),
+            lambda: self.has_crashed(address, END_SETTLE_S),
             remaining,
         )
 
@@ -456,17 +463,6 @@
     connection.endheaders(body or None)
 
 
-def _ends_within(stream: socket.socket, timeout_s: float) -> bool:
-    """Returns whether the peer ends an idle connection within a time."""
-    stream.settimeout(timeout_s)
-    try:
-        return not stream.recv(1)
-    except (TimeoutError, BlockingIOError):
-        return False
-    except OSError:
-        return True
-
-
 def _discard_body(response: StrictResponse, stream: GuardedStream) -> None:
     if response.will_close:
         raise http.client.HTTPException("the connection ends with another request's answer")
--- a/tests/gateway/test_crash_probe.py
+++ b/tests/gateway/test_crash_probe.py
@@ -38,7 +38,7 @@
                 address = Address("127.0.0.1", listener.getsockname()[1])
                 thread = threading.Thread(target=self._end, args=(listener, resets))
                 thread.start()
-                self.assertTrue(self.connections.has_crashed(address, hold_s=WAIT_S))
+                self.assertTrue(self.connections.has_crashed(address, settle_s=WAIT_S))
                 thread.join()
 
     def _end(self, listener: socket.socket, resets: bool) -> None:
--- a/tools/soak/runner.py
+++ b/tools/soak/runner.py
@@ -16,9 +16,16 @@
 from tests.gateway.world import config_document
 from tests.platform.store_stand_in import StoreStandIn
 from tools.soak.callers import Caller
-from tools.soak.endpoints import SoakEndpoint
-from tools.soak.gateway_process import GRACE_PERIOD_S, GatewayProcess, is_ready
-from tools.soak.plan import RECOVERY_S, RESTORED, draw_plan
+from tools.soak.endpoints import ResponseFault, SoakEndpoint
+from tools.soak.gateway_process import GatewayProcess, is_ready
+from tools.soak.plan import (
+    GRACE_PERIOD_S,
+    RECOVERY_S,
+    RESPONSE_KINDS,
+    RESTORED,
+    draw_plan,
+    draw_planned_work,
+)
 from tools.soak.proxy import Mode
 from tools.soak.record import KeyChange, Record
 
@@ -50,9 +57,10 @@
 class Soak:
     """The processes, callers, plan and record of one seed."""
 
-    def __init__(self, seed: int, seconds: float, log_dir: Path) -> None:
+    def __init__(self, seed: int, seconds: float, log_dir: Path, has_faults: bool = True) -> None:
         self.record: Final = Record()
-        self.plan: Final = draw_plan(seed, seconds, GATEWAY_COUNT, ENDPOINT_COUNT)
+        draw = draw_plan if has_faults else draw_planned_work
+        self.plan: Final = draw(seed, seconds, GATEWAY_COUNT, ENDPOINT_COUNT)
         self._seed = seed
         self._seconds = seconds
         self._store = StoreStandIn()
@@ -185,10 +193,13 @@
                 endpoint.loses_responses = True
             elif action.kind == "cut_answers":
                 endpoint.truncates_responses = True
+            elif action.kind in RESPONSE_KINDS:
+                endpoint.response_fault = ResponseFault(action.kind)
             else:
                 endpoint.proxy.set_mode(_ENDPOINT_MODES[action.kind])
             time.sleep(action.for_s)
             endpoint.loses_responses = endpoint.truncates_responses = False
+            endpoint.response_fault = None
             endpoint.restart()
 
     def _replace_endpoint(self, target: int) -> None:
