--- a/src/sequoiadrum/gateway/exchange.py
+++ b/src/sequoiadrum/gateway/exchange.py
@@ -5,6 +5,7 @@
 import http.client
 import io
 import threading
+import time
 from enum import Enum
 from typing import TYPE_CHECKING, Final
 
@@ -16,7 +17,7 @@
     GuardedStream,
     OversizedError,
     connect_stream,
-    fails_within,
+    ends_within,
 )
 
 if TYPE_CHECKING:
@@ -32,6 +33,9 @@
 """Longest wait for a connection that only shows whether an endpoint still listens."""
 END_SETTLE_S: Final = 0.1
 """How long a new connection must last to show that an endpoint ended a response by itself."""
+BREAK_SETTLE_S: Final = 0.05
+"""How long a new connection must last to show that an endpoint outlived a broken exchange."""
+PROBE_PAUSE_S: Final = 0.02
 IDLE_MARGIN_S: Final = 1.0
 """An idle connection is closed this long before its endpoint would close it."""
 DEFAULT_IDLE_TIMEOUT_S: Final = 4.0
@@ -51,7 +55,7 @@
 """Size of the chunk sizes, extensions and trailers that one read of the body may meet."""
 MAX_DISCARDED_BYTES: Final = 1_000_000
 """Size of a response to another request that is skipped to reach the one to this request."""
-_PROBES: Final = 2
+_PROBES: Final = 5
 _READ_BYTES: Final = 65_536
 _BUFFER_BYTES: Final = io.DEFAULT_BUFFER_SIZE
 """Bytes that the reader of a connection may receive ahead of what is read from it."""
@@ -324,30 +328,31 @@
             return NotSent(f"cannot be written: {error!r}"[:200])
         return self._receive(endpoint_id, address, stream, call)
 
-    def has_crashed(self, address: Address, settle_s: float = 0.0) -> bool:
-        """Returns whether an endpoint refuses new connections, after an exchange with it broke.
+    def has_crashed(self, address: Address, settle_s: float = BREAK_SETTLE_S) -> bool:
+        """Returns whether an endpoint refuses new connections, after an exchange with it ended.
 
         A lost or reset connection alone does not show that the process ended; an address that does
-        not respond at all may be cut off.
+        not respond at all may be cut off. The kernel closes the listener of a killed process last,
+        and then resets connections that were not accepted; an endpoint with too many connections
+        resets a new one as well. After such a reset, another connection follows.
 
         Args:
             address: Where the endpoint listens.
-            settle_s: How long a new connection must last to show that the endpoint accepts it. The
-                kernel closes the listener of a killed process last, and then resets connections
-                that were not accepted.
+            settle_s: How long a new connection must last to show that the endpoint accepts it.
         """
-        try:
-            # An endpoint with too many connections resets a new one as well, but not as refused.
-            for _ in range(_PROBES):
-                probe = connect_stream(address, PROBE_TIMEOUT_S)
-                self.opened += 1
-                with probe:
-                    if not settle_s or not fails_within(probe, settle_s):
+        for _ in range(_PROBES):
+            try:
+                with connect_stream(address, PROBE_TIMEOUT_S) as probe:
+                    self.opened += 1
+                    if not ends_within(probe, settle_s):
                         return False
-        except ConnectionRefusedError:
-            return True
-        except OSError:
-            return False
+            except ConnectionRefusedError:
+                return True
+            except ConnectionError:
+                pass  # It was reset while it opened.
+            except OSError:
+                return False
+            time.sleep(PROBE_PAUSE_S)
         return False
 
     def forget(self, endpoint_id: str) -> None:
