Let the stand-in of the launcher return a status

Cause: The suite printed a `TypeError` from `exit_process(None)`. It comes from `test_callers_connect_before_the_program_is_loaded`, whose stand-in for `launch.main` returned nothing, and which did not look at the status of its process. A real process cannot meet it: each path of `launch.main` returns `EXIT_USAGE` or the status of `Gateway.run`, 0 or 1, which mypy checks.

Change: The stand-in returns 0 like the launcher, and the test checks the status as well.

Measured: With the check alone the test fails (status 1), with the stand-in mended it passes and prints nothing.

Conclusion: A fault of the test; the test is stricter than before.

--- a/tests/gateway/test_signals.py
+++ b/tests/gateway/test_signals.py
@@ -36,6 +36,7 @@
         socket.create_connection(("127.0.0.1", int(port)), 10).close()
         print("connected")
     print("loaded" if "sequoiadrum.gateway.app" in sys.modules else "not loaded")
+    return 0
 loaded.main = main
 sys.modules["sequoiadrum.platform.launch"] = loaded
 runpy.run_path({str(_ENTRY)!r}, run_name="__main__")
@@ -91,6 +92,7 @@
             )
             output, _ = process.communicate(timeout=60)
         self.assertEqual(output.split(), ["connected", "connected", "not", "loaded"])
+        self.assertEqual(process.returncode, 0)
 
     def test_process_ends_beside_a_blocked_thread(self) -> None:
         """Guards against a stopped process that stays while a thread waits for a silent peer.
