Report failed jobs of thread pools, and end the wait for them

Cause: A `ThreadPoolExecutor` keeps the exception of a job in its future, which nobody reads where the result is a message. `ConfigTask` and `LedgerTask` wait for each job that they started: one that raised left the flag set that a read, watch or pull is under way, or a shard waiting. The configuration was never read again, keyed calls of the shard were refused until the process ended, and a call whose dispatch raised waited for its deadline.

Change: `ReportingExecutor` counts and logs jobs that raise. A failed job has a result: a failed call, whose effect is unknown, for reads, writes, watches and pulls; for a dispatch "not run" only if its gate is shut for good, and "unknown" otherwise.

Conclusion: A job that raises costs one try, and is seen. No client of this repository is known to raise; the fault was found by reading, while looking for work that ends without anyone knowing.

--- a/src/sequoiadrum/app.py
+++ b/src/sequoiadrum/app.py
@@ -5,7 +5,6 @@
 import signal
 import threading
 import time
-from concurrent.futures import ThreadPoolExecutor
 from typing import TYPE_CHECKING, Final
 
 import structlog
@@ -35,6 +34,7 @@
 from sequoiadrum.plan_driver import DriverParts
 from sequoiadrum.plan_store import PlanStore
 from sequoiadrum.pool_inspector import PeerPoolInspector
+from sequoiadrum.reporting_executor import ReportingExecutor
 from sequoiadrum.service_relay import ServiceRelay
 from sequoiadrum.stream_cancel import StreamCanceller
 from sequoiadrum.supervised_thread import ThreadMonitor
@@ -77,7 +77,7 @@
         self.config: Final = ConfigTask(
             self._platform, self.gossip, self.peers, self.metrics, self._on_invariant_violation
         )
-        self.background: Final = ThreadPoolExecutor(1, thread_name_prefix="background")
+        self.background: Final = ReportingExecutor(1, "background", self.metrics)
         self.admission: Final = self._create_admission()
         self.limits: Final = LimitsTask(
             self.config,
--- a/src/sequoiadrum/config_task.py
+++ b/src/sequoiadrum/config_task.py
@@ -7,7 +7,6 @@
 
 import random
 import time
-from concurrent.futures import ThreadPoolExecutor
 from typing import TYPE_CHECKING, Any, Final
 
 import structlog
@@ -24,7 +23,9 @@
 from sequoiadrum.hashing import rank
 from sequoiadrum.interfaces import ConfigSource
 from sequoiadrum.messages import RevisionReceived
+from sequoiadrum.peer_client import PeerFailure
 from sequoiadrum.platform_client import PlatformFailure
+from sequoiadrum.reporting_executor import ReportingExecutor
 from sequoiadrum.tasks import Task
 
 if TYPE_CHECKING:
@@ -34,7 +35,7 @@
     from sequoiadrum.interfaces import FleetLink
     from sequoiadrum.messages import Address, Member
     from sequoiadrum.metrics import Metrics
-    from sequoiadrum.peer_client import PeerClient, PeerFailure
+    from sequoiadrum.peer_client import PeerClient
     from sequoiadrum.platform_client import PlatformClient, StoredObject
     from sequoiadrum.timers import TimerService
 
@@ -129,7 +130,7 @@
         self._backoff_s = 0.5
         self._has_config_by_peer: dict[Address, bool] = {}
         self._watcher_cache: tuple[object, bool] = (None, True)
-        self._pool = ThreadPoolExecutor(6, thread_name_prefix="config-io")
+        self._pool = ReportingExecutor(6, "config-io", metrics)
         metrics.gauge("config_revision", lambda: float(self.current().revision))
         link.subscribe_revisions(self)
 
@@ -255,7 +256,10 @@
         self._watching = True
         version = self._version
         self._submit(
-            lambda: _LogRead(self._platform.watch(CONFIG_LOG_NAME, version, _WATCH_TIMEOUT_S), True)
+            lambda: _LogRead(
+                self._platform.watch(CONFIG_LOG_NAME, version, _WATCH_TIMEOUT_S), True
+            ),
+            _LogRead(Failure(PlatformFailure.UNKNOWN), True),
         )
 
     def _read(self, now: float) -> None:
@@ -263,7 +267,10 @@
             return
         self._reading = True
         self._next_read = now + _CONTACT_TIMEOUT_S
-        self._submit(lambda: _LogRead(self._platform.get(CONFIG_LOG_NAME), False))
+        self._submit(
+            lambda: _LogRead(self._platform.get(CONFIG_LOG_NAME), False),
+            _LogRead(Failure(PlatformFailure.UNKNOWN), False),
+        )
 
     def _on_log_read(self, message: _LogRead) -> None:
         now = time.monotonic()
@@ -332,7 +339,10 @@
             return
         self._loading = True
         state = self.current()
-        self._submit(lambda: _Loaded(load(self._platform, state, log)))
+        self._submit(
+            lambda: _Loaded(load(self._platform, state, log)),
+            _Loaded(Failure(PlatformFailure.UNKNOWN)),
+        )
 
     def _on_loaded(self, message: _Loaded) -> None:
         self._loading = False
@@ -403,7 +413,8 @@
             lambda: _Pulled(
                 address,
                 self._peers.call(address, lambda c: c.fetch_config(since), _PULL_TIMEOUT_S),
-            )
+            ),
+            _Pulled(address, Failure(PeerFailure.BROKEN)),
         )
 
     def _on_pulled(self, message: _Pulled) -> None:
@@ -460,5 +471,18 @@
             self._next_read = now
             _log.info("config_loaded", revision=self.current().revision)
 
-    def _submit(self, work: Callable[[], object]) -> None:
-        self._pool.submit(lambda: self.post(work()))
+    def _submit(self, work: Callable[[], object], failed: object) -> None:
+        """Runs a blocking job and posts its result.
+
+        Args:
+            work: The job.
+            failed: Posted if the job raises: the task waits for each result that it requested.
+        """
+        self._pool.submit(self._run_job, work, failed)
+
+    def _run_job(self, work: Callable[[], object], failed: object) -> None:
+        result = failed
+        try:
+            result = work()
+        finally:
+            self.post(result)
--- a/src/sequoiadrum/gossip_task.py
+++ b/src/sequoiadrum/gossip_task.py
@@ -6,7 +6,6 @@
 import secrets
 import socket
 import time
-from concurrent.futures import ThreadPoolExecutor
 from types import MappingProxyType
 from typing import TYPE_CHECKING, Any, Final
 
@@ -26,6 +25,7 @@
     RumorReceived,
     SideDatagram,
 )
+from sequoiadrum.reporting_executor import ReportingExecutor
 from sequoiadrum.supervised_thread import SupervisedThread
 from sequoiadrum.tasks import Ask, Task
 
@@ -214,7 +214,7 @@
         self._subscribers: list[Task] = []
         self._revision_subscribers: list[Task] = []
         self._side_subscriber: Task | None = None
-        self._executor = ThreadPoolExecutor(2, thread_name_prefix="gossip-io")
+        self._executor = ReportingExecutor(2, "gossip-io", metrics)
         self._stopped = False
         self._rumor_lists_left = _RUMOR_LISTS
         """Syncs in which the peer's rumors are read as well."""
--- a/src/sequoiadrum/grant_outbox.py
+++ b/src/sequoiadrum/grant_outbox.py
@@ -4,7 +4,6 @@
 
 import threading
 import time
-from concurrent.futures import ThreadPoolExecutor
 from functools import partial
 from typing import TYPE_CHECKING, Any, Final
 
@@ -14,6 +13,7 @@
 from sequoiadrum._gen.peer import ttypes
 from sequoiadrum._grant_wire import encode_hex
 from sequoiadrum.interfaces import GrantOutcome
+from sequoiadrum.reporting_executor import ReportingExecutor
 from sequoiadrum.supervised_thread import SupervisedThread
 
 if TYPE_CHECKING:
@@ -92,7 +92,7 @@
         """Pools of each owner for which the next periodic report must not be skipped."""
         self._busy_owners: set[str] = set()
         self._stopped = False
-        self._executor = ThreadPoolExecutor(_SENDER_THREADS, thread_name_prefix="grant-sender")
+        self._executor = ReportingExecutor(_SENDER_THREADS, "grant-sender", metrics)
         self.thread: Final = SupervisedThread("grant-outbox", self._run, metrics)
 
     def start(self) -> None:
--- a/src/sequoiadrum/ledger_task.py
+++ b/src/sequoiadrum/ledger_task.py
@@ -4,7 +4,7 @@
 
 import uuid
 from collections import OrderedDict
-from concurrent.futures import Executor, ThreadPoolExecutor
+from concurrent.futures import Executor
 from concurrent.futures import TimeoutError as FutureTimeoutError
 from functools import partial
 from typing import TYPE_CHECKING, Any, Final
@@ -13,6 +13,7 @@
 from attrs import define, frozen
 from returns.result import Failure, Result
 
+from sequoiadrum._ledger_codec import not_run, unknown
 from sequoiadrum._ledger_types import (
     Answered,
     CallKind,
@@ -26,9 +27,12 @@
     ShardCall,
 )
 from sequoiadrum.clock import Clock
+from sequoiadrum.errors import RefusalReason
 from sequoiadrum.hashing import first_ranked
 from sequoiadrum.ledger import LedgerShard
 from sequoiadrum.messages import MemberState
+from sequoiadrum.platform_client import PlatformFailure
+from sequoiadrum.reporting_executor import ReportingExecutor
 from sequoiadrum.tasks import Ask, MailboxFullError, Task
 
 if TYPE_CHECKING:
@@ -38,7 +42,7 @@
     from sequoiadrum._ledger_types import SendGate, ShardEvent, ShardIo
     from sequoiadrum.interfaces import KeyedCall, KeyedOutcome, MembershipSource
     from sequoiadrum.metrics import Metrics
-    from sequoiadrum.platform_client import PlatformClient, PlatformFailure, StoredObject
+    from sequoiadrum.platform_client import PlatformClient, StoredObject
     from sequoiadrum.timers import TimerService
 
 TICK_S: Final = 0.05
@@ -152,8 +156,10 @@
         self._platform = platform
         self._dispatcher = dispatcher
         self._timers = timers
-        self._io_pool = io_pool or ThreadPoolExecutor(_IO_THREADS, "ledger-io")
-        self._dispatch_pool = dispatch_pool or ThreadPoolExecutor(_DISPATCH_THREADS, "ledger-send")
+        self._io_pool = io_pool or ReportingExecutor(_IO_THREADS, "ledger-io", metrics)
+        self._dispatch_pool = dispatch_pool or ReportingExecutor(
+            _DISPATCH_THREADS, "ledger-send", metrics
+        )
         self._names_by_attempt: OrderedDict[str, KeyName] = OrderedDict()
         self._due_by_shard: dict[int, float] = {}
         self._owner_by_shard: dict[int, str] = {}
@@ -335,12 +341,14 @@
     # Run by the executors
 
     def _run_io(self, number: int, io: ShardIo) -> None:
-        result: Result[StoredObject, PlatformFailure]
-        if isinstance(io, ReadObject):
-            result = self._platform.get(io.name)
-        else:
-            result = self._platform.put(io.name, io.value, io.expected_version)
-        self._post_with_retries(_IoDone(number, result))
+        result: Result[StoredObject, PlatformFailure] = Failure(PlatformFailure.UNKNOWN)
+        try:
+            if isinstance(io, ReadObject):
+                result = self._platform.get(io.name)
+            else:
+                result = self._platform.put(io.name, io.value, io.expected_version)
+        finally:
+            self._post_with_retries(_IoDone(number, result))
 
     def _delete(self, name: str) -> None:
         found = self._platform.get(name)
@@ -348,8 +356,14 @@
             self._platform.delete(name, found.unwrap().version)
 
     def _send(self, number: int, call: ShardCall, gate: SendGate) -> None:
-        outcome = self._dispatcher.send(call, gate)
-        self._post_with_retries(_Finished(number, call.key, call.attempt, outcome))
+        outcome: KeyedOutcome | None = None
+        try:
+            outcome = self._dispatcher.send(call, gate)
+        finally:
+            if outcome is None:
+                build = not_run if gate.try_cancel() else unknown
+                outcome = build(RefusalReason.INTERNAL, "the dispatch failed")
+            self._post_with_retries(_Finished(number, call.key, call.attempt, outcome))
 
     def _post_with_retries(self, message: object) -> None:
         """Posts a result to this task, with retries while the mailbox is full.
--- a/src/sequoiadrum/limits_task.py
+++ b/src/sequoiadrum/limits_task.py
@@ -4,7 +4,6 @@
 
 import threading
 import time
-from concurrent.futures import ThreadPoolExecutor
 from typing import TYPE_CHECKING, Any, Final
 
 from attrs import frozen
@@ -17,6 +16,7 @@
 from sequoiadrum.limits import AccountBucket, LeasedShare, LeaseGrant, TokenBucket
 from sequoiadrum.messages import Account, MembersChanged, RumorReceived
 from sequoiadrum.peer_client import PeerFailure
+from sequoiadrum.reporting_executor import ReportingExecutor
 from sequoiadrum.tasks import Task
 
 if TYPE_CHECKING:
@@ -80,7 +80,7 @@
         self._owner_since = time.monotonic()
         """Start of the refill of buckets created by this router, in monotonic seconds."""
         self._leasing_accounts: set[str] = set()
-        self._executor = ThreadPoolExecutor(_WORKER_THREADS, thread_name_prefix="limits")
+        self._executor = ReportingExecutor(_WORKER_THREADS, "limits", metrics)
 
     def handlers(self) -> dict[type, Callable[[Any], None]]:
         """See `Task.handlers`."""
--- a/src/sequoiadrum/stream_cancel.py
+++ b/src/sequoiadrum/stream_cancel.py
@@ -2,12 +2,12 @@
 
 from __future__ import annotations
 
-from concurrent.futures import ThreadPoolExecutor
 from typing import TYPE_CHECKING, Any, Final
 
 from attrs import frozen
 
 from sequoiadrum.interfaces import GrantOutcome
+from sequoiadrum.reporting_executor import ReportingExecutor
 from sequoiadrum.tasks import Task
 
 if TYPE_CHECKING:
@@ -77,7 +77,7 @@
         self._admission = admission
         self._timers = timers
         self._pending: set[Abandoned] = set()
-        self._pool = ThreadPoolExecutor(_CANCEL_THREADS, thread_name_prefix="stream-cancel")
+        self._pool = ReportingExecutor(_CANCEL_THREADS, "stream-cancel", metrics)
 
     def handlers(self) -> dict[type, Callable[[Any], None]]:
         """See `Task.handlers`."""
--- a/tests/test_ledger_task.py
+++ b/tests/test_ledger_task.py
@@ -6,6 +6,7 @@
 import time
 import unittest
 from typing import TYPE_CHECKING, Any
+from unittest import mock
 
 from attrs import evolve
 from returns.result import Failure, Result, Success
@@ -232,6 +233,48 @@
         self.assertEqual((outcome.state, outcome.body), (KeyedState.DONE, b"2"))
         self.assertEqual(self.services.executions, ["a:k1", "a:k2"])
 
+    def test_failed_job_does_not_block_the_shard(self) -> None:
+        """Guards against a shard that waits for ever for a read or write that raised."""
+        for key, method in (("k1", "get"), ("k2", "put"), ("k3", "put")):
+            original = getattr(self.platform, method)
+            faults: list[Exception] = [LookupError("injected")]
+
+            def call(*args: Any, original: Any = original, faults: Any = faults) -> Any:
+                if faults:
+                    raise faults.pop()
+                return original(*args)
+
+            with self.subTest(key), mock.patch.object(self.platform, method, call):
+                outcome = self._submit("r1", key, 10.0)
+                self.assertEqual(faults, [])
+                self.assertIs(outcome.state, KeyedState.DONE)
+        self.assertEqual(self.services.executions, ["a:k1", "a:k2", "a:k3"])
+        counts = [t.metrics.value("job_failures_total", pool="ledger-io") for t in self._all()]
+        self.assertEqual(sum(counts), 3)
+
+    def test_failed_dispatch_has_an_outcome(self) -> None:
+        """Guards against a call that waits for its deadline, or is told that it did not run."""
+        task = self.tasks["r1"]
+        dispatcher = task._dispatcher
+        for key, is_sent, state in (
+            ("k1", False, KeyedState.NOT_RUN),
+            ("k2", True, KeyedState.UNKNOWN),
+        ):
+
+            def send(_: Any, gate: Any, is_sent: bool = is_sent) -> Any:
+                if is_sent:
+                    gate.try_send(0.0)
+                raise LookupError("injected")
+
+            with self.subTest(key), mock.patch.object(dispatcher, "send", send):
+                started_at = time.monotonic()
+                self.assertIs(self._submit("r1", key, 20.0).state, state)
+                self.assertLess(time.monotonic() - started_at, 20.0)
+        self.assertEqual(task.metrics.value("job_failures_total", pool="ledger-send"), 2)
+
+    def _all(self) -> list[LedgerTask]:
+        return list(self.tasks.values())
+
     def test_call_waits_for_the_takeover(self) -> None:
         """Guards against refused calls between the death of an owner and its detection."""
         self._submit("r1", "k1")
