--- a/tests/gateway/test_unframed_responses.py
+++ b/tests/gateway/test_unframed_responses.py
@@ -5,9 +5,12 @@
 import http.client
 import json
 import socket
+import threading
 import time
 import unittest
+from unittest import mock
 
+from sequoiadrum.messages import Address
 from tests.gateway.scripted_endpoint import (
     Connection,
     Received,
@@ -19,7 +22,7 @@
     stream,
     stream_head,
 )
-from tests.gateway.world import World, eventually
+from tests.gateway.world import WAIT_S, World, eventually
 
 _HALF_EVENT = event(3)[:-4]
 
@@ -123,6 +126,36 @@
             bodies.append(self.world.call("/draft/x", f"q{number}")[2])
         self.assertEqual(set(bodies), {b"".join(map(event, range(1, 6)))})
 
+    def test_broken_stream_ends_with_a_reset_for_a_caller_without_chunks(self) -> None:
+        """Guards against a caller of HTTP/1.0 that takes a broken stream for a whole one."""
+
+        def script(connection: Connection, request: Received) -> None:
+            connection.send(stream_head(request) + chunk(event(1)))
+            time.sleep(0.05)
+            connection.reset()
+
+        self.world.add("e1", ScriptedEndpoint(script), "model")
+        head = "".join(f"{name}: {value}\r\n" for name, value in self.world.headers().items())
+        request = f"POST /tag/x HTTP/1.0\r\n{head}Content-Length: 0\r\n\r\n".encode()
+        address = ("127.0.0.1", self.world.ports[0])
+        with socket.create_connection(address, WAIT_S) as caller:
+            caller.sendall(request)
+            with self.assertRaises(ConnectionResetError):
+                while caller.recv(65_536):
+                    pass
+
+    def test_whole_stream_ends_regularly_for_a_caller_without_chunks(self) -> None:
+        """Guards against a caller of HTTP/1.0 whose whole streams look broken."""
+        self.world.add("e1", ScriptedEndpoint(stream(1, 3)), "model")
+        head = "".join(f"{name}: {value}\r\n" for name, value in self.world.headers().items())
+        request = f"POST /tag/x HTTP/1.0\r\n{head}Content-Length: 0\r\n\r\n".encode()
+        received = b""
+        with socket.create_connection(("127.0.0.1", self.world.ports[0]), WAIT_S) as caller:
+            caller.sendall(request)
+            while data := caller.recv(65_536):
+                received += data
+        self.assertTrue(received.endswith(b"\r\n\r\n" + b"".join(map(event, range(1, 4)))))
+
     def _leave_after(self, *parts: bytes) -> Script:
         """Returns a script that stops its endpoint before it ends the response regularly."""
 
@@ -132,6 +165,40 @@
 
         return script
 
+    def test_listener_that_closes_after_the_connection_is_no_sign_of_life(self) -> None:
+        """Guards against a killed process whose kernel still accepts a connection for a moment."""
+        listener = socket.create_server(("127.0.0.1", 0))
+        self.addCleanup(listener.close)
+
+        def serve_and_end() -> None:
+            sock, _ = listener.accept()
+            connection = Connection(sock)
+            request = connection.read()
+            assert request is not None
+            unframed(b"do")(connection, request)
+            time.sleep(0.03)  # Lets the gateway connect, which nothing accepts any more.
+            listener.close()
+
+        threading.Thread(target=serve_and_end, daemon=True).start()
+        self.world.register("e1", Address("127.0.0.1", listener.getsockname()[1]))
+        eventually(lambda: self.world.gateway.pool.can_route_to("e1"), "e1 is known")
+        self.assertEqual(self.world.call("/order/x")[0], 502)
+
+    def test_endpoint_that_resets_further_connections_is_there(self) -> None:
+        """Guards against answers that are lost because the endpoint has too many connections."""
+        endpoint = ScriptedEndpoint(unframed(b"done"))
+        serve = endpoint._serve
+
+        def serve_first(connection: Connection) -> None:
+            if endpoint.connections == 1:
+                serve(connection)
+            else:
+                connection.reset()
+
+        with mock.patch.object(endpoint, "_serve", serve_first):
+            self.world.add("e1", endpoint)
+            self.assertEqual(self.world.call("/order/x")[::2], (200, b"done"))
+
     def test_stream_is_whole(self) -> None:
         """Guards against a complete stream that is broken off or sent again."""
         endpoint = ScriptedEndpoint(unframed(event(1), event(2)))
