Keep convicted prompt parts in the store

Cause: what the routers know about a prompt part that crashes engines lived in their memory and at peers. After a loss of all of them it was learned anew, at the price of three crashes each time.

Change: the evidence against a convicted part is an object of the store (sequoiadrum-crashing-parts). Of the routers that are alive, the first ranked one for the part creates it at the conviction and deletes it when the conviction ends. Each router lists the kind once at its start, in a task of its own; nothing waits for it. Stored evidence expires like other evidence; what is malformed costs only itself.

Conclusion: what lasts lives in the store. Evidence that does not suffice for a conviction is still lost with all routers, and a restored copy may show a deleted object to routers that start, until it expires.

--- a/src/sequoiadrum/gateway/app.py
+++ b/src/sequoiadrum/gateway/app.py
@@ -21,6 +21,7 @@
     ServingState,
 )
 from sequoiadrum.gateway.configuration import ConfigurationHolder
+from sequoiadrum.gateway.convictions import ConvictionStore
 from sequoiadrum.gateway.crash_reports import CrashReports
 from sequoiadrum.gateway.event_log import EventLog
 from sequoiadrum.gateway.exchange import EndpointConnections
@@ -133,6 +134,17 @@
             self.log,
         )
         self.crashes: Final = CrashReports(self.gossip.broadcast, self.metrics)
+        self._convictions: Final = ConvictionStore(
+            self._store,
+            self.crashes,
+            settings.instance_id,
+            self.gossip.members,
+            self.timers,
+            self.metrics,
+            self.log,
+            self._invariant_broken,
+        )
+        self._store_availability.subscribe_restores(self._convictions.store_restored)
         pauses = PauseDetector(clock.now())
         self.peer_events: Final = PeerEventTask(
             settings.instance_id,
@@ -211,6 +223,7 @@
         _waitress_log.setLevel(logging.CRITICAL)
         self.log.notable("started", version=__version__, settings=asdict(self.settings))
         self.timers.start()
+        self._convictions.run()
         for sync in self._syncs:
             sync.start()
         self._wait_for_first_lists()
@@ -274,6 +287,7 @@
         self.gossip.stop()
         self._load_exchange.stop()
         self.peer_events.stop()
+        self._convictions.stop()
         self._peer_server.stop()
         self._peers.close()
         self.timers.stop()
--- a/src/sequoiadrum/gateway/crash_reports.py
+++ b/src/sequoiadrum/gateway/crash_reports.py
@@ -14,10 +14,10 @@
     part_key,
     process_key,
 )
-from sequoiadrum.gateway.crashing_parts import RECORD_TTL_S, CrashingParts, Suspicion
+from sequoiadrum.gateway.crashing_parts import RECORD_TTL_S, CrashingParts, PastCrash, Suspicion
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Sequence
+    from collections.abc import Callable, Iterable, Sequence
 
     from sequoiadrum.gateway.model import EndpointEntry
     from sequoiadrum.messages import RumorReceived
@@ -54,7 +54,7 @@
         """
         self._broadcast = broadcast
         self._metrics = metrics
-        self._wall_clock = wall_clock
+        self.wall_clock: Final = wall_clock
         self._lock = threading.Lock()
         self._guard = CrashGuard()
         self._parts = CrashingParts()
@@ -63,18 +63,32 @@
     def is_refused(self, fingerprint: str) -> bool:
         """Returns whether a request must be refused because it crashed too many endpoints."""
         with self._lock:
-            return self._guard.count(fingerprint, self._wall_clock()) >= CRASH_REFUSAL_THRESHOLD
+            return self._guard.count(fingerprint, self.wall_clock()) >= CRASH_REFUSAL_THRESHOLD
 
     def crashing_part(self, parts: Sequence[str]) -> str | None:
         """Returns the first of some prompt parts that crashes engines; None if there is none."""
         part_by_key = {part_key(part): part for part in parts}
         with self._lock:
-            key = self._parts.convicted_part(part_by_key, self._wall_clock())
+            key = self._parts.convicted_part(part_by_key, self.wall_clock())
         return part_by_key[key] if key is not None else None
 
+    def convicted(self) -> dict[str, list[PastCrash]]:
+        """Returns the evidence against each convicted part, by the part's key."""
+        with self._lock:
+            convicted = self._parts.convicted(self.wall_clock())
+            return {part: self._parts.past_crashes(part) for part in convicted}
+
+    def restore(self, part: str, crashes: Iterable[PastCrash]) -> None:
+        """Records evidence from before the start, by the key of a part."""
+        now = self.wall_clock()
+        with self._lock:
+            for crash in crashes:
+                suspicion = Suspicion(part, 0, crash.last_sent_at)
+                self._parts.record_suspicions(crash.process, crash.at, [suspicion], now)
+
     def record_crash(self, endpoint_id: str, fingerprint: str) -> None:
         """Counts an endpoint that crashed while it ran a request; broadcasts the change."""
-        now = self._wall_clock()
+        now = self.wall_clock()
         with self._lock:
             changed = self._guard.crashed(crash_event(endpoint_id, now), [fingerprint], now)
             if changed:
@@ -90,7 +104,7 @@
             parts: The shared parts of the request's prompt, in their order.
             sent_s_ago: Seconds since the request was sent to the engine.
         """
-        now = self._wall_clock()
+        now = self.wall_clock()
         process = process_key(entry.instance_id, entry.started_ms)
         first = max(0, len(parts) - MAX_PARTS_PER_REPORT)
         keys = [(depth, part_key(part)) for depth, part in enumerate(parts[first:], first)]
@@ -119,7 +133,7 @@
             parts: The shared parts of its prompt, if the response shows that they are healthy.
             sent_s_ago: Seconds since the request was sent to the engine.
         """
-        now = self._wall_clock()
+        now = self.wall_clock()
         sent_at = now - sent_s_ago
         with self._lock:
             if self._guard.completed(fingerprint, now):
@@ -130,7 +144,7 @@
 
     def receive_rumor(self, rumor: RumorReceived) -> None:
         """Merges what another router reported; ignores rumors of other kinds."""
-        now = self._wall_clock()
+        now = self.wall_clock()
         if rumor.kind == RUMOR_KIND:
             with self._lock:
                 self._guard.merge(rumor.key, rumor.payload, now)
--- a/src/sequoiadrum/gateway/crash_rumors.py
+++ b/src/sequoiadrum/gateway/crash_rumors.py
@@ -123,11 +123,11 @@
     """
     try:
         process, at_us, parts = json.loads(payload)
-        crashed_at = min(_checked(at_us, int((now + RECORD_TTL_S) * 1e6)) / 1e6, now)
+        crashed_at = min(checked_number(at_us, int((now + RECORD_TTL_S) * 1e6)) / 1e6, now)
         if len(parts) > MAX_PARTS_PER_RUMOR:
             return None
         suspicions = tuple(_decode_suspicion(part, crashed_at) for part in parts)
-        return CrashReport(_checked_key(process), crashed_at, suspicions)
+        return CrashReport(checked_key(process), crashed_at, suspicions)
     except (TypeError, ValueError, RecursionError):
         return None
 
@@ -153,10 +153,14 @@
     part, depth, sent_us, completed_us = fields
     max_us = int(RECORD_TTL_S * 1e6)
     return Suspicion(
-        _checked_key(part),
-        _checked(depth, MAX_DEPTH),
-        crashed_at - _checked(sent_us, max_us) / 1e6,
-        NEVER if completed_us == _NEVER else crashed_at - _checked(completed_us, max_us) / 1e6,
+        checked_key(part),
+        checked_number(depth, MAX_DEPTH),
+        crashed_at - checked_number(sent_us, max_us) / 1e6,
+        (
+            NEVER
+            if completed_us == _NEVER
+            else crashed_at - checked_number(completed_us, max_us) / 1e6
+        ),
     )
 
 
@@ -165,13 +169,23 @@
     return int(min(RECORD_TTL_S, max(0.0, crashed_at - at)) * 1e6)
 
 
-def _checked(value: Any, largest: int) -> int:
+def checked_number(value: Any, largest: int) -> int:
+    """Returns a whole number from another router.
+
+    Raises:
+        ValueError: It is no number, negative or too large.
+    """
     if type(value) is not int or not 0 <= value <= largest:
         raise ValueError(value)
     return value
 
 
-def _checked_key(value: Any) -> str:
+def checked_key(value: Any) -> str:
+    """Returns a key of a process or a part.
+
+    Raises:
+        ValueError: It cannot be one.
+    """
     if not isinstance(value, str) or len(value) != _KEY_CHARS or not value.isalnum():
         raise ValueError(value)
     return value
--- a/src/sequoiadrum/gateway/crashing_parts.py
+++ b/src/sequoiadrum/gateway/crashing_parts.py
@@ -32,6 +32,8 @@
 """Parts that are kept for one crash; further ones are ignored."""
 MAX_COMPLETED_PARTS: Final = 4_000
 """Parts whose last complete response is kept; the one that was recorded first is evicted."""
+MAX_PAST_CRASHES: Final = 6
+"""Crashes that are kept as the evidence against a part, the newest ones."""
 NEVER: Final = float("-inf")
 """Time of an event that did not happen."""
 
@@ -63,6 +65,17 @@
     """Ids of the prompt parts that other requests may share, in the order of the prompt."""
 
 
+@frozen
+class PastCrash:
+    """A crash that counts against a convicted part."""
+
+    process: str
+    at: float
+    """Unix seconds."""
+    last_sent_at: float
+    """Unix seconds at which the engine is known to have run."""
+
+
 @define(eq=False)
 class _Crash:
     at: float
@@ -175,6 +188,18 @@
             self._is_current = True
         return self._convicted
 
+    def past_crashes(self, part: str) -> list[PastCrash]:
+        """Returns the newest crashes that count against a part."""
+        crashes = sorted(
+            (
+                PastCrash(process, crash.at, min(crash.at, crash.last_sent_at()))
+                for process, crash in self._crash_by_process.items()
+                if _counts(part, crash, self)
+            ),
+            key=lambda crash: crash.at,
+        )
+        return crashes[-MAX_PAST_CRASHES:]
+
     def completed_at(self, part: str) -> float:
         """Returns when the last request with a part that was completed was sent, or `NEVER`."""
         return self._completed_at_by_part.get(part, NEVER)
--- a/tests/gateway/world.py
+++ b/tests/gateway/world.py
@@ -119,8 +119,8 @@
     `start` starts the gateway; `stop` ends all parts.
     """
 
-    def __init__(self, **setting_changes: Any) -> None:
-        self.store = StoreStandIn()
+    def __init__(self, store: StoreStandIn | None = None, **setting_changes: Any) -> None:
+        self.store = store or StoreStandIn()
         self.output = io.StringIO()
         """Collects the gateway's log lines."""
         self.ports = free_ports(5)
