End each wait of a request when its caller leaves

Cause: callers left while their requests waited for a connection to a silent endpoint, for another attempt after a rejection, for a unit of a rate, or for the store or a peer, and orders among them were sent over half a second later and run for nobody (GONE). The wait for a connection blocked without a guard, an attempt began after a look at the deadline only, and for orders no guard watched the caller, sent or not.

Change: `guards.end_reason` alone says why a request must end, and whether it is bound because it was sent; guards call it in each wait, the one for a connection included, and once more before the first byte. Calls to peers and the store run on four threads of their own, which a request can stop waiting for (`GuardedCalls`).

Conclusion: a request that was not sent when its caller's leaving is known is not sent any more.

--- a/src/sequoiadrum/gateway/_sockets.py
+++ b/src/sequoiadrum/gateway/_sockets.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
+import errno
 import io
+import os
 import select
 import socket
 from typing import TYPE_CHECKING, Any, Final
@@ -32,13 +34,24 @@
     """The peer sent more bytes than the current part of the exchange may have."""
 
 
-def connect_stream(address: Address, timeout_s: float) -> socket.socket:
+def no_guard() -> None:
+    """Ends no wait."""
+
+
+def connect_stream(
+    address: Address, timeout_s: float, guard: Callable[[], None] = no_guard
+) -> socket.socket:
     """Opens a TCP connection that detects an unresponsive peer.
 
+    Args:
+        address: Where the peer listens.
+        timeout_s: Longest wait in seconds.
+        guard: Called at intervals during the wait; raises an exception to end it.
+
     Raises:
         OSError: The connection was not established within `timeout_s`.
     """
-    stream = socket.create_connection((address.host, address.port), timeout_s)
+    stream = _connect(address, timeout_s, guard)
     stream.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
     stream.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS)
     stream.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
@@ -67,7 +80,7 @@
         self._stream = stream
         self._poll = select.poll()
         self._poll.register(stream, select.POLLIN)
-        self.guard: Callable[[], None] = _no_guard
+        self.guard: Callable[[], None] = no_guard
         self.bytes_sent = 0
         """Bytes passed to the operating system since the last `begin`."""
         self.has_write_error = False
@@ -196,5 +209,38 @@
             self._guarded_raw.is_peeking = False
 
 
-def _no_guard() -> None:
-    return None
+def _connect(address: Address, timeout_s: float, guard: Callable[[], None]) -> socket.socket:
+    """Returns a blocking socket that is connected; see `connect_stream`."""
+    until = clock.now() + timeout_s
+    error = 0
+    for family, kind, protocol, _, target in socket.getaddrinfo(
+        address.host, address.port, type=socket.SOCK_STREAM
+    ):
+        stream = socket.socket(family, kind, protocol)
+        try:
+            stream.setblocking(False)
+            error = stream.connect_ex(target)
+            if error == errno.EINPROGRESS:
+                error = _wait_for_connection(stream, until, guard)
+            if not error:
+                # As `socket.create_connection` does, so that reads and writes time out as well.
+                stream.settimeout(timeout_s)
+                return stream
+        except BaseException:
+            stream.close()
+            raise
+        stream.close()
+    raise OSError(error, os.strerror(error))
+
+
+def _wait_for_connection(stream: socket.socket, until: float, guard: Callable[[], None]) -> int:
+    """Returns the error number of the attempt; 0 if the connection is established."""
+    poll = select.poll()
+    poll.register(stream, select.POLLOUT)
+    while True:
+        wait_s = min(GUARD_INTERVAL_S, until - clock.now())
+        if poll.poll(max(0.0, wait_s) * 1e3):
+            return stream.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+        if clock.now() >= until:
+            return errno.ETIMEDOUT
+        guard()
--- a/src/sequoiadrum/gateway/caller_app.py
+++ b/src/sequoiadrum/gateway/caller_app.py
@@ -2,15 +2,20 @@
 
 from __future__ import annotations
 
+import math
 from http import HTTPStatus
 from typing import TYPE_CHECKING, Any, Final
 
 from returns.result import Failure
 
 from sequoiadrum.gateway import clock, stop_plan
+from sequoiadrum.gateway.exchange import InterruptedWaitError
 from sequoiadrum.gateway.front import ARRIVED_AT, CLOSE_AFTER_RESPONSE
+from sequoiadrum.gateway.guarded_calls import GuardedCalls
+from sequoiadrum.gateway.guards import REFUSED_BEFORE_SEND, lookup_guard
 from sequoiadrum.gateway.model import Route
 from sequoiadrum.gateway.request_run import (
+    REFUSAL_MARGIN_S,
     Caller,
     CallerResponse,
     Refused,
@@ -47,6 +52,9 @@
 
 Some callers cache them three times as long; a graceful shutdown waits until then.
 """
+LOOKUP_THREADS: Final = 4
+"""Calls to peers and the store that run for waiting requests; those that wait share their results.
+"""
 METRICS_PATH: Final = "/metrics"
 MAX_LOGGED_PATH_CHARS: Final = 200
 KEY_FINGERPRINT_CHARS: Final = 8
@@ -81,6 +89,10 @@
         """Returns whether callers should send requests to this router."""
         return not self.shutdown.has_begun and self._configuration.routing() is not None
 
+    def is_known_current(self) -> bool:
+        """Returns whether `is_current` needs no read."""
+        return self._pauses.observe(clock.now()) <= self._current_since
+
     def is_current(self) -> bool:
         """Returns whether configuration and endpoints were read since the last pause, if any.
 
@@ -116,6 +128,7 @@
         self._state = state
         self._metrics = metrics
         self._log = log
+        self._lookups = GuardedCalls(LOOKUP_THREADS, "lookup")
 
     def __call__(
         self, environ: Mapping[str, Any], start_response: StartResponse
@@ -138,6 +151,8 @@
         call = decoded.unwrap()
         try:
             return self._serve(call, environ)
+        except InterruptedWaitError as error:
+            return self._refuse(call, REFUSED_BEFORE_SEND[error.interrupt])
         except Exception as error:  # An unexpected error must fail this request only.
             self._log.unexpected(call.request_id, error)
             return refusal_response(Refused.INTERNAL_ERROR)
@@ -145,12 +160,19 @@
     def _serve(self, call: RequestHead, environ: Mapping[str, Any]) -> CallerResponse:
         is_gone = environ["waitress.client_disconnected"]
         caller = Caller(arrived_at=environ[ARRIVED_AT], is_gone=is_gone)
-        if not self._state.is_current():
+        deadline = (
+            math.inf
+            if call.deadline_s is None
+            else caller.arrived_at + call.deadline_s - REFUSAL_MARGIN_S
+        )
+        guard = lookup_guard(caller, deadline)
+        guard()
+        if not (self._state.is_known_current() or self._lookups.run(self._state.is_current, guard)):
             return self._refuse(call, Refused.RESUMED, "", UNCONFIRMED_RETRY_AFTER_S)
-        route = self._resolve_route(call, caller)
+        route = self._resolve_route(call, caller, guard)
         if not isinstance(route, Route):
             return route
-        account = self._resolve_account(call, route, caller)
+        account = self._resolve_account(call, route, caller, guard)
         if isinstance(account, CallerResponse):
             return account
         deadline = response_deadline(call, route, caller)
@@ -166,7 +188,9 @@
         body = bytes(environ["wsgi.input"].read())
         return self._relay.handle(call, body, route, service, account, caller)
 
-    def _resolve_route(self, call: RequestHead, caller: Caller) -> Route | CallerResponse:
+    def _resolve_route(
+        self, call: RequestHead, caller: Caller, guard: Callable[[], None]
+    ) -> Route | CallerResponse:
         routing = self._configuration.routing()
         route = routing.route(call.host, call.path) if routing is not None else None
         if route is not None:
@@ -175,7 +199,7 @@
             # Another router can take the time to confirm that it is missing.
             return self._refuse_stopping(call)
         # A route is known to be missing only if the configuration is confirmed as the newest.
-        is_confirmed = self._configuration.confirm(caller.arrived_at - MAX_CONFIRMATION_AGE_S)
+        is_confirmed = self._confirm(caller, guard)
         routing = self._configuration.routing()
         if routing is None:
             return self._refuse(call, Refused.NO_CONFIGURATION, "", UNCONFIRMED_RETRY_AFTER_S)
@@ -187,14 +211,14 @@
         return self._refuse(call, Refused.UNCERTAIN_ROUTE, "", UNCONFIRMED_RETRY_AFTER_S)
 
     def _resolve_account(
-        self, call: RequestHead, route: Route, caller: Caller
+        self, call: RequestHead, route: Route, caller: Caller, guard: Callable[[], None]
     ) -> Account | CallerResponse | None:
         account = self._find_account(call, route)
         if not isinstance(account, Refused):
             return account
         if self._state.shutdown.has_begun:
             return self._refuse_stopping(call)
-        is_confirmed = self._configuration.confirm(caller.arrived_at - MAX_CONFIRMATION_AGE_S)
+        is_confirmed = self._confirm(caller, guard)
         account = self._find_account(call, route)
         if not isinstance(account, Refused):
             return account
@@ -202,6 +226,12 @@
             return self._refuse(call, Refused.KEY_UNKNOWN)
         return self._refuse(call, Refused.UNCERTAIN_KEY, "", UNCONFIRMED_RETRY_AFTER_S)
 
+    def _confirm(self, caller: Caller, guard: Callable[[], None]) -> bool:
+        since = caller.arrived_at - MAX_CONFIRMATION_AGE_S
+        if self._configuration.is_confirmed(since):
+            return True
+        return self._lookups.run(lambda: self._configuration.confirm(since), guard)
+
     def _find_account(self, call: RequestHead, route: Route) -> Account | Refused | None:
         routing = self._configuration.routing()
         if routing is None:
--- a/src/sequoiadrum/gateway/configuration.py
+++ b/src/sequoiadrum/gateway/configuration.py
@@ -173,6 +173,10 @@
         with self._lock:
             return self.version(), self._item
 
+    def is_confirmed(self, since: float) -> bool:
+        """Returns whether `confirm` needs no call; `since` is in monotonic seconds."""
+        return self._confirmed_at >= since and self._has_announced_version()
+
     def confirm(self, since: float) -> bool:
         """Ensures that all versions acknowledged up to a time are known to this router.
 
@@ -187,7 +191,7 @@
             False if neither a peer nor the store confirmed it, or if a read failed less than
             `CONFIRM_RETRY_INTERVAL_S` ago; a newer version may exist.
         """
-        if self._confirmed_at >= since and self._has_announced_version():
+        if self.is_confirmed(since):
             return True
         with self._confirm_lock:
             if self._confirmed_at < since:
--- a/src/sequoiadrum/gateway/exchange.py
+++ b/src/sequoiadrum/gateway/exchange.py
@@ -18,6 +18,7 @@
     OversizedError,
     connect_stream,
     fails_within,
+    no_guard,
 )
 
 if TYPE_CHECKING:
@@ -105,6 +106,10 @@
     """No byte of the request was sent, so that the request has not run."""
 
     detail: str
+    interrupt: Interrupt | None = None
+    """Set if the request ended before it was sent."""
+    is_unresponsive: bool = True
+    """Whether the endpoint was given time to accept a connection and did not, or lost one."""
 
 
 class Framing(Enum):
@@ -283,6 +288,7 @@
         guard: Callable[[], None],
         is_retryable: bool,
         connect_timeout_s: float = CONNECT_TIMEOUT_S,
+        unsent_guard: Callable[[], None] = no_guard,
     ) -> Exchange | NotSent | ExchangeFailure:
         """Sends a request and waits for the head of its response.
 
@@ -298,17 +304,30 @@
             guard: Called while the exchange waits; raises `InterruptedWaitError` to end the wait.
             is_retryable: Whether the request may be sent again after it may have run.
             connect_timeout_s: Longest wait for a new connection; at most `CONNECT_TIMEOUT_S`.
+            unsent_guard: Called instead of `guard` while the request waits for a connection, and
+                before it is sent.
 
         Returns:
-            The exchange, ready to read the body, or why there is no response.
+            The exchange, ready to read the body, or why there is no response. A request that ended
+            before it was sent shows whether the endpoint is unresponsive only if it had waited for
+            `PROBE_TIMEOUT_S`.
         """
         stream = self._take_idle(endpoint_id, None if is_retryable else NON_RETRYABLE_MAX_IDLE_S)
-        if stream is None:
-            try:
-                stream = GuardedStream(connect_stream(address, connect_timeout_s))
-            except OSError as error:
-                return NotSent(f"no connection: {error!r}"[:200])
-            self.opened += 1
+        started_at = clock.now()
+        try:
+            if stream is None:
+                connected = connect_stream(address, connect_timeout_s, unsent_guard)
+                stream = GuardedStream(connected)
+                self.opened += 1
+            unsent_guard()
+        except InterruptedWaitError as error:
+            is_connected = stream is not None
+            if stream is not None:
+                stream.close()
+            has_waited = clock.now() - started_at >= PROBE_TIMEOUT_S
+            return NotSent(error.interrupt.value, error.interrupt, has_waited and not is_connected)
+        except OSError as error:
+            return NotSent(f"no connection: {error!r}"[:200])
         stream.begin(guard)
         try:
             _write(stream, call, headers, body)
--- a/src/sequoiadrum/gateway/guards.py
+++ b/src/sequoiadrum/gateway/guards.py
@@ -1,4 +1,8 @@
-"""Guards that end the wait for an endpoint's response early."""
+"""Guards that end the waits of a request early.
+
+`end_reason` alone decides whether a request must end; the guards call it at intervals wherever a
+request waits, and before any byte of it is sent.
+"""
 
 from __future__ import annotations
 
@@ -7,15 +11,21 @@
 from sequoiadrum.gateway import clock
 from sequoiadrum.gateway.exchange import Interrupt, InterruptedWaitError
 from sequoiadrum.gateway.model import RequestKind
+from sequoiadrum.gateway.request_run import Refused
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from sequoiadrum.gateway.request_run import RequestRun
+    from sequoiadrum.gateway.request_run import Caller, RequestRun
 
 ATTEMPT_GOAL_MULTIPLE: Final = 2.5
 """A retryable request is sent to another endpoint if no response begins within this multiple of the
 route's goal for the first byte."""
+REFUSED_BEFORE_SEND: Final = {
+    Interrupt.CALLER_GONE: Refused.CALLER_GONE,
+    Interrupt.DEADLINE: Refused.DEADLINE_BEFORE_SEND,
+}
+"""How a request is refused that `end_reason` ends before it was sent."""
 MIN_ATTEMPT_S: Final = 0.9
 """Lower bound on the time of an attempt; the slowest regular responses take half a second."""
 STALL_PAUSE_MULTIPLE: Final = 8.0
@@ -27,6 +37,60 @@
 """Time beyond that gap after which a stream without a complete event counts as stalled."""
 
 
+def end_reason(caller: Caller, deadline: float, is_binding: bool) -> Interrupt | None:
+    """Returns why a request must end now, or None if it may go on.
+
+    Args:
+        caller: The caller of the request.
+        deadline: Monotonic seconds at which the response must be complete.
+        is_binding: Whether the request was sent and is non-idempotent; it is then completed even if
+            its caller has disconnected.
+    """
+    if clock.now() >= deadline:
+        return Interrupt.DEADLINE
+    if not is_binding and caller.is_gone():
+        return Interrupt.CALLER_GONE
+    return None
+
+
+def lookup_guard(caller: Caller, deadline: float) -> Callable[[], None]:
+    """Returns a guard for the waits before the route of a request is known.
+
+    The guard raises `InterruptedWaitError` if `end_reason` returns a reason.
+    """
+
+    def check() -> None:
+        interrupt = end_reason(caller, deadline, is_binding=False)
+        if interrupt is not None:
+            raise InterruptedWaitError(interrupt)
+
+    return check
+
+
+def unsent_end_reason(run: RequestRun) -> Interrupt | None:
+    """Returns why a request must not be sent any more, or None if it may be."""
+    interrupt = end_reason(run.caller, run.deadline, is_binding=False)
+    if interrupt is None and run.is_stopped():
+        return Interrupt.STOPPED
+    return interrupt
+
+
+def unsent_guard(run: RequestRun) -> Callable[[], None]:
+    """Returns a guard for the waits before an attempt is sent, also of a request that is retried.
+
+    The guard raises `InterruptedWaitError` if `unsent_end_reason` returns a reason: at the
+    deadline, when the caller has disconnected, whatever the kind of the request, and shortly before
+    the process ends.
+    """
+
+    def check() -> None:
+        interrupt = unsent_end_reason(run)
+        if interrupt is not None:
+            raise InterruptedWaitError(interrupt)
+
+    return check
+
+
 def first_byte_guard(run: RequestRun, sent_at: float) -> Callable[[], None]:
     """Returns a guard for the wait for the first byte of a response.
 
@@ -90,13 +154,11 @@
 
 
 def _request_guard(run: RequestRun) -> Callable[[], None]:
-    # A non-idempotent request that has started is completed even if its caller disconnects.
-    watches_caller = run.kind is not RequestKind.NON_IDEMPOTENT
+    is_binding = run.kind is RequestKind.NON_IDEMPOTENT
 
     def check() -> None:
-        if clock.now() >= run.deadline:
-            raise InterruptedWaitError(Interrupt.DEADLINE)
-        if watches_caller and run.caller.is_gone():
-            raise InterruptedWaitError(Interrupt.CALLER_GONE)
+        interrupt = end_reason(run.caller, run.deadline, is_binding)
+        if interrupt is not None:
+            raise InterruptedWaitError(interrupt)
 
     return check
--- a/src/sequoiadrum/gateway/relay.py
+++ b/src/sequoiadrum/gateway/relay.py
@@ -11,9 +11,17 @@
     Exchange,
     ExchangeFailure,
     Interrupt,
+    InterruptedWaitError,
     NotSent,
 )
-from sequoiadrum.gateway.guards import body_guard, first_byte_guard, stream_guard
+from sequoiadrum.gateway.guards import (
+    REFUSED_BEFORE_SEND,
+    body_guard,
+    first_byte_guard,
+    stream_guard,
+    unsent_end_reason,
+    unsent_guard,
+)
 from sequoiadrum.gateway.model import RequestKind
 from sequoiadrum.gateway.placement import (
     LimitedEndpoints,
@@ -157,14 +165,13 @@
             The placement and the exchange, or the response that ends the request.
         """
         while True:
-            if run.time_left() <= 0:
-                return self._refuse_expired(run)
-            if run.is_stopped():
-                return self._refuse_stopped(run)
             part = self._crashes.crashing_part(run.shared_parts())
             if part is not None:
                 return self._refuse_crashing_part(run, part)
-            placement = self._place_request(run)
+            try:
+                placement = self._place_request(run)
+            except InterruptedWaitError as error:
+                return self._refuse_ended(run, error.interrupt)
             if isinstance(placement, PlacementFailure):
                 return self._refuse_unplaced(run, placement)
             try:
@@ -176,7 +183,10 @@
                 return placement, result
             self._pool.release(placement)
             if isinstance(result, NotSent):
-                self._handle_not_sent(run, placement, result)
+                if result.is_unresponsive:
+                    self._handle_not_sent(run, placement, result)
+                if result.interrupt is not None:
+                    return self._refuse_ended(run, result.interrupt)
                 if run.unsent_attempts >= MAX_UNSENT_ATTEMPTS:
                     return self._refuse_unplaced(run, PlacementFailure.UNREACHABLE)
                 continue
@@ -185,7 +195,13 @@
                 return response
 
     def _place_request(self, run: RequestRun) -> EndpointPlacement | PlacementFailure:
-        """Places a request at an endpoint whose rate, if it named one, permits the request."""
+        """Places a request at an endpoint whose rate, if it named one, permits the request.
+
+        Raises:
+            InterruptedWaitError: The request must end.
+        """
+        guard = unsent_guard(run)
+        guard()
         placement_request = PlacementRequest(
             run.service,
             run.call,
@@ -199,6 +215,7 @@
                 return placement
             try:
                 is_granted = self._quotas.acquire(placement.endpoint_key)
+                guard()
                 if is_granted:
                     self._pool.confirm(placement, placement_request)
             except Exception:
@@ -253,6 +270,7 @@
             first_byte_guard(run, run.sent_at),
             run.kind.is_retryable,
             _connect_timeout_s(run),
+            unsent_guard(run),
         )
         self._metrics.record_seconds("endpoint_first_byte_seconds", clock.now() - run.sent_at)
         if not isinstance(result, NotSent):
@@ -286,13 +304,11 @@
             self._count_body(result.transfer, "broken")
         if result.unclear_end is not None:
             self._metrics.count("unclear_ends_total", reason=result.unclear_end.value)
-        if result.interrupt is Interrupt.CALLER_GONE:
-            return self._refuse(run, Refused.CALLER_GONE)
-        if result.interrupt is Interrupt.STOPPED:
-            return self._refuse_stopped(run)
+        if result.interrupt in (Interrupt.CALLER_GONE, Interrupt.STOPPED):
+            return self._refuse_ended(run, result.interrupt)
         if result.interrupt is Interrupt.DEADLINE:
             self._pool.record_exchange_failure(placement)
-            return self._refuse_expired(run)
+            return self._refuse_ended(run, result.interrupt)
         self._pool.record_exchange_failure(placement)
         self._record_event(
             "exchange_broken",
@@ -331,7 +347,7 @@
         """Spends a retry of a request that may have run; returns False if none is allowed."""
         if not run.kind.is_retryable or run.attempts >= run.route.max_attempts:
             return False
-        if run.time_left() <= 0 or run.is_stopped() or self._crashes.is_refused(run.fingerprint):
+        if unsent_end_reason(run) is not None or self._crashes.is_refused(run.fingerprint):
             return False
         if self._crashes.crashing_part(run.shared_parts()) is not None:
             return False
@@ -390,7 +406,10 @@
             self._pool.record_misdirected(placement)
             self._connections.forget(placement.endpoint.id)
         self._record_event("endpoint_rejected", run, placement, status=head.status)
-        if run.time_left() > 0 and self._spend_retry(run):
+        interrupt = unsent_end_reason(run)
+        if interrupt is not None:
+            return self._refuse_ended(run, interrupt)
+        if self._spend_retry(run):
             return None
         if run.was_sent:
             return self._refuse(run, Refused.ENDPOINT_FAILED, "a repeat was rejected")
@@ -481,10 +500,12 @@
         """See `StreamOwner.forget`."""
         self._in_flight.remove(run)
 
-    def _refuse_expired(self, run: RequestRun) -> CallerResponse:
-        if run.was_sent:
+    def _refuse_ended(self, run: RequestRun, why: Interrupt) -> CallerResponse:
+        if why is Interrupt.STOPPED:
+            return self._refuse_stopped(run)
+        if why is Interrupt.DEADLINE and run.was_sent:
             return self._refuse(run, Refused.DEADLINE, run.last_error)
-        return self._refuse(run, Refused.DEADLINE_BEFORE_SEND, run.last_error)
+        return self._refuse(run, REFUSED_BEFORE_SEND[why], run.last_error)
 
     def _refuse_stopped(self, run: RequestRun) -> CallerResponse:
         if run.was_sent:
