Heed endpoints that say they leave or when to come back

Cause: callers' requests went on reaching an endpoint that said `Server-Leaving: 1` while its entry was still ready (DRAIN), and one that answered 503 with `Retry-After`, while others were free (BUDGET); when all endpoints did so, callers were refused one after the other by way of an endpoint, and took its time for advice to themselves. The gateway knew neither header.

Change: both are decoded once into fields of `ResponseHead`; what cannot be used is left out, counted and logged, and neither is forwarded. `Holds` says for each process of an endpoint why it gets no request and until when; unreachable and full endpoints use it too. A hold that a process asked for outlives its entry, so that no later entry brings a leaving process back; the next process starts clean. While all are held back, callers are refused at once with `endpoints_turned_away` and a time to come back that is spread by request id. Rates stay units in `RateLimits`; endpoints that fail are avoided, not held back.

Conclusion: from the head of the response on, a router that was told sends nothing. Other routers are not told by it: not modelled.

--- a/src/sequoiadrum/gateway/endpoints.py
+++ b/src/sequoiadrum/gateway/endpoints.py
@@ -2,14 +2,17 @@
 
 from __future__ import annotations
 
+from collections import OrderedDict
 from typing import TYPE_CHECKING, Final
 
 from attrs import define, field, frozen
 
+from sequoiadrum.gateway.holds import HoldReason, Holds
 from sequoiadrum.gateway.model import EndpointState, StorePosition
 from sequoiadrum.hashing import stable_hash
 
 if TYPE_CHECKING:
+    from sequoiadrum.gateway.holds import Hold
     from sequoiadrum.gateway.model import EndpointEntry, EngineLoad
 
 REREGISTRATION_PERIOD_S: Final = 2.5
@@ -56,9 +59,10 @@
     """Monotonic seconds at which the entry was removed."""
     keep_until: float = 0.0
     """A removed entry counts as listed until this time, in monotonic seconds."""
-    suspended_until: float = 0.0
+    holds: Holds = field(factory=Holds)
+    """Why and until when no request may be sent to its process."""
     suspension_s: float = 0.0
-    full_until: float = 0.0
+    """Length of the last suspension after a failed connection."""
     failures: float = 0.0
     """Number of failed requests, with exponential decay."""
     results: float = 0.0
@@ -84,19 +88,30 @@
     def can_serve(self, now: float) -> bool:
         """Returns whether the entry permits new requests.
 
-        It must be ready, and either listed or removed so recently that it still counts as listed.
+        It must be ready, not have said that it leaves, and be either listed or removed so recently
+        that it still counts as listed.
         """
         if self.entry.state is not EndpointState.READY:
             return False
-        return self.is_listed or now < self.keep_until
+        if self.holds.is_held(HoldReason.LEAVING, now):
+            return False
+        return self.is_known_listed(now)
 
     def is_suspended(self, now: float) -> bool:
-        """Returns whether requests are withheld because it is unreachable or was recently full."""
-        return self.is_unreachable(now) or now < self.full_until
+        """Returns whether requests are held back from it, or it is not known to be there."""
+        return not self.is_known_listed(now) or self.hold(now) is not None
+
+    def hold(self, now: float) -> Hold | None:
+        """Returns the hold on one more request; None if it may be sent."""
+        return self.holds.available_at(self.in_flight, now)
 
     def is_unreachable(self, now: float) -> bool:
         """Returns whether a connection recently failed, or the entry no longer counts as listed."""
-        return now < self.suspended_until or not (self.is_listed or now < self.keep_until)
+        return self.holds.is_held(HoldReason.UNREACHABLE, now) or not self.is_known_listed(now)
+
+    def is_known_listed(self, now: float) -> bool:
+        """Returns whether the entry counts as listed."""
+        return self.is_listed or now < self.keep_until
 
     def failure_ratio(self, now: float) -> float:
         """Returns the ratio of recent requests that failed, in [0, 1)."""
@@ -114,18 +129,18 @@
         self.failures += failed
         if not failed:
             self.suspension_s = 0.0
-            self.suspended_until = 0.0
+            self.holds.lift(HoldReason.UNREACHABLE)
 
     def record_unreachable(self, now: float) -> None:
         """Suspends the endpoint after a connection could not be established."""
-        if now < self.suspended_until:
+        if self.holds.is_held(HoldReason.UNREACHABLE, now):
             return
         self.suspension_s = min(MAX_SUSPENSION_S, max(INITIAL_SUSPENSION_S, 2 * self.suspension_s))
-        self.suspended_until = now + self.suspension_s
+        self.holds.add(HoldReason.UNREACHABLE, now + self.suspension_s)
 
     def record_full(self, now: float) -> None:
         """Suspends the endpoint briefly after it refused a request because it was full."""
-        self.full_until = now + FULL_PAUSE_S
+        self.holds.add(HoldReason.FULL, now + FULL_PAUSE_S)
 
     def record_load(self, load: EngineLoad, now: float) -> None:
         """Records the load that the endpoint reported with a response."""
@@ -191,6 +206,9 @@
     _ids_by_service: dict[str, set[str]] = field(factory=dict)
     _known_by_id: dict[str, _KnownEntry] = field(factory=dict)
     """Also of removed entries; at most `MAX_KNOWN_ENTRIES`."""
+    _holds_by_process: OrderedDict[tuple[str, int | None], Holds] = field(factory=OrderedDict)
+    """Holds that processes have asked for, by id and start, also of removed entries; at most
+    `MAX_KNOWN_ENTRIES`."""
     _reappeared_by_id: dict[str, _Reappearance] = field(factory=dict)
     _epoch: int = 0
     _restored_at: float = float("-inf")
@@ -230,10 +248,24 @@
         if known is not None:
             self._delete(known)
         id_hash = stable_hash("engine", entry.instance_id)
-        self.by_id[entry.instance_id] = Endpoint(entry, id_hash, joined_at)
+        endpoint = Endpoint(entry, id_hash, joined_at)
+        endpoint.holds = self._holds_by_process.get(_process_key(entry), endpoint.holds)
+        self.by_id[entry.instance_id] = endpoint
         self._ids_by_service.setdefault(entry.service, set()).add(entry.instance_id)
         return True
 
+    def hold(self, endpoint: Endpoint, hold: Hold) -> bool:
+        """Adds a hold that the process of an endpoint asked for; returns whether it ends later.
+
+        It stays in force if the entry is removed and an entry of the same process appears again.
+        """
+        key = _process_key(endpoint.entry)
+        self._holds_by_process.pop(key, None)
+        self._holds_by_process[key] = endpoint.holds
+        if len(self._holds_by_process) > MAX_KNOWN_ENTRIES:
+            self._holds_by_process.popitem(last=False)
+        return endpoint.holds.add(hold.reason, hold.until)
+
     def remove(
         self, instance_id: str, position: StorePosition, now: float, outage_ended: float
     ) -> bool:
@@ -305,3 +337,8 @@
     def _delete(self, endpoint: Endpoint) -> None:
         del self.by_id[endpoint.id]
         self._ids_by_service[endpoint.entry.service].discard(endpoint.id)
+
+
+def _process_key(entry: EndpointEntry) -> tuple[str, int | None]:
+    """Returns what identifies the process of an entry, wherever and whenever the entry was read."""
+    return entry.instance_id, entry.started_ms
--- a/src/sequoiadrum/gateway/exchange.py
+++ b/src/sequoiadrum/gateway/exchange.py
@@ -253,7 +253,7 @@
         if self._is_closed:
             return
         self._is_closed = True
-        if self._response.will_close:
+        if self._response.will_close or self.head.is_leaving:
             self._stream.close()
         else:
             self._release(self._stream, self.head.idle_timeout_s)
--- a/src/sequoiadrum/gateway/model.py
+++ b/src/sequoiadrum/gateway/model.py
@@ -230,6 +230,12 @@
     """End-to-end headers to forward to the caller."""
     rate_limit: float | None = None
     """Requests per second that the endpoint takes from all routers together; None if unlimited."""
+    is_leaving: bool = False
+    """Whether the endpoint states that its process leaves."""
+    retry_after_s: float | None = None
+    """Seconds for which the endpoint wants no request from this router; None if it names none."""
+    unusable: tuple[str, ...] = ()
+    """Names of the fields that were left out because their headers cannot be used."""
 
 
 @frozen
--- a/src/sequoiadrum/gateway/placement.py
+++ b/src/sequoiadrum/gateway/placement.py
@@ -12,6 +12,7 @@
 
 from attrs import frozen
 
+from sequoiadrum.gateway.holds import HoldReason
 from sequoiadrum.hashing import stable_hash
 from sequoiadrum.placement import chat_score
 
@@ -73,6 +74,8 @@
     """All endpoints are suspended, and none of them because it is full."""
     FULL = "full"
     """All endpoints are suspended, at least one because it refused a request as full."""
+    TURNED_AWAY = "turned_away"
+    """All endpoints are held back, at least one because it turned this router away for a time."""
     RATE_LIMITED = "rate_limited"
     """The endpoints that are not suspended take no further request now by the rates they named."""
 
@@ -120,13 +123,11 @@
     Returns:
         The endpoint, or why no endpoint can take the request.
     """
-    listed = [e for e in endpoints if e.can_serve(now) and e.id not in request.excluded]
-    if not listed:
-        return PlacementFailure.UNKNOWN_SERVICE
+    serving = [e for e in endpoints if e.can_serve(now)]
+    listed = [e for e in serving if e.id not in request.excluded]
     available = [e for e in listed if not e.is_suspended(now)]
     if not available:
-        is_full = any(now < e.full_until for e in listed)
-        return PlacementFailure.FULL if is_full else PlacementFailure.UNREACHABLE
+        return _why_unavailable(listed, serving, now)
     if request.withheld:
         available = [e for e in available if e.id not in request.withheld]
         if not available:
@@ -143,6 +144,18 @@
     return _choose_engine(candidates, request, now)
 
 
+def _why_unavailable(
+    listed: list[Endpoint], serving: list[Endpoint], now: float
+) -> PlacementFailure:
+    """Returns why none of the listed endpoints, or of those already tried, takes a request."""
+    holds = [hold for e in listed or serving if (hold := e.hold(now)) is not None]
+    if listed and any(hold.reason is HoldReason.FULL for hold in holds):
+        return PlacementFailure.FULL
+    if any(hold.reason is HoldReason.TURNED_AWAY for hold in holds):
+        return PlacementFailure.TURNED_AWAY
+    return PlacementFailure.UNREACHABLE if listed else PlacementFailure.UNKNOWN_SERVICE
+
+
 def context_source(
     endpoints: list[Endpoint], chosen: Endpoint, request: PlacementRequest, now: float
 ) -> Endpoint | None:
--- a/src/sequoiadrum/gateway/pool.py
+++ b/src/sequoiadrum/gateway/pool.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import threading
 from typing import TYPE_CHECKING
 
@@ -9,6 +10,7 @@
 
 from sequoiadrum.gateway import clock
 from sequoiadrum.gateway.endpoints import Endpoint, EndpointTable
+from sequoiadrum.gateway.holds import MAX_RETRY_AFTER_S, Hold, HoldReason
 from sequoiadrum.gateway.hot_parts import HotParts
 from sequoiadrum.gateway.load_board import Loads, endpoint_key
 from sequoiadrum.gateway.part_memory import PartMemory
@@ -71,6 +73,8 @@
         self._part_memory = PartMemory()
         self._hot_parts = HotParts()
         self._budget_by_service: dict[str, RetryBudget] = {}
+        self._turned_away: set[Endpoint] = set()
+        """Endpoints with a hold whose end was not reported yet."""
         self.rate_limits = RateLimits()
         """The rates that endpoints named; thread-safe by itself."""
 
@@ -189,6 +193,57 @@
             placement.endpoint_key, NamedLimit(head.rate_limit, observed_at), now
         )
 
+    def record_notices(
+        self, placement: EndpointPlacement, head: ResponseHead
+    ) -> list[tuple[str, Hold]]:
+        """Records what the head of a response says of the requests that its endpoint wants.
+
+        Another instance at the address names itself in its response.
+
+        Returns:
+            The new or longer holds, each with the id of its endpoint.
+        """
+        if not head.is_leaving and head.retry_after_s is None:
+            return []
+        now = clock.now()
+        stated = []
+        if head.is_leaving:
+            stated.append(Hold(HoldReason.LEAVING, math.inf))
+        if head.retry_after_s:
+            until = now + min(MAX_RETRY_AFTER_S, head.retry_after_s)
+            stated.append(Hold(HoldReason.TURNED_AWAY, until))
+        with self._lock:
+            endpoint = placement.endpoint
+            if head.instance_id not in (None, endpoint.id):
+                other = self._table.by_id.get(head.instance_id)
+                if other is None:
+                    return []
+                endpoint = other
+            added = [hold for hold in stated if self._table.hold(endpoint, hold)]
+            if any(hold.reason is HoldReason.TURNED_AWAY for hold in added):
+                self._turned_away.add(endpoint)
+        return [(endpoint.id, hold) for hold in added]
+
+    def take_ended_holds(self) -> list[str]:
+        """Returns the endpoints whose time without requests has ended since the last call."""
+        if not self._turned_away:
+            return []
+        now = clock.now()
+        with self._lock:
+            ended = [
+                e for e in self._turned_away if not e.holds.is_held(HoldReason.TURNED_AWAY, now)
+            ]
+            self._turned_away.difference_update(ended)
+        return [endpoint.id for endpoint in ended]
+
+    def hold_wait_s(self, service: str) -> float:
+        """Returns the seconds until an endpoint of a service may take a request again."""
+        now = clock.now()
+        with self._lock:
+            holds = [e.hold(now) for e in self._table.of_service(service) if e.can_serve(now)]
+        ends = [now if hold is None else hold.until for hold in holds]
+        return max(0.0, min(ends, default=now) - now)
+
     def record_exchange_failure(self, placement: EndpointPlacement) -> None:
         """Records that an exchange failed or ended before the response was complete."""
         with self._lock:
--- a/src/sequoiadrum/gateway/relay.py
+++ b/src/sequoiadrum/gateway/relay.py
@@ -22,6 +22,7 @@
     unsent_end_reason,
     unsent_guard,
 )
+from sequoiadrum.gateway.holds import HoldReason, come_back_s
 from sequoiadrum.gateway.model import RequestKind
 from sequoiadrum.gateway.placement import (
     LimitedEndpoints,
@@ -40,6 +41,7 @@
 )
 from sequoiadrum.gateway.sse_framing import EventSplitter
 from sequoiadrum.gateway.stream_body import StreamBody, StreamOwner, read_events
+from sequoiadrum.hashing import stable_hash
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
@@ -202,6 +204,9 @@
         """
         guard = unsent_guard(run)
         guard()
+        for endpoint_id in self._pool.take_ended_holds():
+            self._metrics.count("endpoint_holds_ended_total")
+            self._log.notable("endpoint_hold_ended", endpoint=endpoint_id)
         placement_request = PlacementRequest(
             run.service,
             run.call,
@@ -276,8 +281,33 @@
         if not isinstance(result, NotSent):
             run.attempts += 1
             run.was_sent = True
+        if isinstance(result, Exchange):
+            self._record_notices(run, placement, result.head)
         return result
 
+    def _record_notices(
+        self, run: RequestRun, placement: EndpointPlacement, head: ResponseHead
+    ) -> None:
+        """Holds requests back from an endpoint that wants none, from its response's head on."""
+        for name in head.unusable:
+            self._metrics.count("unusable_headers_total", field=name)
+            self._log.routine(
+                "endpoint_header_unusable", endpoint=placement.endpoint.id, field=name
+            )
+        for endpoint_id, hold in self._pool.record_notices(placement, head):
+            self._metrics.count("endpoint_holds_total", reason=hold.reason.value)
+            is_leaving = hold.reason is HoldReason.LEAVING
+            if is_leaving:
+                self._connections.forget(endpoint_id)
+            self._log.notable(
+                "endpoint_held_back",
+                request=run.call.request_id,
+                endpoint=endpoint_id,
+                reason=hold.reason.value,
+                for_ms=None if is_leaving else int((hold.until - clock.now()) * 1e3),
+                status=head.status,
+            )
+
     def _handle_not_sent(
         self, run: RequestRun, placement: EndpointPlacement, result: NotSent
     ) -> None:
@@ -385,7 +415,11 @@
             self._record_event("endpoint_error_repeated", run, placement, status=head.status)
             return None
         self._record_served(run, placement, head, exchange.transfer())
-        return CallerResponse(head.status, head.reason, head.headers, body)
+        headers = head.headers
+        if head.status == HTTPStatus.SERVICE_UNAVAILABLE:
+            advice_s = max(FULL_RETRY_AFTER_S, self._come_back_s(run))
+            headers = (*headers, ("Retry-After", f"{advice_s:.2f}"))
+        return CallerResponse(head.status, head.reason, headers, body)
 
     def _may_retry_after(self, run: RequestRun, placement: EndpointPlacement) -> bool:
         run.tried.append(placement.endpoint.id)
@@ -413,6 +447,8 @@
             return None
         if run.was_sent:
             return self._refuse(run, Refused.ENDPOINT_FAILED, "a repeat was rejected")
+        if self._pool.hold_wait_s(run.service.name) > 0 and head.retry_after_s is not None:
+            return self._refuse_unplaced(run, PlacementFailure.TURNED_AWAY)
         return self._refuse(run, Refused.ENDPOINTS_FULL, retry_after_s=FULL_RETRY_AFTER_S)
 
     def _begin_stream(
@@ -528,6 +564,10 @@
                 UNREACHABLE_RETRY_AFTER_S,
             ),
             PlacementFailure.FULL: (Refused.ENDPOINTS_FULL, FULL_RETRY_AFTER_S),
+            PlacementFailure.TURNED_AWAY: (
+                Refused.ENDPOINTS_TURNED_AWAY,
+                self._come_back_s(run),
+            ),
             PlacementFailure.RATE_LIMITED: (
                 Refused.ENDPOINTS_LIMITED,
                 max(LIMITED_RETRY_AFTER_S, self._pool.quota_wait_s(run.service.name)),
@@ -535,6 +575,11 @@
         }[why]
         return self._refuse(run, reason, run.last_error, retry_after_s)
 
+    def _come_back_s(self, run: RequestRun) -> float:
+        """Returns the seconds after which a caller should come back, spread over the callers."""
+        share = (stable_hash("come-back", run.call.request_id) % 1_000) / 1_000
+        return come_back_s(self._pool.hold_wait_s(run.service.name), share)
+
     def _refuse(
         self, run: RequestRun, reason: Refused, detail: str = "", retry_after_s: float | None = None
     ) -> CallerResponse:
--- a/src/sequoiadrum/gateway/request_run.py
+++ b/src/sequoiadrum/gateway/request_run.py
@@ -42,6 +42,8 @@
     NO_ENDPOINT = "no_endpoint"
     ENDPOINTS_UNREACHABLE = "endpoints_unreachable"
     ENDPOINTS_FULL = "endpoints_full"
+    ENDPOINTS_TURNED_AWAY = "endpoints_turned_away"
+    """All endpoints are held back, at least one because it named a time without requests."""
     ENDPOINTS_LIMITED = "endpoints_limited"
     """All endpoints take fewer requests than there are, by the rates that they named."""
     CRASHES_ENDPOINTS = "crashes_endpoints"
--- a/src/sequoiadrum/platform/headers.py
+++ b/src/sequoiadrum/platform/headers.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import math
+import re
 from http import HTTPStatus
 from typing import TYPE_CHECKING, Any, Final
 
@@ -31,6 +32,8 @@
 SEAL: Final = "Sequoiadrum-Response-Seal"
 LOAD: Final = "Sequoiadrum-Server-Load"
 RATE_LIMIT: Final = "Server-Limit"
+LEAVING: Final = "Server-Leaving"
+RETRY_AFTER: Final = "Retry-After"
 
 _HOP_BY_HOP: Final = frozenset(
     {
@@ -64,6 +67,9 @@
     )
 )
 """Headers that are never forwarded unchanged from a caller to an endpoint."""
+_FOR_ROUTERS: Final = frozenset({"content-length", LEAVING.lower(), RETRY_AFTER.lower()})
+"""Headers of a response that are never forwarded to the caller."""
+_SECONDS: Final = re.compile(r"[0-9]{1,9}(\.[0-9]{1,9})?", re.ASCII)
 _FRAMING: Final = frozenset({"content-length", "expect"})
 _MAX_DEADLINE_MS: Final = 3_600_000
 """Longer deadlines are reduced to this limit of one hour."""
@@ -138,6 +144,16 @@
         """See `HeaderCodec.decode_response`."""
         pairs = list(headers)
         by_name = {name.lower(): value for name, value in pairs}
+        unusable = []
+        leaving = _values(pairs, LEAVING)
+        if leaving not in ([], ["1"]):
+            unusable.append("is_leaving")
+        retry_after = (
+            _values(pairs, RETRY_AFTER) if status == HTTPStatus.SERVICE_UNAVAILABLE else []
+        )
+        retry_after_s = _decode_seconds(retry_after)
+        if retry_after and retry_after_s is None:
+            unusable.append("retry_after_s")
         return ResponseHead(
             status=status,
             reason=reason,
@@ -149,8 +165,11 @@
             is_sealed=SEAL.lower() in by_name,
             load=_decode_load(by_name.get(LOAD.lower(), "")),
             idle_timeout_s=_decode_keep_alive(by_name.get("keep-alive", "")),
-            headers=tuple(_end_to_end_headers(pairs, frozenset({"content-length"}))),
+            headers=tuple(_end_to_end_headers(pairs, _FOR_ROUTERS)),
             rate_limit=_decode_rate(by_name.get(RATE_LIMIT.lower(), "")),
+            is_leaving=leaving == ["1"],
+            retry_after_s=retry_after_s,
+            unusable=tuple(unusable),
         )
 
 
@@ -215,6 +234,17 @@
     return EngineLoad(running, waiting, slots)
 
 
+def _values(pairs: Iterable[tuple[str, str]], name: str) -> list[str]:
+    return [value.strip() for each, value in pairs if each.lower() == name.lower()]
+
+
+def _decode_seconds(values: list[str]) -> float | None:
+    """Decodes a time that is given once; returns None if it is missing or cannot be used."""
+    if len(values) != 1 or not _SECONDS.fullmatch(values[0]):
+        return None
+    return float(values[0])
+
+
 def _decode_rate(text: str) -> float | None:
     """Decodes a decimal number; returns None if it is missing or is no rate."""
     try:
--- a/tests/platform/test_headers.py
+++ b/tests/platform/test_headers.py
@@ -124,3 +124,29 @@
         )
         self.assertIsNone(head.load)
         self.assertIsNone(head.idle_timeout_s)
+
+    def test_notices_to_routers_are_decoded_and_not_forwarded(self) -> None:
+        """Guards against overlooking them, and against callers who take them for their own."""
+        pairs = [("server-leaving", "1"), ("RETRY-AFTER", " 2.5 "), ("X-Own", "1")]
+        head = PlatformHeaderCodec().decode_response(503, "Busy", pairs)
+        self.assertEqual((head.is_leaving, head.retry_after_s), (True, 2.5))
+        self.assertEqual((head.headers, head.unusable), ((("X-Own", "1"),), ()))
+        # Beside another status it says nothing about the endpoint.
+        self.assertIsNone(PlatformHeaderCodec().decode_response(500, "", pairs).retry_after_s)
+
+    def test_notices_that_cannot_be_used_are_left_out(self) -> None:
+        """Guards against an endpoint that is given up for a value without a meaning."""
+        for text in ("", "-1", "soon", "nan", "inf", "1e3", "9" * 400, "٣", "0x10", "1,2", "1."):
+            with self.subTest(text):
+                head = PlatformHeaderCodec().decode_response(503, "", [("Retry-After", text)])
+                self.assertEqual((head.retry_after_s, head.unusable), (None, ("retry_after_s",)))
+        date = [("Retry-After", "Sat, 05 Dec 2026 12:00:00 GMT")]
+        twice = [("Retry-After", "1"), ("retry-after", "2")]
+        for pairs in (date, twice):
+            head = PlatformHeaderCodec().decode_response(503, "", pairs)
+            self.assertEqual((head.retry_after_s, head.unusable), (None, ("retry_after_s",)))
+        for values in (["0"], [""], ["yes"], ["1" * 400], ["1", "1"], ["1", "0"]):
+            with self.subTest(values):
+                pairs = [("Server-Leaving", value) for value in values]
+                head = PlatformHeaderCodec().decode_response(200, "", pairs)
+                self.assertEqual((head.is_leaving, head.unusable), (False, ("is_leaving",)))
