Play endpoints that say they leave, or when to come back, in the soak

Cause: the promises to such endpoints had no test with several gateway processes, restarts and pauses.

Change: endpoints of the soak say that they leave while their entry stays ready, or turn requests away for 2 to 4 s; drawn separately, so that the other actions of a seed stay. `check_notices` holds each gateway process to what it was told; a restart or a pause since exempts it, a disturbed endpoint too.

--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -8,9 +8,12 @@
 from pathlib import Path
 from typing import Any, Final
 
+from attrs import evolve
+
 from tools.soak.checks import check
 from tools.soak.plan import (
     GRACE_PERIOD_S,
+    NOTICE_KINDS,
     RESPONSE_KINDS,
     RESTORED,
     draw_plan,
@@ -22,6 +25,8 @@
     Disturbance,
     Exit,
     KeyChange,
+    Notice,
+    NoticeKind,
     Record,
     Run,
     expected_body,
@@ -31,6 +36,8 @@
 SEED: Final = 11
 RESTORING_SEED: Final = 22
 """A seed whose store is restored from an older copy, twice."""
+NOTICE_SEED: Final = 25
+"""A seed whose endpoints say that they leave, and when to come back."""
 DURATION_S: Final = 9.0
 """Duration of the seeds that this test runs; longer runs are started by hand."""
 
@@ -114,6 +121,29 @@
         late.disturbances.append(Disturbance("g0", "cut", 97.0, 99.0))
         self.assertEqual(self._broken_promises(late), [])
 
+    def test_work_after_a_notice(self) -> None:
+        """Guards against a gateway that does not heed what an endpoint has told it.
+
+        Another gateway, another process of it, and one that was paused since are exempt.
+        """
+        told = make_result("q0", sent_at=90.0)
+        results = [told, *(make_result(f"q{n}", sent_at=90.0 + n) for n in (1, 3, 4, 5))]
+        for kind, at in ((NoticeKind.LEAVING, 90.0), (NoticeKind.TURNED_AWAY, 90.0)):
+            with self.subTest(kind):
+                notice = Notice(kind, "q0", "e1", at, 94.5)
+                record = make_record(*results, notices=[notice])
+                self.assertEqual(self._broken_promises(record), [kind.value])
+                paused = Disturbance("g0", "pause", 90.2, 90.3)
+                record.disturbances.append(paused)
+                self.assertEqual(self._broken_promises(record), [])
+                for change in ({"gateway": "g1"}, {"process": 2}):
+                    others = [told, *(evolve(result, **change) for result in results[1:])]
+                    record = make_record(*others, notices=[notice])
+                    self.assertEqual(self._broken_promises(record), [])
+                few = make_record(*results[:2], results[4], notices=[notice])
+                is_broken = kind is NoticeKind.LEAVING
+                self.assertEqual(bool(self._broken_promises(few)), is_broken)
+
     def test_keys(self) -> None:
         """Guards against removed keys that work, valid keys that are denied, and rollbacks."""
         changes = [KeyChange(1, 0, 0, frozenset({1})), KeyChange(2, 97, 97.5, frozenset({2}))]
@@ -214,6 +244,12 @@
         self.assertEqual(len(restores), 2)
         self._assert_promises_kept(RESTORING_SEED)
 
+    def test_short_seed_with_notices_keeps_all_promises(self) -> None:
+        """Guards against requests to endpoints that say they leave, or when to come back."""
+        kinds = {a.kind for a in draw_plan(NOTICE_SEED, DURATION_S, 4, 5)}
+        self.assertLessEqual(set(NOTICE_KINDS), kinds)
+        self._assert_promises_kept(NOTICE_SEED)
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/tools/soak/checks.py
+++ b/tools/soak/checks.py
@@ -8,12 +8,12 @@
 from attrs import frozen
 
 from sequoiadrum.gateway.request_run import REFUSAL_MARGIN_S
-from tools.soak.record import DEADLINE_S, PROMISES_NOT_RUN, expected_body
+from tools.soak.record import DEADLINE_S, PROMISES_NOT_RUN, NoticeKind, expected_body
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterator
 
-    from tools.soak.record import CallResult, Record
+    from tools.soak.record import CallResult, Notice, Record, Run
 
 UNDISTURBED_S: Final = 3.0
 """Time without a disturbance after which a time bound applies to a gateway.
@@ -24,6 +24,10 @@
 """Time after which a leaving endpoint gets no new request."""
 CONFIG_APPLY_S: Final = 2.0
 """Time after which a configuration that the store acknowledged is in force."""
+TURNED_AWAY_SLACK_S: Final = 0.5
+"""Time after which a gateway that an endpoint turned away must heed it."""
+MAX_TURNED_AWAY: Final = 2
+"""Requests that a gateway may send nevertheless until the end of the time."""
 MIN_RECOVERED_RATIO: Final = 0.25
 """Minimum ratio of requests that must be served after the last fault."""
 
@@ -90,6 +94,39 @@
             yield Violation("leaving", run.request_id, detail)
 
 
+def check_notices(record: Record) -> Iterator[Violation]:
+    """Checks that a gateway heeds what an endpoint has told it with a response.
+
+    A restart or a pause of the gateway since then exempts it, as does a disturbance of the
+    endpoint, in which a response may not have reached the gateway.
+    """
+    by_id = {result.request_id: result for result in record.results}
+    arrivals: dict[str, list[tuple[float, CallResult]]] = defaultdict(list)
+    seen: list[Run | Notice] = [*record.runs, *record.notices]
+    for each in seen:
+        result = by_id.get(each.request_id)
+        if result is not None:
+            arrivals[_instance(each.endpoint, result)].append((each.at, result))
+    reported = set()
+    for notice in sorted(record.notices, key=lambda notice: notice.at):
+        told = by_id.get(notice.request_id)
+        if told is None or not _has_reached_gateway(record, notice, told):
+            continue
+        instance = _instance(notice.endpoint, told)
+        late = {
+            result.request_id
+            for at, result in arrivals[instance]
+            if _is_late(notice, at, result)
+            and (result.gateway, result.process) == (told.gateway, told.process)
+            and not record.has_disturbance(told.gateway, notice.at, at, kind="pause")
+        }
+        allowed = 0 if notice.kind is NoticeKind.LEAVING else MAX_TURNED_AWAY
+        if len(late) > allowed and (instance, told.gateway) not in reported:
+            reported.add((instance, told.gateway))
+            detail = f"{len(late)} requests at {instance} from {told.gateway}"
+            yield Violation(notice.kind.value, min(late), detail)
+
+
 def check_api_keys(record: Record) -> Iterator[Violation]:
     """Checks that API keys are accepted or denied as the newest configuration says.
 
@@ -186,6 +223,27 @@
         yield Violation("whole answer", result.request_id, detail)
 
 
+def _instance(endpoint: str, result: CallResult) -> str:
+    """Returns the name of an endpoint as the service that runs a call."""
+    return f"{endpoint}-model" if result.kind.is_stream else endpoint
+
+
+def _has_reached_gateway(record: Record, notice: Notice, told: CallResult) -> bool:
+    """Returns whether the response with a notice is known to have reached its gateway."""
+    if told.status is None or not told.is_complete:
+        return False
+    return not record.has_disturbance(
+        notice.endpoint, notice.at - UNDISTURBED_S, notice.at, ignored_kind="turn_away"
+    )
+
+
+def _is_late(notice: Notice, at: float, result: CallResult) -> bool:
+    """Returns whether a request that arrives at a time comes too late after a notice."""
+    if notice.kind is NoticeKind.LEAVING:
+        return result.sent_at > notice.at + LEAVING_BOUND_S
+    return notice.at + TURNED_AWAY_SLACK_S < at < notice.until
+
+
 def _is_key_always_valid(record: Record, result: CallResult) -> bool:
     """Whether every configuration that may have been in force at the gateway accepts the key."""
     changes = record.key_changes
@@ -231,6 +289,7 @@
     check_refusals,
     check_responses,
     check_leaving_endpoints,
+    check_notices,
     check_api_keys,
     check_graceful_shutdowns,
     check_process_exits,
--- a/tools/soak/endpoints.py
+++ b/tools/soak/endpoints.py
@@ -8,10 +8,17 @@
 from enum import Enum
 from typing import TYPE_CHECKING, Final
 
-from sequoiadrum.platform.headers import LAST_EVENT_ID, REQUEST_ID, SEAL
+from sequoiadrum.platform.headers import (
+    LAST_EVENT_ID,
+    LEAVING,
+    NOT_EXECUTED,
+    REQUEST_ID,
+    RETRY_AFTER,
+    SEAL,
+)
 from tests.gateway.scripted_endpoint import ScriptedEndpoint, answer, chunk, event, stream_head
 from tools.soak.proxy import FaultProxy, Mode
-from tools.soak.record import expected_body
+from tools.soak.record import NoticeKind, expected_body
 
 if TYPE_CHECKING:
     from tests.gateway.scripted_endpoint import Connection, Received
@@ -50,6 +57,10 @@
         self.response_fault: ResponseFault | None = None
         self.is_crashed = False
         self._rng = random.Random(endpoint_id)
+        self.says_leaving = False
+        """Whether each response says that the endpoint leaves."""
+        self.turned_away_until = float("-inf")
+        """The endpoint turns all requests away until this time, in monotonic seconds."""
 
     def crash(self) -> None:
         """Resets all open connections and refuses new ones until `restart`."""
@@ -72,6 +83,14 @@
         if self.is_crashed:
             connection.reset()
             return
+        away_s = self.turned_away_until - time.monotonic()
+        if away_s > 0:
+            self._record.add_notice(
+                NoticeKind.TURNED_AWAY, request.request_id, self.id, round(away_s, 3)
+            )
+            headers = f"{NOT_EXECUTED}: 1\r\n{RETRY_AFTER}: {away_s:.3f}\r\n"
+            connection.send(answer(request, b"", "503 Busy", headers))
+            return
         self._record.add_run(request.request_id, self.id)
         path = request.line.split(" ")[1]
         count = int(path.rsplit("/", 1)[1])
@@ -87,7 +106,8 @@
             return
         fault = self.response_fault
         body = expected_body(request.request_id)
-        response = answer(request, body)
+        head, _, _ = answer(request, body).partition(b"\r\n\r\n")
+        response = self._with_notices(head + b"\r\n\r\n", request) + body
         if self.truncates_responses:
             connection.send(response[: len(response) // 2])
             connection.reset()
@@ -97,7 +117,7 @@
             connection.send(response[: self._rng.randrange(1, len(response))])
             _end(connection)
         else:
-            connection.send(_unframed_head(request))
+            connection.send(self._with_notices(_unframed_head(request), request))
             is_whole = fault is ResponseFault.UNFRAMED
             connection.send(body if is_whole else body[: len(body) // 2])
             self._end_unframed(connection, fault)
@@ -109,7 +129,8 @@
             return
         fault = self.response_fault
         is_unframed = fault not in (None, ResponseFault.CUT_ANYWHERE)
-        connection.send(_unframed_head(request) if is_unframed else stream_head(request))
+        head = _unframed_head(request) if is_unframed else stream_head(request)
+        connection.send(self._with_notices(head, request))
         started = time.monotonic()
         for number in range(first, count + 1):
             due_at = started + (number - first + 1) * EVENT_INTERVAL_S
@@ -142,6 +163,13 @@
             self.proxy.close_listener()
         _end(connection)
 
+    def _with_notices(self, head: bytes, request: Received) -> bytes:
+        """Adds to the head of a response what the endpoint says to gateways."""
+        if not self.says_leaving:
+            return head
+        self._record.add_notice(NoticeKind.LEAVING, request.request_id, self.id)
+        return head[:-2] + f"{LEAVING}: 1\r\n\r\n".encode()
+
 
 def _unframed_head(request: Received) -> bytes:
     return (
--- a/tools/soak/plan.py
+++ b/tools/soak/plan.py
@@ -57,6 +57,13 @@
 kind and reset; are of that kind, and the endpoint is gone when they end.
 """
 RESPONSE_FAULTS_PER_S: Final = 0.25
+NOTICE_KINDS: Final = ("say_leaving", "turn_away")
+"""What endpoints tell gateways with their responses, drawn separately, in this order.
+
+The endpoint leaves and is replaced, but its entry in the store stays ready; it turns all requests
+away for a time that it names.
+"""
+MIN_TURN_AWAY_S: Final = 2.0
 _SUBJECT_WEIGHTS: Final = {"gateway": 5, "store": 2, "endpoint": 5, "config": 4, "reload": 1}
 
 
@@ -135,4 +142,11 @@
         for_s = min(responses.choice((0.3, 1.0, 2.0)), seconds - RECOVERY_S - at)
         kind, target = responses.choice(RESPONSE_KINDS), responses.randrange(endpoints)
         actions.append(Action(round(at, 2), "endpoint", kind, target, round(for_s, 2)))
+    notices = random.Random(f"notices-{seed}")
+    for kind in NOTICE_KINDS:
+        for _ in range(notices.randint(0, 2)):
+            at = notices.uniform(WARM_UP_S, seconds - RECOVERY_S - MIN_TURN_AWAY_S)
+            for_s = min(notices.uniform(MIN_TURN_AWAY_S, 4.0), seconds - RECOVERY_S - at)
+            target = notices.randrange(endpoints)
+            actions.append(Action(round(at, 2), "endpoint", kind, target, round(for_s, 2)))
     return sorted(actions, key=lambda action: action.at)
--- a/tools/soak/record.py
+++ b/tools/soak/record.py
@@ -45,6 +45,25 @@
     at: float
 
 
+class NoticeKind(Enum):
+    """What an endpoint tells a gateway with a response."""
+
+    LEAVING = "leaving"
+    TURNED_AWAY = "turned_away"
+
+
+@frozen
+class Notice:
+    """A response by which an endpoint said which requests it wants."""
+
+    kind: NoticeKind
+    request_id: str
+    endpoint: str
+    at: float
+    until: float = float("inf")
+    """End of the time for which it wants no request from the gateway."""
+
+
 @frozen
 class CallResult:
     """The response or the failure that a caller observed for one request."""
@@ -117,6 +136,7 @@
     disturbances: list[Disturbance] = field(factory=list)
     leaving_since: dict[str, float] = field(factory=dict)
     """Times at which the store acknowledged that an endpoint leaves, by endpoint."""
+    notices: list[Notice] = field(factory=list)
     key_changes: list[KeyChange] = field(factory=list)
     exits: list[Exit] = field(factory=list)
     fault_free_since: float = float("inf")
@@ -128,6 +148,14 @@
         with self._lock:
             self.runs.append(Run(request_id, endpoint, time.monotonic()))
 
+    def add_notice(
+        self, kind: NoticeKind, request_id: str, endpoint: str, for_s: float = float("inf")
+    ) -> None:
+        """Records a notice that is about to be sent; it holds for some seconds."""
+        now = time.monotonic()
+        with self._lock:
+            self.notices.append(Notice(kind, request_id, endpoint, now, now + for_s))
+
     def add_result(self, result: CallResult) -> None:
         """Records the result of a call."""
         with self._lock:
@@ -141,13 +169,22 @@
         return disturbance
 
     def has_disturbance(
-        self, subject: str, since: float, until: float, ignored_kind: str = ""
+        self, subject: str, since: float, until: float, ignored_kind: str = "", kind: str = ""
     ) -> bool:
-        """Returns whether a subject had a disturbance between two times, except an ignored kind."""
+        """Returns whether a subject had a disturbance between two times.
+
+        Args:
+            subject: Name of a gateway or an endpoint, or `store`.
+            since: Start of the time.
+            until: End of the time.
+            ignored_kind: Disturbances of this kind do not count.
+            kind: Only disturbances of this kind count; empty for all.
+        """
         with self._lock:
             return any(
                 d.subject == subject
                 and d.kind != ignored_kind
+                and kind in ("", d.kind)
                 and d.since <= until
                 and d.until >= since
                 for d in self.disturbances
--- a/tools/soak/runner.py
+++ b/tools/soak/runner.py
@@ -181,14 +181,16 @@
 
     def _disturb_endpoint(self, action: Action) -> None:
         endpoint = self._endpoints[action.target]
-        if action.kind == "leave":
-            self._replace_endpoint(action.target)
+        if action.kind in ("leave", "say_leaving"):
+            self._replace_endpoint(action.target, is_stated=action.kind == "say_leaving")
             return
         with self._disturbance(endpoint.id, action.kind):
             if action.kind == "crash":
                 endpoint.crash()
             elif action.kind == "reset":
                 endpoint.proxy.reset()
+            elif action.kind == "turn_away":
+                endpoint.turned_away_until = time.monotonic() + action.for_s
             elif action.kind == "lost_answers":
                 endpoint.loses_responses = True
             elif action.kind == "cut_answers":
@@ -202,12 +204,16 @@
             endpoint.response_fault = None
             endpoint.restart()
 
-    def _replace_endpoint(self, target: int) -> None:
+    def _replace_endpoint(self, target: int, is_stated: bool) -> None:
+        """Replaces an endpoint that says that it leaves, either in responses or in its entry."""
         leaving, joining = self._endpoints[target], self._new_endpoint()
         self._endpoints[target] = joining
         self._register(joining, "ready")
-        self._register(leaving, "draining")
-        self.record.leaving_since[leaving.id] = time.monotonic()
+        if is_stated:
+            leaving.says_leaving = True
+        else:
+            self._register(leaving, "draining")
+            self.record.leaving_since[leaving.id] = time.monotonic()
         self._ending.wait(LEAVING_SERVICE_S)
         for name in _entry_names(leaving):
             self._store.delete(ENDPOINT_KIND, name)
