--- a/src/sequoiadrum/gateway/_sockets.py
+++ b/src/sequoiadrum/gateway/_sockets.py
@@ -51,10 +51,10 @@
     return stream
 
 
-def fails_within(stream: socket.socket, wait_s: float) -> bool:
-    """Returns whether a connection is reset within some seconds."""
+def ends_within(stream: socket.socket, wait_s: float) -> bool:
+    """Returns whether the peer ends or resets a connection within some seconds."""
     poll = select.poll()
-    poll.register(stream, 0)  # Errors are reported always.
+    poll.register(stream, select.POLLRDHUP)  # Errors are reported always.
     return bool(poll.poll(wait_s * 1e3))
 
 
