Ignore the port in the host of a route, as in that of a request

Cause: The port was taken off the `Host` of a request but not off the host of a route. A version with such a route was accepted, and no request ever reached the route.

Change: One function names the host of both.

Conclusion: A host that the decoder accepts can be reached.

--- a/src/sequoiadrum/gateway/routing.py
+++ b/src/sequoiadrum/gateway/routing.py
@@ -12,6 +12,11 @@
 _HASH_RANGE = 1 << 64
 
 
+def _host_name(host: str) -> str:
+    """Returns a host without its port, in lower case."""
+    return (host.rpartition(":")[0] if ":" in host else host).lower()
+
+
 class RoutingTable:
     """One version of the configuration, indexed by host and API key."""
 
@@ -19,7 +24,7 @@
         self.config = config
         self._routes_by_host: dict[str, list[Route]] = {}
         for route in config.routes:
-            self._routes_by_host.setdefault(route.host.lower(), []).append(route)
+            self._routes_by_host.setdefault(_host_name(route.host), []).append(route)
         for routes in self._routes_by_host.values():
             routes.sort(key=lambda route: len(route.path_prefix), reverse=True)
 
@@ -30,8 +35,7 @@
             host: Value of the `Host` header; case and a port are ignored.
             path: Path as received, without the query string.
         """
-        name = host.rpartition(":")[0] if ":" in host else host
-        for route in self._routes_by_host.get(name.lower(), ()):
+        for route in self._routes_by_host.get(_host_name(host), ()):
             if path.startswith(route.path_prefix):
                 return route
         return None
--- a/tests/gateway/test_unusable_entries.py
+++ b/tests/gateway/test_unusable_entries.py
@@ -9,7 +9,7 @@
 from typing import Any
 from unittest import mock
 
-from hypothesis import given, settings
+from hypothesis import example, given, settings
 from hypothesis import strategies as st
 from returns.result import Failure, Success
 
@@ -140,6 +140,7 @@
 
     @settings(derandomize=True, deadline=None)
     @given(st.sampled_from(_CONFIG_PATHS), _ANY)
+    @example(("routes", 1, "host"), "shop.example:80")
     def test_any_configuration_is_used_or_rejected(self, path: tuple[Any, ...], value: Any) -> None:
         """Guards against a configuration that is decoded, and fails the requests that use it."""
         decoded = decode_config(StoredItem("main", 1, _replaced(_CONFIG, path, value)))
