--- a/src/sequoiadrum/gateway/app.py
+++ b/src/sequoiadrum/gateway/app.py
@@ -21,6 +21,7 @@
     ServingState,
 )
 from sequoiadrum.gateway.configuration import ConfigurationHolder
+from sequoiadrum.gateway.convictions import ConvictionStore
 from sequoiadrum.gateway.crash_reports import CrashReports
 from sequoiadrum.gateway.event_log import EventLog
 from sequoiadrum.gateway.exchange import EndpointConnections
@@ -32,6 +33,7 @@
 )
 from sequoiadrum.gateway.front import ServerGroup
 from sequoiadrum.gateway.load_exchange import LoadExchangeTask
+from sequoiadrum.gateway.memory_budget import ResponseMemory, budget_of
 from sequoiadrum.gateway.mirror import Mirror
 from sequoiadrum.gateway.pause_detector import PauseDetector
 from sequoiadrum.gateway.peer_feed import PeerFeed, PeerResponder
@@ -135,6 +137,17 @@
             self.log,
         )
         self.crashes: Final = CrashReports(self.gossip.broadcast, self.metrics)
+        self._convictions: Final = ConvictionStore(
+            self._store,
+            self.crashes,
+            settings.instance_id,
+            self.gossip.members,
+            self.timers,
+            self.metrics,
+            self.log,
+            self._invariant_broken,
+        )
+        self._store_availability.subscribe_restores(self._convictions.store_restored)
         pauses = PauseDetector(clock.now())
         self.peer_events: Final = PeerEventTask(
             settings.instance_id,
@@ -187,6 +200,8 @@
             self.threads.can_serve,
         )
         self._in_flight: Final = RequestsInFlight(self.metrics, self.log)
+        memory = ResponseMemory(budget_of(settings.memory_mb).response_bytes)
+        self.metrics.gauge("response_bytes_held", lambda: float(memory.used()))
         relay = Relay(
             adapter.header_codec,
             self.pool,
@@ -195,6 +210,7 @@
             self._load_exchange,
             settings.failure_domain,
             self._in_flight,
+            memory,
             self.shutdown,
             self.metrics,
             self.log,
@@ -230,6 +246,7 @@
         _waitress_log.setLevel(logging.CRITICAL)
         self.log.notable("started", version=__version__, settings=asdict(self.settings))
         self.timers.start()
+        self._convictions.run()
         for sync in self._syncs:
             sync.start()
         self._wait_for_first_lists()
@@ -293,6 +310,7 @@
         self.gossip.stop()
         self._load_exchange.stop()
         self.peer_events.stop()
+        self._convictions.stop()
         self._peer_server.stop()
         self._peers.close()
         self.timers.stop()
--- a/src/sequoiadrum/gateway/exchange.py
+++ b/src/sequoiadrum/gateway/exchange.py
@@ -5,8 +5,8 @@
 import http.client
 import io
 import threading
+import time
 from enum import Enum
-from http import HTTPStatus
 from typing import TYPE_CHECKING, Final
 
 from attrs import define, field, frozen
@@ -17,12 +17,16 @@
     GuardedStream,
     OversizedError,
     connect_stream,
-    fails_within,
+    ends_within,
+    no_guard,
 )
+from sequoiadrum.gateway.buffered_body import BodyBuffer
+from sequoiadrum.gateway.memory_budget import Growth
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from sequoiadrum.gateway.memory_budget import Holding
     from sequoiadrum.gateway.model import RequestHead, ResponseHead
     from sequoiadrum.gateway.ports import HeaderCodec
     from sequoiadrum.messages import Address
@@ -33,6 +37,9 @@
 """Longest wait for a connection that only shows whether an endpoint still listens."""
 END_SETTLE_S: Final = 0.1
 """How long a new connection must last to show that an endpoint ended a response by itself."""
+BREAK_SETTLE_S: Final = 0.05
+"""How long a new connection must last to show that an endpoint outlived a broken exchange."""
+PROBE_PAUSE_S: Final = 0.02
 IDLE_MARGIN_S: Final = 1.0
 """An idle connection is closed this long before its endpoint would close it."""
 DEFAULT_IDLE_TIMEOUT_S: Final = 4.0
@@ -52,7 +59,7 @@
 """Size of the chunk sizes, extensions and trailers that one read of the body may meet."""
 MAX_DISCARDED_BYTES: Final = 1_000_000
 """Size of a response to another request that is skipped to reach the one to this request."""
-_PROBES: Final = 2
+_PROBES: Final = 5
 _READ_BYTES: Final = 65_536
 _BUFFER_BYTES: Final = io.DEFAULT_BUFFER_SIZE
 """Bytes that the reader of a connection may receive ahead of what is read from it."""
@@ -71,6 +78,8 @@
     """The first byte did not arrive within the time limit of one attempt."""
     STALLED = "stalled"
     """No event of a stream was completed for longer than any pause of a sound stream."""
+    MEMORY_SHORT = "memory_short"
+    """The responses of all endpoints together take more memory than there is for them."""
     OVERSIZED = "oversized"
     """The endpoint sent more bytes than a response, or a part of it, may have."""
 
@@ -105,6 +114,10 @@
     """No byte of the request was sent, so that the request has not run."""
 
     detail: str
+    interrupt: Interrupt | None = None
+    """Set if the request ended before it was sent."""
+    is_unresponsive: bool = True
+    """Whether the endpoint was given time to accept a connection and did not, or lost one."""
 
 
 class Framing(Enum):
@@ -169,6 +182,11 @@
             return Transfer(Framing.CONNECTION, self._received, None)
         return Transfer(Framing.LENGTH, self._received, self._received + self._remaining)
 
+    @property
+    def declared_bytes(self) -> int | None:
+        """Length of the body; None if it is not declared."""
+        return None if self._remaining is None else self._received + self._remaining
+
     @property
     def ends_with_connection(self) -> bool:
         """Whether only the end of the connection shows the end of the body."""
@@ -195,21 +213,40 @@
             self.close()
             return ExchangeFailure(f"answer cut off: {error!r}"[:200], None, self.transfer())
 
-    def read_all(self, limit: int) -> bytes | ExchangeFailure:
-        """Reads the complete body; fails if it is larger than `limit` bytes."""
-        parts: list[bytes] = []
-        size = 0
+    def read_all(self, limit: int, holding: Holding) -> BodyBuffer | ExchangeFailure:
+        """Reads the complete body; fails if it is larger than `limit` bytes.
+
+        Args:
+            limit: Largest size of the body.
+            holding: Receives the bytes held, and decides when memory permits further ones.
+        """
+        body = BodyBuffer()
+        holding.begin(self.declared_bytes)
         while True:
-            data = self.read()
+            data = self.read_within(holding)
             if isinstance(data, ExchangeFailure):
                 return data
             if not data:
-                return b"".join(parts)
-            parts.append(data)
-            size += len(data)
-            if size > limit:
+                return body
+            body.append(data)
+            holding.resize(len(body))
+            if len(body) > limit:
                 return self.give_up("answer too large")
 
+    def read_within(self, holding: Holding) -> bytes | ExchangeFailure:
+        """Waits until memory permits further bytes, then for these bytes; see `read`."""
+        while (growth := holding.growth(clock.now())) is not Growth.CONTINUE:
+            if growth is Growth.END:
+                self.close()
+                detail = "answer cut off: memory is short"
+                return ExchangeFailure(detail, Interrupt.MEMORY_SHORT, self.transfer())
+            try:
+                self._stream.pause()
+            except InterruptedWaitError as error:
+                self.close()
+                return ExchangeFailure(error.interrupt.value, error.interrupt, self.transfer())
+        return self.read()
+
     def give_up(self, detail: str) -> ExchangeFailure:
         """Closes the connection because of the size of the response; returns the failure."""
         self.close()
@@ -248,7 +285,7 @@
         if self._is_closed:
             return
         self._is_closed = True
-        if self._response.will_close:
+        if self._response.will_close or self.head.is_leaving:
             self._stream.close()
         else:
             self._release(self._stream, self.head.idle_timeout_s)
@@ -283,6 +320,7 @@
         guard: Callable[[], None],
         is_retryable: bool,
         connect_timeout_s: float = CONNECT_TIMEOUT_S,
+        unsent_guard: Callable[[], None] = no_guard,
     ) -> Exchange | NotSent | ExchangeFailure:
         """Sends a request and waits for the head of its response.
 
@@ -298,17 +336,30 @@
             guard: Called while the exchange waits; raises `InterruptedWaitError` to end the wait.
             is_retryable: Whether the request may be sent again after it may have run.
             connect_timeout_s: Longest wait for a new connection; at most `CONNECT_TIMEOUT_S`.
+            unsent_guard: Called instead of `guard` while the request waits for a connection, and
+                before it is sent.
 
         Returns:
-            The exchange, ready to read the body, or why there is no response.
+            The exchange, ready to read the body, or why there is no response. A request that ended
+            before it was sent shows whether the endpoint is unresponsive only if it had waited for
+            `PROBE_TIMEOUT_S`.
         """
         stream = self._take_idle(endpoint_id, None if is_retryable else NON_RETRYABLE_MAX_IDLE_S)
-        if stream is None:
-            try:
-                stream = GuardedStream(connect_stream(address, connect_timeout_s))
-            except OSError as error:
-                return NotSent(f"no connection: {error!r}"[:200])
-            self.opened += 1
+        started_at = clock.now()
+        try:
+            if stream is None:
+                connected = connect_stream(address, connect_timeout_s, unsent_guard)
+                stream = GuardedStream(connected)
+                self.opened += 1
+            unsent_guard()
+        except InterruptedWaitError as error:
+            is_connected = stream is not None
+            if stream is not None:
+                stream.close()
+            has_waited = clock.now() - started_at >= PROBE_TIMEOUT_S
+            return NotSent(error.interrupt.value, error.interrupt, has_waited and not is_connected)
+        except OSError as error:
+            return NotSent(f"no connection: {error!r}"[:200])
         stream.begin(guard)
         try:
             _write(stream, call, headers, body)
@@ -325,30 +376,31 @@
             return NotSent(f"cannot be written: {error!r}"[:200])
         return self._receive(endpoint_id, address, stream, call)
 
-    def has_crashed(self, address: Address, settle_s: float = 0.0) -> bool:
-        """Returns whether an endpoint refuses new connections, after an exchange with it broke.
+    def has_crashed(self, address: Address, settle_s: float = BREAK_SETTLE_S) -> bool:
+        """Returns whether an endpoint refuses new connections, after an exchange with it ended.
 
         A lost or reset connection alone does not show that the process ended; an address that does
-        not respond at all may be cut off.
+        not respond at all may be cut off. The kernel closes the listener of a killed process last,
+        and then resets connections that were not accepted; an endpoint with too many connections
+        resets a new one as well. After such a reset, another connection follows.
 
         Args:
             address: Where the endpoint listens.
-            settle_s: How long a new connection must last to show that the endpoint accepts it. The
-                kernel closes the listener of a killed process last, and then resets connections
-                that were not accepted.
+            settle_s: How long a new connection must last to show that the endpoint accepts it.
         """
-        try:
-            # An endpoint with too many connections resets a new one as well, but not as refused.
-            for _ in range(_PROBES):
-                probe = connect_stream(address, PROBE_TIMEOUT_S)
-                self.opened += 1
-                with probe:
-                    if not settle_s or not fails_within(probe, settle_s):
+        for _ in range(_PROBES):
+            try:
+                with connect_stream(address, PROBE_TIMEOUT_S) as probe:
+                    self.opened += 1
+                    if not ends_within(probe, settle_s):
                         return False
-        except ConnectionRefusedError:
-            return True
-        except OSError:
-            return False
+            except ConnectionRefusedError:
+                return True
+            except ConnectionError:
+                pass  # It was reset while it opened.
+            except OSError:
+                return False
+            time.sleep(PROBE_PAUSE_S)
         return False
 
     def forget(self, endpoint_id: str) -> None:
@@ -386,10 +438,9 @@
                 if head.request_id == call.request_id:
                     break
                 if head.request_id is None:
-                    if HTTPStatus.OK <= head.status < HTTPStatus.MULTIPLE_CHOICES:
-                        stream.close()
-                        return ExchangeFailure("an answer without a request id")
-                    break
+                    # It may be of another request, and say that one did not run.
+                    stream.close()
+                    return ExchangeFailure("an answer without a request id")
                 # A late response to an earlier request; the response to this request follows it.
                 _discard_body(response, stream)
             else:
--- a/src/sequoiadrum/gateway/relay.py
+++ b/src/sequoiadrum/gateway/relay.py
@@ -6,14 +6,24 @@
 from typing import TYPE_CHECKING, Final
 
 from sequoiadrum.gateway import clock, stop_plan
+from sequoiadrum.gateway.buffered_body import BufferedBody
 from sequoiadrum.gateway.exchange import (
     CONNECT_TIMEOUT_S,
     Exchange,
     ExchangeFailure,
     Interrupt,
+    InterruptedWaitError,
     NotSent,
 )
-from sequoiadrum.gateway.guards import body_guard, first_byte_guard, stream_guard
+from sequoiadrum.gateway.guards import (
+    REFUSED_BEFORE_SEND,
+    body_guard,
+    first_byte_guard,
+    stream_guard,
+    unsent_end_reason,
+    unsent_guard,
+)
+from sequoiadrum.gateway.holds import HoldReason, come_back_s
 from sequoiadrum.gateway.model import RequestKind
 from sequoiadrum.gateway.placement import (
     LimitedEndpoints,
@@ -32,6 +42,7 @@
 )
 from sequoiadrum.gateway.sse_framing import EventSplitter
 from sequoiadrum.gateway.stream_body import StreamBody, StreamOwner, read_events
+from sequoiadrum.hashing import stable_hash
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
@@ -39,6 +50,7 @@
     from sequoiadrum.gateway.crash_reports import CrashReports
     from sequoiadrum.gateway.event_log import EventLog
     from sequoiadrum.gateway.exchange import EndpointConnections, Transfer
+    from sequoiadrum.gateway.memory_budget import ResponseMemory
     from sequoiadrum.gateway.model import Account, RequestHead, ResponseHead, Route, Service
     from sequoiadrum.gateway.pool import EndpointPlacement, EndpointPool
     from sequoiadrum.gateway.ports import HeaderCodec
@@ -78,12 +90,14 @@
         quotas: QuotaSource,
         failure_domain: str,
         in_flight: RequestsInFlight,
+        memory: ResponseMemory,
         shutdown: Shutdown,
         metrics: Metrics,
         log: EventLog,
     ) -> None:
         self._codec = codec
         self._in_flight = in_flight
+        self._memory = memory
         self._shutdown = shutdown
         self._quotas = quotas
         self._pool = pool
@@ -112,16 +126,20 @@
             caller,
             response_deadline(call, route, caller),
             fingerprint_of(call, body, account),
+            holding=self._memory.open(),
             shutdown=self._shutdown,
         )
         self._in_flight.add(run)
-        is_streaming = False
+        is_streaming = holds_body = False
         try:
             response = self._run(run)
             is_streaming = isinstance(response.body, StreamBody)
+            holds_body = isinstance(response.body, BufferedBody)
         finally:
             if not is_streaming:
                 self._in_flight.remove(run)
+                if not holds_body:
+                    run.holding.release()
         return response
 
     def _run(self, run: RequestRun) -> CallerResponse:
@@ -157,14 +175,13 @@
             The placement and the exchange, or the response that ends the request.
         """
         while True:
-            if run.time_left() <= 0:
-                return self._refuse_expired(run)
-            if run.is_stopped():
-                return self._refuse_stopped(run)
             part = self._crashes.crashing_part(run.shared_parts())
             if part is not None:
                 return self._refuse_crashing_part(run, part)
-            placement = self._place_request(run)
+            try:
+                placement = self._place_request(run)
+            except InterruptedWaitError as error:
+                return self._refuse_ended(run, error.interrupt)
             if isinstance(placement, PlacementFailure):
                 return self._refuse_unplaced(run, placement)
             try:
@@ -176,7 +193,10 @@
                 return placement, result
             self._pool.release(placement)
             if isinstance(result, NotSent):
-                self._handle_not_sent(run, placement, result)
+                if result.is_unresponsive:
+                    self._handle_not_sent(run, placement, result)
+                if result.interrupt is not None:
+                    return self._refuse_ended(run, result.interrupt)
                 if run.unsent_attempts >= MAX_UNSENT_ATTEMPTS:
                     return self._refuse_unplaced(run, PlacementFailure.UNREACHABLE)
                 continue
@@ -185,7 +205,16 @@
                 return response
 
     def _place_request(self, run: RequestRun) -> EndpointPlacement | PlacementFailure:
-        """Places a request at an endpoint whose rate, if it named one, permits the request."""
+        """Places a request at an endpoint whose rate, if it named one, permits the request.
+
+        Raises:
+            InterruptedWaitError: The request must end.
+        """
+        guard = unsent_guard(run)
+        guard()
+        for endpoint_id in self._pool.take_ended_holds():
+            self._metrics.count("endpoint_holds_ended_total")
+            self._log.notable("endpoint_hold_ended", endpoint=endpoint_id)
         placement_request = PlacementRequest(
             run.service,
             run.call,
@@ -199,6 +228,7 @@
                 return placement
             try:
                 is_granted = self._quotas.acquire(placement.endpoint_key)
+                guard()
                 if is_granted:
                     self._pool.confirm(placement, placement_request)
             except Exception:
@@ -253,13 +283,39 @@
             first_byte_guard(run, run.sent_at),
             run.kind.is_retryable,
             _connect_timeout_s(run),
+            unsent_guard(run),
         )
         self._metrics.record_seconds("endpoint_first_byte_seconds", clock.now() - run.sent_at)
         if not isinstance(result, NotSent):
             run.attempts += 1
             run.was_sent = True
+        if isinstance(result, Exchange):
+            self._record_notices(run, placement, result.head)
         return result
 
+    def _record_notices(
+        self, run: RequestRun, placement: EndpointPlacement, head: ResponseHead
+    ) -> None:
+        """Holds requests back from an endpoint that wants none, from its response's head on."""
+        for name in head.unusable:
+            self._metrics.count("unusable_headers_total", field=name)
+            self._log.routine(
+                "endpoint_header_unusable", endpoint=placement.endpoint.id, field=name
+            )
+        for endpoint_id, hold in self._pool.record_notices(placement, head):
+            self._metrics.count("endpoint_holds_total", reason=hold.reason.value)
+            is_leaving = hold.reason is HoldReason.LEAVING
+            if is_leaving:
+                self._connections.forget(endpoint_id)
+            self._log.notable(
+                "endpoint_held_back",
+                request=run.call.request_id,
+                endpoint=endpoint_id,
+                reason=hold.reason.value,
+                for_ms=None if is_leaving else int((hold.until - clock.now()) * 1e3),
+                status=head.status,
+            )
+
     def _handle_not_sent(
         self, run: RequestRun, placement: EndpointPlacement, result: NotSent
     ) -> None:
@@ -286,13 +342,11 @@
             self._count_body(result.transfer, "broken")
         if result.unclear_end is not None:
             self._metrics.count("unclear_ends_total", reason=result.unclear_end.value)
-        if result.interrupt is Interrupt.CALLER_GONE:
-            return self._refuse(run, Refused.CALLER_GONE)
-        if result.interrupt is Interrupt.STOPPED:
-            return self._refuse_stopped(run)
+        if result.interrupt in (Interrupt.CALLER_GONE, Interrupt.STOPPED):
+            return self._refuse_ended(run, result.interrupt)
         if result.interrupt is Interrupt.DEADLINE:
             self._pool.record_exchange_failure(placement)
-            return self._refuse_expired(run)
+            return self._refuse_ended(run, result.interrupt)
         self._pool.record_exchange_failure(placement)
         self._record_event(
             "exchange_broken",
@@ -304,24 +358,29 @@
             parts=_loggable(run.shared_parts()),
             **(result.transfer.log_fields() if result.transfer is not None else {}),
         )
+        if result.interrupt is Interrupt.MEMORY_SHORT:
+            return self._refuse(run, Refused.MEMORY_SHORT, result.detail)
         if result.interrupt in (None, Interrupt.OVERSIZED):
             self._connections.forget(placement.endpoint.id)
         if result.interrupt is None:
-            self._crashes.record_crash(placement.endpoint.id, run.fingerprint)
-            self._report_crashed_engine(run, placement)
+            self._report_crash(run, placement)
         if self._may_retry(run):
             return None
         return self._refuse(run, Refused.ENDPOINT_FAILED, run.last_error)
 
-    def _report_crashed_engine(self, run: RequestRun, placement: EndpointPlacement) -> None:
-        """Reports the prompt parts of a request that an engine may have crashed on."""
-        parts = run.shared_parts()
-        if not parts:
+    def _report_crash(self, run: RequestRun, placement: EndpointPlacement) -> None:
+        """Reports a request whose endpoint has crashed while it ran, and its prompt parts.
+
+        An endpoint that still listens lost a response or sent a malformed one.
+        """
+        if not self._connections.has_crashed(placement.endpoint.entry.address):
             return
-        if self._connections.has_crashed(placement.endpoint.entry.address):
+        self._crashes.record_crash(placement.endpoint.id, run.fingerprint)
+        parts = run.shared_parts()
+        if parts:
             sent_s_ago = clock.now() - run.sent_at
             self._crashes.record_part_crash(placement.endpoint.entry, parts, sent_s_ago)
-            self._record_event("engine_crashed", run, placement, parts=_loggable(parts))
+        self._record_event("endpoint_crashed", run, placement, parts=_loggable(parts))
 
     def _record_completion(self, run: RequestRun, parts: Sequence[str]) -> None:
         sent_s_ago = clock.now() - run.sent_at
@@ -331,7 +390,7 @@
         """Spends a retry of a request that may have run; returns False if none is allowed."""
         if not run.kind.is_retryable or run.attempts >= run.route.max_attempts:
             return False
-        if run.time_left() <= 0 or run.is_stopped() or self._crashes.is_refused(run.fingerprint):
+        if unsent_end_reason(run) is not None or self._crashes.is_refused(run.fingerprint):
             return False
         if self._crashes.crashing_part(run.shared_parts()) is not None:
             return False
@@ -349,7 +408,7 @@
         """Reads a complete response; returns None if the request is retried."""
         exchange.set_guard(body_guard(run))
         head = exchange.head
-        body = exchange.read_all(MAX_PLAIN_RESPONSE_BYTES)
+        body = exchange.read_all(MAX_PLAIN_RESPONSE_BYTES, run.holding)
         self._pool.release(placement)
         if isinstance(body, ExchangeFailure):
             return self._handle_failure(run, placement, body)
@@ -369,7 +428,11 @@
             self._record_event("endpoint_error_repeated", run, placement, status=head.status)
             return None
         self._record_served(run, placement, head, exchange.transfer())
-        return CallerResponse(head.status, head.reason, head.headers, body)
+        headers = head.headers
+        if head.status == HTTPStatus.SERVICE_UNAVAILABLE:
+            advice_s = max(FULL_RETRY_AFTER_S, self._come_back_s(run))
+            headers = (*headers, ("Retry-After", f"{advice_s:.2f}"))
+        return CallerResponse(head.status, head.reason, headers, BufferedBody(body, run.holding))
 
     def _may_retry_after(self, run: RequestRun, placement: EndpointPlacement) -> bool:
         run.tried.append(placement.endpoint.id)
@@ -390,10 +453,15 @@
             self._pool.record_misdirected(placement)
             self._connections.forget(placement.endpoint.id)
         self._record_event("endpoint_rejected", run, placement, status=head.status)
-        if run.time_left() > 0 and self._spend_retry(run):
+        interrupt = unsent_end_reason(run)
+        if interrupt is not None:
+            return self._refuse_ended(run, interrupt)
+        if self._spend_retry(run):
             return None
         if run.was_sent:
             return self._refuse(run, Refused.ENDPOINT_FAILED, "a repeat was rejected")
+        if self._pool.hold_wait_s(run.service.name) > 0 and head.retry_after_s is not None:
+            return self._refuse_unplaced(run, PlacementFailure.TURNED_AWAY)
         return self._refuse(run, Refused.ENDPOINTS_FULL, retry_after_s=FULL_RETRY_AFTER_S)
 
     def _begin_stream(
@@ -480,11 +548,14 @@
     def forget(self, run: RequestRun) -> None:
         """See `StreamOwner.forget`."""
         self._in_flight.remove(run)
+        run.holding.release()
 
-    def _refuse_expired(self, run: RequestRun) -> CallerResponse:
-        if run.was_sent:
+    def _refuse_ended(self, run: RequestRun, why: Interrupt) -> CallerResponse:
+        if why is Interrupt.STOPPED:
+            return self._refuse_stopped(run)
+        if why is Interrupt.DEADLINE and run.was_sent:
             return self._refuse(run, Refused.DEADLINE, run.last_error)
-        return self._refuse(run, Refused.DEADLINE_BEFORE_SEND, run.last_error)
+        return self._refuse(run, REFUSED_BEFORE_SEND[why], run.last_error)
 
     def _refuse_stopped(self, run: RequestRun) -> CallerResponse:
         if run.was_sent:
@@ -507,6 +578,10 @@
                 UNREACHABLE_RETRY_AFTER_S,
             ),
             PlacementFailure.FULL: (Refused.ENDPOINTS_FULL, FULL_RETRY_AFTER_S),
+            PlacementFailure.TURNED_AWAY: (
+                Refused.ENDPOINTS_TURNED_AWAY,
+                self._come_back_s(run),
+            ),
             PlacementFailure.RATE_LIMITED: (
                 Refused.ENDPOINTS_LIMITED,
                 max(LIMITED_RETRY_AFTER_S, self._pool.quota_wait_s(run.service.name)),
@@ -514,6 +589,11 @@
         }[why]
         return self._refuse(run, reason, run.last_error, retry_after_s)
 
+    def _come_back_s(self, run: RequestRun) -> float:
+        """Returns the seconds after which a caller should come back, spread over the callers."""
+        share = (stable_hash("come-back", run.call.request_id) % 1_000) / 1_000
+        return come_back_s(self._pool.hold_wait_s(run.service.name), share)
+
     def _refuse(
         self, run: RequestRun, reason: Refused, detail: str = "", retry_after_s: float | None = None
     ) -> CallerResponse:
