Monitor the thread that keeps convicted prompt parts

Cause: The list of the monitored threads is written by hand.

Change: The thread is monitored. The test also compares the list with the supervised threads that the process has started.

Measured: The stricter test fails without the entry (`convictions` is running and not monitored) and passes with it; 23 tests of `test_supervised_thread` and `test_convictions` pass.

Conclusion: A new long-lived thread cannot be left out without a failing test.

--- a/src/sequoiadrum/gateway/app.py
+++ b/src/sequoiadrum/gateway/app.py
@@ -233,6 +233,7 @@
             self._peer_server.thread,
             self.peer_events.thread,
             self._load_exchange.thread,
+            self._convictions.thread,
             self.gossip.thread,
             self.gossip.reader,
             self._instances.thread,
--- a/tests/test_supervised_thread.py
+++ b/tests/test_supervised_thread.py
@@ -170,6 +170,16 @@
 class _ThreadsTest(unittest.TestCase):
     """Base of the tests that make each thread of a process fail."""
 
+    def setUp(self) -> None:
+        self._other_threads = set(threading.enumerate())
+
+    def _started_threads(self) -> list[str]:
+        """Returns the names of the supervised threads that this test has started."""
+        started = set(threading.enumerate()) - self._other_threads
+        targets = [getattr(thread, "_target", None) for thread in started]
+        owners = [getattr(target, "__self__", None) for target in targets]
+        return sorted(owner.name for owner in owners if isinstance(owner, SupervisedThread))
+
     def fail_each(
         self,
         monitor: ThreadMonitor,
@@ -184,6 +194,7 @@
             faults: Object and method that raises in the thread, and what causes its call.
         """
         self.assertEqual(sorted(t.name for t in monitor.threads()), sorted(faults))
+        self.assertEqual(self._started_threads(), sorted(faults))
         for name, (owner, method, cause) in faults.items():
             with self.subTest(name), _Fault(name, owner, method) as fault:
                 deadline = time.monotonic() + 20
@@ -227,6 +238,7 @@
     """The threads of a gateway."""
 
     def setUp(self) -> None:
+        super().setUp()
         self.world = World()
         self.addCleanup(self.world.stop)
         self.world.start()
@@ -265,7 +277,12 @@
                 "settings": (gateway._settings_watch, "check", gateway._settings_watch.request),
                 **{
                     task.name: self.fault_of_task(task)
-                    for task in (gateway.peer_events, gateway._load_exchange, gateway.gossip)
+                    for task in (
+                        gateway.peer_events,
+                        gateway._load_exchange,
+                        gateway._convictions,
+                        gateway.gossip,
+                    )
                 },
             },
         )
