--- a/tests/gateway/test_crashing_parts.py
+++ b/tests/gateway/test_crashing_parts.py
@@ -6,6 +6,7 @@
 import itertools
 import json
 import math
+import socket
 import threading
 import time
 import unittest
@@ -40,6 +41,7 @@
     stream,
     stream_head,
 )
+from tests.gateway.test_unframed_responses import unframed_head
 from tests.gateway.world import World, eventually
 
 SYSTEM, CHAT, DEADLY = "5e", "c4", "dead"
@@ -299,6 +301,26 @@
         self.assertEqual(response.read(), event(2))
         eventually(lambda: reports.crashing_part([SYSTEM, CHAT]) is None, "the part is acquitted")
 
+    def test_crash_that_looks_like_the_end_of_a_response_counts(self) -> None:
+        """Guards against acquitting a part because responses without framing end with a crash."""
+        engines: list[ScriptedEndpoint] = []
+
+        def respond(connection: Connection, request: Received) -> None:
+            connection.send(unframed_head(request) + event(1))
+            if f"{DEADLY}:" in request.headers["sequoiadrum-prefix-hash"]:
+                self.crashed.append(next(e for e in engines if request in e.received))
+                self.crashed[-1].stop()
+            connection.sock.shutdown(socket.SHUT_RDWR)
+            connection.sock.close()
+
+        for number in range(8):
+            engines.append(ScriptedEndpoint(respond))
+            self.world.add(f"e{number}", engines[-1], "model")
+        for _ in range(10):
+            self._ask(SYSTEM, CHAT, DEADLY)
+            self.assertEqual(self._ask(SYSTEM, CHAT), (200, event(1)))
+        self.assertEqual(len(self.crashed), CRASH_LIMIT)
+
     def test_failed_response_does_not_acquit(self) -> None:
         """Guards against clearing a part by a response that no engine wrote on its prompt."""
 
