--- a/src/sequoiadrum/gateway/exchange.py
+++ b/src/sequoiadrum/gateway/exchange.py
@@ -18,11 +18,15 @@
     OversizedError,
     connect_stream,
     ends_within,
+    no_guard,
 )
+from sequoiadrum.gateway.buffered_body import BodyBuffer
+from sequoiadrum.gateway.memory_budget import Growth
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from sequoiadrum.gateway.memory_budget import Holding
     from sequoiadrum.gateway.model import RequestHead, ResponseHead
     from sequoiadrum.gateway.ports import HeaderCodec
     from sequoiadrum.messages import Address
@@ -74,6 +78,8 @@
     """The first byte did not arrive within the time limit of one attempt."""
     STALLED = "stalled"
     """No event of a stream was completed for longer than any pause of a sound stream."""
+    MEMORY_SHORT = "memory_short"
+    """The responses of all endpoints together take more memory than there is for them."""
     OVERSIZED = "oversized"
     """The endpoint sent more bytes than a response, or a part of it, may have."""
 
@@ -108,6 +114,10 @@
     """No byte of the request was sent, so that the request has not run."""
 
     detail: str
+    interrupt: Interrupt | None = None
+    """Set if the request ended before it was sent."""
+    is_unresponsive: bool = True
+    """Whether the endpoint was given time to accept a connection and did not, or lost one."""
 
 
 class Framing(Enum):
@@ -172,6 +182,11 @@
             return Transfer(Framing.CONNECTION, self._received, None)
         return Transfer(Framing.LENGTH, self._received, self._received + self._remaining)
 
+    @property
+    def declared_bytes(self) -> int | None:
+        """Length of the body; None if it is not declared."""
+        return None if self._remaining is None else self._received + self._remaining
+
     @property
     def ends_with_connection(self) -> bool:
         """Whether only the end of the connection shows the end of the body."""
@@ -198,21 +213,40 @@
             self.close()
             return ExchangeFailure(f"answer cut off: {error!r}"[:200], None, self.transfer())
 
-    def read_all(self, limit: int) -> bytes | ExchangeFailure:
-        """Reads the complete body; fails if it is larger than `limit` bytes."""
-        parts: list[bytes] = []
-        size = 0
+    def read_all(self, limit: int, holding: Holding) -> BodyBuffer | ExchangeFailure:
+        """Reads the complete body; fails if it is larger than `limit` bytes.
+
+        Args:
+            limit: Largest size of the body.
+            holding: Receives the bytes held, and decides when memory permits further ones.
+        """
+        body = BodyBuffer()
+        holding.begin(self.declared_bytes)
         while True:
-            data = self.read()
+            data = self.read_within(holding)
             if isinstance(data, ExchangeFailure):
                 return data
             if not data:
-                return b"".join(parts)
-            parts.append(data)
-            size += len(data)
-            if size > limit:
+                return body
+            body.append(data)
+            holding.resize(len(body))
+            if len(body) > limit:
                 return self.give_up("answer too large")
 
+    def read_within(self, holding: Holding) -> bytes | ExchangeFailure:
+        """Waits until memory permits further bytes, then for these bytes; see `read`."""
+        while (growth := holding.growth(clock.now())) is not Growth.CONTINUE:
+            if growth is Growth.END:
+                self.close()
+                detail = "answer cut off: memory is short"
+                return ExchangeFailure(detail, Interrupt.MEMORY_SHORT, self.transfer())
+            try:
+                self._stream.pause()
+            except InterruptedWaitError as error:
+                self.close()
+                return ExchangeFailure(error.interrupt.value, error.interrupt, self.transfer())
+        return self.read()
+
     def give_up(self, detail: str) -> ExchangeFailure:
         """Closes the connection because of the size of the response; returns the failure."""
         self.close()
@@ -251,7 +285,7 @@
         if self._is_closed:
             return
         self._is_closed = True
-        if self._response.will_close:
+        if self._response.will_close or self.head.is_leaving:
             self._stream.close()
         else:
             self._release(self._stream, self.head.idle_timeout_s)
@@ -286,6 +320,7 @@
         guard: Callable[[], None],
         is_retryable: bool,
         connect_timeout_s: float = CONNECT_TIMEOUT_S,
+        unsent_guard: Callable[[], None] = no_guard,
     ) -> Exchange | NotSent | ExchangeFailure:
         """Sends a request and waits for the head of its response.
 
@@ -301,17 +336,30 @@
             guard: Called while the exchange waits; raises `InterruptedWaitError` to end the wait.
             is_retryable: Whether the request may be sent again after it may have run.
             connect_timeout_s: Longest wait for a new connection; at most `CONNECT_TIMEOUT_S`.
+            unsent_guard: Called instead of `guard` while the request waits for a connection, and
+                before it is sent.
 
         Returns:
-            The exchange, ready to read the body, or why there is no response.
+            The exchange, ready to read the body, or why there is no response. A request that ended
+            before it was sent shows whether the endpoint is unresponsive only if it had waited for
+            `PROBE_TIMEOUT_S`.
         """
         stream = self._take_idle(endpoint_id, None if is_retryable else NON_RETRYABLE_MAX_IDLE_S)
-        if stream is None:
-            try:
-                stream = GuardedStream(connect_stream(address, connect_timeout_s))
-            except OSError as error:
-                return NotSent(f"no connection: {error!r}"[:200])
-            self.opened += 1
+        started_at = clock.now()
+        try:
+            if stream is None:
+                connected = connect_stream(address, connect_timeout_s, unsent_guard)
+                stream = GuardedStream(connected)
+                self.opened += 1
+            unsent_guard()
+        except InterruptedWaitError as error:
+            is_connected = stream is not None
+            if stream is not None:
+                stream.close()
+            has_waited = clock.now() - started_at >= PROBE_TIMEOUT_S
+            return NotSent(error.interrupt.value, error.interrupt, has_waited and not is_connected)
+        except OSError as error:
+            return NotSent(f"no connection: {error!r}"[:200])
         stream.begin(guard)
         try:
             _write(stream, call, headers, body)
