Ask the kernel whether a caller has left

Why the process stood still is not known: the load of the machine was about 20 on 8 processors, the other gateway went on.

Change: `BoundedChannel.check_client_disconnected` looks for the end in the socket itself. It is what both the gateway and the product's own front ask, so that both data paths gain.

Measured: `test_order_is_not_sent_if_its_caller_left_before_it_was_read` fails on the old code (the order is sent) and passes now.

Conclusion: what a process reads after a pause is sent only if its caller still waits. It does not help an order whose end is behind bytes that were not read (a pipelined request).

--- a/src/sequoiadrum/_front_server.py
+++ b/src/sequoiadrum/_front_server.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import socket
 import time
 from typing import TYPE_CHECKING, Any, Final
 
@@ -82,6 +83,21 @@
         self.server.record_input(self)
         return is_accepted
 
+    def check_client_disconnected(self) -> bool:
+        """Returns whether the caller has closed its connection; see `HTTPChannel`.
+
+        The end of the connection may have been received before the reading thread sees it: a
+        process that was held up reads requests whose callers have left meanwhile.
+        """
+        if not self.connected:
+            return True
+        try:
+            return self.socket.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT) == b""
+        except BlockingIOError:
+            return False
+        except OSError:
+            return True
+
     def input_bytes(self) -> int:
         """Returns the bytes of the requests that are arriving, waiting or running."""
         requests = [*self.requests, *([self.request] if self.request is not None else [])]
--- a/tests/gateway/test_waits.py
+++ b/tests/gateway/test_waits.py
@@ -18,6 +18,7 @@
     InterruptedWaitError,
     NotSent,
 )
+from sequoiadrum.gateway.front import _Channel
 from sequoiadrum.gateway.guarded_calls import GuardedCalls
 from sequoiadrum.messages import Address
 from sequoiadrum.platform.headers import PlatformHeaderCodec
@@ -208,6 +209,33 @@
         eventually(lambda: world.gateway.servers.active() == 0, "both requests have ended")
         self.assertEqual([r.request_id for r in endpoint.received], ["q0"])
 
+    def test_order_is_not_sent_if_its_caller_left_before_it_was_read(self) -> None:
+        """Guards against an order that is sent because the end of its connection was not read yet.
+
+        A process that was held up finds the order and the end of its connection together.
+        """
+        world = self.start()
+        endpoint = ScriptedEndpoint(ok)
+        world.add("e1", endpoint)
+        arrived, left = threading.Event(), threading.Event()
+        received = _Channel.received
+
+        def receive(channel: _Channel, data: bytes) -> bool:
+            arrived.set()
+            left.wait(WAIT_S)
+            is_accepted = received(channel, data)
+            # The reading thread sees the end of the connection only after the order has ended.
+            eventually(lambda: world.gateway.servers.active() == 0, "the order has ended")
+            return is_accepted
+
+        with mock.patch.object(_Channel, "received", receive):
+            caller = LeavingCaller(world, "/order/1", "q1")
+            self.assertTrue(arrived.wait(WAIT_S))
+            caller.leave()
+            left.set()
+            self.wait_until_left(world)
+        self.assertEqual(endpoint.received, [])
+
     def test_order_is_not_sent_after_a_wait_for_the_configuration(self) -> None:
         """Guards against a wait for the store or a peer that a leaving caller does not end."""
         world = self.start()
