Take an endpoint that gives no reply for one that may be gone

The check at the end of an unframed body asked whether the endpoint has crashed, and took "not known" for "no": a lost packet, a loss of power or a cut link let a part of an answer pass for whole.

Change: `probe` tells an endpoint that is there from one that is gone and one that is silent. Reports of crashes still need a refused connection.

Conclusion: proof of death and proof of life are two questions. A whole answer of an endpoint that cannot be reached right after it gets 502, or is repeated where that is allowed.

--- a/src/sequoiadrum/gateway/exchange.py
+++ b/src/sequoiadrum/gateway/exchange.py
@@ -91,6 +91,16 @@
     """The connection was reset, timed out, or failed while the request was written."""
     ENDPOINT_GONE = "endpoint_gone"
     """The endpoint accepts no connections: the kernel ends those of a killed process regularly."""
+    ENDPOINT_SILENT = "endpoint_silent"
+    """New connections to the endpoint get no reply, so that it may be gone."""
+
+
+class Presence(Enum):
+    """What new connections show of the process at an address."""
+
+    THERE = "there"
+    GONE = "gone"
+    UNKNOWN = "unknown"
 
 
 class UnclearEndError(Exception):
@@ -168,7 +178,7 @@
     _response: StrictResponse
     _stream: GuardedStream
     _release: Callable[[GuardedStream, float | None], None]
-    _has_endpoint_crashed: Callable[[], bool]
+    _probe_endpoint: Callable[[], Presence]
     _remaining: int | None
     """Bytes of the body still to be read; None for a body without a declared length."""
     _is_closed: bool = False
@@ -278,8 +288,12 @@
         """Raises `UnclearEndError` if the end of the connection may not be the end of the body."""
         if not self._stream.has_regular_end():
             raise UnclearEndError(UnclearEnd.CONNECTION_FAILED)
-        if self._has_endpoint_crashed():
-            raise UnclearEndError(UnclearEnd.ENDPOINT_GONE)
+        presence = self._probe_endpoint()
+        if presence is not Presence.THERE:
+            is_gone = presence is Presence.GONE
+            raise UnclearEndError(
+                UnclearEnd.ENDPOINT_GONE if is_gone else UnclearEnd.ENDPOINT_SILENT
+            )
 
     def _finish(self) -> None:
         if self._is_closed:
@@ -377,31 +391,50 @@
         return self._receive(endpoint_id, address, stream, call)
 
     def has_crashed(self, address: Address, settle_s: float = BREAK_SETTLE_S) -> bool:
-        """Returns whether an endpoint refuses new connections, after an exchange with it ended.
+        """Returns whether an endpoint refuses new connections, after an exchange with it broke.
 
         A lost or reset connection alone does not show that the process ended; an address that does
-        not respond at all may be cut off. The kernel closes the listener of a killed process last,
-        and then resets connections that were not accepted; an endpoint with too many connections
-        resets a new one as well. After such a reset, another connection follows.
+        not respond at all may be cut off. See `probe`.
+        """
+        return self.probe(address, settle_s) is Presence.GONE
+
+    def probe(
+        self,
+        address: Address,
+        settle_s: float,
+        max_silent: int = 1,
+        guard: Callable[[], None] = no_guard,
+    ) -> Presence:
+        """Opens connections to an endpoint to find out whether its process is there.
+
+        The kernel closes the listener of a killed process last, and then resets connections that
+        were not accepted; an endpoint with too many connections resets a new one as well. After
+        such a reset, another connection follows.
 
         Args:
             address: Where the endpoint listens.
             settle_s: How long a new connection must last to show that the endpoint accepts it.
+            max_silent: Connections without a reply after which nothing is known; a packet may have
+                been lost.
+            guard: Called while a connection is opened; raises an exception to end the wait.
         """
+        silent = 0
         for _ in range(_PROBES):
             try:
-                with connect_stream(address, PROBE_TIMEOUT_S) as probe:
+                with connect_stream(address, PROBE_TIMEOUT_S, guard) as probe:
                     self.opened += 1
                     if not ends_within(probe, settle_s):
-                        return False
+                        return Presence.THERE
             except ConnectionRefusedError:
-                return True
+                return Presence.GONE
             except ConnectionError:
                 pass  # It was reset while it opened.
             except OSError:
-                return False
+                silent += 1
+                if silent >= max_silent:
+                    return Presence.UNKNOWN
             time.sleep(PROBE_PAUSE_S)
-        return False
+        return Presence.THERE
 
     def forget(self, endpoint_id: str) -> None:
         """Closes the idle connections of an endpoint."""
@@ -461,7 +494,7 @@
             response,
             stream,
             lambda kept, idle_timeout_s: self._keep_idle(endpoint_id, kept, idle_timeout_s),
-            lambda: self.has_crashed(address, END_SETTLE_S),
+            lambda: self.probe(address, END_SETTLE_S, _PROBES, stream.guard),
             remaining,
         )
 
--- a/tests/gateway/test_unframed_responses.py
+++ b/tests/gateway/test_unframed_responses.py
@@ -23,6 +23,7 @@
     stream_head,
 )
 from tests.gateway.world import WAIT_S, World, eventually
+from tests.packet_filter import drop_packets
 
 _HALF_EVENT = event(3)[:-4]
 
@@ -184,6 +185,36 @@
         eventually(lambda: self.world.gateway.pool.can_route_to("e1"), "e1 is known")
         self.assertEqual(self.world.call("/order/x")[0], 502)
 
+    def test_lost_connection_attempt_is_no_sign_of_life(self) -> None:
+        """Guards against a killed process that counts as alive because one packet was lost."""
+        listener = socket.create_server(("127.0.0.1", 0))
+        self.addCleanup(listener.close)
+
+        def serve_and_end() -> None:
+            sock, _ = listener.accept()
+            connection = Connection(sock)
+            request = connection.read()
+            assert request is not None
+            drop_packets(listener)
+            unframed(b"do")(connection, request)
+            time.sleep(0.05)
+            listener.close()
+
+        threading.Thread(target=serve_and_end, daemon=True).start()
+        self.world.register("e1", Address("127.0.0.1", listener.getsockname()[1]))
+        eventually(lambda: self.world.gateway.pool.can_route_to("e1"), "e1 is known")
+        self.assertEqual(self.world.call("/order/x")[0], 502)
+
+    def test_silent_endpoint_is_not_known_to_be_there(self) -> None:
+        """Guards against an answer cut by a loss of power that counts as whole."""
+        endpoint = ScriptedEndpoint(self._end_silently)
+        self.world.add("e1", endpoint)
+        self.assertEqual(self.world.call("/order/x")[0], 502)
+
+    def _end_silently(self, connection: Connection, request: Received) -> None:
+        drop_packets(self.world.endpoints["e1"]._listener)
+        unframed(b"do")(connection, request)
+
     def test_endpoint_that_resets_further_connections_is_there(self) -> None:
         """Guards against answers that are lost because the endpoint has too many connections."""
         endpoint = ScriptedEndpoint(unframed(b"done"))
