End the wait for a lookup when the process stops

A request that was read before the stop signal and waits for the store or a peer knew its deadline and its caller, but not the shutdown. With a very slow lookup its connection ended without an answer.

Change: the guard of lookups ends the wait when the responses of a stopping gateway are due; the answer is 503 `stopping`, as the request was not sent.

--- a/src/sequoiadrum/gateway/caller_app.py
+++ b/src/sequoiadrum/gateway/caller_app.py
@@ -10,7 +10,7 @@
 
 from sequoiadrum.gateway import clock, stop_plan
 from sequoiadrum.gateway.buffered_body import BufferedBody
-from sequoiadrum.gateway.exchange import InterruptedWaitError
+from sequoiadrum.gateway.exchange import Interrupt, InterruptedWaitError
 from sequoiadrum.gateway.front import ARRIVED_AT, CLOSE_AFTER_RESPONSE
 from sequoiadrum.gateway.guarded_calls import GuardedCalls
 from sequoiadrum.gateway.guards import REFUSED_BEFORE_SEND, lookup_guard
@@ -157,6 +157,8 @@
         try:
             return self._serve(call, environ)
         except InterruptedWaitError as error:
+            if error.interrupt is Interrupt.STOPPED:
+                return self._refuse_stopping(call)
             return self._refuse(call, REFUSED_BEFORE_SEND[error.interrupt])
         except Exception as error:  # An unexpected error must fail this request only.
             self._log.unexpected(call.request_id, error)
@@ -170,7 +172,7 @@
             if call.deadline_s is None
             else caller.arrived_at + call.deadline_s - REFUSAL_MARGIN_S
         )
-        guard = lookup_guard(caller, deadline)
+        guard = lookup_guard(caller, deadline, self._state.shutdown)
         guard()
         if not (self._state.is_known_current() or self._lookups.run(self._state.is_current, guard)):
             return self._refuse(call, Refused.RESUMED, "", UNCONFIRMED_RETRY_AFTER_S)
--- a/src/sequoiadrum/gateway/guards.py
+++ b/src/sequoiadrum/gateway/guards.py
@@ -17,6 +17,7 @@
     from collections.abc import Callable
 
     from sequoiadrum.gateway.request_run import Caller, RequestRun
+    from sequoiadrum.gateway.stop_plan import Shutdown
 
 ATTEMPT_GOAL_MULTIPLE: Final = 2.5
 """A retryable request is sent to another endpoint if no response begins within this multiple of the
@@ -53,14 +54,17 @@
     return None
 
 
-def lookup_guard(caller: Caller, deadline: float) -> Callable[[], None]:
+def lookup_guard(caller: Caller, deadline: float, shutdown: Shutdown) -> Callable[[], None]:
     """Returns a guard for the waits before the route of a request is known.
 
-    The guard raises `InterruptedWaitError` if `end_reason` returns a reason.
+    The guard raises `InterruptedWaitError` if `end_reason` returns a reason, and shortly before the
+    process ends.
     """
 
     def check() -> None:
         interrupt = end_reason(caller, deadline, is_binding=False)
+        if interrupt is None and clock.now() >= shutdown.responses_due_at():
+            interrupt = Interrupt.STOPPED
         if interrupt is not None:
             raise InterruptedWaitError(interrupt)
 
--- a/tests/gateway/test_planned_stop.py
+++ b/tests/gateway/test_planned_stop.py
@@ -270,6 +270,28 @@
         self.assertEqual(stopping.lines("request_cut"), [])
 
 
+class LookupTest(unittest.TestCase):
+    """A request that waits for a lookup when the gateway stops."""
+
+    def test_wait_for_a_lookup_ends_with_the_stop(self) -> None:
+        """Guards against a request that ends with the process while the store is slow."""
+        stopping = StoppingWorld(self, 1.0, 4.0, after(0.0))
+        gate = threading.Event()
+        self.addCleanup(gate.set)
+        configuration = stopping.gateway.configuration
+        self.enterContext(mock.patch.object(configuration, "is_confirmed", return_value=False))
+        self.enterContext(
+            mock.patch.object(configuration, "confirm", side_effect=lambda _: gate.wait(WAIT_S))
+        )
+        connection = stopping.world.connect()
+        self.addCleanup(connection.close)
+        connection.request("POST", "/nowhere/x", b"a", stopping.headers("n1"))
+        eventually(lambda: stopping.gateway.servers.active() == 1, "the request waits")
+        stopping.begin_stop()
+        self.assertEqual(connection.getresponse().status, 503)
+        stopping.await_stop()
+
+
 class UnfinishedRequestTest(unittest.TestCase):
     """A request that cannot be completed is answered before the process ends."""
 
