Do not end a request early that cannot be sent elsewhere

On Linux the user timeout of 1.5 s also ends a connection on which a single keepalive probe was lost, and one whose peer accepts no bytes for so long. Sound orders got 502 after 2 s, sound streams were broken off in a pause, with seconds left.

Change: the limit is set only for exchanges whose request may be sent to another endpoint; callers leave a stream after 2 to 2.4 s, so that a resumable one must move on sooner. Others end at their deadline, at a reset, or when four seconds of keepalive probes stay unanswered.

Conclusion: the silence of an endpoint ends an attempt only where another one may follow. A dark endpoint now holds an order until its deadline; it gets 504 then, as it got 502 before.

--- a/src/sequoiadrum/gateway/_sockets.py
+++ b/src/sequoiadrum/gateway/_sockets.py
@@ -18,14 +18,15 @@
     from sequoiadrum.messages import Address
 
 USER_TIMEOUT_MS: Final = 1_500
-"""A connection fails if sent bytes stay unacknowledged for this long.
+"""A connection fails if sent bytes or a keepalive probe stay unacknowledged for this long.
 
-It is long enough for the retransmission of a lost packet.
+It is long enough for the retransmission of a lost packet. One lost probe exceeds it, and so does a
+peer that reads nothing meanwhile, so that it is not set for a request that cannot be sent elsewhere.
 """
 KEEPALIVE_IDLE_S: Final = 1
 KEEPALIVE_INTERVAL_S: Final = 1
-KEEPALIVE_PROBES: Final = 2
-"""Keepalive detects a lost peer after 3 s, the minimum with settings in full seconds."""
+KEEPALIVE_PROBES: Final = 3
+"""Without `USER_TIMEOUT_MS`, keepalive detects a lost peer after 4 s and tolerates lost probes."""
 PAUSE_S: Final = 0.05
 """Time for which a connection is not read while memory is short."""
 GUARD_INTERVAL_S: Final = 0.1
@@ -81,6 +82,7 @@
     def __init__(self, stream: socket.socket) -> None:
         stream.setblocking(False)
         self._stream = stream
+        self._user_timeout_ms = USER_TIMEOUT_MS
         self._poll = select.poll()
         self._poll.register(stream, select.POLLIN)
         self.guard: Callable[[], None] = no_guard
@@ -93,9 +95,19 @@
         self._next_check = 0.0
         self._reader = _PersistentReader(_GuardedRaw(self))
 
-    def begin(self, guard: Callable[[], None]) -> None:
-        """Sets the guard and resets the byte count for a new exchange."""
+    def begin(self, guard: Callable[[], None], is_retryable: bool) -> None:
+        """Sets the guard and resets the byte count for a new exchange.
+
+        Args:
+            guard: Called at intervals while the exchange waits.
+            is_retryable: Whether the exchange may fail early, because its request may be sent to
+                another endpoint.
+        """
         self.guard = guard
+        user_timeout_ms = USER_TIMEOUT_MS if is_retryable else 0
+        if user_timeout_ms != self._user_timeout_ms:
+            self._user_timeout_ms = user_timeout_ms
+            self._stream.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, user_timeout_ms)
         self.bytes_sent = 0
         self._next_check = clock.now() + GUARD_INTERVAL_S
 
--- a/src/sequoiadrum/gateway/exchange.py
+++ b/src/sequoiadrum/gateway/exchange.py
@@ -374,7 +374,7 @@
             return NotSent(error.interrupt.value, error.interrupt, has_waited and not is_connected)
         except OSError as error:
             return NotSent(f"no connection: {error!r}"[:200])
-        stream.begin(guard)
+        stream.begin(guard, is_retryable)
         try:
             _write(stream, call, headers, body)
         except InterruptedWaitError as error:
--- /dev/null
+++ b/tests/gateway/test_silent_endpoints.py
@@ -0,0 +1,90 @@
+"""Tests of endpoints that are silent, or read slowly, but work."""
+
+from __future__ import annotations
+
+import socket
+import time
+import unittest
+from unittest import mock
+
+from tests.gateway.scripted_endpoint import (
+    Connection,
+    Received,
+    ScriptedEndpoint,
+    answer,
+    chunk,
+    event,
+    stream_head,
+)
+from tests.gateway.world import World, config_document, route_document
+from tests.packet_filter import drop_packets, pass_packets
+
+_DEADLINE_MS = 8_000
+
+
+class SilentEndpointTest(unittest.TestCase):
+    """A request that cannot be sent elsewhere waits for its endpoint until its deadline."""
+
+    def setUp(self) -> None:
+        self.world = World()
+        self.addCleanup(self.world.stop)
+        routes = [
+            route_document("non_idempotent", "shop", "/order/", max_attempts=1),
+            route_document("streaming", "shop", "/tag/", max_attempts=1),
+        ]
+        for route in routes:
+            route["timeout_ms"] = _DEADLINE_MS
+        self.world.start(config_document(routes=routes))
+
+    def _call(self, path: str, body: bytes = b"a") -> tuple[int, bytes]:
+        headers = {"Sequoiadrum-Deadline-Ms": str(_DEADLINE_MS)}
+        status, _, received = self.world.call(path, body=body, headers=headers)
+        return status, received
+
+    def test_lost_keepalive_probe_does_not_end_a_stream(self) -> None:
+        """Guards against a sound stream that one lost packet in its pause breaks off."""
+
+        def pause(connection: Connection, request: Received) -> None:
+            connection.send(stream_head(request) + chunk(event(1)))
+            time.sleep(0.8)
+            drop_packets(connection.sock)
+            time.sleep(0.5)
+            pass_packets(connection.sock)
+            time.sleep(1.3)
+            connection.send(chunk(event(2)) + chunk(b""))
+
+        self.world.add("e1", ScriptedEndpoint(pause))
+        self.assertEqual(self._call("/tag/x"), (200, event(1) + event(2)))
+
+    def test_lost_keepalive_probe_does_not_end_an_order(self) -> None:
+        """Guards against an order that fails although its endpoint is still at work."""
+
+        def work(connection: Connection, request: Received) -> None:
+            time.sleep(0.8)
+            drop_packets(connection.sock)
+            time.sleep(0.5)
+            pass_packets(connection.sock)
+            time.sleep(1.3)
+            connection.send(answer(request))
+
+        self.world.add("e1", ScriptedEndpoint(work))
+        self.assertEqual(self._call("/order/x"), (200, b"done"))
+
+    def test_order_reaches_an_endpoint_that_reads_its_body_late(self) -> None:
+        """Guards against an order that is cut off because its endpoint takes time to read it."""
+        endpoint = ScriptedEndpoint(lambda connection, request: connection.send(answer(request)))
+        endpoint._listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 65_536)
+        read = Connection.read
+
+        def read_late(connection: Connection) -> Received | None:
+            connection.sock.recv(1, socket.MSG_PEEK)
+            time.sleep(2.5)
+            return read(connection)
+
+        self.world.add("e1", endpoint)
+        with mock.patch.object(Connection, "read", read_late):
+            self.assertEqual(self._call("/order/x", b"x" * 4_000_000), (200, b"done"))
+
+
+if __name__ == "__main__":
+    unittest.main()
