--- a/src/sequoiadrum/gateway/_sockets.py
+++ b/src/sequoiadrum/gateway/_sockets.py
@@ -21,7 +21,7 @@
 """A connection fails if sent bytes or a keepalive probe stay unacknowledged for this long.
 
 It is long enough for the retransmission of a lost packet. One lost probe exceeds it, and so does a
-peer that reads nothing meanwhile, so that it is not set for a request that cannot be sent elsewhere.
+peer that reads nothing meanwhile; it is not set for a request that cannot be sent elsewhere.
 """
 KEEPALIVE_IDLE_S: Final = 1
 KEEPALIVE_INTERVAL_S: Final = 1
--- a/tests/gateway/test_silent_endpoints.py
+++ b/tests/gateway/test_silent_endpoints.py
@@ -85,6 +85,22 @@
         with mock.patch.object(Connection, "read", read_late):
             self.assertEqual(self._call("/order/x", b"x" * 4_000_000), (200, b"done"))
 
+    def test_early_response_is_delivered_before_the_body_was_read(self) -> None:
+        """Guards against an answer that is replaced by 504 because the endpoint reads on slowly."""
+
+        def answer_early(connection: Connection) -> Received | None:
+            head = connection.sock.recv(4_096).partition(b"\r\n\r\n")[0]
+            connection.send(answer(Received(head, b"")))
+            time.sleep(4.0)
+            return None
+
+        endpoint = ScriptedEndpoint(lambda *_: None)
+        endpoint._listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 65_536)
+        self.world.add("e1", endpoint)
+        with mock.patch.object(Connection, "read", answer_early):
+            status, _, _ = self.world.call("/order/x", body=b"x" * 12_000_000)
+        self.assertEqual(status, 200)
+
 
 if __name__ == "__main__":
     unittest.main()
