Read stored convictions as a list that may be stale

Cause: every router lists the convicted prompt parts at its start, as the newest state.

Change: the list may be stale, which the store prices at a tenth. Live peers report what is new; the store holds what no router knows any more, and a conviction that a copy of some seconds ago lacks is learned anew.

Measured: the 21 tests of `test_convictions` and `test_store_sync` pass.

--- a/src/sequoiadrum/gateway/convictions.py
+++ b/src/sequoiadrum/gateway/convictions.py
@@ -99,7 +99,8 @@
         self._stored.clear()
 
     def _on_read(self, _: _Read) -> None:
-        listed = self._store.list(CONVICTION_KIND)
+        # Peers report what is new. The store is read for what no router knows any more.
+        listed = self._store.list(CONVICTION_KIND, may_be_stale=True)
         if isinstance(listed, Failure):
             self._record("read", listed.failure().value)
             self._timers.schedule(self, RETRY_DELAY_S, _Read())
