Take an endpoint that resets all new connections for one that may be gone

The stand-in of a crashed endpoint ended a connection regularly, accepted the five probes and reset them. Resets counted as the sign of an endpoint at its connection limit.

Change: five resets leave the presence unknown, and the body is not complete. The price is 502 for a whole unframed answer of an endpoint at its limit, or another endpoint's answer where the request may be repeated.

Conclusion: only a connection that lasts shows that an endpoint is there.

--- a/src/sequoiadrum/gateway/exchange.py
+++ b/src/sequoiadrum/gateway/exchange.py
@@ -92,7 +92,7 @@
     ENDPOINT_GONE = "endpoint_gone"
     """The endpoint accepts no connections: the kernel ends those of a killed process regularly."""
     ENDPOINT_SILENT = "endpoint_silent"
-    """New connections to the endpoint get no reply, so that it may be gone."""
+    """New connections to the endpoint get no reply or are reset, so that it may be gone."""
 
 
 class Presence(Enum):
@@ -409,7 +409,7 @@
 
         The kernel closes the listener of a killed process last, and then resets connections that
         were not accepted; an endpoint with too many connections resets a new one as well. After
-        such a reset, another connection follows.
+        such a reset, another connection follows; if all are reset, nothing is known.
 
         Args:
             address: Where the endpoint listens.
@@ -434,7 +434,7 @@
                 if silent >= max_silent:
                     return Presence.UNKNOWN
             time.sleep(PROBE_PAUSE_S)
-        return Presence.THERE
+        return Presence.UNKNOWN
 
     def forget(self, endpoint_id: str) -> None:
         """Closes the idle connections of an endpoint."""
