--- a/src/sequoiadrum/gateway/holds.py
+++ b/src/sequoiadrum/gateway/holds.py
@@ -15,7 +15,7 @@
 this time, from one."""
 MIN_SPREAD_S: Final = 0.5
 SPREAD_RATIO: Final = 0.5
-"""Callers who are told when to come back do so within this time, or this ratio of their wait."""
+"""Refused callers return spread over this time, or over this ratio of their wait."""
 
 
 class HoldReason(Enum):
--- a/tests/gateway/test_unframed_responses.py
+++ b/tests/gateway/test_unframed_responses.py
@@ -8,6 +8,7 @@
 import threading
 import time
 import unittest
+from typing import TYPE_CHECKING
 from unittest import mock
 
 from sequoiadrum.messages import Address
@@ -25,6 +26,9 @@
 from tests.gateway.world import WAIT_S, World, eventually
 from tests.packet_filter import drop_packets
 
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
 _HALF_EVENT = event(3)[:-4]
 
 
@@ -168,25 +172,20 @@
 
     def test_listener_that_closes_after_the_connection_is_no_sign_of_life(self) -> None:
         """Guards against a killed process whose kernel still accepts a connection for a moment."""
-        listener = socket.create_server(("127.0.0.1", 0))
-        self.addCleanup(listener.close)
-
-        def serve_and_end() -> None:
-            sock, _ = listener.accept()
-            connection = Connection(sock)
-            request = connection.read()
-            assert request is not None
-            unframed(b"do")(connection, request)
-            time.sleep(0.03)  # Lets the gateway connect, which nothing accepts any more.
-            listener.close()
-
-        threading.Thread(target=serve_and_end, daemon=True).start()
-        self.world.register("e1", Address("127.0.0.1", listener.getsockname()[1]))
-        eventually(lambda: self.world.gateway.pool.can_route_to("e1"), "e1 is known")
+        self._add_ending_process(lambda _: None)
         self.assertEqual(self.world.call("/order/x")[0], 502)
 
     def test_lost_connection_attempt_is_no_sign_of_life(self) -> None:
         """Guards against a killed process that counts as alive because one packet was lost."""
+        self._add_ending_process(drop_packets)
+        self.assertEqual(self.world.call("/order/x")[0], 502)
+
+    def _add_ending_process(self, disturb: Callable[[socket.socket], None]) -> None:
+        """Adds an endpoint that sends half of a response, and closes its listener last.
+
+        Args:
+            disturb: Called with the listener before the response.
+        """
         listener = socket.create_server(("127.0.0.1", 0))
         self.addCleanup(listener.close)
 
@@ -195,15 +194,14 @@
             connection = Connection(sock)
             request = connection.read()
             assert request is not None
-            drop_packets(listener)
+            disturb(listener)
             unframed(b"do")(connection, request)
-            time.sleep(0.05)
+            time.sleep(0.03)  # Lets the gateway connect, which nothing accepts any more.
             listener.close()
 
         threading.Thread(target=serve_and_end, daemon=True).start()
         self.world.register("e1", Address("127.0.0.1", listener.getsockname()[1]))
         eventually(lambda: self.world.gateway.pool.can_route_to("e1"), "e1 is known")
-        self.assertEqual(self.world.call("/order/x")[0], 502)
 
     def test_silent_endpoint_is_not_known_to_be_there(self) -> None:
         """Guards against an answer cut by a loss of power that counts as whole."""
