Count crashes of endpoints that leave no closed port

What callers saw: engines crash one after the other on a prompt part that is never refused (BUDGET), if their address is silent while they are away, or a forwarder accepts connections in their place.

Cause: a broken exchange counted as a crash only if the address refused a connection in the next 0.35 s. One sign of a fact was taken for the fact.

Change: `CrashWatch` observes an endpoint whose exchange broke for 6 s, in the background; `CrashSuspects` decides without I/O: refused, not reached for 1 s, another process under its id, or its entry removed, and no response since. A connection that the network lost starts no observation. `has_crashed` is replaced by `probe`, and its tests compare its result as strictly.

Measured: the four tests `test_crash_is_counted_if_...` failed before and pass.

Conclusion: what follows a broken exchange shows whether its endpoint is gone; the moment after it does not.

--- a/src/sequoiadrum/gateway/app.py
+++ b/src/sequoiadrum/gateway/app.py
@@ -23,6 +23,7 @@
 from sequoiadrum.gateway.configuration import ConfigurationHolder
 from sequoiadrum.gateway.convictions import ConvictionStore
 from sequoiadrum.gateway.crash_reports import CrashReports
+from sequoiadrum.gateway.crash_watch import CrashWatch
 from sequoiadrum.gateway.event_log import EventLog
 from sequoiadrum.gateway.exchange import EndpointConnections
 from sequoiadrum.gateway.fleet import (
@@ -168,6 +169,15 @@
             self.gossip, self.pool, settings.failure_domain, self.metrics, self._invariant_broken
         )
         self.connections: Final = EndpointConnections(adapter.header_codec)
+        self._crash_watch: Final = CrashWatch(
+            self.connections,
+            self.pool,
+            self.crashes,
+            self.timers,
+            self.metrics,
+            self.log,
+            self._invariant_broken,
+        )
         mirror = Mirror()
         config_sync = ConfigSync(
             self._store,
@@ -207,6 +217,7 @@
             self.pool,
             self.connections,
             self.crashes,
+            self._crash_watch,
             self._load_exchange,
             settings.failure_domain,
             self._in_flight,
@@ -234,6 +245,7 @@
             self.peer_events.thread,
             self._load_exchange.thread,
             self._convictions.thread,
+            self._crash_watch.thread,
             self.gossip.thread,
             self.gossip.reader,
             self._instances.thread,
@@ -248,6 +260,7 @@
         self.log.notable("started", version=__version__, settings=asdict(self.settings))
         self.timers.start()
         self._convictions.run()
+        self._crash_watch.start()
         for sync in self._syncs:
             sync.start()
         self._wait_for_first_lists()
@@ -312,6 +325,7 @@
         self._load_exchange.stop()
         self.peer_events.stop()
         self._convictions.stop()
+        self._crash_watch.stop()
         self._peer_server.stop()
         self._peers.close()
         self.timers.stop()
--- a/src/sequoiadrum/gateway/crash_reports.py
+++ b/src/sequoiadrum/gateway/crash_reports.py
@@ -86,16 +86,27 @@
                 suspicion = Suspicion(part, 0, crash.last_sent_at)
                 self._parts.record_suspicions(crash.process, crash.at, [suspicion], now)
 
-    def record_crash(self, endpoint_id: str, fingerprint: str) -> None:
-        """Counts an endpoint that crashed while it ran a request; broadcasts the change."""
+    def record_crash(self, endpoint_id: str, fingerprint: str, crashed_s_ago: float = 0.0) -> None:
+        """Counts an endpoint that crashed while it ran a request; broadcasts the change.
+
+        Args:
+            endpoint_id: Id of the endpoint.
+            fingerprint: Fingerprint of the request.
+            crashed_s_ago: Seconds since the crash.
+        """
         now = self.wall_clock()
+        at = now - crashed_s_ago
         with self._lock:
-            changed = self._guard.crashed(crash_event(endpoint_id, now), [fingerprint], now)
+            changed = self._guard.crashed(crash_event(endpoint_id, at), [fingerprint], at)
             if changed:
                 self._broadcast_counts(fingerprint, now)
 
     def record_part_crash(
-        self, entry: EndpointEntry, parts: Sequence[str], sent_s_ago: float
+        self,
+        entry: EndpointEntry,
+        parts: Sequence[str],
+        sent_s_ago: float,
+        crashed_s_ago: float = 0.0,
     ) -> None:
         """Records that an engine crashed before its response was complete; broadcasts it.
 
@@ -103,13 +114,14 @@
             entry: The engine that crashed.
             parts: The shared parts of the request's prompt, in their order.
             sent_s_ago: Seconds since the request was sent to the engine.
+            crashed_s_ago: Seconds since the crash.
         """
         now = self.wall_clock()
         process = process_key(entry.instance_id, entry.started_ms)
         first = max(0, len(parts) - MAX_PARTS_PER_REPORT)
         keys = [(depth, part_key(part)) for depth, part in enumerate(parts[first:], first)]
         with self._lock:
-            crashed_at = self._own.crashed_at(process) or now
+            crashed_at = self._own.crashed_at(process) or now - crashed_s_ago
             suspicions = [
                 Suspicion(key, depth, now - sent_s_ago, self._parts.completed_at(key))
                 for depth, key in keys
--- a/src/sequoiadrum/gateway/event_log.py
+++ b/src/sequoiadrum/gateway/event_log.py
@@ -16,7 +16,7 @@
 from sequoiadrum.supervised_thread import SupervisedThread
 
 if TYPE_CHECKING:
-    from collections.abc import MutableMapping
+    from collections.abc import MutableMapping, Sequence
 
     from sequoiadrum.metrics import Metrics
 
@@ -24,6 +24,9 @@
 """Maximum number of lines that wait to be written to a slow output; about 2 MB."""
 ROUTINE_LINES_PER_S: Final = 100
 """Limit on lines per second for served requests; it does not apply to refusals and failures."""
+MAX_LOGGED_PARTS: Final = 8
+MAX_LOGGED_PART_CHARS: Final = 40
+"""Callers choose the ids of prompt parts; log lines must stay short."""
 _FLUSH_S: Final = 0.5
 """How often lines are written; writing many lines together saves CPU time."""
 
@@ -175,3 +178,8 @@
         except (OSError, ValueError):
             # The output cannot be written, so the loss is reported only by the metric.
             self._metrics.count("log_lines_dropped_total", len(lines), reason="output_closed")
+
+
+def loggable_parts(parts: Sequence[str]) -> list[str]:
+    """Returns the last of some prompt parts, shortened for a log line."""
+    return [part[:MAX_LOGGED_PART_CHARS] for part in parts[-MAX_LOGGED_PARTS:]]
--- a/src/sequoiadrum/gateway/exchange.py
+++ b/src/sequoiadrum/gateway/exchange.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import errno
 import http.client
 import io
 import threading
@@ -60,6 +61,7 @@
 MAX_DISCARDED_BYTES: Final = 1_000_000
 """Size of a response to another request that is skipped to reach the one to this request."""
 _PROBES: Final = 5
+_NO_PATH_ERRORS: Final = (errno.EHOSTUNREACH, errno.ENETUNREACH, errno.ENETDOWN)
 _READ_BYTES: Final = 65_536
 _BUFFER_BYTES: Final = io.DEFAULT_BUFFER_SIZE
 """Bytes that the reader of a connection may receive ahead of what is read from it."""
@@ -168,6 +170,8 @@
     """None if no head was received."""
     unclear_end: UnclearEnd | None = None
     """Set if the connection ended in a way that does not complete a body."""
+    is_lost: bool = False
+    """Whether the network lost the connection, so that the endpoint did not end it."""
 
 
 @define(eq=False)
@@ -221,7 +225,8 @@
             return ExchangeFailure(detail, None, self.transfer(), error.reason)
         except (OSError, http.client.HTTPException, ValueError) as error:
             self.close()
-            return ExchangeFailure(f"answer cut off: {error!r}"[:200], None, self.transfer())
+            detail = f"answer cut off: {error!r}"[:200]
+            return ExchangeFailure(detail, None, self.transfer(), is_lost=_is_lost(error))
 
     def read_all(self, limit: int, holding: Holding) -> BodyBuffer | ExchangeFailure:
         """Reads the complete body; fails if it is larger than `limit` bytes.
@@ -390,14 +395,6 @@
             return NotSent(f"cannot be written: {error!r}"[:200])
         return self._receive(endpoint_id, address, stream, call)
 
-    def has_crashed(self, address: Address, settle_s: float = BREAK_SETTLE_S) -> bool:
-        """Returns whether an endpoint refuses new connections, after an exchange with it broke.
-
-        A lost or reset connection alone does not show that the process ended; an address that does
-        not respond at all may be cut off. See `probe`.
-        """
-        return self.probe(address, settle_s) is Presence.GONE
-
     def probe(
         self,
         address: Address,
@@ -487,7 +484,7 @@
             return ExchangeFailure(f"no answer: {error}", Interrupt.OVERSIZED)
         except (OSError, http.client.HTTPException, ValueError) as error:
             stream.close()
-            return ExchangeFailure(f"no answer: {error!r}"[:200])
+            return ExchangeFailure(f"no answer: {error!r}"[:200], is_lost=_is_lost(error))
         remaining = None if response.chunked else response.length
         return Exchange(
             head,
@@ -542,6 +539,13 @@
     connection.endheaders(body or None)
 
 
+def _is_lost(error: Exception) -> bool:
+    """Returns whether an error shows a connection without a path to the endpoint."""
+    return isinstance(error, TimeoutError) or (
+        isinstance(error, OSError) and error.errno in _NO_PATH_ERRORS
+    )
+
+
 def _discard_body(response: StrictResponse, stream: GuardedStream) -> None:
     if response.will_close:
         raise http.client.HTTPException("the connection ends with another request's answer")
--- a/src/sequoiadrum/gateway/pool.py
+++ b/src/sequoiadrum/gateway/pool.py
@@ -9,6 +9,7 @@
 from attrs import define, evolve
 
 from sequoiadrum.gateway import clock
+from sequoiadrum.gateway.crash_suspects import Listing
 from sequoiadrum.gateway.endpoints import Endpoint, EndpointTable
 from sequoiadrum.gateway.holds import MAX_RETRY_AFTER_S, Hold, HoldReason
 from sequoiadrum.gateway.hot_parts import HotParts
@@ -317,6 +318,17 @@
             endpoint = self._table.by_id.get(instance_id)
             return endpoint is not None and endpoint.can_serve(clock.now())
 
+    def listing(self, entry: EndpointEntry) -> Listing:
+        """Returns what the store shows of the process that an entry described."""
+        now = clock.now()
+        with self._lock:
+            endpoint = self._table.by_id.get(entry.instance_id)
+            if endpoint is None or not endpoint.is_known_listed(now):
+                return Listing.REMOVED
+            if not endpoint.entry.is_same_process(entry):
+                return Listing.RESTARTED
+            return Listing.LISTED if endpoint.can_serve(now) else Listing.LEAVING
+
     def set_bounds(self, bounds: Bounds) -> None:
         """Applies new bounds; retries that were already spent still count."""
         with self._lock:
--- a/src/sequoiadrum/gateway/relay.py
+++ b/src/sequoiadrum/gateway/relay.py
@@ -7,6 +7,8 @@
 
 from sequoiadrum.gateway import clock, stop_plan
 from sequoiadrum.gateway.buffered_body import BufferedBody
+from sequoiadrum.gateway.crash_suspects import BrokenExchange
+from sequoiadrum.gateway.event_log import loggable_parts
 from sequoiadrum.gateway.exchange import (
     CONNECT_TIMEOUT_S,
     Exchange,
@@ -48,6 +50,7 @@
     from collections.abc import Sequence
 
     from sequoiadrum.gateway.crash_reports import CrashReports
+    from sequoiadrum.gateway.crash_watch import CrashWatch
     from sequoiadrum.gateway.event_log import EventLog
     from sequoiadrum.gateway.exchange import EndpointConnections, Transfer
     from sequoiadrum.gateway.memory_budget import ResponseMemory
@@ -67,9 +70,6 @@
 """`Retry-After` sent when all endpoints are full: about the time of two requests."""
 LIMITED_RETRY_AFTER_S: Final = 0.5
 """Shortest `Retry-After` sent when endpoints named rates below the demand; others wait as well."""
-MAX_LOGGED_PARTS: Final = 8
-MAX_LOGGED_PART_CHARS: Final = 40
-"""Callers choose the ids of prompt parts; log lines must stay short."""
 MAX_QUOTA_ASKS: Final = 4
 """Endpoints with a named rate that are asked for; then one without is chosen, if there is any."""
 MAX_UNSENT_ATTEMPTS: Final = 6
@@ -87,6 +87,7 @@
         pool: EndpointPool,
         connections: EndpointConnections,
         crashes: CrashReports,
+        crash_watch: CrashWatch,
         quotas: QuotaSource,
         failure_domain: str,
         in_flight: RequestsInFlight,
@@ -103,6 +104,7 @@
         self._pool = pool
         self._connections = connections
         self._crashes = crashes
+        self._crash_watch = crash_watch
         self._failure_domain = failure_domain
         self._metrics = metrics
         self._log = log
@@ -291,6 +293,9 @@
             run.was_sent = True
         if isinstance(result, Exchange):
             self._record_notices(run, placement, result.head)
+            # Another endpoint at the address says nothing about this one.
+            if result.head.status != HTTPStatus.MISDIRECTED_REQUEST:
+                self._crash_watch.record_response(placement.endpoint.id, run.sent_at)
         return result
 
     def _record_notices(
@@ -355,7 +360,7 @@
             reason=reason,
             detail=result.detail,
             had_event=run.has_event,
-            parts=_loggable(run.shared_parts()),
+            parts=loggable_parts(run.shared_parts()),
             **(result.transfer.log_fields() if result.transfer is not None else {}),
         )
         if result.interrupt is Interrupt.MEMORY_SHORT:
@@ -363,24 +368,24 @@
         if result.interrupt in (None, Interrupt.OVERSIZED):
             self._connections.forget(placement.endpoint.id)
         if result.interrupt is None:
-            self._report_crash(run, placement)
+            self._record_broken(run, placement, result)
         if self._may_retry(run):
             return None
         return self._refuse(run, Refused.ENDPOINT_FAILED, run.last_error)
 
-    def _report_crash(self, run: RequestRun, placement: EndpointPlacement) -> None:
-        """Reports a request whose endpoint has crashed while it ran, and its prompt parts.
-
-        An endpoint that still listens lost a response or sent a malformed one.
-        """
-        if not self._connections.has_crashed(placement.endpoint.entry.address):
-            return
-        self._crashes.record_crash(placement.endpoint.id, run.fingerprint)
-        parts = run.shared_parts()
-        if parts:
-            sent_s_ago = clock.now() - run.sent_at
-            self._crashes.record_part_crash(placement.endpoint.entry, parts, sent_s_ago)
-        self._record_event("endpoint_crashed", run, placement, parts=_loggable(parts))
+    def _record_broken(
+        self, run: RequestRun, placement: EndpointPlacement, result: ExchangeFailure
+    ) -> None:
+        """Reports the request, and its prompt parts, if its endpoint has crashed while it ran."""
+        exchange = BrokenExchange(
+            placement.endpoint.entry,
+            run.call.request_id,
+            run.fingerprint,
+            run.shared_parts(),
+            run.sent_at,
+            clock.now(),
+        )
+        self._crash_watch.record_broken(exchange, result.is_lost)
 
     def _record_completion(self, run: RequestRun, parts: Sequence[str]) -> None:
         sent_s_ago = clock.now() - run.sent_at
@@ -563,7 +568,7 @@
         return self._refuse(run, Refused.STOPPING, run.last_error, stop_plan.RETRY_AFTER_S)
 
     def _refuse_crashing_part(self, run: RequestRun, part: str) -> CallerResponse:
-        detail = f"prompt part {_loggable([part])[0]}"
+        detail = f"prompt part {loggable_parts([part])[0]}"
         if run.was_sent:
             return self._refuse(run, Refused.ENDPOINT_FAILED, f"{run.last_error}; {detail}")
         return self._refuse(run, Refused.CRASHING_PART, detail)
@@ -673,8 +678,3 @@
     """Returns the longest wait for a connection, which ends before the request does."""
     left_s = min(run.deadline, run.shutdown.responses_due_at()) - clock.now()
     return max(MIN_CONNECT_TIMEOUT_S, min(CONNECT_TIMEOUT_S, left_s))
-
-
-def _loggable(parts: Sequence[str]) -> list[str]:
-    """Returns the last of some prompt parts, shortened for a log line."""
-    return [part[:MAX_LOGGED_PART_CHARS] for part in parts[-MAX_LOGGED_PARTS:]]
--- a/tests/gateway/scripted_endpoint.py
+++ b/tests/gateway/scripted_endpoint.py
@@ -91,16 +91,33 @@
         self.script = script
         self.received: list[Received] = []
         self.connections = 0
+        self.close_new_connections = False
+        """Whether each new connection is closed as soon as it is accepted."""
+        self.ignore_new_connections = False
+        """Whether new connections wait in the backlog."""
+        self._fillers: list[socket.socket] = []
         self._listener = socket.create_server(("127.0.0.1", 0))
         self.address = Address("127.0.0.1", self._listener.getsockname()[1])
         threading.Thread(target=self._accept, daemon=True).start()
 
+    def fall_silent(self) -> None:
+        """Lets no further connection be established, without a reset."""
+        self.ignore_new_connections = True
+        self._listener.listen(0)
+        for _ in range(3):
+            filler = socket.socket()
+            filler.setblocking(False)
+            filler.connect_ex(self._listener.getsockname())
+            self._fillers.append(filler)
+
     def stop(self) -> None:
         """Closes the listener; further connections are refused."""
         # A thread that is waiting in `accept` would keep a closed listener open.
         with contextlib.suppress(OSError):
             self._listener.shutdown(socket.SHUT_RDWR)
         self._listener.close()
+        for filler in self._fillers:
+            filler.close()
 
     def _accept(self) -> None:
         while True:
@@ -108,6 +125,12 @@
                 sock, _ = self._listener.accept()
             except OSError:
                 return
+            if self.close_new_connections or self.ignore_new_connections:
+                if self.ignore_new_connections:
+                    self._fillers.append(sock)
+                    return
+                sock.close()
+                continue
             self.connections += 1
             threading.Thread(target=self._serve, args=(Connection(sock),), daemon=True).start()
 
--- a/tests/gateway/test_crash_probe.py
+++ b/tests/gateway/test_crash_probe.py
@@ -7,7 +7,7 @@
 import threading
 import unittest
 
-from sequoiadrum.gateway.exchange import EndpointConnections
+from sequoiadrum.gateway.exchange import BREAK_SETTLE_S, EndpointConnections, Presence
 from sequoiadrum.messages import Address
 from sequoiadrum.platform.headers import PlatformHeaderCodec
 from tests.gateway.world import WAIT_S
@@ -24,12 +24,12 @@
 
     def test_endpoint_that_listens_has_not_crashed(self) -> None:
         """Guards against taking each lost response for a crash."""
-        self.assertFalse(self.connections.has_crashed(self.address))
+        self.assertIs(self.connections.probe(self.address, BREAK_SETTLE_S), Presence.THERE)
 
     def test_closed_port_has_crashed(self) -> None:
         """Guards against crashes that are not counted."""
         self.listener.close()
-        self.assertTrue(self.connections.has_crashed(self.address))
+        self.assertIs(self.connections.probe(self.address, BREAK_SETTLE_S), Presence.GONE)
 
     def test_ending_process_that_accepts_a_probe_has_crashed(self) -> None:
         """Guards against a crash that is missed while the process still closes its sockets."""
@@ -38,7 +38,7 @@
                 address = Address("127.0.0.1", listener.getsockname()[1])
                 thread = threading.Thread(target=self._end, args=(listener, resets))
                 thread.start()
-                self.assertTrue(self.connections.has_crashed(address, settle_s=WAIT_S))
+                self.assertIs(self.connections.probe(address, WAIT_S), Presence.GONE)
                 thread.join()
 
     def _end(self, listener: socket.socket, resets: bool) -> None:
--- a/tests/gateway/test_crashing_parts.py
+++ b/tests/gateway/test_crashing_parts.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import http.client
 import itertools
 import json
@@ -10,13 +11,14 @@
 import threading
 import time
 import unittest
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
 from sequoiadrum._rumors import BroadcastQueue
 from sequoiadrum.gateway.crash_rumors import part_key
+from sequoiadrum.gateway.crash_watch import CHECK_INTERVAL_S
 from sequoiadrum.gateway.crashing_parts import (
     COMPLETED_PART_CRASH_LIMIT,
     CRASH_LIMIT,
@@ -30,6 +32,7 @@
     SuspectRun,
     Suspicion,
 )
+from sequoiadrum.gateway.exchange import BREAK_SETTLE_S
 from tests.gateway.builders import an_entry
 from tests.gateway.scripted_endpoint import (
     Connection,
@@ -44,6 +47,9 @@
 from tests.gateway.test_unframed_responses import unframed_head
 from tests.gateway.world import World, eventually
 
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
 SYSTEM, CHAT, DEADLY = "5e", "c4", "dead"
 """A part that all requests share, one of a chat, and one that crashes engines."""
 
@@ -234,13 +240,13 @@
         engine = ScriptedEndpoint(respond)
         self.world.add(name, engine, "model")
 
-    def _ask(self, *parts: str) -> tuple[int, bytes]:
+    def _ask(self, *parts: str, path: str = "/draft/x") -> tuple[int, bytes]:
         number = next(self.numbers)
         prompt = ",".join(f"{part}:50" for part in (*parts, f"{number:x}"))
         headers = {"Sequoiadrum-Prefix-Hash": prompt}
         try:
             status, _, body = self.world.call(
-                "/draft/x", f"q{number}", f"body {number}".encode(), headers=headers
+                path, f"q{number}", f"body {number}".encode(), headers=headers
             )
         except http.client.HTTPException:
             return 0, b""
@@ -269,6 +275,97 @@
         self.assertLessEqual(len(self.crashed), CRASH_LIMIT)
         self.assertEqual(statuses[-6:], [503] * 6)
 
+    def _add_ending_engine(
+        self, name: str, end: Callable[[ScriptedEndpoint, list[Connection]], None]
+    ) -> None:
+        """Adds an engine that sends an event of a response on the part, and then ends in a way."""
+        connections: list[Connection] = []
+
+        def respond(connection: Connection, request: Received) -> None:
+            connections.append(connection)
+            if f"{DEADLY}:" in request.headers["sequoiadrum-prefix-hash"]:
+                self.crashed.append(engine)
+                connection.send(stream_head(request) + chunk(event(1)))
+                end(engine, connections)
+            else:
+                stream(1, 3)(connection, request)
+
+        engine = ScriptedEndpoint(respond)
+        self.world.add(name, engine, "model")
+
+    def _assert_part_is_found(
+        self, end: Callable[[ScriptedEndpoint, list[Connection]], None]
+    ) -> None:
+        reports = self.world.gateway.crashes
+        self._add_ending_engine("e0", end)
+        for number in range(1, 2 * CRASH_LIMIT):
+            # One engine is always left for the sound requests.
+            self._add_ending_engine(f"e{number}", end)
+            while len(self.crashed) < number and reports.crashing_part([DEADLY]) is None:
+                self._ask(SYSTEM, CHAT, DEADLY, path="/tag/x")
+            eventually(lambda: self._ask(SYSTEM, CHAT)[0] == 200, "a sound request is answered")
+            time.sleep(2 * MIN_SEPARATION_S)
+        eventually(lambda: reports.crashing_part([DEADLY]) is not None, "the part is refused")
+        self.assertIsNone(reports.crashing_part([SYSTEM, CHAT]))
+
+    def test_crash_is_counted_if_the_address_becomes_silent(self) -> None:
+        """Guards against crashes that no closed port shows: the machine or its address is gone."""
+
+        def end(engine: ScriptedEndpoint, connections: list[Connection]) -> None:
+            engine.fall_silent()
+            _end_all(connections)
+
+        self._assert_part_is_found(end)
+
+    def test_crash_is_counted_if_a_forwarder_accepts_for_the_engine(self) -> None:
+        """Guards against crashes behind a port forwarder, which ends each connection it accepts."""
+
+        def end(engine: ScriptedEndpoint, connections: list[Connection]) -> None:
+            engine.close_new_connections = True
+            _end_all(connections)
+
+        self._assert_part_is_found(end)
+
+    def test_crash_is_counted_if_the_listener_is_closed_late(self) -> None:
+        """Guards against crashes of a process that takes long to end, as on a busy machine."""
+
+        def end(engine: ScriptedEndpoint, connections: list[Connection]) -> None:
+            _end_all(connections)
+            time.sleep(6 * BREAK_SETTLE_S)
+            engine.stop()
+
+        self._assert_part_is_found(end)
+
+    def test_crash_is_counted_if_another_process_holds_the_listener(self) -> None:
+        """Guards against crashes that only the store shows: connections are still accepted."""
+
+        def end(engine: ScriptedEndpoint, connections: list[Connection]) -> None:
+            engine.ignore_new_connections = True
+            _end_all(connections)
+            self.world.remove(next(n for n, e in self.world.endpoints.items() if e is engine))
+
+        self._assert_part_is_found(end)
+
+    def test_endpoint_that_responds_again_has_not_crashed(self) -> None:
+        """Guards against counting responses that a sound engine or its link cuts off as crashes."""
+
+        def cut(connection: Connection, request: Received) -> None:
+            connection.send(stream_head(request) + chunk(event(1)))
+            if f"{DEADLY}:" in request.headers["sequoiadrum-prefix-hash"]:
+                connection.sock.shutdown(socket.SHUT_RDWR)
+            else:
+                connection.send(chunk(b""))
+
+        self.world.add("e1", ScriptedEndpoint(cut), "model")
+        reports = self.world.gateway.crashes
+        for _ in range(2 * COMPLETED_PART_CRASH_LIMIT):
+            self._ask(SYSTEM, DEADLY)
+            self.assertEqual(self._ask(SYSTEM)[0], 200)
+        self.world.endpoints["e1"].stop()
+        time.sleep(2 * CHECK_INTERVAL_S)
+        self.assertEqual(reports._parts._crash_by_process, {})
+        self.assertFalse(self.world.gateway._crash_watch._suspects.entries())
+
     def _begin_response(self, release: threading.Event) -> http.client.HTTPResponse:
         """Returns a response of which one event has come; the others follow the release."""
 
@@ -338,6 +435,13 @@
         self.assertEqual(reports._parts.completed_at(part_key(SYSTEM)), NEVER)
 
 
+def _end_all(connections: list[Connection]) -> None:
+    for connection in connections:
+        # The gateway may have closed the connection.
+        with contextlib.suppress(OSError):
+            connection.sock.shutdown(socket.SHUT_RDWR)
+
+
 class RestartedRouterTest(unittest.TestCase):
     """A router that starts learns of the crashes of the past minutes."""
 
--- a/tests/gateway/world.py
+++ b/tests/gateway/world.py
@@ -183,6 +183,10 @@
             },
         )
 
+    def remove(self, name: str) -> None:
+        """Removes the store entry of an endpoint."""
+        self.store.delete("servers", name)
+
     def connect(self, timeout_s: float = WAIT_S) -> http.client.HTTPConnection:
         """Creates a caller's connection to the gateway."""
         return http.client.HTTPConnection("127.0.0.1", self.ports[0], timeout=timeout_s)
--- a/tests/test_supervised_thread.py
+++ b/tests/test_supervised_thread.py
@@ -281,6 +281,7 @@
                         gateway.peer_events,
                         gateway._load_exchange,
                         gateway._convictions,
+                        gateway._crash_watch,
                         gateway.gossip,
                     )
                 },
