Let a retry wait for the report of the crash before it

What callers saw, on the product's own interface: a request that crashes engines ran on a third one, and a healthy stream that a crash broke off got `pool_full` (CrashTest, in some runs beside load).

Cause: before a retry the router sends its pending releases to the pool's owner. A crash is sent without delay, so another thread had often taken it, and its call was still under way: nothing was pending, and the owner granted the retry without knowing the crash. An empty queue was taken for delivered messages.

Change: `flush_releases` waits until no other thread is sending to the owner, at most for the timeout of a call, and counts as a sender itself. Several threads wait on the condition now, so all are notified.

Conclusion: the order of calls to one owner holds only if whoever sends counts as its sender.

--- a/src/sequoiadrum/grant_outbox.py
+++ b/src/sequoiadrum/grant_outbox.py
@@ -104,7 +104,7 @@
         self.thread.stop()
         with self._condition:
             self._stopped = True
-            self._condition.notify()
+            self._condition.notify_all()
         if self.thread.is_alive():
             self.thread.join(2 * _CALL_TIMEOUT_S)
         for owner in list(self._pending_releases):
@@ -165,13 +165,28 @@
             reports = self._queued_reports.setdefault(owner_id, {})
             reports[pool] = ids_only and reports.get(pool, True)
             self._due_by_owner[owner_id] = 0.0
-            self._condition.notify()
+            self._condition.notify_all()
 
     def flush_releases(self, owner_id: str) -> None:
-        """Sends the pending releases of an owner on the calling thread."""
+        """Waits until an owner has received all releases up to now; sends the pending ones itself.
+
+        Another thread may be sending some of them; these arrive first. An owner that does not
+        respond ends the wait after the timeout of a call.
+        """
         with self._condition:
+            is_idle = self._condition.wait_for(
+                lambda: owner_id not in self._busy_owners, _CALL_TIMEOUT_S
+            )
             pending = self._pending_releases.pop(owner_id, {})
-        self._send_releases(owner_id, pending)
+            if is_idle:
+                self._busy_owners.add(owner_id)
+        try:
+            self._send_releases(owner_id, pending)
+        finally:
+            if is_idle:
+                with self._condition:
+                    self._busy_owners.discard(owner_id)
+                    self._condition.notify_all()
 
     def build_report(self, owner_id: str, pool: str) -> list[Any]:
         """Returns the entries of a pool's report and records that the owner counts the grants."""
@@ -206,7 +221,7 @@
         due = time.monotonic() + wait
         if due < self._due_by_owner.get(owner, float("inf")):
             self._due_by_owner[owner] = due
-            self._condition.notify()
+            self._condition.notify_all()
 
     def _run(self) -> None:
         while True:
@@ -258,7 +273,7 @@
         finally:
             with self._condition:
                 self._busy_owners.discard(owner)
-                self._condition.notify()
+                self._condition.notify_all()
 
     def _send_releases(
         self, owner: str, pending: Mapping[str, list[tuple[str, GrantOutcome]]]
--- a/tests/test_admission_task.py
+++ b/tests/test_admission_task.py
@@ -3,8 +3,10 @@
 from __future__ import annotations
 
 import itertools
+import threading
 import time
 import unittest
+from types import SimpleNamespace
 from typing import TYPE_CHECKING, Any
 from unittest.mock import patch
 
@@ -314,6 +316,41 @@
                 time.sleep(0.01)
         send.assert_called_once()
 
+    def test_flush_waits_for_releases_that_another_thread_sends(self) -> None:
+        """Guards against a retry that reaches the owner before the crash of the first attempt."""
+        for sender in ("outbox", "another flush"):
+            with self.subTest(sender=sender):
+                received: list[str] = []
+                is_sending, may_arrive = threading.Event(), threading.Event()
+
+                def release(
+                    pool: str,
+                    batch: list[Any],
+                    received: list[str] = received,
+                    is_sending: threading.Event = is_sending,
+                    may_arrive: threading.Event = may_arrive,
+                ) -> None:
+                    is_sending.set()
+                    may_arrive.wait(_TIMEOUT_S)
+                    received.append(pool)
+
+                peers = FakePeers()
+                peers.handlers_by_port[9] = SimpleNamespace(release=release)
+                outbox = GrantOutbox(
+                    GrantHolder("r1", 1), peers, lambda _: Address("127.0.0.1", 9), Metrics()
+                )
+                self.addCleanup(outbox.stop)
+                grant = Grant("1", "pool", "e1", Address("127.0.0.1", 8), "r2")
+                outbox.release(grant, GrantOutcome.CRASHED)
+                if sender == "outbox":
+                    outbox.start()
+                else:
+                    threading.Thread(target=outbox.flush_releases, args=("r2",)).start()
+                self.assertTrue(is_sending.wait(_TIMEOUT_S))
+                threading.Timer(0.2, may_arrive.set).start()
+                outbox.flush_releases("r2")
+                self.assertEqual(received, ["pool"])
+
 
 def _fail_success(result: Any) -> Any:
     """Replaces a success by a failure, as if the reply of an executed call were lost."""
