Receive a response while the rest of its request is still being sent

Cause: an exchange wrote the whole request before it read anything.

Change: a write that blocks while bytes of the endpoint wait ends, and what is left is written while the response is awaited. A connection with an unfinished request is not used again.

Conclusion: neither side's bytes wait for the other's any more.

--- a/src/sequoiadrum/gateway/_sockets.py
+++ b/src/sequoiadrum/gateway/_sockets.py
@@ -2,12 +2,14 @@
 
 from __future__ import annotations
 
+import contextlib
 import errno
 import io
 import os
 import select
 import socket
 import time
+from collections import deque
 from typing import TYPE_CHECKING, Any, Final
 
 from sequoiadrum.gateway import clock
@@ -91,6 +93,8 @@
         self.has_write_error = False
         """Whether a write failed. The failure may have been a reset, which is reported only once:
         reads that follow it see a regular end."""
+        self._unsent: deque[memoryview] = deque()
+        """The rest of a request whose peer has sent something before it has read all of it."""
         self._allowance = 0
         self._next_check = 0.0
         self._reader = _PersistentReader(_GuardedRaw(self))
@@ -109,6 +113,7 @@
             self._user_timeout_ms = user_timeout_ms
             self._stream.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, user_timeout_ms)
         self.bytes_sent = 0
+        self._unsent.clear()
         self._next_check = clock.now() + GUARD_INTERVAL_S
 
     def allow(self, size: int) -> None:
@@ -116,8 +121,8 @@
         self._allowance = size
 
     def is_reusable(self) -> bool:
-        """Returns whether neither bytes nor an end were received after the last response."""
-        if self._reader.has_buffered_bytes():
+        """Returns whether nothing is left to send, and nothing followed the last response."""
+        if self._unsent or self._reader.has_buffered_bytes():
             return False
         return not self._poll.poll(0)
 
@@ -129,20 +134,17 @@
         )
 
     def sendall(self, data: bytes) -> None:
-        """Writes all bytes; see `socket.socket.sendall`."""
-        view = memoryview(data).cast("B")
-        while view:
-            try:
-                sent = self._stream.send(view)
-            except BlockingIOError:
-                self._wait(select.POLLOUT)
-                continue
-            except OSError:
-                self.has_write_error = True
-                raise
-            self.bytes_sent += sent
-            view = view[sent:]
-            self._check_guard()
+        """Writes all bytes; see `socket.socket.sendall`.
+
+        A peer that sends something while it does not read on may be responding already. The rest is
+        then written while its response is received.
+        """
+        self._unsent.append(memoryview(data).cast("B"))
+        while self._unsent:
+            if self._send_some():
+                self._check_guard()
+            elif self._wait(select.POLLOUT | select.POLLIN) & select.POLLIN:
+                return
 
     def makefile(self, *_: Any, **__: Any) -> io.BufferedReader:
         """Returns the reader that all responses of the connection share."""
@@ -161,7 +163,7 @@
             try:
                 size = self._stream.recv_into(buffer)
             except BlockingIOError:
-                self._wait(select.POLLIN)
+                self._wait_for_bytes()
                 continue
             self._allowance -= size
             if self._allowance < 0:
@@ -178,11 +180,40 @@
         """Closes the connection."""
         self._stream.close()
 
-    def _wait(self, event: int) -> None:
+    def _send_some(self) -> bool:
+        """Writes what the operating system accepts at once; returns whether that is anything."""
+        try:
+            sent = self._stream.send(self._unsent[0])
+        except BlockingIOError:
+            return False
+        except OSError:
+            self.has_write_error = True
+            self._unsent.clear()
+            raise
+        self.bytes_sent += sent
+        rest = self._unsent.popleft()[sent:]
+        if rest:
+            self._unsent.appendleft(rest)
+        return True
+
+    def _wait_for_bytes(self) -> None:
+        """Waits until something was received, and goes on with an unfinished request meanwhile."""
+        while self._unsent:
+            if self._wait(select.POLLIN | select.POLLOUT) & select.POLLIN:
+                return
+            # The response may have been sent before the connection failed, and is read in any case.
+            with contextlib.suppress(OSError):
+                self._send_some()
+            self._check_guard()
+        self._wait(select.POLLIN)
+
+    def _wait(self, events: int) -> int:
+        """Waits for one of some events of the socket; returns those that occurred."""
         poll = select.poll()
-        poll.register(self._stream, event)
-        while not poll.poll(GUARD_INTERVAL_S * 1e3):
+        poll.register(self._stream, events)
+        while not (occurred := poll.poll(GUARD_INTERVAL_S * 1e3)):
             self._check_guard()
+        return occurred[0][1]
 
     def _check_guard(self) -> None:
         now = clock.now()
--- a/tests/gateway/test_silent_endpoints.py
+++ b/tests/gateway/test_silent_endpoints.py
@@ -101,6 +101,42 @@
             status, _, _ = self.world.call("/order/x", body=b"x" * 12_000_000)
         self.assertEqual(status, 200)
 
+    def test_interim_response_does_not_end_the_request(self) -> None:
+        """Guards against a request that stays unfinished because its endpoint sends hints early."""
+        endpoint = ScriptedEndpoint(lambda connection, request: connection.send(answer(request)))
+        endpoint._listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 65_536)
+        read = Connection.read
+
+        def hint(connection: Connection) -> Received | None:
+            connection.sock.recv(1, socket.MSG_PEEK)
+            connection.send(b"HTTP/1.1 103 Early Hints\r\n\r\n")
+            time.sleep(1.0)
+            return read(connection)
+
+        self.world.add("e1", endpoint)
+        with mock.patch.object(Connection, "read", hint):
+            self.assertEqual(self._call("/order/x", b"x" * 4_000_000), (200, b"done"))
+        self.assertEqual(len(endpoint.received[0].body), 4_000_000)
+
+    def test_connection_with_an_unfinished_request_is_not_used_again(self) -> None:
+        """Guards against a request whose beginning is read as the rest of the body before it."""
+        heads: list[bytes] = []
+
+        def answer_early(connection: Connection) -> Received | None:
+            heads.append(connection.sock.recv(4_096).partition(b"\r\n\r\n")[0])
+            connection.send(answer(Received(heads[-1], b"")))
+            time.sleep(2.0)
+            return None
+
+        endpoint = ScriptedEndpoint(lambda *_: None)
+        endpoint._listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 65_536)
+        self.world.add("e1", endpoint)
+        with mock.patch.object(Connection, "read", answer_early):
+            self.assertEqual(self._call("/order/x", b"x" * 12_000_000), (200, b"done"))
+            self.assertEqual(self._call("/order/y"), (200, b"done"))
+        lines = [head.partition(b"\r\n")[0] for head in heads]
+        self.assertEqual(lines, [b"POST /order/x HTTP/1.1", b"POST /order/y HTTP/1.1"])
+
 
 if __name__ == "__main__":
     unittest.main()
