Give each process its own range of ports for tests

Cause: test fleets drew ports at random and gateways took ephemeral ones, each checked and then released.

It replaces two copies of `free_ports`.

Conclusion: a port that was checked is no port that is held; the range is.

--- a/tests/gateway/test_front.py
+++ b/tests/gateway/test_front.py
@@ -15,7 +15,8 @@
 from sequoiadrum.gateway.front import ServerGroup
 from sequoiadrum.messages import Address
 from sequoiadrum.metrics import Metrics
-from tests.gateway.world import WAIT_S, eventually, free_ports
+from tests.gateway.world import WAIT_S, eventually
+from tools.ports import free_ports
 
 _ENDLESS_REQUESTS: Final = {
     "head": (b"POST /a HTTP/1.1\r\nHost: a\r\n", b"X-More: 1\r\n" * 50),
--- a/tests/gateway/test_signals.py
+++ b/tests/gateway/test_signals.py
@@ -15,7 +15,8 @@
 from unittest import mock
 
 from sequoiadrum.platform.early_listeners import open_listeners
-from tests.gateway.world import WAIT_S, World, free_ports
+from tests.gateway.world import WAIT_S, World
+from tools.ports import free_ports
 
 _ROOT: Final = Path(__file__).parent.parent.parent
 _ENTRY: Final = _ROOT / "deploy" / "gateway.py"
--- a/tests/gateway/world.py
+++ b/tests/gateway/world.py
@@ -4,7 +4,6 @@
 
 import http.client
 import io
-import socket
 import time
 from typing import TYPE_CHECKING, Any
 from unittest import mock
@@ -18,6 +17,7 @@
 from sequoiadrum.platform.store_client import HttpStore
 from tests.gateway.builders import settings
 from tests.platform.store_stand_in import StoreStandIn
+from tools.ports import free_ports
 
 if TYPE_CHECKING:
     import unittest
@@ -48,25 +48,6 @@
         time.sleep(0.01)
 
 
-def free_ports(count: int) -> list[int]:
-    """Returns ports that are currently free for both TCP and UDP."""
-    sockets: list[socket.socket] = []
-    ports: list[int] = []
-    while len(ports) < count:
-        listener = socket.create_server(("127.0.0.1", 0))
-        port = listener.getsockname()[1]
-        datagram_socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
-        sockets += [listener, datagram_socket]
-        try:
-            datagram_socket.bind(("127.0.0.1", port))
-        except OSError:  # The UDP port, which the peers need too, is in use.
-            continue
-        ports.append(port)
-    for each in sockets:
-        each.close()
-    return ports
-
-
 def route_document(
     kind: str, service: str, prefix: str, resumable: bool = False, **changes: Any
 ) -> dict[str, Any]:
--- a/tests/test_cut_messages.py
+++ b/tests/test_cut_messages.py
@@ -35,8 +35,9 @@
 from sequoiadrum.service_client import Answered, ServiceRequest
 from sequoiadrum.thrift_server import ThriftServer
 from tests.builders import a_settings
-from tests.gateway.world import WAIT_S, eventually, free_ports
+from tests.gateway.world import WAIT_S, eventually
 from tests.http_messages import BODY
+from tools.ports import free_ports
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterator
--- a/tests/test_dist.py
+++ b/tests/test_dist.py
@@ -9,7 +9,8 @@
 from pathlib import Path
 
 from tools.build_dist import build
-from tools.fleet import Fleet, free_ports, wait_until_ready
+from tools.fleet import Fleet, wait_until_ready
+from tools.ports import free_ports
 
 
 def child_processes(pid: int) -> list[int]:
--- a/tools/bench_control.py
+++ b/tools/bench_control.py
@@ -16,7 +16,8 @@
 from sequoiadrum.configuration import ChangeRequest, ObjectKind
 from sequoiadrum.settings import Settings
 from tools.figures import cpu_seconds, status
-from tools.fleet import Fleet, call_json, free_ports, parse_metrics
+from tools.fleet import Fleet, call_json, parse_metrics
+from tools.ports import free_ports
 
 if TYPE_CHECKING:
     from sequoiadrum.messages import Address
--- a/tools/fleet.py
+++ b/tools/fleet.py
@@ -4,9 +4,7 @@
 
 import contextlib
 import json
-import random
 import signal
-import socket
 import subprocess
 import sys
 import time
@@ -19,6 +17,7 @@
 from sequoiadrum.configuration import Change, ConfigLog, ObjectKind
 from sequoiadrum.messages import Address
 from sequoiadrum.metrics import Metrics
+from tools.ports import free_ports
 
 if TYPE_CHECKING:
     from collections.abc import Iterable, Mapping, Sequence
@@ -26,10 +25,6 @@
 _HOST: Final = "127.0.0.1"
 _PROGRAM: Final = (sys.executable, "-m", "sequoiadrum")
 _START_TIMEOUT_S: Final = 30.0
-_PORT_RANGE: Final = (10_000, 32_000)
-"""Range of listening ports, below the ephemeral ports of Linux: an outgoing connection could take
-an ephemeral port before the router binds it."""
-_allocated_ports: set[int] = set()
 
 
 @define(eq=False)
@@ -243,20 +238,6 @@
         return Process(name, popen, Address(_HOST, int(line.rsplit(":", 1)[1])))
 
 
-def free_ports(count: int) -> list[int]:
-    """Returns TCP ports that are free and that no outgoing connection takes later."""
-    ports: list[int] = []
-    while len(ports) < count:
-        port = random.SystemRandom().randrange(*_PORT_RANGE)
-        if port in _allocated_ports:
-            continue
-        with contextlib.suppress(OSError):
-            socket.create_server((_HOST, port)).close()
-            _allocated_ports.add(port)
-            ports.append(port)
-    return ports
-
-
 def parse_metrics(address: Address) -> dict[str, float]:
     """Returns the metrics of a router by name with labels, read from its text exposition.
 
--- a/tools/soak/gateway_process.py
+++ b/tools/soak/gateway_process.py
@@ -14,7 +14,7 @@
 from sequoiadrum.messages import Address
 from sequoiadrum.platform.directory_codec import READINESS_PATH
 from sequoiadrum.platform.early_listeners import PATH_VARIABLE
-from tests.gateway.world import free_ports
+from tools.ports import free_ports
 from tools.soak.callers import GatewayAddress
 from tools.soak.proxy import FaultProxy
 from tools.soak.record import Exit
