Run the test classes side by side in processes of their own

Cause: the suite ran in one process, most of the time waiting for sockets and timers.

Change: `make test` runs the classes with unittest-parallel, a process for each class: as many at a time as the machine has cores, half as many if it is busy; `--jobs N` and `--serial` set the number. A result class records each outcome with its time in a folder; the verdict, KNOWN-RED.txt and the closing line are as before. A test without a record is a failure now, and so is a run that does not end within 30 minutes, as the library waits for a worker that died. The twenty slowest tests are printed.

--- a/tools/run_tests.py
+++ b/tools/run_tests.py
@@ -3,22 +3,34 @@
 A line of KNOWN-RED.txt that begins with `test:` holds the full dotted name of a test. All other
 tests must pass. The run fails if a listed test does not exist. It also fails if a listed test
 passes, so that its entry is removed, unless a line `intermittent: yes` follows the entry.
+
+The test classes run side by side in processes of their own, one for each core; half as many if the
+machine is busy already. The twenty slowest tests are printed.
 """
 
 from __future__ import annotations
 
+import argparse
+import os
+import subprocess
 import sys
+import tempfile
 import unittest
 from pathlib import Path
 from typing import TYPE_CHECKING, Final
 
 from attrs import define
 
+from tools.test_records import FOLDER_VARIABLE, read_records
+
 if TYPE_CHECKING:
     from collections.abc import Iterator
 
 _ROOT: Final = Path(__file__).parent.parent
 _KNOWN_RED_PATH: Final = _ROOT / "KNOWN-RED.txt"
+MAX_RUN_S: Final = 1_800
+"""Time after which the tests are ended; a worker process that dies would be waited for for ever."""
+PRINTED_SLOWEST: Final = 20
 
 
 @define
@@ -60,25 +72,73 @@
     return problems
 
 
-def main() -> int:
+def find_missing(tests: set[str], ran: set[str]) -> list[str]:
+    """Returns the reasons for which the run fails because tests were not run at all.
+
+    Args:
+        tests: Names of all tests.
+        ran: Names of the tests that were run.
+    """
+    return [f"was not run: {name}" for name in sorted(tests - ran)]
+
+
+def default_jobs() -> int:
+    """Returns the number of processes: one for each core, half as many on a busy machine."""
+    cores = os.cpu_count() or 1
+    is_busy = os.getloadavg()[0] > cores / 2
+    return max(1, cores // 2) if is_busy else cores
+
+
+def main(arguments: list[str] | None = None) -> int:
     """Runs the suite and prints the failures; returns the exit status."""
+    parser = argparse.ArgumentParser(prog="python -m tools.run_tests", description=__doc__)
+    parser.add_argument("--jobs", type=int, default=default_jobs(), help="processes at a time")
+    parser.add_argument("--serial", action="store_true", help="one test after the other")
+    options = parser.parse_args(arguments)
     known = parse_known_failures(_KNOWN_RED_PATH.read_text()) if _KNOWN_RED_PATH.exists() else {}
     suite = unittest.defaultTestLoader.discover(str(_ROOT / "tests"), top_level_dir=str(_ROOT))
-    names = {test.id() for test in _iterate_tests(suite)}
-    result = unittest.TextTestRunner(stream=sys.stderr).run(suite)
-    failed = {_test_id(test) for test, _ in (*result.failures, *result.errors)}
-    failed |= {_test_id(test) for test in result.unexpectedSuccesses}
+    tests = {test.id() for test in _iterate_tests(suite)}
+    with tempfile.TemporaryDirectory() as folder:
+        jobs = 1 if options.serial else options.jobs
+        if not _run(jobs, Path(folder)):
+            print(f"the tests did not end within {MAX_RUN_S} s")
+        records = read_records(Path(folder))
+    _print_slowest(records.seconds_by_test)
+    failed = records.failed
     for name, entry in known.items():
         outcome = "failed" if name in failed else "passed"
         kind = "intermittent " if entry.is_intermittent else ""
         print(f"known red, {kind}passed over: {name} ({outcome} in this run)")
-    problems = find_problems(known, names, failed)
+    ran = set(records.seconds_by_test)
+    problems = find_problems(known, tests, failed) + find_missing(tests, ran)
     for problem in problems:
         print(problem)
-    print(f"{result.testsRun - len(failed)} passed, {len(problems)} failed")
+    print(f"{len(ran)} of {len(tests)} tests run, {jobs} at a time")
+    print(f"{len(ran - failed)} passed, {len(problems)} failed")
     return 1 if problems else 0
 
 
+def _run(jobs: int, folder: Path) -> bool:
+    """Runs all tests in processes that record their outcomes; returns False after a time-out."""
+    runner = [sys.executable, "-m", "unittest_parallel", f"--jobs={jobs}", "--level=class"]
+    runner += ["--disable-process-pooling", "--result=tools.test_records.RecordingResult"]
+    runner += ["--start-directory=tests", "--top-level-directory=."]
+    environment = {**os.environ, FOLDER_VARIABLE: str(folder)}
+    # The status only repeats what the records show in detail.
+    try:
+        subprocess.run(runner, cwd=_ROOT, env=environment, timeout=MAX_RUN_S, check=False)
+    except subprocess.TimeoutExpired:
+        return False
+    return True
+
+
+def _print_slowest(seconds_by_test: dict[str, float]) -> None:
+    slowest = sorted(seconds_by_test.items(), key=lambda item: -item[1])[:PRINTED_SLOWEST]
+    print(f"the {len(slowest)} slowest tests:")
+    for name, seconds in slowest:
+        print(f"{seconds:6.1f} s  {name}")
+
+
 def _iterate_tests(suite: unittest.TestSuite) -> Iterator[unittest.TestCase]:
     for entry in suite:
         if isinstance(entry, unittest.TestSuite):
@@ -87,10 +147,5 @@
             yield entry
 
 
-def _test_id(test: unittest.TestCase) -> str:
-    # A failed subtest refers to its test; a failed class set-up is reported under a separate id.
-    return str(getattr(test, "test_case", test).id())
-
-
 if __name__ == "__main__":
     sys.exit(main())
