--- a/tests/gateway/test_front.py
+++ b/tests/gateway/test_front.py
@@ -11,6 +11,8 @@
 from typing import Final
 from unittest import mock
 
+from waitress import wasyncore
+
 from sequoiadrum.gateway import front
 from sequoiadrum.gateway.front import ServerGroup
 from sequoiadrum.messages import Address
@@ -39,7 +41,7 @@
 class EndlessRequestTest(unittest.TestCase):
     """Callers whose requests never end."""
 
-    def _start(self, memory_mb: int = 200) -> tuple[int, Metrics]:
+    def _create(self, memory_mb: int = 200) -> tuple[ServerGroup, int, Metrics]:
         metrics = Metrics()
         (port,) = free_ports(1)
 
@@ -49,6 +51,10 @@
 
         group = ServerGroup(2_000, memory_mb, metrics)
         group.add_callers(application, Address("127.0.0.1", port))
+        return group, port, metrics
+
+    def _start(self, memory_mb: int = 200) -> tuple[int, Metrics]:
+        group, port, metrics = self._create(memory_mb)
         group.start()
         self.addCleanup(group.stop)
         return port, metrics
@@ -123,6 +129,29 @@
             )
             self.assertTrue(self._is_served(port))
 
+    def test_dropped_connection_does_not_close_the_next_one(self) -> None:
+        """Guards against a sound caller whose connection gets the descriptor of a dropped one."""
+        with mock.patch.object(front.GatewayServer, "arrival_timeout_s", 0.0):
+            group, port, _ = self._create()
+            self.addCleanup(group.stop)
+
+            def poll() -> None:
+                wasyncore.loop(timeout=0.2, use_poll=True, map=group._loop_map, count=1)
+
+            (server,) = group._caller_servers
+            slow = self._open(port)
+            slow.sendall(b"POST /a HTTP/1.1\r\n")
+            while not any(channel.request for channel in server.active_channels.values()):
+                poll()
+            server.maintenance(time.time())
+            sound = self._open(port)
+            # The cleanup drops the slow caller in the iteration that accepts the sound one.
+            server.next_channel_cleanup = 0.0
+            poll()
+            sound.sendall(b"GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+            group.start()
+            self.assertEqual(sound.recv(12), b"HTTP/1.1 200")
+
 
 class DrainTest(unittest.TestCase):
     """The server closes its connections at the end of a graceful shutdown."""
