--- a/tests/gateway/test_unframed_responses.py
+++ b/tests/gateway/test_unframed_responses.py
@@ -113,6 +113,22 @@
         metrics = self.world.gateway.metrics
         self.assertEqual(metrics.value("unclear_ends_total", reason="endpoint_gone"), 1)
 
+    def test_response_of_an_endpoint_that_has_started_again_is_not_whole(self) -> None:
+        """Guards against a part of an answer that ends only after its endpoint is back."""
+
+        def start_again(connection: Connection, request: Received) -> None:
+            connection.send(unframed_head(request) + b"do")
+            self.world.register("e1", endpoint.address, born=2)
+            pool = self.world.gateway.pool
+            eventually(
+                lambda: pool._table.by_id["e1"].entry.started_ms == 2, "the new process is known"
+            )
+            connection.sock.shutdown(socket.SHUT_RDWR)
+
+        endpoint = ScriptedEndpoint(start_again)
+        self.world.add("e1", endpoint)
+        self.assertEqual(self.world.call("/order/x")[0], 502)
+
     def test_read_from_an_endpoint_that_is_gone_is_retried(self) -> None:
         """Guards against a failure where another endpoint has the whole answer."""
         self.world.add("e1", ScriptedEndpoint(self._leave_after(b"do")))
--- a/tests/gateway/world.py
+++ b/tests/gateway/world.py
@@ -145,7 +145,12 @@
         eventually(lambda: self.gateway.pool.can_route_to(name), f"{name} is known")
 
     def register(
-        self, name: str, address: Address, service: str = "shop", state: str = "ready"
+        self,
+        name: str,
+        address: Address,
+        service: str = "shop",
+        state: str = "ready",
+        born: int = 1,
     ) -> int:
         """Writes the store entry of an endpoint; returns its revision."""
         return self.store.put(
@@ -160,7 +165,7 @@
                 "state": state,
                 "cold_left_ms": 0,
                 "seq": 1,
-                "born": 1,
+                "born": born,
             },
         )
 
