Decode what deployments say of homes, cold endpoints, evacuations and slow hosts

Cause: a load header with a fourth figure was dropped whole, and nothing read the homes of routes and accounts, the rate of cold endpoints, the kind of evacuations or their bounds. Change: decoded once, in the adapter, into types of the gateway; nothing acts on them yet, except that loads with a fourth figure count like those with three. Measured: tests of the decoders; the header test fails on the code before.

--- a/src/sequoiadrum/gateway/model.py
+++ b/src/sequoiadrum/gateway/model.py
@@ -64,6 +64,8 @@
     """Whether requests list the parts of their prompt."""
     pause_goal_s: float = 0.0
     """Longest pause between two events of a stream up to which it has its full value."""
+    homes: tuple[str, ...] = ()
+    """Regions whose endpoints may run the requests; empty if all may."""
 
 
 @frozen
@@ -78,6 +80,10 @@
     """Requests that a model engine runs in parallel; None for a plain service."""
     kv_tokens: int | None
     """Capacity of an engine's KV cache in tokens; None for a plain service."""
+    cold_start_s: float = 0.0
+    """Time for which an endpoint stays cold after its start."""
+    cold_requests_per_s: float = 0.0
+    """Requests that a cold endpoint tolerates from all instances together; 0 if not limited."""
 
 
 @frozen
@@ -87,6 +93,8 @@
     name: str
     priority: int | None
     """Overrides the priority of the route; None keeps the route's priority."""
+    homes: tuple[str, ...] = ()
+    """Regions whose endpoints may run the account's requests; empty if all may."""
 
 
 @frozen
@@ -208,6 +216,8 @@
     running: int
     waiting: int
     slots: int
+    slowdown: float = 1.0
+    """How long work takes on the endpoint's host at the moment, as a multiple of the usual time."""
 
 
 @frozen
@@ -236,6 +246,8 @@
     """Seconds for which the endpoint wants no request from this router; None if it names none."""
     unusable: tuple[str, ...] = ()
     """Names of the fields that were left out because their headers cannot be used."""
+    cold_left_s: float | None = None
+    """Remaining time for which the endpoint stays cold; None if the response does not say."""
 
 
 @frozen
--- a/src/sequoiadrum/gateway/ports.py
+++ b/src/sequoiadrum/gateway/ports.py
@@ -92,6 +92,8 @@
     config_kind: ClassVar[str]
     config_name: ClassVar[str]
     endpoint_kind: ClassVar[str]
+    evacuation_kind: ClassVar[str]
+    """Kind of the operator's evacuations; an object is named after its failure domain."""
 
     @abstractmethod
     def decode_config(self, item: StoredItem) -> Result[GatewayConfig, str]:
--- a/src/sequoiadrum/gateway/settings.py
+++ b/src/sequoiadrum/gateway/settings.py
@@ -4,7 +4,7 @@
 
 from typing import Final
 
-from attrs import frozen
+from attrs import field, frozen
 
 from sequoiadrum.messages import Address
 
@@ -42,6 +42,13 @@
     """Longest time for which callers cache the addresses of routers."""
     load_factor: float
     """No endpoint may carry more than this multiple of the mean load of its service."""
+    evacuation_s: float | None = None
+    """Maximum time until an evacuated failure domain receives no new requests; None if operators do
+    not evacuate failure domains."""
+    cold_excess: float = 1.0
+    """Multiple of the rate of a cold endpoint that it may receive in one second."""
+    cold_slack: float = 0.0
+    """Requests that a cold endpoint may receive in one second beyond the multiple of its rate."""
 
 
 @frozen(kw_only=True)
@@ -61,6 +68,8 @@
     max_descriptors: int
     bounds: Bounds
     metrics_port: int = DEFAULT_METRICS_PORT
+    region_by_domain: dict[str, str] = field(factory=dict)
+    """Regions of the failure domains that the settings name."""
 
     @property
     def http_port(self) -> int:
--- a/src/sequoiadrum/platform/documents.py
+++ b/src/sequoiadrum/platform/documents.py
@@ -28,11 +28,13 @@
 CONFIG_KIND: Final = "config"
 CONFIG_NAME: Final = "main"
 ENDPOINT_KIND: Final = "servers"
+EVACUATION_KIND: Final = "evacuations"
 _MAX_SLOTS: Final = 100_000
 _MAX_CONNECTIONS: Final = 1_000_000
 _MAX_ATTEMPTS: Final = 1_000
 _MAX_PRIORITY: Final = 1_000_000
 _MAX_WEIGHT: Final = 1e9
+_MAX_RATE: Final = 1e9
 _MAX_INPUT_BYTES: Final = 2**40
 _MAX_ADDRESS_CHARS: Final = 64
 
@@ -128,7 +130,13 @@
 
 
 def _decode_account(entry: dict[str, Any]) -> Account:
-    return Account(values.name(entry["name"]), _decode_priority(entry.get("priority")))
+    return Account(
+        values.name(entry["name"]), _decode_priority(entry.get("priority")), _decode_homes(entry)
+    )
+
+
+def _decode_homes(entry: dict[str, Any]) -> tuple[str, ...]:
+    return tuple(values.name(region) for region in _entries(entry.get("homes") or []))
 
 
 def _decode_priority(value: Any) -> int | None:
@@ -157,6 +165,7 @@
         is_public=values.flag(entry.get("public")),
         is_sticky=values.flag(entry.get("sticky")),
         pause_goal_s=values.duration_s(entry.get("gap_goal_ms") or 0),
+        homes=_decode_homes(entry),
     )
 
 
@@ -188,6 +197,8 @@
         max_connections=values.whole_number(entry.get("max_conns") or 0, high=_MAX_CONNECTIONS),
         batch_slots=None if slots is None else values.whole_number(slots, 1, _MAX_SLOTS),
         kv_tokens=None if tokens is None else values.whole_number(tokens),
+        cold_start_s=values.duration_s(values.number(entry.get("cold_start_s") or 0, 1e6) * 1e3),
+        cold_requests_per_s=values.number(entry.get("cold_per_s") or 0, _MAX_RATE),
     )
 
 
--- a/src/sequoiadrum/platform/headers.py
+++ b/src/sequoiadrum/platform/headers.py
@@ -34,6 +34,7 @@
 RATE_LIMIT: Final = "Server-Limit"
 LEAVING: Final = "Server-Leaving"
 RETRY_AFTER: Final = "Retry-After"
+COLD_MS: Final = "Sequoiadrum-Cold-Ms"
 
 _HOP_BY_HOP: Final = frozenset(
     {
@@ -71,6 +72,8 @@
 """Headers of a response that are never forwarded to the caller."""
 _SECONDS: Final = re.compile(r"[0-9]{1,9}(\.[0-9]{1,9})?", re.ASCII)
 _FRAMING: Final = frozenset({"content-length", "expect"})
+_USUAL_PERCENT: Final = 100.0
+_MAX_COLD_MS: Final = 3_600_000.0
 _MAX_DEADLINE_MS: Final = 3_600_000
 """Longer deadlines are reduced to this limit of one hour."""
 
@@ -170,6 +173,7 @@
             is_leaving=leaving == ["1"],
             retry_after_s=retry_after_s,
             unusable=tuple(unusable),
+            cold_left_s=_decode_milliseconds(by_name.get(COLD_MS.lower(), "")),
         )
 
 
@@ -227,11 +231,16 @@
 
 
 def _decode_load(text: str) -> EngineLoad | None:
+    """Decodes three counts, and in a fourth figure the percentage of the usual duration of work."""
+    words = text.split(",")
     try:
-        running, waiting, slots = (int(word) for word in text.split(","))
+        running, waiting, slots = (int(word) for word in words[:3])
+        percent = float(words[3]) if len(words) > 3 else _USUAL_PERCENT
     except ValueError:
         return None
-    return EngineLoad(running, waiting, slots)
+    if not (len(words) <= 4 and math.isfinite(percent) and percent > 0):
+        return None
+    return EngineLoad(running, waiting, slots, percent / _USUAL_PERCENT)
 
 
 def _values(pairs: Iterable[tuple[str, str]], name: str) -> list[str]:
@@ -245,6 +254,12 @@
     return float(values[0])
 
 
+def _decode_milliseconds(text: str) -> float | None:
+    """Decodes milliseconds into seconds; returns None if they are missing or cannot be used."""
+    milliseconds = _decode_rate(text)
+    return None if milliseconds is None else min(milliseconds, _MAX_COLD_MS) / 1e3
+
+
 def _decode_rate(text: str) -> float | None:
     """Decodes a decimal number; returns None if it is missing or is no rate."""
     try:
--- a/src/sequoiadrum/platform/launch.py
+++ b/src/sequoiadrum/platform/launch.py
@@ -32,6 +32,7 @@
     config_kind = documents.CONFIG_KIND
     config_name = documents.CONFIG_NAME
     endpoint_kind = documents.ENDPOINT_KIND
+    evacuation_kind = documents.EVACUATION_KIND
     decode_config = staticmethod(documents.decode_config)
     decode_endpoint = staticmethod(documents.decode_endpoint)
 
--- a/src/sequoiadrum/platform/node_settings.py
+++ b/src/sequoiadrum/platform/node_settings.py
@@ -79,7 +79,11 @@
             retry_window_s=_read(document, "bounds.retry_window_s", _number),
             address_lifetime_s=_read(document, "bounds.ttl_max_s", _number),
             load_factor=_read(document, "bounds.cap_factor", _number, 2.0),
+            evacuation_s=_read_optional(document, "bounds.evacuate_ms", _duration_s),
+            cold_excess=_read(document, "bounds.cold_excess", _number, 1.0),
+            cold_slack=_read(document, "bounds.cold_slack", _number, 0.0),
         ),
+        region_by_domain=_read(document, "zones", _texts_by_name, {}),
     )
 
 
@@ -112,6 +116,22 @@
         raise FieldError(f"field {path} has a wrong value: {value!r}"[:MAX_DETAIL_CHARS]) from None
 
 
+def _read_optional(document: dict[str, Any], path: str, convert: Callable[[Any], T]) -> T | None:
+    """Reads a field as `_read` does; returns None if the last table of the path lacks it."""
+    table, _, name = path.rpartition(".")
+    if name not in _read(document, table, dict, {}):
+        return None
+    return _read(document, path, convert)
+
+
+def _duration_s(value: Any) -> float:
+    return _number(value) / 1e3
+
+
+def _texts_by_name(value: Any) -> dict[str, str]:
+    return {_text(name): _text(text) for name, text in value.items()}
+
+
 def _text(value: Any) -> str:
     if not isinstance(value, str) or not value:
         raise ValueError("expected a text")
--- a/tests/platform/test_documents.py
+++ b/tests/platform/test_documents.py
@@ -58,6 +58,18 @@
         self.assertEqual(config.routes[0].timeout_s, 3.0)
         self.assertEqual(config.service_by_name["model"].batch_slots, 128)
         self.assertIsNone(config.service_by_name["shop"].batch_slots)
+
+    def test_homes_and_cold_endpoints(self) -> None:
+        """Guards against a request that leaves its home regions, and a flooded cold endpoint."""
+        document = config_document(7, tenants=[{"name": "a", "api_keys": ["k"], "homes": ["r1"]}])
+        document["routes"][0]["homes"] = ["r1", "r2"]
+        document["services"][0].update(cold_start_s=3.0, cold_per_s=9.3)
+        config = decode_config(StoredItem("main", 3, document)).unwrap()
+        self.assertEqual(config.account_by_key["k"].homes, ("r1",))
+        self.assertEqual(config.routes[0].homes, ("r1", "r2"))
+        self.assertEqual(config.routes[1].homes, ())
+        service = config.service_by_name[document["services"][0]["name"]]
+        self.assertEqual((service.cold_start_s, service.cold_requests_per_s), (3.0, 9.3))
         self.assertEqual(config.limits.idle_timeout_s, 15.0)
 
     def test_split_route(self) -> None:
--- a/tests/platform/test_headers.py
+++ b/tests/platform/test_headers.py
@@ -117,6 +117,28 @@
             head = codec.decode_response(200, "OK", [("Server-Limit", text)])
             self.assertIsNone(head.rate_limit)
 
+    def test_load_with_a_fourth_figure_keeps_its_counts(self) -> None:
+        """Guards against a load that is dropped because it also says how long work takes."""
+        codec = PlatformHeaderCodec()
+        for text, load in (
+            ("3,1,8,250", EngineLoad(3, 1, 8, 2.5)),
+            ("3,1,8,100", EngineLoad(3, 1, 8)),
+            ("3,1,8,0", None),
+            ("3,1,8,nan", None),
+            ("3,1,8,100,7", None),
+            ("3,1", None),
+        ):
+            head = codec.decode_response(200, "OK", [("Sequoiadrum-Server-Load", text)])
+            self.assertEqual(head.load, load, text)
+
+    def test_time_that_an_endpoint_stays_cold_is_decoded(self) -> None:
+        """Guards against a cold endpoint that is taken for a warm one, or for cold without end."""
+        codec = PlatformHeaderCodec()
+        for text, cold_left_s in (("1500", 1.5), ("0", 0.0), ("soon", None), ("1e12", 3600.0)):
+            head = codec.decode_response(200, "OK", [("Sequoiadrum-Cold-Ms", text)])
+            self.assertEqual(head.cold_left_s, cold_left_s, text)
+        self.assertIsNone(codec.decode_response(200, "OK", []).cold_left_s)
+
     def test_garbage_is_left_out(self) -> None:
         """Guards against an exception on a malformed load or idle timeout."""
         head = PlatformHeaderCodec().decode_response(
--- a/tests/platform/test_node_settings.py
+++ b/tests/platform/test_node_settings.py
@@ -58,6 +58,18 @@
         self.assertEqual(settings.bounds.leaving_endpoint_s, 2.0)
         self.assertEqual(settings.bounds.stop_grace_s, 8.0)
         self.assertEqual(settings.problems(), [])
+        self.assertIsNone(settings.bounds.evacuation_s)
+
+    def test_bounds_of_evacuations_and_cold_endpoints(self) -> None:
+        """Guards against settings that call for a feature and do not switch it on."""
+        more = "cold_excess = 1.5\ncold_slack = 5\nevacuate_ms = 5000\n"
+        zones = '[zones]\nz1 = "r1"\nz2 = "r2"\n'
+        self.path.write_text(_FILE.replace("[platform]", f"{more}{zones}[platform]"))
+        settings = load_settings(self.path).unwrap()
+        bounds = settings.bounds
+        self.assertEqual((bounds.cold_excess, bounds.cold_slack), (1.5, 5.0))
+        self.assertEqual(bounds.evacuation_s, 5.0)
+        self.assertEqual(settings.region_by_domain, {"z1": "r1", "z2": "r2"})
 
     def test_problems_are_reported(self) -> None:
         """Guards against a failed start that does not report the problem in the file."""
