Tell a host that does not say how long work takes from a usual one

Cause: parts that weigh the speed of hosts are to act only where endpoints report it. Change: a load without the fourth figure has no slowdown. Measured: tests of the header codec.

--- a/src/sequoiadrum/gateway/model.py
+++ b/src/sequoiadrum/gateway/model.py
@@ -216,8 +216,9 @@
     running: int
     waiting: int
     slots: int
-    slowdown: float = 1.0
-    """How long work takes on the endpoint's host at the moment, as a multiple of the usual time."""
+    slowdown: float | None = None
+    """How long work takes on the endpoint's host at the moment, as a multiple of the usual time;
+    None if the endpoint does not share its host with others, and does not say."""
 
 
 @frozen
--- a/src/sequoiadrum/platform/headers.py
+++ b/src/sequoiadrum/platform/headers.py
@@ -235,10 +235,12 @@
     words = text.split(",")
     try:
         running, waiting, slots = (int(word) for word in words[:3])
-        percent = float(words[3]) if len(words) > 3 else _USUAL_PERCENT
+        percent = float(words[3]) if len(words) > 3 else None
     except ValueError:
         return None
-    if not (len(words) <= 4 and math.isfinite(percent) and percent > 0):
+    if percent is None:
+        return EngineLoad(running, waiting, slots)
+    if not (len(words) == 4 and math.isfinite(percent) and percent > 0):
         return None
     return EngineLoad(running, waiting, slots, percent / _USUAL_PERCENT)
 
--- a/tests/platform/test_headers.py
+++ b/tests/platform/test_headers.py
@@ -122,7 +122,8 @@
         codec = PlatformHeaderCodec()
         for text, load in (
             ("3,1,8,250", EngineLoad(3, 1, 8, 2.5)),
-            ("3,1,8,100", EngineLoad(3, 1, 8)),
+            ("3,1,8,100", EngineLoad(3, 1, 8, 1.0)),
+            ("3,1,8", EngineLoad(3, 1, 8)),
             ("3,1,8,0", None),
             ("3,1,8,nan", None),
             ("3,1,8,100,7", None),
