Keep OpenSSL out of the gateway's processes

Cause: http.client and hashlib load OpenSSL if they can, and the gateway speaks plain HTTP and hashes with BLAKE2 only.

--- a/tests/gateway/test_signals.py
+++ b/tests/gateway/test_signals.py
@@ -29,6 +29,14 @@
 """
 
 
+_PRINT_OPENSSL_MODULES: Final = f"""
+import runpy, sys
+runpy.run_path({str(_ENTRY)!r}, run_name="entry")
+import sequoiadrum.platform.launch
+print("http.client" in sys.modules)
+print([name for name in ("ssl", "_ssl", "_hashlib") if sys.modules.get(name)])
+"""
+
 _CONNECT_BEFORE_IMPORTS: Final = f"""
 import runpy, socket, sys, types
 loaded = types.ModuleType("sequoiadrum.platform.launch")
@@ -73,6 +81,18 @@
         )
         self.assertEqual(completed.stdout.strip(), "False False")
 
+    def test_openssl_is_not_loaded(self) -> None:
+        """Guards against 4 MB in each process for a library that the gateway does not use."""
+        completed = subprocess.run(
+            [sys.executable, "-c", _PRINT_OPENSSL_MODULES],
+            capture_output=True,
+            text=True,
+            timeout=60,
+            check=True,
+            cwd=_ROOT,
+        )
+        self.assertEqual(completed.stdout.splitlines(), ["True", "[]"])
+
     def test_callers_connect_before_the_program_is_loaded(self) -> None:
         """Guards against connections that are refused while a restarted process imports itself."""
         ports = free_ports(2)
