Control admission where endpoints share their hosts

Cause: requests were sent to endpoints first come, first served; nothing was refused ahead, a hot account could take all places, and Retry-After did not follow from when there is room. Change: estimates of room and times (room.py), shares by account and priority within the router's part of the places (admission_control.py), refusals with a place in a queue of returns.

--- a/src/sequoiadrum/gateway/guards.py
+++ b/src/sequoiadrum/gateway/guards.py
@@ -16,6 +16,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from sequoiadrum.gateway.model import Route
     from sequoiadrum.gateway.request_run import Caller, RequestRun
     from sequoiadrum.gateway.stop_plan import Shutdown
 
@@ -119,6 +120,15 @@
     return check
 
 
+def stream_patience_s(route: Route) -> float:
+    """Returns the seconds without an event after which the callers of a route give up."""
+    return max(
+        MIN_STALL_S,
+        STALL_GOAL_MULTIPLE * route.goal_s,
+        STALL_PAUSE_MULTIPLE * route.pause_goal_s,
+    )
+
+
 def stream_guard(run: RequestRun) -> Callable[[], None]:
     """Returns a guard for the wait for the next event of a stream that has begun.
 
@@ -127,11 +137,7 @@
     arrive. A shutdown leaves the stream its time until the process ends.
     """
     check_body = _request_guard(run)
-    stall_s = STALL_MARGIN_S + max(
-        MIN_STALL_S,
-        STALL_GOAL_MULTIPLE * run.route.goal_s,
-        STALL_PAUSE_MULTIPLE * run.route.pause_goal_s,
-    )
+    stall_s = STALL_MARGIN_S + stream_patience_s(run.route)
 
     def check() -> None:
         check_body()
--- a/src/sequoiadrum/gateway/pool.py
+++ b/src/sequoiadrum/gateway/pool.py
@@ -28,11 +28,15 @@
 )
 from sequoiadrum.gateway.rate_limits import NamedLimit, RateLimits
 from sequoiadrum.gateway.retry_budget import RetryBudget
+from sequoiadrum.gateway.service_rooms import ServiceRooms
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from sequoiadrum.gateway.model import EndpointEntry, ResponseHead, StorePosition
+    from sequoiadrum.gateway.admission_control import Admission, Demand
+    from sequoiadrum.gateway.model import EndpointEntry, RequestHead, ResponseHead, StorePosition
+    from sequoiadrum.gateway.room import Room
+    from sequoiadrum.gateway.service_rooms import ExpectedStay
     from sequoiadrum.gateway.settings import Bounds
 
 
@@ -52,12 +56,26 @@
     needs_quota: bool = False
     """Whether the endpoint named a rate, of which the request needs a unit."""
     is_released: bool = False
+    stay: ExpectedStay | None = None
+    """What is expected of the request; None if admission is not controlled."""
+    first_s: float | None = None
+    """Seconds from the placement to the first event or the response, once it has arrived."""
 
     @property
     def endpoint_key(self) -> int:
         """The number that identifies the endpoint to other routers."""
         return endpoint_key(self.endpoint.id_hash)
 
+    def estimate_error_s(self) -> float | None:
+        """Returns by how many seconds the first event came later than expected.
+
+        Returns:
+            None if it has not arrived, or nothing was expected.
+        """
+        if self.first_s is None or self.stay is None or self.stay.expected is None:
+            return None
+        return self.first_s - self.stay.expected.first_s
+
 
 class EndpointPool:
     """Places requests on endpoints and records the results; safe to use from any thread.
@@ -76,9 +94,32 @@
         self._budget_by_service: dict[str, RetryBudget] = {}
         self._turned_away: set[Endpoint] = set()
         """Endpoints with a hold whose end was not reported yet."""
+        self._rooms = ServiceRooms()
         self.rate_limits = RateLimits()
         """The rates that endpoints named; thread-safe by itself."""
 
+    def controls_admission(self) -> bool:
+        """Returns whether `admit` decides on requests; see `ServiceRooms`."""
+        return self._rooms.is_active(clock.now())
+
+    def admit(self, service: str, call: RequestHead, demand: Demand) -> Admission:
+        """Decides whether a new request is admitted."""
+        now = clock.now()
+        with self._lock:
+            endpoints = self._table.of_service(service)
+            return self._rooms.decide(service, call, demand, endpoints, self._instances(), now)
+
+    def return_after_s(self, service: str, demand: Demand) -> float:
+        """Returns when the caller of a request that all endpoints refused should come back."""
+        now = clock.now()
+        with self._lock:
+            return self._rooms.return_after_s(service, demand, now)
+
+    def room(self, service: str) -> Room:
+        """Returns the room of a service as computed last, for metrics."""
+        with self._lock:
+            return self._rooms.room(service)
+
     def take(
         self,
         request: PlacementRequest,
@@ -113,6 +154,10 @@
             placement = EndpointPlacement(
                 chosen, chosen.in_flight, None, now, chosen.fleet_load(now), limit is not None
             )
+            if self._rooms.is_active(now):
+                placement.stay = self._rooms.expect(
+                    request.service.name, request.call, chosen, self._instances(), now
+                )
             if not placement.needs_quota:
                 placement.context_source = self._find_context_source(
                     endpoints, chosen, request, now
@@ -181,10 +226,16 @@
         with self._lock:
             if head.load is not None:
                 placement.endpoint.record_load(head.load, now)
+                if head.load.slowdown is not None:
+                    self._rooms.record_shared_host(now)
             if head.is_not_executed:
                 placement.endpoint.record_full(now)
             else:
                 placement.endpoint.record_result(failed, now)
+                if placement.stay is not None and not failed:
+                    placement.first_s = now - placement.placed_at
+                    service = placement.endpoint.entry.service
+                    self._rooms.record_first(service, placement.stay, placement.first_s)
         if head.rate_limit is None and not head.is_sealed:
             # It may come from something between router and endpoint, and names no limit for that.
             return False
@@ -194,6 +245,15 @@
             placement.endpoint_key, NamedLimit(head.rate_limit, observed_at), now
         )
 
+    def record_done(self, placement: EndpointPlacement) -> None:
+        """Records that the response to a placed request is complete."""
+        if placement.stay is None or placement.first_s is None:
+            return
+        whole_s = clock.now() - placement.placed_at
+        with self._lock:
+            service = placement.endpoint.entry.service
+            self._rooms.record_done(service, placement.stay, placement.first_s, whole_s)
+
     def record_notices(
         self, placement: EndpointPlacement, head: ResponseHead
     ) -> list[tuple[str, Hold]]:
--- a/src/sequoiadrum/gateway/relay.py
+++ b/src/sequoiadrum/gateway/relay.py
@@ -6,8 +6,10 @@
 from typing import TYPE_CHECKING, Final
 
 from sequoiadrum.gateway import clock, stop_plan
+from sequoiadrum.gateway.admission_control import Outcome
 from sequoiadrum.gateway.buffered_body import BufferedBody
 from sequoiadrum.gateway.crash_suspects import BrokenExchange
+from sequoiadrum.gateway.demand import demand_of
 from sequoiadrum.gateway.event_log import loggable_parts
 from sequoiadrum.gateway.exchange import (
     CONNECT_TIMEOUT_S,
@@ -148,8 +150,28 @@
         self._pool.record_request(run.service.name)
         if self._crashes.is_refused(run.fingerprint):
             return self._refuse(run, Refused.CRASHES_ENDPOINTS)
+        if run.call.last_event_id is None:
+            refusal = self._admit(run)
+            if refusal is not None:
+                return refusal
         return self._run_attempts(run, run.call.last_event_id)
 
+    def _admit(self, run: RequestRun) -> CallerResponse | None:
+        """Returns the refusal of a request that is not admitted; None if it is."""
+        if not self._pool.controls_admission():
+            return None
+        service = run.service.name
+        admission = self._pool.admit(service, run.call, demand_of(run))
+        self._metrics.count("admissions_total", outcome=admission.outcome.value)
+        if admission.outcome is Outcome.ADMITTED:
+            return None
+        room = self._pool.room(service)
+        detail = (
+            f"{room.taken:.0f} of {room.places} places taken, {room.queued:.0f} requests wait,"
+            f" share {admission.share:.2f}"
+        )
+        return self._refuse(run, Refused(admission.outcome.value), detail, admission.retry_after_s)
+
     def _run_attempts(self, run: RequestRun, last_event_id: str | None) -> CallerResponse:
         while True:
             outcome = self._start_exchange(run, last_event_id)
@@ -467,7 +489,14 @@
             return self._refuse(run, Refused.ENDPOINT_FAILED, "a repeat was rejected")
         if self._pool.hold_wait_s(run.service.name) > 0 and head.retry_after_s is not None:
             return self._refuse_unplaced(run, PlacementFailure.TURNED_AWAY)
-        return self._refuse(run, Refused.ENDPOINTS_FULL, retry_after_s=FULL_RETRY_AFTER_S)
+        return self._refuse(
+            run, Refused.ENDPOINTS_FULL, retry_after_s=self._full_retry_after_s(run)
+        )
+
+    def _full_retry_after_s(self, run: RequestRun) -> float:
+        if not self._pool.controls_admission():
+            return FULL_RETRY_AFTER_S
+        return self._pool.return_after_s(run.service.name, demand_of(run))
 
     def _begin_stream(
         self, run: RequestRun, placement: EndpointPlacement, exchange: Exchange
@@ -576,13 +605,15 @@
     def _refuse_unplaced(self, run: RequestRun, why: PlacementFailure) -> CallerResponse:
         if run.was_sent:
             return self._refuse(run, Refused.ENDPOINT_FAILED, run.last_error or why.value)
+        if why is PlacementFailure.FULL:
+            wait_s = self._full_retry_after_s(run)
+            return self._refuse(run, Refused.ENDPOINTS_FULL, run.last_error, wait_s)
         reason, retry_after_s = {
             PlacementFailure.UNKNOWN_SERVICE: (Refused.NO_ENDPOINT, UNREACHABLE_RETRY_AFTER_S),
             PlacementFailure.UNREACHABLE: (
                 Refused.ENDPOINTS_UNREACHABLE,
                 UNREACHABLE_RETRY_AFTER_S,
             ),
-            PlacementFailure.FULL: (Refused.ENDPOINTS_FULL, FULL_RETRY_AFTER_S),
             PlacementFailure.TURNED_AWAY: (
                 Refused.ENDPOINTS_TURNED_AWAY,
                 self._come_back_s(run),
@@ -624,6 +655,11 @@
     ) -> None:
         if self._pool.record_response(placement, head, failed):
             self._record_event("endpoint_limit_changed", run, placement, rate_limit=head.rate_limit)
+        error_s = placement.estimate_error_s()
+        if error_s is not None:
+            self._metrics.record_seconds("first_event_estimate_error_seconds", abs(error_s))
+            sign = "late" if error_s > 0 else "early"
+            self._metrics.count("first_events_estimated_total", than_expected=sign)
 
     def _count_body(self, transfer: Transfer, outcome: str) -> None:
         self._metrics.count(
@@ -638,6 +674,7 @@
         transfer: Transfer,
     ) -> None:
         self._count_body(transfer, "whole")
+        self._pool.record_done(placement)
         age_s = clock.now() - run.caller.arrived_at
         self._metrics.count("requests_total", status=str(head.status))
         self._metrics.record_seconds("request_seconds", age_s)
