Keep the product's own types out of the gateway's imports

Cause: the gateway imported the placement, limits and interfaces of the product's own data path for one function and two classes. Imports are most of a start and of the memory of a router at rest. Change: `chat_score` is in `hashing`, `TokenBucket` in `token_bucket`, and the interfaces of the membership in `membership_interfaces`; nothing else changes.

--- a/src/sequoiadrum/admission.py
+++ b/src/sequoiadrum/admission.py
@@ -9,13 +9,12 @@
 
 from sequoiadrum.admission_queue import AdmissionQueue
 from sequoiadrum.errors import Refusal, RefusalReason
-from sequoiadrum.hashing import stable_hash
+from sequoiadrum.hashing import chat_score, stable_hash
 from sequoiadrum.placement import (
     SLOW_START_S,
     BoundPolicy,
     EngineState,
     RecentEngineTable,
-    chat_score,
 )
 from sequoiadrum.pool_messages import HeldGrant, Placed, Waiting
 
--- a/src/sequoiadrum/admission_task.py
+++ b/src/sequoiadrum/admission_task.py
@@ -37,7 +37,8 @@
 
     from sequoiadrum.configuration import ConfigState
     from sequoiadrum.engine_client import EngineClient
-    from sequoiadrum.interfaces import AdmissionRequest, ConfigSource, MembershipSource
+    from sequoiadrum.interfaces import AdmissionRequest, ConfigSource
+    from sequoiadrum.membership_interfaces import MembershipSource
     from sequoiadrum.messages import Address, Endpoint, Member
     from sequoiadrum.metrics import Metrics
     from sequoiadrum.peer_client import PeerClient
--- a/src/sequoiadrum/config_task.py
+++ b/src/sequoiadrum/config_task.py
@@ -32,7 +32,7 @@
     from collections.abc import Callable
 
     from sequoiadrum.configuration import Change
-    from sequoiadrum.interfaces import FleetLink
+    from sequoiadrum.membership_interfaces import FleetLink
     from sequoiadrum.messages import Address, Member
     from sequoiadrum.metrics import Metrics
     from sequoiadrum.peer_client import PeerClient
--- a/src/sequoiadrum/directory.py
+++ b/src/sequoiadrum/directory.py
@@ -11,7 +11,7 @@
 if TYPE_CHECKING:
     from collections.abc import Mapping
 
-    from sequoiadrum.interfaces import MembershipSource
+    from sequoiadrum.membership_interfaces import MembershipSource
     from sequoiadrum.messages import Address, Member
 
 ADDRESSES_PER_RESPONSE: Final = 3
--- a/src/sequoiadrum/gateway/placement.py
+++ b/src/sequoiadrum/gateway/placement.py
@@ -13,8 +13,7 @@
 from attrs import frozen
 
 from sequoiadrum.gateway.holds import HoldReason
-from sequoiadrum.hashing import stable_hash
-from sequoiadrum.placement import chat_score
+from sequoiadrum.hashing import chat_score, stable_hash
 
 if TYPE_CHECKING:
     from collections.abc import Collection
--- a/src/sequoiadrum/gateway/rate_limits.py
+++ b/src/sequoiadrum/gateway/rate_limits.py
@@ -14,8 +14,8 @@
 from attrs import define, field, frozen
 
 from sequoiadrum.hashing import first_ranked
-from sequoiadrum.limits import TokenBucket
 from sequoiadrum.messages import MemberState
+from sequoiadrum.token_bucket import TokenBucket
 
 if TYPE_CHECKING:
     from collections.abc import Iterable, Mapping
--- a/src/sequoiadrum/gossip_task.py
+++ b/src/sequoiadrum/gossip_task.py
@@ -13,9 +13,9 @@
 from returns.result import Success
 
 from sequoiadrum._gossip_wire import from_reports, to_reports
-from sequoiadrum.interfaces import FleetLink
 from sequoiadrum.logs import get_logger
 from sequoiadrum.membership import Membership, RevisionSeen, Superseded, SyncDue
+from sequoiadrum.membership_interfaces import FleetLink
 from sequoiadrum.messages import (
     Address,
     Member,
--- a/src/sequoiadrum/hashing.py
+++ b/src/sequoiadrum/hashing.py
@@ -3,11 +3,13 @@
 from __future__ import annotations
 
 from hashlib import blake2b
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Final
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
+_UINT64_MASK: Final = (1 << 64) - 1
+
 
 def stable_hash(*parts: str) -> int:
     """Hashes strings to 64 bits, with the same result in every process.
@@ -34,3 +36,15 @@
 def first_ranked(key: str, candidates: Iterable[str]) -> str | None:
     """Returns the first item of `rank` in linear time, or None without candidates."""
     return max(candidates, key=lambda name: (stable_hash(key, name), name), default=None)
+
+
+def chat_score(chat_hash: int, engine_hash: int) -> int:
+    """Returns the rendezvous weight of an engine for a chat.
+
+    Mixes the two 64-bit hashes with the finalizer of SplitMix64, which costs a tenth of hashing the
+    chat and engine ids again for each engine.
+    """
+    z = chat_hash ^ engine_hash
+    z = ((z ^ (z >> 30)) * 0xBF58476D1CE4E5B9) & _UINT64_MASK
+    z = ((z ^ (z >> 27)) * 0x94D049BB133111EB) & _UINT64_MASK
+    return z ^ (z >> 31)
--- a/src/sequoiadrum/keyed_router.py
+++ b/src/sequoiadrum/keyed_router.py
@@ -29,8 +29,9 @@
     from collections.abc import Callable
 
     from sequoiadrum._gen.peer.ttypes import KeyedReply, KeyedRequest
-    from sequoiadrum.interfaces import KeyedCall, MembershipSource
+    from sequoiadrum.interfaces import KeyedCall
     from sequoiadrum.ledger_task import LedgerTask
+    from sequoiadrum.membership_interfaces import MembershipSource
     from sequoiadrum.peer_client import PeerClient
 
 _MAX_HOPS: Final = 3
--- a/src/sequoiadrum/ledger_task.py
+++ b/src/sequoiadrum/ledger_task.py
@@ -40,7 +40,8 @@
 
     from sequoiadrum._ledger_dispatch import Dispatcher
     from sequoiadrum._ledger_types import SendGate, ShardEvent, ShardIo
-    from sequoiadrum.interfaces import KeyedCall, KeyedOutcome, MembershipSource
+    from sequoiadrum.interfaces import KeyedCall, KeyedOutcome
+    from sequoiadrum.membership_interfaces import MembershipSource
     from sequoiadrum.metrics import Metrics
     from sequoiadrum.platform_client import PlatformClient, StoredObject
     from sequoiadrum.timers import TimerService
--- a/src/sequoiadrum/limits_task.py
+++ b/src/sequoiadrum/limits_task.py
@@ -13,16 +13,18 @@
 from sequoiadrum.errors import Refusal, RefusalReason
 from sequoiadrum.hashing import first_ranked
 from sequoiadrum.interfaces import AccountLimits
-from sequoiadrum.limits import AccountBucket, LeasedShare, LeaseGrant, TokenBucket
+from sequoiadrum.limits import AccountBucket, LeasedShare, LeaseGrant
 from sequoiadrum.messages import Account, MembersChanged, RumorReceived
 from sequoiadrum.peer_client import PeerFailure
 from sequoiadrum.reporting_executor import ReportingExecutor
 from sequoiadrum.tasks import Task
+from sequoiadrum.token_bucket import TokenBucket
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from sequoiadrum.interfaces import ConfigSource, MembershipSource
+    from sequoiadrum.interfaces import ConfigSource
+    from sequoiadrum.membership_interfaces import MembershipSource
     from sequoiadrum.metrics import Metrics
     from sequoiadrum.peer_client import PeerClient
     from sequoiadrum.timers import TimerService
--- a/src/sequoiadrum/operator_server.py
+++ b/src/sequoiadrum/operator_server.py
@@ -32,13 +32,8 @@
     from collections.abc import Callable
 
     from sequoiadrum.configuration import Change, ConfigState
-    from sequoiadrum.interfaces import (
-        ConfigSource,
-        ConfigWriter,
-        MembershipSource,
-        PlanListener,
-        PoolInspector,
-    )
+    from sequoiadrum.interfaces import ConfigSource, ConfigWriter, PlanListener, PoolInspector
+    from sequoiadrum.membership_interfaces import MembershipSource
     from sequoiadrum.messages import Address
     from sequoiadrum.metrics import Metrics
     from sequoiadrum.plan_store import PlanStore
--- a/src/sequoiadrum/placement.py
+++ b/src/sequoiadrum/placement.py
@@ -8,7 +8,7 @@
 
 from attrs import define, field, frozen
 
-from sequoiadrum.hashing import stable_hash
+from sequoiadrum.hashing import chat_score, stable_hash
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -21,8 +21,6 @@
 CHAT_IDS_PER_ENGINE: Final = 256
 """Ids of recent chats kept for each engine, for plans that move their contexts."""
 
-_UINT64_MASK: Final = (1 << 64) - 1
-
 
 @frozen
 class BoundPolicy:
@@ -120,18 +118,6 @@
         self.usable = self.declared and self.healthy and not (self.draining or self.leaving)
 
 
-def chat_score(chat_hash: int, engine_hash: int) -> int:
-    """Returns the rendezvous weight of an engine for a chat.
-
-    Mixes the two 64-bit hashes with the finalizer of SplitMix64, which costs a tenth of hashing the
-    chat and engine ids again for each engine.
-    """
-    z = chat_hash ^ engine_hash
-    z = ((z ^ (z >> 30)) * 0xBF58476D1CE4E5B9) & _UINT64_MASK
-    z = ((z ^ (z >> 27)) * 0x94D049BB133111EB) & _UINT64_MASK
-    return z ^ (z >> 31)
-
-
 def home_engine_id(chat_id: str, engine_ids: Iterable[str]) -> str | None:
     """Returns the home engine of a chat, the first in its ranking, or None without engines."""
     chat_hash = stable_hash(chat_id)
--- a/src/sequoiadrum/plan_driver.py
+++ b/src/sequoiadrum/plan_driver.py
@@ -21,7 +21,8 @@
 
     from sequoiadrum.configuration import Change
     from sequoiadrum.engine_client import EngineClient
-    from sequoiadrum.interfaces import ConfigSource, ConfigWriter, MembershipSource, PoolInspector
+    from sequoiadrum.interfaces import ConfigSource, ConfigWriter, PoolInspector
+    from sequoiadrum.membership_interfaces import MembershipSource
     from sequoiadrum.messages import Endpoint
     from sequoiadrum.metrics import Metrics
     from sequoiadrum.plan_store import PlanStore
--- a/src/sequoiadrum/pool_directory.py
+++ b/src/sequoiadrum/pool_directory.py
@@ -11,7 +11,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable, Mapping
 
-    from sequoiadrum.interfaces import MembershipSource
+    from sequoiadrum.membership_interfaces import MembershipSource
     from sequoiadrum.messages import Address, Member
 
 UNRESPONSIVE_TTL_S: Final = 2.0
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -9,7 +9,8 @@
 
 from sequoiadrum.configuration import ConfigState
 from sequoiadrum.engine_client import EngineFailure
-from sequoiadrum.interfaces import ConfigSource, MembershipSource
+from sequoiadrum.interfaces import ConfigSource
+from sequoiadrum.membership_interfaces import MembershipSource
 from sequoiadrum.messages import (
     Address,
     LoadReport,
--- a/tests/plan_world.py
+++ b/tests/plan_world.py
@@ -14,10 +14,10 @@
     ConfigUnavailable,
     ConfigWriter,
     EndpointLoad,
-    MembershipSource,
     PoolInspector,
     PoolLoad,
 )
+from sequoiadrum.membership_interfaces import MembershipSource
 from sequoiadrum.messages import LoadReport, Member, MemberState
 from sequoiadrum.metrics import Metrics
 from sequoiadrum.plan_driver import DriverParts, PlanDriver
--- a/tests/relay_fakes.py
+++ b/tests/relay_fakes.py
@@ -13,7 +13,8 @@
 from sequoiadrum.configuration import ObjectKind
 from sequoiadrum.engine_client import EngineFailure, EngineStream
 from sequoiadrum.errors import Refusal, RefusalReason
-from sequoiadrum.interfaces import AccountLimits, Admission, ConfigSource, Grant, MembershipSource
+from sequoiadrum.interfaces import AccountLimits, Admission, ConfigSource, Grant
+from sequoiadrum.membership_interfaces import MembershipSource
 from sequoiadrum.messages import Address, Member, MemberState
 from sequoiadrum.metrics import Metrics
 from sequoiadrum.standin_engine import EngineOptions, EngineServer
--- a/tests/test_ledger_task.py
+++ b/tests/test_ledger_task.py
@@ -17,16 +17,10 @@
 from sequoiadrum.clock import Clock
 from sequoiadrum.configuration import ObjectKind
 from sequoiadrum.errors import RefusalReason
-from sequoiadrum.interfaces import (
-    Admission,
-    ConfigSource,
-    Grant,
-    KeyedCall,
-    KeyedState,
-    MembershipSource,
-)
+from sequoiadrum.interfaces import Admission, ConfigSource, Grant, KeyedCall, KeyedState
 from sequoiadrum.keyed_router import MAX_FORWARDED, MAX_WAITING, TAKEOVER_WAIT_S, KeyedRouter
 from sequoiadrum.ledger_task import LedgerTask
+from sequoiadrum.membership_interfaces import MembershipSource
 from sequoiadrum.messages import Address, Member, MemberState
 from sequoiadrum.metrics import Metrics
 from sequoiadrum.peer_client import PeerFailure, ThriftPeerClient
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -7,7 +7,8 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from sequoiadrum.limits import AccountBucket, LeasedShare, RetryBudget, TokenBucket
+from sequoiadrum.limits import AccountBucket, LeasedShare, RetryBudget
+from sequoiadrum.token_bucket import TokenBucket
 
 _STEP_S = 0.01
 
--- a/tools/bench_limits.py
+++ b/tools/bench_limits.py
@@ -18,14 +18,16 @@
 
 from sequoiadrum.configuration import Change, ConfigState, ObjectKind
 from sequoiadrum.hashing import first_ranked
-from sequoiadrum.interfaces import ConfigSource, MembershipSource
-from sequoiadrum.limits import AccountBucket, LeasedShare, LeaseGrant, TokenBucket
+from sequoiadrum.interfaces import ConfigSource
+from sequoiadrum.limits import AccountBucket, LeasedShare, LeaseGrant
 from sequoiadrum.limits_task import LimitsTask
+from sequoiadrum.membership_interfaces import MembershipSource
 from sequoiadrum.messages import Address, Member, MemberState
 from sequoiadrum.metrics import Metrics
 from sequoiadrum.peer_client import ThriftPeerClient
 from sequoiadrum.peer_server import PeerHandler, create_peer_server
 from sequoiadrum.timers import TimerService
+from sequoiadrum.token_bucket import TokenBucket
 
 if TYPE_CHECKING:
     from sequoiadrum.errors import Refusal
--- a/tools/bench_shared_loads.py
+++ b/tools/bench_shared_loads.py
@@ -10,8 +10,7 @@
 from unittest import mock
 
 from sequoiadrum.gateway import placement
-from sequoiadrum.hashing import stable_hash
-from sequoiadrum.placement import chat_score
+from sequoiadrum.hashing import chat_score, stable_hash
 from tests.gateway.simulated_fleet import FleetSize, SimulatedFleet
 
 if TYPE_CHECKING:
--- a/tools/keyed_sim.py
+++ b/tools/keyed_sim.py
@@ -19,8 +19,8 @@
 
 from sequoiadrum._ledger_types import CallKind
 from sequoiadrum.clock import Clock
-from sequoiadrum.interfaces import MembershipSource
 from sequoiadrum.ledger_task import AskShard, LedgerTask
+from sequoiadrum.membership_interfaces import MembershipSource
 from sequoiadrum.messages import Member, MemberState
 from sequoiadrum.timers import Subscription, TimerService
 
