--- a/src/sequoiadrum/gateway/pool.py
+++ b/src/sequoiadrum/gateway/pool.py
@@ -66,6 +66,12 @@
         """The number that identifies the endpoint to other routers."""
         return endpoint_key(self.endpoint.id_hash)
 
+    def expected_first_ms(self) -> int | None:
+        """Returns the expected milliseconds to the first event; None if nothing was expected."""
+        if self.stay is None or self.stay.expected is None:
+            return None
+        return int(self.stay.expected.first_s * 1e3)
+
     def estimate_error_s(self) -> float | None:
         """Returns by how many seconds the first event came later than expected.
 
--- a/src/sequoiadrum/gateway/relay.py
+++ b/src/sequoiadrum/gateway/relay.py
@@ -675,7 +675,14 @@
     ) -> None:
         self._count_body(transfer, "whole")
         self._pool.record_done(placement)
-        age_s = clock.now() - run.caller.arrived_at
+        now = clock.now()
+        age_s = now - run.caller.arrived_at
+        if run.first_event_at is None:
+            run.record_event(now)
+        assert run.first_event_at is not None
+        late_by = run.late_by()
+        if late_by is not None:
+            self._metrics.count("late_responses_total", missed=late_by)
         self._metrics.count("requests_total", status=str(head.status))
         self._metrics.record_seconds("request_seconds", age_s)
         self._log.routine(
@@ -693,6 +700,11 @@
             attempts=run.attempts,
             status=head.status,
             ms=int(age_s * 1e3),
+            sent_ms=int((run.sent_at - run.caller.arrived_at) * 1e3),
+            first_ms=int((run.first_event_at - run.caller.arrived_at) * 1e3),
+            longest_pause_ms=int(run.longest_pause_s * 1e3),
+            expected_first_ms=placement.expected_first_ms(),
+            occupied=round(placement.stay.occupied, 2) if placement.stay is not None else None,
             **transfer.log_fields(),
         )
 
--- a/src/sequoiadrum/gateway/request_run.py
+++ b/src/sequoiadrum/gateway/request_run.py
@@ -130,6 +130,10 @@
     last_error: str = ""
     progress_at: float = 0.0
     """Monotonic seconds at which the last event of a stream was complete."""
+    first_event_at: float | None = None
+    """Monotonic seconds at which the first event, or the whole response, was complete."""
+    longest_pause_s: float = 0.0
+    """Longest time between two events of a stream."""
     accepted_at: float = field(factory=clock.now)
     """Monotonic seconds at which the whole request was accepted."""
     sent_at: float = 0.0
@@ -160,6 +164,23 @@
         """Returns whether the process ends too soon for a response that has not begun."""
         return clock.now() >= self.shutdown.responses_due_at()
 
+    def record_event(self, now: float) -> None:
+        """Records that an event of a stream, or a whole response, is complete."""
+        if self.first_event_at is None:
+            self.first_event_at = now
+        elif self.has_event:
+            self.longest_pause_s = max(self.longest_pause_s, now - self.progress_at)
+        self.progress_at = now
+        self.has_event = True
+
+    def late_by(self) -> str | None:
+        """Returns which goal of the route a complete response missed; None if none."""
+        goal_s, pause_goal_s = self.route.goal_s, self.route.pause_goal_s
+        first_at = self.first_event_at
+        if first_at is not None and first_at - self.caller.arrived_at > goal_s:
+            return "first"
+        return "pause" if 0 < pause_goal_s < self.longest_pause_s else None
+
     def age_ms(self) -> int:
         """Returns the milliseconds since the request arrived."""
         return int((clock.now() - self.caller.arrived_at) * 1e3)
--- a/src/sequoiadrum/gateway/stream_body.py
+++ b/src/sequoiadrum/gateway/stream_body.py
@@ -166,8 +166,7 @@
         completed = splitter.completed
         data = splitter.feed(data)
         if splitter.completed != completed:
-            run.progress_at = clock.now()
-            run.has_event = True
+            run.record_event(clock.now())
         if splitter.is_oversized:
             return exchange.give_up("an event is too large")
         if data:
