Show the room of services to operators, and spread callers with little time left

Callers whose turn would come after a third of their time are spread over the end of it; tests/gateway/test_refused_ahead.py found them together.

--- a/src/sequoiadrum/gateway/admission_control.py
+++ b/src/sequoiadrum/gateway/admission_control.py
@@ -47,6 +47,8 @@
 before it arrived: it was refused and came back."""
 MAX_WAIT_SHARE: Final = 0.33
 """Callers wait for at most a third of the time that they have left."""
+CAPPED_SPREAD: Final = 0.3
+"""Share of that third over which the callers are spread whose turn would come later."""
 MIN_RETURN_S: Final = 0.1
 MAX_RETURN_S: Final = 3.0
 """Bounds on the time after which a refused caller is asked to come back."""
@@ -320,7 +322,18 @@
         short_s = 0.0 if self._short_since is None else now - self._short_since
         wait_s = max(MIN_RETURN_S, queue_s, short_s)
         wait_s = self._returns.join(wait_s, interval_s, demand.spread, now)
-        return min(wait_s, max(MIN_RETURN_S, MAX_WAIT_SHARE * demand.done_left_s))
+        longest_s = max(MIN_RETURN_S, MAX_WAIT_SHARE * demand.done_left_s)
+        # Callers with little time left would otherwise all return at the end of what they honour.
+        return min(wait_s, longest_s * (1 - CAPPED_SPREAD * demand.spread))
+
+    def part(self, routers: int) -> float:
+        """Returns this router's part of the requests of all routers."""
+        equal = 1 / max(1, routers)
+        if self._fleet_s <= 0:
+            return equal
+        observed = self._own_sum / max(1e-9, self._fleet_sum)
+        weight = self._fleet_s / (self._fleet_s + PART_PRIOR)
+        return max(MIN_PART * equal, weight * observed + (1 - weight) * equal)
 
     def _count(self, demand: Demand, need: float, now: float) -> None:
         priority = demand.priority
@@ -350,7 +363,7 @@
     ) -> Admission | None:
         """Returns the refusal of a request for which no place is left; None if one is."""
         tolerated = room.places * self._tolerated_occupancy(demand)
-        part = self._part(routers)
+        part = self.part(routers)
         taken = room.taken if room.is_fleet_known else self._recent_own / part
         if taken <= tolerated:
             if taken <= room.places:
@@ -412,15 +425,6 @@
             self._fleet_sum = kept * self._fleet_sum + room.taken * elapsed_s
             self._fleet_s = kept * self._fleet_s + elapsed_s
 
-    def _part(self, routers: int) -> float:
-        """Returns this router's part of the requests of all routers."""
-        equal = 1 / max(1, routers)
-        if self._fleet_s <= 0:
-            return equal
-        observed = self._own_sum / max(1e-9, self._fleet_sum)
-        weight = self._fleet_s / (self._fleet_s + PART_PRIOR)
-        return max(MIN_PART * equal, weight * observed + (1 - weight) * equal)
-
     def _tolerated_occupancy(self, demand: Demand) -> float:
         """Returns the requests at the endpoints, as a multiple of the slots, that may be there."""
         slot_s = self._slot_s or demand.first_left_s
--- a/src/sequoiadrum/gateway/app.py
+++ b/src/sequoiadrum/gateway/app.py
@@ -165,6 +165,7 @@
         self._store_availability.subscribe_restores(self._instances.register_again)
         self._store_availability.subscribe_restores(self.peer_events.store_restored)
         self.pool: Final = EndpointPool(settings.bounds, self.directory.count)
+        self._register_room_gauges()
         self._load_exchange = LoadExchangeTask(
             self.gossip, self.pool, settings.failure_domain, self.metrics, self._invariant_broken
         )
@@ -340,6 +341,14 @@
                 return
             time.sleep(_FIRST_LISTS_POLL_S)
 
+    def _register_room_gauges(self) -> None:
+        rooms = self.pool.rooms
+        gauge = self.metrics.labelled_gauge
+        gauge("room_places", "service", lambda: {s: r.places for s, r in rooms().items()})
+        gauge("room_taken", "service", lambda: {s: r.taken for s, r in rooms().items()})
+        gauge("room_queued", "service", lambda: {s: r.queued for s, r in rooms().items()})
+        gauge("room_own_part", "service", self.pool.own_parts)
+
     def _create_servers(
         self, adapter: Adapter, relay: Relay, opened: Mapping[Address, socket.socket]
     ) -> ServerGroup:
--- a/src/sequoiadrum/gateway/pool.py
+++ b/src/sequoiadrum/gateway/pool.py
@@ -126,6 +126,16 @@
         with self._lock:
             return self._rooms.room(service)
 
+    def rooms(self) -> dict[str, Room]:
+        """Returns the rooms by service as computed last, for metrics."""
+        with self._lock:
+            return self._rooms.rooms()
+
+    def own_parts(self) -> dict[str, float]:
+        """Returns this router's part of all requests in flight by service, for metrics."""
+        with self._lock:
+            return self._rooms.own_parts(self._instances())
+
     def take(
         self,
         request: PlacementRequest,
--- a/src/sequoiadrum/gateway/service_rooms.py
+++ b/src/sequoiadrum/gateway/service_rooms.py
@@ -75,6 +75,17 @@
         """Returns the room of a service as computed last."""
         return self._of(service).room
 
+    def rooms(self) -> dict[str, Room]:
+        """Returns the rooms by service, as computed last."""
+        return {service: state.room for service, state in self._room_by_service.items()}
+
+    def own_parts(self, routers: int) -> dict[str, float]:
+        """Returns this router's part of the requests in flight by service."""
+        return {
+            service: state.admission.part(routers)
+            for service, state in self._room_by_service.items()
+        }
+
     def decide(
         self,
         service: str,
--- a/src/sequoiadrum/metrics.py
+++ b/src/sequoiadrum/metrics.py
@@ -9,7 +9,7 @@
 from hdrh.histogram import HdrHistogram
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Callable, Mapping
 
 _MAX_LATENCY_US: Final = 600_000_000
 """Longest recorded latency in microseconds: ten minutes."""
@@ -28,6 +28,7 @@
         self._values_by_key: dict[_Key, float] = defaultdict(float)
         self._histograms_by_name: dict[str, HdrHistogram] = {}
         self._gauges_by_name: dict[str, Callable[[], float]] = {}
+        self._labelled_gauges_by_name: dict[str, tuple[str, Callable[[], Mapping[str, float]]]] = {}
 
     def count(self, name: str, amount: float = 1, **labels: str) -> None:
         """Increments a counter."""
@@ -40,6 +41,13 @@
         with self._lock:
             self._gauges_by_name[name] = read
 
+    def labelled_gauge(
+        self, name: str, label: str, read: Callable[[], Mapping[str, float]]
+    ) -> None:
+        """Registers a function that returns the values of a gauge by the value of a label."""
+        with self._lock:
+            self._labelled_gauges_by_name[name] = (label, read)
+
     def record_seconds(self, name: str, seconds: float) -> None:
         """Records a latency; one of more than ten minutes is recorded as ten minutes."""
         value = max(1, min(_MAX_LATENCY_US, int(seconds * 1e6)))
@@ -66,7 +74,10 @@
                     values[series] = histogram.get_value_at_percentile(quantile) / 1e6
                 values[_series(f"{name}_count", ())] = float(histogram.get_total_count())
             gauges = dict(self._gauges_by_name)
+            labelled = dict(self._labelled_gauges_by_name)
         values.update({_series(name, ()): read() for name, read in gauges.items()})
+        for name, (label, read_all) in labelled.items():
+            values.update({_series(name, ((label, key),)): v for key, v in read_all().items()})
         return values
 
     def exposition(self) -> str:
