Share the rate of cold endpoints between all routers

A cold endpoint crashes above a low rate from all routers together, and nothing limited it. Simulated with 1, 14, 136 and 300 routers: no second above the bound, more than half of it used; without a limit and with a share for each router the bound breaks.

--- a/src/sequoiadrum/gateway/app.py
+++ b/src/sequoiadrum/gateway/app.py
@@ -166,8 +166,14 @@
         self._store_availability.subscribe_restores(self.peer_events.store_restored)
         self.pool: Final = EndpointPool(settings.bounds, self.directory.count)
         self._load_exchange = LoadExchangeTask(
-            self.gossip, self.pool, settings.failure_domain, self.metrics, self._invariant_broken
+            self.gossip,
+            self.pool,
+            settings.failure_domain,
+            self.metrics,
+            self._invariant_broken,
+            may_have_peers=bool(settings.seed_hosts),
         )
+        self.metrics.gauge("cold_endpoints", lambda: float(self.pool.cold.count(clock.now())))
         self.connections: Final = EndpointConnections(adapter.header_codec)
         self._crash_watch: Final = CrashWatch(
             self.connections,
--- a/src/sequoiadrum/gateway/load_exchange.py
+++ b/src/sequoiadrum/gateway/load_exchange.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import itertools
+import math
+import time
 from collections import Counter, OrderedDict
 from typing import TYPE_CHECKING, Any, Final
 
@@ -12,6 +14,12 @@
 from sequoiadrum._gen.peer.ttypes import LoadReportKind
 from sequoiadrum._thrift_transport import decode, encode
 from sequoiadrum.gateway import clock
+from sequoiadrum.gateway.cold_endpoints import (
+    MAX_COLD_GRANT_AGE_S,
+    MAX_SHARED_S,
+    cold_key,
+    is_cold_key,
+)
 from sequoiadrum.gateway.load_board import LoadBoard, Loads, hubs_by_domain
 from sequoiadrum.gateway.rate_limits import (
     MAX_LIMIT_TTL_S,
@@ -81,7 +89,10 @@
     """Asks the owner of an endpoint's rate for one unit."""
 
     endpoint: int
+    """Key of the endpoint, or its `cold_key`."""
     owner: Member
+    permitted_per_s: float = 0.0
+    """Requests that a cold endpoint may receive in one second."""
 
 
 @frozen
@@ -109,7 +120,9 @@
         failure_domain: str,
         metrics: Metrics,
         on_invariant: Callable[[], None],
+        may_have_peers: bool = False,
     ) -> None:
+        self._may_have_peers = may_have_peers
         self._gossip = gossip
         self._pool = pool
         self._failure_domain = failure_domain
@@ -135,26 +148,48 @@
 
     def acquire(self, endpoint: int) -> bool:
         """See `QuotaSource.acquire`."""
+        grant, outcome = self._request_unit(endpoint, 0.0, MAX_GRANT_AGE_S)
+        self.metrics.count("rate_quota_asks_total", outcome=outcome)
+        if not grant.is_granted:
+            self._pool.rate_limits.refuse_until(endpoint, clock.now() + grant.wait_s)
+        return grant.is_granted
+
+    def acquire_cold(self, endpoint: int, permitted_per_s: float) -> bool:
+        """See `QuotaSource.acquire_cold`."""
+        key = cold_key(endpoint)
+        grant, outcome = self._request_unit(key, permitted_per_s, MAX_COLD_GRANT_AGE_S)
+        self.metrics.count("cold_quota_asks_total", outcome=outcome)
+        if not grant.is_granted:
+            self._pool.cold.refuse_until(endpoint, clock.now() + grant.wait_s)
+        return grant.is_granted
+
+    def _request_unit(
+        self, key: int, permitted_per_s: float, max_age_s: float
+    ) -> tuple[Grant, str]:
+        """Asks the owner of a rate for a unit; returns its decision and how it came about."""
         members = self._gossip.members()
         asked_at = clock.now()
-        owner_id = self._owner_id(endpoint)
+        owner_id = self._owner_id(key)
         if owner_id is None or owner_id == self._gossip.self_id():
-            grant = self._pool.rate_limits.decide(endpoint, clock.now())
+            grant = self._decide(key, permitted_per_s, clock.now())
             outcome = "granted" if grant.is_granted else "refused"
         else:
+            ask = _AskForQuota(key, members[owner_id], permitted_per_s)
             try:
-                grant = self.ask(_AskForQuota(endpoint, members[owner_id])).result(ASK_TIMEOUT_S)
+                grant = self.ask(ask).result(ASK_TIMEOUT_S)
                 outcome = "granted" if grant.is_granted else "refused"
             except (TimeoutError, MailboxFullError):
                 self._gossip.report_unreachable(owner_id)
                 grant, outcome = Grant(is_granted=False, wait_s=SILENT_OWNER_WAIT_S), "no_reply"
-        if grant.is_granted and clock.now() - asked_at > MAX_GRANT_AGE_S:
+        if grant.is_granted and clock.now() - asked_at > max_age_s:
             # The process was paused; the owner has handed out further units since.
             grant, outcome = Grant(is_granted=False, wait_s=MIN_WAIT_S), "expired"
-        self.metrics.count("rate_quota_asks_total", outcome=outcome)
-        if not grant.is_granted:
-            self._pool.rate_limits.refuse_until(endpoint, clock.now() + grant.wait_s)
-        return grant.is_granted
+        return grant, outcome
+
+    def _decide(self, key: int, permitted_per_s: float, now: float) -> Grant:
+        if is_cold_key(key):
+            return self._pool.cold.quotas.decide(key, permitted_per_s, now)
+        return self._pool.rate_limits.decide(key, now)
 
     def run_on(self, timers: TimerService) -> None:
         """Starts the task and its timers."""
@@ -175,6 +210,7 @@
         self._send(hub, LoadReportKind.OWN, sequence, own)
 
     def _on_group_due(self, _: _GroupDue) -> None:
+        self._observe_members()
         hubs = self._current_hubs()
         if not hubs.is_hub:
             return
@@ -223,7 +259,25 @@
         self._pending_by_ask[number] = ask
         if len(self._pending_by_ask) > MAX_PENDING_ASKS:
             self._pending_by_ask.popitem(last=False)
-        self._send_quota(ask.owner, LoadReportKind.ASK, number, ttypes.Quota(ask.endpoint))
+        self._send_quota(
+            ask.owner,
+            LoadReportKind.ASK,
+            number,
+            ttypes.Quota(ask.endpoint),
+            ask.permitted_per_s,
+        )
+
+    def _observe_members(self) -> None:
+        contact_at = self._gossip.last_contact_at()
+        # The membership takes its times from another clock.
+        silence_s = math.inf if contact_at is None else time.monotonic() - contact_at
+        self._pool.cold.quotas.observe(
+            self._gossip.self_id(),
+            self._gossip.members(),
+            silence_s,
+            self._may_have_peers,
+            clock.now(),
+        )
 
     def _reply_to_ask(self, sender: Member, report: ttypes.LoadReport, now: float) -> None:
         endpoint = report.quota.endpoint
@@ -231,7 +285,9 @@
             # The asking router knows other members. Two owners would double the rate.
             grant = Grant(is_granted=False, wait_s=SILENT_OWNER_WAIT_S)
         else:
-            grant = self._pool.rate_limits.decide(endpoint, now)
+            named = (report.rate_limit_by_endpoint or {}).get(endpoint)
+            permitted_per_s = named.milli_per_s / _MILLI if named is not None else 0.0
+            grant = self._decide(endpoint, permitted_per_s, now)
         quota = ttypes.Quota(endpoint, grant.is_granted, round(grant.wait_s * _MILLI))
         self._send_quota(sender, LoadReportKind.GRANT, report.sequence, quota)
 
@@ -255,6 +311,10 @@
 
     def _merge_rate_limits(self, report: ttypes.LoadReport, now: float) -> None:
         for endpoint, limit in (report.rate_limit_by_endpoint or {}).items():
+            if is_cold_key(endpoint):
+                left_s = MAX_LIMIT_TTL_S - limit.age_ms / _MILLI - ASSUMED_DELAY_S
+                self._pool.cold.record_statement(cold_key(endpoint), left_s, now)
+                continue
             rate = None if limit.milli_per_s == _LIFTED else limit.milli_per_s / _MILLI
             named = NamedLimit(rate, now - limit.age_ms / _MILLI - ASSUMED_DELAY_S)
             self._pool.rate_limits.record(endpoint, named, now)
@@ -272,20 +332,43 @@
             self.metrics.count("load_reports_truncated_total", content="rates")
         return {
             key: ttypes.RateLimit(
-                (
-                    _LIFTED
-                    if named.requests_per_s is None
-                    else min(MAX_COUNT * _MILLI, round(named.requests_per_s * _MILLI))
-                ),
+                (_LIFTED if named.requests_per_s is None else _milli(named.requests_per_s)),
                 max(0, round((now - named.observed_at) * _MILLI)),
             )
             for key, named in newest[:MAX_RATE_LIMITS]
         } or None
 
+    def _encode_cold_endpoints(self) -> dict[int, ttypes.RateLimit]:
+        """Returns the rates of cold endpoints by `cold_key`.
+
+        Their age is such that they expire when the endpoint becomes warm.
+        """
+        stated = self._pool.cold.stated(clock.now())
+        if len(stated) > MAX_RATE_LIMITS:
+            self.metrics.count("load_reports_truncated_total", content="cold")
+        longest = sorted(stated.items(), key=lambda item: item[1], reverse=True)
+        milli_per_s = _milli(self._pool.cold.permitted_per_s())
+        return {
+            cold_key(endpoint): ttypes.RateLimit(
+                milli_per_s, round((MAX_LIMIT_TTL_S - min(MAX_SHARED_S, left_s)) * _MILLI)
+            )
+            for endpoint, left_s in longest[:MAX_RATE_LIMITS]
+        }
+
     def _send_quota(
-        self, to: Member, kind: LoadReportKind, number: int, quota: ttypes.Quota
+        self,
+        to: Member,
+        kind: LoadReportKind,
+        number: int,
+        quota: ttypes.Quota,
+        permitted_per_s: float = 0.0,
     ) -> None:
-        limits = self._encode_rate_limits(quota.endpoint)
+        if is_cold_key(quota.endpoint):
+            # It has the highest age, so that it does not tell for how long the endpoint is cold.
+            limit = ttypes.RateLimit(_milli(permitted_per_s), round(MAX_LIMIT_TTL_S * _MILLI))
+            limits: dict[int, ttypes.RateLimit] | None = {quota.endpoint: limit}
+        else:
+            limits = self._encode_rate_limits(quota.endpoint)
         report = ttypes.LoadReport(kind, self._gossip.self_id(), number, {}, {}, limits, quota)
         self._gossip.send_side_datagram(to.peer_address, encode(report))
 
@@ -302,7 +385,7 @@
             sequence,
             self._truncate(loads.in_flight_by_endpoint, MAX_ENDPOINTS, "endpoints"),
             self._truncate(loads.requests_by_part, MAX_PARTS, "parts"),
-            self._encode_rate_limits(),
+            {**(self._encode_rate_limits() or {}), **self._encode_cold_endpoints()} or None,
         )
         self._gossip.send_side_datagram(to.peer_address, encode(report))
 
@@ -334,6 +417,10 @@
         return self._hubs
 
 
+def _milli(requests_per_s: float) -> int:
+    return min(MAX_COUNT * _MILLI, round(requests_per_s * _MILLI))
+
+
 def _is_valid(report: ttypes.LoadReport) -> bool:
     if report.kind is None or not report.sender_id or report.sequence is None:
         return False
--- a/src/sequoiadrum/gateway/pool.py
+++ b/src/sequoiadrum/gateway/pool.py
@@ -9,6 +9,7 @@
 from attrs import define, evolve
 
 from sequoiadrum.gateway import clock
+from sequoiadrum.gateway.cold_endpoints import ColdEndpoints, ColdPolicy
 from sequoiadrum.gateway.crash_suspects import Listing
 from sequoiadrum.gateway.endpoints import Endpoint, EndpointTable
 from sequoiadrum.gateway.holds import MAX_RETRY_AFTER_S, Hold, HoldReason
@@ -30,9 +31,10 @@
 from sequoiadrum.gateway.retry_budget import RetryBudget
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Callable, Mapping
 
-    from sequoiadrum.gateway.model import EndpointEntry, ResponseHead, StorePosition
+    from sequoiadrum.gateway.cold_endpoints import ColdLimit
+    from sequoiadrum.gateway.model import EndpointEntry, ResponseHead, Service, StorePosition
     from sequoiadrum.gateway.settings import Bounds
 
 
@@ -51,8 +53,15 @@
     """Requests of all routers at the endpoint, this one included; None if unknown."""
     needs_quota: bool = False
     """Whether the endpoint named a rate, of which the request needs a unit."""
+    cold_limit: ColdLimit | None = None
+    """The limit of an endpoint that is or was cold, of which the request needs a unit as well."""
     is_released: bool = False
 
+    @property
+    def is_limited(self) -> bool:
+        """Whether the request needs a unit of a rate before it may be sent."""
+        return self.needs_quota or self.cold_limit is not None
+
     @property
     def endpoint_key(self) -> int:
         """The number that identifies the endpoint to other routers."""
@@ -78,6 +87,8 @@
         """Endpoints with a hold whose end was not reported yet."""
         self.rate_limits = RateLimits()
         """The rates that endpoints named; thread-safe by itself."""
+        self.cold = ColdEndpoints()
+        """The endpoints that are cold; thread-safe by itself."""
 
     def take(
         self,
@@ -101,19 +112,35 @@
         with self._lock:
             endpoints = self._table.of_service(request.service.name)
             request = self._with_replica_count(request, endpoints, now, is_repeated)
-            if self.rate_limits.has_any():
-                withheld = self._withheld(endpoints, now, limited)
-                request = evolve(request, withheld=withheld)
-            chosen = choose(endpoints, request, now)
+            cold = self._cold_limits(request.service, endpoints, now)
+            chosen: Endpoint | PlacementFailure = PlacementFailure.RATE_LIMITED
+            if any(limit.is_cold for limit in cold.values()):
+                # Cold endpoints are left alone as long as others have room.
+                avoided = LimitedEndpoints.AVOIDED_WITH_ROOM
+                withheld = self._withheld(endpoints, now, limited, cold, avoided)
+                withheld |= {e.id for e in endpoints if e.is_failing(now)}
+                chosen = choose(endpoints, evolve(request, withheld=withheld), now)
+            if isinstance(chosen, PlacementFailure):
+                if self.rate_limits.has_any() or cold:
+                    withheld = self._withheld(endpoints, now, limited, cold)
+                    request = evolve(request, withheld=withheld)
+                chosen = choose(endpoints, request, now)
             if isinstance(chosen, PlacementFailure):
                 return chosen
             chosen.in_flight += 1
             chosen.started_since_load += 1
-            limit = self.rate_limits.in_force(endpoint_key(chosen.id_hash), now)
+            key = endpoint_key(chosen.id_hash)
+            limit = self.rate_limits.in_force(key, now)
             placement = EndpointPlacement(
-                chosen, chosen.in_flight, None, now, chosen.fleet_load(now), limit is not None
+                chosen,
+                chosen.in_flight,
+                None,
+                now,
+                chosen.fleet_load(now),
+                limit is not None,
+                cold.get(key),
             )
-            if not placement.needs_quota:
+            if not placement.is_limited:
                 placement.context_source = self._find_context_source(
                     endpoints, chosen, request, now
                 )
@@ -152,7 +179,7 @@
                 0.0,
                 min(
                     (
-                        self.rate_limits.refused_until(endpoint_key(e.id_hash), now) - now
+                        self._refused_until(e, now) - now
                         for e in self._table.of_service(service)
                         if e.can_serve(now)
                     ),
@@ -185,6 +212,8 @@
                 placement.endpoint.record_full(now)
             else:
                 placement.endpoint.record_result(failed, now)
+        if head.cold_left_s is not None and head.instance_id in (None, placement.endpoint.id):
+            self.cold.record_statement(placement.endpoint_key, head.cold_left_s, now)
         if head.rate_limit is None and not head.is_sealed:
             # It may come from something between router and endpoint, and names no limit for that.
             return False
@@ -305,7 +334,11 @@
         """
         now = clock.now()
         with self._lock:
-            return self._table.apply(entry, now, now if is_newly_joined else float("-inf"))
+            if not self._table.apply(entry, now, now if is_newly_joined else float("-inf")):
+                return False
+            endpoint = self._table.by_id[entry.instance_id]
+            self.cold.record_entry(entry, endpoint_key(endpoint.id_hash), is_newly_joined, now)
+            return True
 
     def remove(self, instance_id: str, position: StorePosition, outage_ended: float) -> bool:
         """Applies the removal of an entry at a position; see `EndpointTable.remove`."""
@@ -344,24 +377,56 @@
             return self._table.expire(clock.now())
 
     def _withheld(
-        self, endpoints: list[Endpoint], now: float, limited: LimitedEndpoints
+        self,
+        endpoints: list[Endpoint],
+        now: float,
+        named: LimitedEndpoints,
+        cold_limits: Mapping[int, ColdLimit],
+        cold: LimitedEndpoints | None = None,
     ) -> frozenset[str]:
-        """Returns the endpoints that take no request now because some of them named rates."""
+        """Returns the endpoints that take no request now because some of them are limited.
+
+        Args:
+            endpoints: All endpoints of a service.
+            now: Monotonic seconds.
+            named: Whether endpoints that named a rate may take the request.
+            cold_limits: Limits by endpoint key of those that are or were cold.
+            cold: Whether endpoints that are still cold may take it; as `named` if None.
+        """
         limits = self.rate_limits
-        named = [e for e in endpoints if limits.in_force(endpoint_key(e.id_hash), now) is not None]
-        if not named:
+        limited: list[Endpoint] = []
+        withheld: set[str] = set()
+        for endpoint in endpoints:
+            key = endpoint_key(endpoint.id_hash)
+            cold_limit = cold_limits.get(key)
+            if cold_limit is None and limits.in_force(key, now) is None:
+                continue
+            limited.append(endpoint)
+            permission = named
+            if cold is not None and cold_limit is not None and cold_limit.is_cold:
+                permission = cold
+            is_permitted = permission is LimitedEndpoints.ALLOWED
+            if not is_permitted or self._refused_until(endpoint, now) > now:
+                withheld.add(endpoint.id)
+        if not limited:
             return frozenset()
-        if limited is LimitedEndpoints.ALLOWED:
-            withheld = {e.id for e in named if self._is_refused(e, now)}
-        else:
-            withheld = {e.id for e in named}
-        has_room_only = limited is LimitedEndpoints.AVOIDED_WITH_ROOM
+        has_room_only = LimitedEndpoints.AVOIDED_WITH_ROOM in (named, cold)
         max_load = 1.0 if has_room_only else MAX_CROWDED_LOAD
-        crowded = {e.id for e in endpoints if e not in named and e.is_above(max_load, now)}
+        crowded = {e.id for e in endpoints if e not in limited and e.is_above(max_load, now)}
         return frozenset(withheld | crowded)
 
-    def _is_refused(self, endpoint: Endpoint, now: float) -> bool:
-        return self.rate_limits.refused_until(endpoint_key(endpoint.id_hash), now) > now
+    def _refused_until(self, endpoint: Endpoint, now: float) -> float:
+        key = endpoint_key(endpoint.id_hash)
+        return max(self.rate_limits.refused_until(key, now), self.cold.refused_until(key))
+
+    def _cold_limits(
+        self, service: Service, endpoints: list[Endpoint], now: float
+    ) -> dict[int, ColdLimit]:
+        policy = ColdPolicy.of(service, self._bounds)
+        if policy is None or not self.cold.may_limit(service.name, policy, now):
+            return {}
+        entry_by_key = {endpoint_key(e.id_hash): e.entry for e in endpoints}
+        return self.cold.limits(service.name, policy, entry_by_key, now)
 
     def _with_replica_count(
         self,
--- a/src/sequoiadrum/gateway/rate_limits.py
+++ b/src/sequoiadrum/gateway/rate_limits.py
@@ -159,7 +159,7 @@
 
 
 class QuotaSource(ABC):
-    """Obtains units of the rates that endpoints named."""
+    """Obtains units of the rates that endpoints named, and of those of cold endpoints."""
 
     @abstractmethod
     def acquire(self, endpoint: int) -> bool:
@@ -168,6 +168,17 @@
         After a refusal, `RateLimits.refused_until` says when to ask again.
         """
 
+    @abstractmethod
+    def acquire_cold(self, endpoint: int, permitted_per_s: float) -> bool:
+        """Asks whether one request may be sent to a cold endpoint now; blocks for a moment.
+
+        After a refusal, `ColdEndpoints.refused_until` says when to ask again.
+
+        Args:
+            endpoint: Key of the endpoint.
+            permitted_per_s: Requests that it may receive from all routers in any one second.
+        """
+
 
 def quota_owner(endpoint: int, members: Mapping[str, Member]) -> str | None:
     """Returns the id of the router that hands out an endpoint's rate; None without live routers."""
--- a/src/sequoiadrum/gateway/relay.py
+++ b/src/sequoiadrum/gateway/relay.py
@@ -217,6 +217,7 @@
         for endpoint_id in self._pool.take_ended_holds():
             self._metrics.count("endpoint_holds_ended_total")
             self._log.notable("endpoint_hold_ended", endpoint=endpoint_id)
+        self._record_cold_changes()
         placement_request = PlacementRequest(
             run.service,
             run.call,
@@ -226,10 +227,10 @@
         )
         placement = self._pool.take(placement_request)
         for asked in range(MAX_QUOTA_ASKS):
-            if isinstance(placement, PlacementFailure) or not placement.needs_quota:
+            if isinstance(placement, PlacementFailure) or not placement.is_limited:
                 return placement
             try:
-                is_granted = self._quotas.acquire(placement.endpoint_key)
+                is_granted = self._acquire(run, placement)
                 guard()
                 if is_granted:
                     self._pool.confirm(placement, placement_request)
@@ -249,13 +250,39 @@
                 if not isinstance(spare, PlacementFailure):
                     return spare
             placement = self._pool.take(placement_request, is_repeated=True)
-        if not isinstance(placement, PlacementFailure) and placement.needs_quota:
+        if not isinstance(placement, PlacementFailure) and placement.is_limited:
             self._pool.cancel(placement)
             return self._pool.take(
                 placement_request, is_repeated=True, limited=LimitedEndpoints.AVOIDED
             )
         return placement
 
+    def _acquire(self, run: RequestRun, placement: EndpointPlacement) -> bool:
+        """Obtains the units that a request needs for its endpoint."""
+        limit = placement.cold_limit
+        is_granted = (
+            limit is None
+            or self._quotas.acquire_cold(placement.endpoint_key, limit.permitted_per_s)
+        ) and (not placement.needs_quota or self._quotas.acquire(placement.endpoint_key))
+        if not is_granted:
+            self._log.routine(
+                "endpoint_unit_refused",
+                request=run.call.request_id,
+                endpoint=placement.endpoint.id,
+                is_cold=limit is not None and limit.is_cold,
+            )
+        return is_granted
+
+    def _record_cold_changes(self) -> None:
+        for change in self._pool.cold.take_changes():
+            is_cold = change.left_s > 0
+            self._metrics.count("endpoint_cold_changes_total", to="cold" if is_cold else "warm")
+            self._log.notable(
+                "endpoint_cold" if is_cold else "endpoint_warm",
+                endpoint=change.endpoint_id,
+                left_ms=int(change.left_s * 1e3) if is_cold else None,
+            )
+
     def _send(
         self, run: RequestRun, placement: EndpointPlacement, last_event_id: str | None
     ) -> Exchange | NotSent | ExchangeFailure:
@@ -589,7 +616,7 @@
             ),
             PlacementFailure.RATE_LIMITED: (
                 Refused.ENDPOINTS_LIMITED,
-                max(LIMITED_RETRY_AFTER_S, self._pool.quota_wait_s(run.service.name)),
+                self._quota_wait_s(run),
             ),
         }[why]
         return self._refuse(run, reason, run.last_error, retry_after_s)
@@ -599,6 +626,14 @@
         share = (stable_hash("come-back", run.call.request_id) % 1_000) / 1_000
         return come_back_s(self._pool.hold_wait_s(run.service.name), share)
 
+    def _quota_wait_s(self, run: RequestRun) -> float:
+        """Returns the seconds after which a request may find a unit of a rate."""
+        wait_s = max(LIMITED_RETRY_AFTER_S, self._pool.quota_wait_s(run.service.name))
+        if run.service.cold_requests_per_s <= 0:
+            return wait_s
+        share = (stable_hash("quota", run.call.request_id) % 1_000) / 1_000
+        return come_back_s(wait_s, share)
+
     def _refuse(
         self, run: RequestRun, reason: Refused, detail: str = "", retry_after_s: float | None = None
     ) -> CallerResponse:
@@ -649,6 +684,7 @@
             in_flight=placement.in_flight,
             fleet_load=placement.fleet_load,
             rate_limit=head.rate_limit,
+            is_cold=(placement.cold_limit is not None and placement.cold_limit.is_cold) or None,
             context_from=(
                 placement.context_source.id if placement.context_source is not None else None
             ),
--- a/tests/gateway/builders.py
+++ b/tests/gateway/builders.py
@@ -38,9 +38,10 @@
     return Route(**{**fields, **changes})
 
 
-def a_service(name: str = "shop", batch_slots: int | None = None) -> Service:
+def a_service(name: str = "shop", batch_slots: int | None = None, **changes: Any) -> Service:
     """Returns a plain service, or a service of engines if `batch_slots` is given."""
-    return Service(name, "/health", 100, batch_slots, 1_000_000 if batch_slots else None)
+    kv_tokens = 1_000_000 if batch_slots else None
+    return Service(name, "/health", 100, batch_slots, kv_tokens, **changes)
 
 
 def a_config(version: int = 1, routes: tuple[Route, ...] | None = None) -> GatewayConfig:
--- a/tests/gateway/exchange_fakes.py
+++ b/tests/gateway/exchange_fakes.py
@@ -2,11 +2,13 @@
 
 from __future__ import annotations
 
+import time
 from types import MappingProxyType
 from typing import Any
 
 from sequoiadrum._gen.peer import ttypes
 from sequoiadrum._thrift_transport import decode
+from sequoiadrum.gateway.cold_endpoints import ColdEndpoints
 from sequoiadrum.gateway.load_board import Loads
 from sequoiadrum.gateway.load_exchange import LoadExchangeTask
 from sequoiadrum.gateway.rate_limits import RateLimits
@@ -36,6 +38,9 @@
     def members(self) -> Any:
         return self._members
 
+    def last_contact_at(self) -> float | None:
+        return time.monotonic()
+
     def self_id(self) -> str:
         return self._own_id
 
@@ -55,6 +60,7 @@
         self._own = own
         self.fleet: Loads | None = None
         self.rate_limits = RateLimits()
+        self.cold = ColdEndpoints()
 
     def own_loads(self) -> Loads:
         return self._own
--- /dev/null
+++ b/tests/gateway/test_cold_endpoints.py
@@ -0,0 +1,420 @@
+"""Tests of the limits of cold endpoints, and of routers that keep to them together."""
+
+from __future__ import annotations
+
+import unittest
+from functools import partial
+from typing import TYPE_CHECKING
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from sequoiadrum.gateway.cold_endpoints import (
+    ALONE_S,
+    BUNCHING_S,
+    ENTRY_LAG_S,
+    MAX_PAUSE_S,
+    MAX_SILENCE_S,
+    RAMP_MULTIPLE,
+    RAMP_S,
+    TAKEOVER_S,
+    ColdEndpoints,
+    ColdPolicy,
+    ColdQuotas,
+)
+from sequoiadrum.gateway.load_board import endpoint_key
+from sequoiadrum.gateway.load_exchange import GROUP_INTERVAL_S
+from sequoiadrum.gateway.rate_limits import quota_owner
+from sequoiadrum.messages import Member, MemberState
+from tests.gateway.builders import a_service, an_entry, bounds
+from tests.gateway.cold_fleet import (
+    KEY,
+    PERMITTED_PER_S,
+    ColdFleet,
+    Demand,
+    NoLimit,
+    OwnShare,
+    busy_share,
+    most_in_a_second,
+    naive_fleet,
+)
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+    from sequoiadrum.gateway.model import EndpointEntry
+
+SIZES = (1, 14, 136, 300)
+LEARN_S = 1.5
+"""Time from a failure until the last router knows of it."""
+
+
+class ColdFleetTest(unittest.TestCase):
+    """No second above the bound, and more than half of it used, at any size."""
+
+    def _check(self, fleet: ColdFleet, demand: Demand | None = None) -> list[float]:
+        sent = fleet.run(demand or Demand())
+        self.assertLessEqual(most_in_a_second(sent), PERMITTED_PER_S)
+        return sent
+
+    def test_bound_holds_and_more_than_half_of_it_is_used(self) -> None:
+        """Guards against an endpoint that crashes again as soon as it is back, or lies idle."""
+        for size in SIZES:
+            for seed in (1, 2, 3):
+                with self.subTest(size=size, seed=seed):
+                    sent = self._check(ColdFleet(size, seed))
+                    start = ALONE_S + 2.0 if size == 1 else TAKEOVER_S + 1.0
+                    self.assertGreater(busy_share(sent, start, 20.0), 0.5)
+
+    def test_sudden_demand_stays_within_the_bound(self) -> None:
+        """Guards against units that were saved up while nobody asked for any."""
+        for size in SIZES[1:]:
+            fleet = ColdFleet(size, 4)
+            self._check(fleet, Demand(per_s=0.2, until=8.0))
+            fleet.sent.clear()
+            self._check(fleet, Demand(per_s=400.0, until=12.0))
+
+    def test_no_limit_breaks_the_bound(self) -> None:
+        """Guards against a simulation in which any router would pass."""
+        for size in SIZES:
+            sent = naive_fleet(size, 1, NoLimit()).run(Demand())
+            self.assertGreater(most_in_a_second(sent), 1.5 * PERMITTED_PER_S)
+
+    def test_share_of_each_router_breaks_the_bound_or_is_of_no_use(self) -> None:
+        """Guards against a simulation in which the simplest division would do."""
+        for size in SIZES[2:]:
+            sent = naive_fleet(size, 1, OwnShare()).run(Demand())
+            self.assertGreater(most_in_a_second(sent), PERMITTED_PER_S)
+
+    def test_owner_dies(self) -> None:
+        """Guards against a successor that hands out the same units, or none at all."""
+        for size in SIZES[1:]:
+            for seed in (1, 2, 3):
+                with self.subTest(size=size, seed=seed):
+                    fleet = ColdFleet(size, seed)
+                    others = [each for each in fleet.ids if each != fleet.owner.id]
+                    fleet.at(6.0, lambda fleet=fleet: setattr(fleet.owner, "is_down", True))
+                    fleet.learn_within(6.4, LEARN_S, others, others, [fleet.owner.id])
+                    sent = self._check(fleet)
+                    again_from = 6.4 + LEARN_S + TAKEOVER_S + 0.5
+                    self.assertGreater(busy_share(sent, again_from, 20.0), 0.5)
+
+    def test_owner_is_paused(self) -> None:
+        """Guards against an owner that goes on where it was, while another one took over."""
+        for pause_s in (0.5, 0.9, 1.2, 3.0, 5.0):
+            for seed in (1, 2):
+                with self.subTest(pause_s=pause_s, seed=seed):
+                    fleet = ColdFleet(136, seed)
+                    others = [each for each in fleet.ids if each != fleet.owner.id]
+                    until = 6.0 + pause_s
+                    fleet.at(
+                        6.0,
+                        lambda fleet=fleet, until=until: setattr(
+                            fleet.owner, "paused_until", until
+                        ),
+                    )
+                    if pause_s > 0.9:
+                        fleet.learn_within(6.4, 0.6, others, others, [fleet.owner.id])
+                        fleet.learn_within(until + 0.1, LEARN_S, others, fleet.ids)
+                    # Half of all requests wait at the owner while it is paused.
+                    self._check(fleet, Demand(first_router_share=0.5))
+
+    def test_owner_is_cut_off_from_the_others(self) -> None:
+        """Guards against two routers that both hand out the whole rate.
+
+        The former owner still reaches the endpoint, and half of all requests arrive there. It finds
+        the others dead one by one.
+        """
+        for size in SIZES[1:]:
+            with self.subTest(size=size):
+                fleet = ColdFleet(size, 5)
+                others = [each for each in fleet.ids if each != fleet.owner.id]
+                fleet.at(6.0, lambda fleet=fleet: setattr(fleet.owner, "group", 1))
+                fleet.learn_within(6.4, LEARN_S, others, others, [fleet.owner.id])
+                fleet.learn_within(9.0, 0.1, [fleet.owner.id], [fleet.owner.id], others)
+                fleet.at(14.0, lambda fleet=fleet: setattr(fleet.owner, "group", 0))
+                fleet.learn_within(14.1, LEARN_S, fleet.ids, fleet.ids)
+                self._check(fleet, Demand(first_router_share=0.5))
+
+    def test_fleet_is_partitioned(self) -> None:
+        """Guards against a full rate on each side of a partition."""
+        for size in SIZES[1:]:
+            for cut in (0.5, 0.2):
+                with self.subTest(size=size, cut=cut):
+                    fleet = ColdFleet(size, 6)
+                    sides = (
+                        fleet.ids[: int(size * cut)],
+                        fleet.ids[int(size * cut) :],
+                    )
+                    for each in sides[1]:
+                        fleet.at(6.0, lambda r=fleet.by_id[each]: setattr(r, "group", 1))
+                    fleet.learn_within(6.5, LEARN_S, sides[0], sides[0], sides[1])
+                    fleet.learn_within(6.5, LEARN_S, sides[1], sides[1], sides[0])
+                    sent = self._check(fleet)
+                    self.assertGreater(busy_share(sent, 11.0, 20.0), 0.4)
+
+    def test_all_routers_return_at_once(self) -> None:
+        """Guards against routers that each consider themselves the only one."""
+        for size in SIZES[1:]:
+            with self.subTest(size=size):
+                fleet = ColdFleet(size, 7)
+                for router in fleet.by_id.values():
+                    fleet.at(6.0, lambda r=router: setattr(r, "is_down", True))
+                    fleet.at(8.0, lambda fleet=fleet, r=router: fleet.restart(r))
+                fleet.learn_within(8.2, LEARN_S, fleet.ids, fleet.ids)
+                sent = self._check(fleet)
+                again_from = 8.2 + LEARN_S + TAKEOVER_S + 0.5
+                self.assertGreater(busy_share(sent, again_from, 20.0), 0.5)
+
+    def test_routers_disagree_for_a_while_who_is_the_owner(self) -> None:
+        """Guards against two owners while the news of a new member spreads.
+
+        Half of the routers ask the new owner at once, the others their former one until later.
+        """
+        for size in SIZES[1:]:
+            with self.subTest(size=size):
+                fleet = ColdFleet(size, 9)
+                newcomer = fleet.owner
+                before = [each for each in fleet.ids if each != newcomer.id]
+                members = fleet.view(before)
+                for each in before:
+                    fleet.by_id[each].members = members
+                newcomer.is_down = True
+                fleet.at(6.0, partial(setattr, newcomer, "is_down", False))
+                former = fleet.owner_in(members)
+                early = [each for each in fleet.ids[::2] if each != former]
+                late = [each for each in before if each not in early]
+                fleet.learn_within(6.0, 0.1, [newcomer.id, *early], fleet.ids)
+                fleet.learn_within(7.8, 0.1, late, fleet.ids)
+                self._check(fleet)
+
+    def test_routers_join_one_after_the_other(self) -> None:
+        """Guards against a rate that is handed out twice whenever a new router becomes owner."""
+        fleet = ColdFleet(40, 8)
+        for router in fleet.by_id.values():
+            router.members = fleet.view(fleet.ids[:14])
+            router.is_down = router.id not in fleet.ids[:14]
+        for n in range(14, 40):
+            joined = fleet.ids[: n + 1]
+            start = 3.0 + 0.4 * (n - 14)
+            fleet.at(start, lambda r=fleet.by_id[fleet.ids[n]]: setattr(r, "is_down", False))
+            fleet.learn_within(start, 1.0, joined, joined)
+        self._check(fleet)
+
+
+class ColdQuotasTest(unittest.TestCase):
+    """An owner hands out no more than its part of the bound."""
+
+    def setUp(self) -> None:
+        self.quotas = ColdQuotas()
+        self.members = self._members("me")
+        self.now = 0.0
+
+    @staticmethod
+    def _members(*alive: str, dead: Sequence[str] = ()) -> dict[str, Member]:
+        states = dict.fromkeys(alive, MemberState.ALIVE) | dict.fromkeys(dead, MemberState.DEAD)
+        return {each: Member(each, "h", 1, 2, "z", "r", 1, 0, s) for each, s in states.items()}
+
+    def _pass(self, duration_s: float, silence_s: float = 0.0, may_have_peers: bool = False) -> int:
+        """Lets time pass with constant demand; returns the number of units handed out."""
+        granted, end = 0, self.now + duration_s
+        next_observation = self.now
+        while self.now < end:
+            if self.now >= next_observation:
+                self.quotas.observe("me", self.members, silence_s, may_have_peers, self.now)
+                next_observation += GROUP_INTERVAL_S
+            granted += self.quotas.decide(KEY, PERMITTED_PER_S, self.now).is_granted
+            self.now += 0.01
+        return granted
+
+    @settings(derandomize=True, deadline=None)
+    @given(
+        st.floats(0.0, 60.0),
+        st.integers(0, 6),
+        st.lists(st.floats(0.0, 0.3), min_size=1, max_size=300),
+    )
+    def test_any_asks_stay_within_the_bound(
+        self, permitted: float, dead: int, pauses: list[float]
+    ) -> None:
+        """Guards against a burst above the bound, also of units that are used late together."""
+        quotas, now, granted = ColdQuotas(), 0.0, []
+        members = self._members("me", dead=[f"r{n}" for n in range(dead)])
+        while now < 3.0:
+            quotas.observe("me", members, 0.0, False, now)
+            now += GROUP_INTERVAL_S
+        for pause in pauses:
+            now += pause
+            quotas.observe("me", members, 0.0, False, now)
+            if quotas.decide(KEY, permitted, now).is_granted:
+                granted.append(now)
+        window_s = 1.0 + BUNCHING_S
+        share = permitted / (dead + 1)
+        for at in granted:
+            in_window = sum(at <= other < at + window_s for other in granted)
+            self.assertLessEqual(in_window, share + 1e-6)
+
+    def test_new_owner_waits(self) -> None:
+        """Guards against a new process that repeats what its predecessor handed out."""
+        self.assertEqual(self._pass(TAKEOVER_S - 0.05), 0)
+        self.assertGreater(self._pass(1.0), 0)
+
+    def test_new_member_that_outranks_the_owner_takes_over(self) -> None:
+        """Guards against an owner that goes on after another one took its place."""
+        self._pass(TAKEOVER_S + 1.0)
+        newcomer = next(name for name in self._names() if self._outranks(name))
+        self.members = self._members("me", newcomer)
+        self.assertEqual(self._pass(5.0), 0)
+        self.members = self._members("me", dead=[newcomer])
+        self.assertEqual(self._pass(TAKEOVER_S - 0.05), 0)
+        self.assertGreater(self._pass(1.0), 0)
+
+    @staticmethod
+    def _names() -> list[str]:
+        return [f"n{n}" for n in range(100)]
+
+    def _outranks(self, name: str) -> bool:
+        return quota_owner(KEY, self._members("me", name)) == name
+
+    def test_paused_owner_starts_anew(self) -> None:
+        """Guards against units from before a pause, during which another router took over."""
+        self._pass(TAKEOVER_S + 1.0)
+        self.now += MAX_PAUSE_S + 0.1
+        self.assertFalse(self.quotas.decide(KEY, PERMITTED_PER_S, self.now).is_granted)
+        self.assertEqual(self._pass(TAKEOVER_S - 0.05), 0)
+
+    def test_owner_that_hears_nothing_hands_out_nothing(self) -> None:
+        """Guards against a router that is cut off, while the others have another owner."""
+        other = next(name for name in self._names() if not self._outranks(name))
+        self.members = self._members("me", other)
+        self.assertGreater(self._pass(TAKEOVER_S + 1.0), 0)
+        self.assertEqual(self._pass(3.0, silence_s=MAX_SILENCE_S + 0.1), 0)
+        self.assertEqual(self._pass(TAKEOVER_S - 0.05), 0)
+        self.assertGreater(self._pass(1.0), 0)
+
+    def test_lone_router_waits_for_peers(self) -> None:
+        """Guards against routers that start together and know nobody yet."""
+        self.assertEqual(self._pass(ALONE_S - 0.1, may_have_peers=True), 0)
+        self.assertGreater(self._pass(1.0, may_have_peers=True), 0)
+
+    def test_lowest_named_rate_counts(self) -> None:
+        """Guards against a router that takes an endpoint for warm and raises its rate for all."""
+        granted = 0
+        for n in range(500):
+            now = n / 100
+            if n % 25 == 0:
+                self.quotas.observe("me", self.members, 0.0, False, now)
+            named = PERMITTED_PER_S * (RAMP_MULTIPLE if n % 2 else 1.0)
+            granted += self.quotas.decide(KEY, named, now).is_granted
+        self.assertLessEqual(granted, 3.0 * PERMITTED_PER_S)
+
+
+class ColdEndpointsTest(unittest.TestCase):
+    """What a router takes for cold, and for how long."""
+
+    POLICY = ColdPolicy(PERMITTED_PER_S, 8.0)
+
+    def setUp(self) -> None:
+        self.cold = ColdEndpoints()
+
+    def _is_cold(self, now: float, entry: EndpointEntry | None = None) -> bool:
+        found = self.cold.limits("model", self.POLICY, {1: entry or an_entry()}, now)
+        return 1 in found and found[1].is_cold
+
+    def test_policy_only_where_the_configuration_names_a_rate(self) -> None:
+        """Guards against asks and limits on deployments without cold endpoints."""
+        self.assertIsNone(ColdPolicy.of(a_service(), bounds()))
+        policy = ColdPolicy.of(
+            a_service(cold_start_s=4.0, cold_requests_per_s=10.0),
+            bounds(cold_excess=1.5, cold_slack=5.0),
+        )
+        self.assertEqual(policy, ColdPolicy(20.0, 4.0))
+
+    def test_first_list_is_warm_unless_its_entries_say_otherwise(self) -> None:
+        """Guards against a fleet that starts with a limit for all endpoints."""
+        self.cold.record_entry(an_entry(), 1, False, 100.0)
+        self.assertFalse(self._is_cold(100.0))
+        self.assertFalse(self.cold.may_limit("model", self.POLICY, 100.0))
+        self.cold.record_entry(an_entry(warm_up_s=3.0), 1, False, 100.0)
+        self.assertTrue(self._is_cold(102.9))
+        self.assertFalse(self._is_cold(103.1))
+
+    def test_start_during_traffic_is_cold_whatever_the_entry_says(self) -> None:
+        """Guards against a new endpoint whose entry does not mention that it is cold."""
+        self.cold.record_entry(an_entry(), 1, True, 100.0)
+        self.assertTrue(self._is_cold(107.9))
+        self.assertFalse(self._is_cold(108.1))
+
+    def test_process_that_registers_again_did_not_start(self) -> None:
+        """Guards against a limit for all endpoints after an outage of the store."""
+        self.cold.record_entry(an_entry(started_ms=5), 1, False, 100.0)
+        self.cold.record_entry(an_entry(started_ms=5, revision=9), 1, True, 200.0)
+        self.assertFalse(self._is_cold(200.0))
+        self.cold.record_entry(an_entry(started_ms=6, revision=10), 1, True, 210.0)
+        self.assertTrue(self._is_cold(210.0))
+
+    def test_statements_do_not_outlive_their_process(self) -> None:
+        """Guards against a new process that is limited by what the old one has said."""
+        self.cold.record_entry(an_entry(started_ms=5), 1, False, 100.0)
+        self.cold.record_statement(1, 60.0, 100.0)
+        self.assertTrue(self._is_cold(150.0))
+        self.cold.record_entry(an_entry(started_ms=6), 1, True, 150.0)
+        self.assertFalse(self._is_cold(158.1))
+
+    def test_newer_entry_ends_what_an_older_one_said(self) -> None:
+        """Guards against an endpoint that stays limited although it says that it is warm."""
+        self.cold.record_entry(an_entry(warm_up_s=60.0), 1, False, 100.0)
+        self.cold.record_entry(an_entry(warm_up_s=0.0, revision=2), 1, False, 110.0)
+        self.assertFalse(self._is_cold(110.0))
+
+    def test_readmitted_failure_domain_is_cold(self) -> None:
+        """Guards against endpoints that became cold while they were evacuated."""
+        self.cold.record_entry(an_entry(failure_domain="z2"), 1, False, 0.0)
+        self.cold.record_readmission("z2", 100.0)
+        self.assertFalse(self._is_cold(100.0))
+        self.assertTrue(self._is_cold(107.9, an_entry(failure_domain="z2")))
+        short = ColdPolicy(PERMITTED_PER_S, 0.5)
+        found = self.cold.limits("model", short, {1: an_entry(failure_domain="z2")}, 101.0)
+        self.assertTrue(found[1].is_cold)
+        self.assertEqual(
+            self.cold.limits(
+                "model",
+                short,
+                {1: an_entry(failure_domain="z2")},
+                100.0 + ENTRY_LAG_S + RAMP_S,
+            ),
+            {},
+        )
+
+    def test_rate_grows_before_the_limit_is_lifted(self) -> None:
+        """Guards against an endpoint that gets all its chats back in the moment it is warm."""
+        permitted = [self.POLICY.permitted_at(100.0, 100.0 + RAMP_S * n / 4) for n in range(5)]
+        self.assertEqual(permitted[0], PERMITTED_PER_S)
+        self.assertIsNone(permitted[4])
+        rates = [each for each in permitted if each is not None]
+        self.assertEqual(rates, sorted(rates))
+        self.assertLess(rates[-1], RAMP_MULTIPLE * PERMITTED_PER_S)
+
+    def test_changes_are_reported_once(self) -> None:
+        """Guards against a log without a trace of why an endpoint was avoided."""
+        self.cold.record_entry(an_entry("e1", warm_up_s=3.0), 1, False, 100.0)
+        self._is_cold(100.0)
+        self._is_cold(101.0)
+        self.assertEqual([c.endpoint_id for c in self.cold.take_changes()], ["e1"])
+        self.assertEqual(self.cold.count(101.0), 1)
+        self._is_cold(104.0)
+        self.assertEqual([c.left_s for c in self.cold.take_changes()], [0.0])
+        self.assertEqual(self.cold.take_changes(), [])
+        self.assertEqual(self.cold.count(104.0), 0)
+
+    def test_only_statements_are_shared(self) -> None:
+        """Guards against a router that learnt late of an endpoint and lets all avoid it longer."""
+        self.cold.record_entry(an_entry(), 1, True, 100.0)
+        self._is_cold(100.0)
+        self.assertEqual(self.cold.stated(100.0), {})
+        self.cold.record_statement(1, 4.0, 100.0)
+        self.assertEqual(self.cold.stated(101.0), {1: 3.0})
+        self.assertEqual(endpoint_key(1), 1)
+
+
+if __name__ == "__main__":
+    unittest.main()
