--- a/tests/gateway/builders.py
+++ b/tests/gateway/builders.py
@@ -12,6 +12,7 @@
     PromptPart,
     RequestHead,
     RequestKind,
+    ResponseHead,
     Route,
     Service,
     WeightedService,
@@ -89,6 +90,22 @@
     )
 
 
+def response_head(**changes: Any) -> ResponseHead:
+    """Returns the head of a signed response with status 200."""
+    fields: dict[str, Any] = {
+        "status": 200,
+        "reason": "OK",
+        "request_id": "q1",
+        "instance_id": None,
+        "is_not_executed": False,
+        "is_sealed": True,
+        "load": None,
+        "idle_timeout_s": None,
+        "headers": (),
+    }
+    return ResponseHead(**{**fields, **changes})
+
+
 def settings(store: Address, ports: list[int], **changes: Any) -> GatewaySettings:
     """Returns settings of a gateway that listens on the loopback address.
 
--- a/tests/gateway/test_cold_endpoints.py
+++ b/tests/gateway/test_cold_endpoints.py
@@ -2,13 +2,19 @@
 
 from __future__ import annotations
 
+import time
 import unittest
 from functools import partial
 from typing import TYPE_CHECKING
+from unittest import mock
 
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from sequoiadrum._gen.peer import ttypes
+from sequoiadrum._gen.peer.ttypes import LoadReportKind
+from sequoiadrum._thrift_transport import encode
+from sequoiadrum.gateway import clock
 from sequoiadrum.gateway.cold_endpoints import (
     ALONE_S,
     BUNCHING_S,
@@ -21,12 +27,19 @@
     ColdEndpoints,
     ColdPolicy,
     ColdQuotas,
+    cold_key,
 )
-from sequoiadrum.gateway.load_board import endpoint_key
+from sequoiadrum.gateway.load_board import Loads, endpoint_key
 from sequoiadrum.gateway.load_exchange import GROUP_INTERVAL_S
+from sequoiadrum.gateway.placement import (
+    LimitedEndpoints,
+    PlacementFailure,
+    PlacementRequest,
+)
+from sequoiadrum.gateway.pool import EndpointPool
 from sequoiadrum.gateway.rate_limits import quota_owner
-from sequoiadrum.messages import Member, MemberState
-from tests.gateway.builders import a_service, an_entry, bounds
+from sequoiadrum.messages import Address, Member, MemberState, SideDatagram
+from tests.gateway.builders import a_call, a_service, an_entry, bounds, response_head
 from tests.gateway.cold_fleet import (
     KEY,
     PERMITTED_PER_S,
@@ -38,11 +51,16 @@
     most_in_a_second,
     naive_fleet,
 )
+from tests.gateway.exchange_fakes import FakeLink, make_task
+from tests.gateway.scripted_endpoint import Connection, Received, ScriptedEndpoint, ok
+from tests.gateway.world import World, config_document, eventually
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
-    from sequoiadrum.gateway.model import EndpointEntry
+    from sequoiadrum.gateway.load_exchange import LoadExchangeTask
+    from sequoiadrum.gateway.model import EndpointEntry, Service
+    from sequoiadrum.gateway.pool import EndpointPlacement
 
 SIZES = (1, 14, 136, 300)
 LEARN_S = 1.5
@@ -416,5 +434,278 @@
         self.assertEqual(endpoint_key(1), 1)
 
 
+class ColdPlacementTest(unittest.TestCase):
+    """Placement while endpoints of a service are cold."""
+
+    SERVICE = a_service("model", 4, cold_start_s=60.0, cold_requests_per_s=9.3)
+
+    def setUp(self) -> None:
+        self.pool = EndpointPool(bounds(cold_excess=1.5, cold_slack=5.0), lambda: 14)
+        for name in ("e1", "e2"):
+            self._apply(name, is_newly_joined=False)
+        self.key_by_id = {e.id: endpoint_key(e.id_hash) for e in self.pool._table.by_id.values()}
+
+    def _apply(self, name: str, revision: int = 1, is_newly_joined: bool = True) -> None:
+        entry = an_entry(name, service="model", slots=4, revision=revision, started_ms=revision)
+        self.assertTrue(self.pool.apply(entry, is_newly_joined))
+
+    def _place(
+        self, service: Service = SERVICE, limited: LimitedEndpoints = LimitedEndpoints.ALLOWED
+    ) -> EndpointPlacement | PlacementFailure:
+        call = a_call(prompt=(("sys", 500), ("thread", 900), ("own", 30)))
+        request = PlacementRequest(service, call, "z1", False)
+        # As if it had been counted before; a part with many requests has several homes.
+        placement = self.pool.take(request, is_repeated=True, limited=limited)
+        if not isinstance(placement, PlacementFailure):
+            self.pool.cancel(placement)
+        return placement
+
+    def _home(self) -> str:
+        return self._placed_on(self._place())
+
+    def _placed_on(self, placement: EndpointPlacement | PlacementFailure) -> str:
+        assert not isinstance(placement, PlacementFailure)
+        return placement.endpoint.id
+
+    def _fill(self, name: str, load: int) -> None:
+        self.pool.set_fleet_loads(Loads({self.key_by_id[name]: load}, {}))
+
+    def test_cold_home_is_left_alone_and_becomes_home_again(self) -> None:
+        """Guards against chats that flock to an engine that has just started, or never return."""
+        home = self._home()
+        self._apply(home, revision=2)
+        other = self._place()
+        self.assertNotEqual(self._placed_on(other), home)
+        assert not isinstance(other, PlacementFailure)
+        self.assertFalse(other.is_limited)
+        now = clock.now()
+        with mock.patch.object(clock, "now", return_value=now + 60.0 + RAMP_S / 2):
+            placement = self._place()
+            self.assertEqual(self._placed_on(placement), home)
+            assert not isinstance(placement, PlacementFailure)
+            assert placement.cold_limit is not None
+            self.assertFalse(placement.cold_limit.is_cold)
+        with mock.patch.object(clock, "now", return_value=now + 60.0 + RAMP_S):
+            self.assertEqual(self._home(), home)
+
+    def test_cold_endpoint_takes_what_the_others_have_no_room_for(self) -> None:
+        """Guards against callers that are refused while cold endpoints lie idle."""
+        home = self._home()
+        other = "e1" if home == "e2" else "e2"
+        self._apply(home, revision=2)
+        self._fill(other, 4)
+        placement = self._place()
+        self.assertEqual(self._placed_on(placement), home)
+        assert not isinstance(placement, PlacementFailure)
+        self.assertTrue(placement.is_limited)
+        self.pool.cold.refuse_until(self.key_by_id[home], clock.now() + 60.0)
+        self.assertEqual(self._placed_on(self._place()), other)
+        self._fill(other, 5)
+        self.assertIs(self._place(), PlacementFailure.RATE_LIMITED)
+
+    def test_all_endpoints_are_cold(self) -> None:
+        """Guards against a service that serves nobody while all of it is cold."""
+        for name in ("e1", "e2"):
+            self._apply(name, revision=2)
+        home = self._home()
+        self.pool.cold.refuse_until(self.key_by_id[home], clock.now() + 60.0)
+        self.assertNotEqual(self._home(), home)
+        for limited in (LimitedEndpoints.AVOIDED, LimitedEndpoints.AVOIDED_WITH_ROOM):
+            self.assertIs(self._place(limited=limited), PlacementFailure.RATE_LIMITED)
+        for name in ("e1", "e2"):
+            self.pool.cold.refuse_until(self.key_by_id[name], clock.now() + 50.0)
+        self.assertIs(self._place(), PlacementFailure.RATE_LIMITED)
+        self.assertGreater(self.pool.quota_wait_s("model"), 49.0)
+
+    def test_failing_endpoint_is_not_preferred_to_a_cold_one(self) -> None:
+        """Guards against requests that all go to the one engine that fails them."""
+        home = self._home()
+        other = "e1" if home == "e2" else "e2"
+        self._apply(home, revision=2)
+        endpoint = self.pool._table.by_id[other]
+        for _ in range(20):
+            endpoint.record_result(failed=True, now=clock.now())
+        self.assertEqual(self._home(), home)
+
+    def test_nothing_changes_without_a_rate_in_the_configuration(self) -> None:
+        """Guards against limits and asks on deployments that do not know cold endpoints."""
+        service = a_service("model", 4, cold_start_s=60.0)
+        home = self._placed_on(self._place(service))
+        self._apply(home, revision=2)
+        placement = self._place(service)
+        self.assertEqual(self._placed_on(placement), home)
+        assert not isinstance(placement, PlacementFailure)
+        self.assertFalse(placement.is_limited)
+        self.assertEqual(self.pool.cold.stated(clock.now()), {})
+        self.assertEqual(self.pool.cold.take_changes(), [])
+
+    def test_response_says_that_its_endpoint_is_cold(self) -> None:
+        """Guards against an endpoint that became cold while it was listed as warm."""
+        placement = self._place()
+        assert not isinstance(placement, PlacementFailure)
+        head = response_head(cold_left_s=30.0, instance_id=placement.endpoint.id)
+        self.pool.record_response(placement, head, failed=False)
+        self.assertNotEqual(self._home(), placement.endpoint.id)
+        stated = self.pool.cold.stated(clock.now())
+        self.assertEqual(set(stated), {placement.endpoint_key})
+
+    def test_other_process_at_the_address_says_nothing_of_the_endpoint(self) -> None:
+        """Guards against a statement of a process that took over the address."""
+        placement = self._place()
+        assert not isinstance(placement, PlacementFailure)
+        head = response_head(cold_left_s=30.0, instance_id="another")
+        self.pool.record_response(placement, head, failed=False)
+        self.assertEqual(self._home(), placement.endpoint.id)
+
+
+class ColdExchangeTest(unittest.TestCase):
+    """The task of one router asks for units, decides as an owner and passes on what it knows."""
+
+    ENDPOINT = 77
+
+    def setUp(self) -> None:
+        members = FakeLink("", 8, 2).members()
+        owner = quota_owner(cold_key(self.ENDPOINT), members)
+        assert owner is not None
+        self.owner = owner
+        self.asking = next(name for name in members if name != owner)
+
+    @staticmethod
+    def _observe(task: LoadExchangeTask, until: float) -> None:
+        for n in range(13):
+            with mock.patch.object(clock, "now", return_value=until - 3.0 + n / 4):
+                task._observe_members()
+
+    def _ask(self) -> SideDatagram:
+        key = cold_key(self.ENDPOINT)
+        limits = {key: ttypes.RateLimit(18_950, 30_000)}
+        report = ttypes.LoadReport(
+            LoadReportKind.ASK, self.asking, 3, {}, {}, limits, ttypes.Quota(key)
+        )
+        return SideDatagram(encode(report), Address("h", 1))
+
+    def test_owner_that_does_not_know_the_endpoint_keeps_to_the_rate(self) -> None:
+        """Guards against an owner that grants all because it knows of no coldness."""
+        task, link, pool = make_task(self.owner, {})
+        now = clock.now()
+        self._observe(task, now)
+        for n in range(300):
+            with mock.patch.object(clock, "now", return_value=now + n / 400):
+                task._handle(self._ask())
+        granted = sum(report.quota.is_granted for _, report in link.sent)
+        self.assertGreater(granted, 4)
+        self.assertLess(granted, 18)
+        self.assertEqual(pool.cold.stated(now), {})
+
+    def test_new_process_grants_nothing(self) -> None:
+        """Guards against an owner that does not know what its predecessor granted."""
+        task, link, _ = make_task(self.owner, {})
+        task._observe_members()
+        task._handle(self._ask())
+        self.assertEqual([report.quota.is_granted for _, report in link.sent], [False])
+
+    def test_silent_owner_withholds_the_endpoint(self) -> None:
+        """Guards against requests to a cold endpoint while its owner is down."""
+        task, link, pool = make_task(self.asking, {})
+        pool.cold.record_statement(self.ENDPOINT, 8.0, clock.now())
+        task.start()
+        self.addCleanup(task.stop)
+        self.assertFalse(task.acquire_cold(self.ENDPOINT, 18.95))
+        self.assertEqual(link.unreachable, [self.owner])
+        self.assertGreater(pool.cold.refused_until(self.ENDPOINT), clock.now())
+        outcome = task.metrics.value("cold_quota_asks_total", outcome="no_reply")
+        self.assertEqual(outcome, 1)
+
+    def test_unit_from_before_a_pause_is_not_used(self) -> None:
+        """Guards against a process that acts on a unit from before it was suspended."""
+        for pause_s, is_granted in ((0.0, True), (0.4, False)):
+            task, _, _ = make_task(self.owner, {})
+            now = clock.now()
+            self._observe(task, now)
+            task._pool.cold.quotas.decide(cold_key(self.ENDPOINT), 18.95, now)
+            times = iter([now + 0.5, now + 0.5])
+            with mock.patch.object(
+                clock,
+                "now",
+                side_effect=lambda: next(times, now + 0.5 + pause_s),  # noqa: B023
+            ):
+                self.assertEqual(task.acquire_cold(self.ENDPOINT, 18.95), is_granted)
+
+    def test_statement_reaches_other_routers_and_ends(self) -> None:
+        """Guards against routers that extend what they heard from each other for ever."""
+        now = clock.now()
+        tasks = {name: make_task(name, {}) for name in (self.owner, self.asking)}
+        for task, _, _ in tasks.values():
+            policy = ColdPolicy(18.95, 3.0)
+            task._pool.cold.limits("model", policy, {self.ENDPOINT: an_entry()}, now)
+        tasks[self.owner][2].cold.record_statement(self.ENDPOINT, 4.0, now)
+        for step in range(1, 20):
+            with mock.patch.object(clock, "now", return_value=now + step / 2):
+                for name, (task, link, _) in tasks.items():
+                    link.sent.clear()
+                    task._send(link.members()["r0"], LoadReportKind.GROUP, 0, Loads({}, {}))
+                    other = self.owner if name == self.asking else self.asking
+                    tasks[other][0]._handle(
+                        SideDatagram(encode(link.sent.pop()[1]), Address("h", 1))
+                    )
+            if step == 1:
+                self.assertGreater(tasks[self.asking][2].cold.stated(now + 0.5)[77], 3.0)
+        for _, _, pool in tasks.values():
+            self.assertEqual(pool.cold.stated(now + 4.1), {})
+            self.assertEqual(pool.rate_limits.known(now), {})
+
+
+class ColdPathTest(unittest.TestCase):
+    """A complete gateway, and endpoints that are cold."""
+
+    def _world(self) -> World:
+        world = World(instance_id="g1", bounds=bounds(cold_excess=1.5, cold_slack=5.0))
+        self.addCleanup(world.stop)
+        service = {"name": "shop", "health_path": "/health", "max_conns": 100}
+        rates = {"cold_start_s": 30.0, "cold_per_s": 9.3}
+        services = [{**service, **rates}, {**service, "name": "model"}]
+        world.start(config_document(services=services))
+        return world
+
+    def test_endpoint_that_starts_during_traffic_is_left_alone(self) -> None:
+        """Guards against an endpoint that crashes under the work of its first second."""
+        world = self._world()
+        warm, cold = ScriptedEndpoint(ok), ScriptedEndpoint(ok)
+        world.add("e1", warm)
+        world.add("e2", cold)
+        statuses = [world.call("/read/x", f"q{n}")[0] for n in range(40)]
+        self.assertEqual(statuses, [200] * 40)
+        self.assertEqual(len(cold.received), 0)
+        _, metrics = world.ask_control(3, "/metrics")
+        self.assertIn(b"cold_endpoints 1", metrics)
+        world.gateway.log.flush_soon()
+        eventually(lambda: "endpoint_cold" in world.output.getvalue(), "the log names it")
+
+    def test_cold_service_serves_its_rate_and_refuses_the_rest_at_once(self) -> None:
+        """Guards against a bound that is exceeded, and against requests that wait or are lost."""
+        world = self._world()
+        world.add("e1", ScriptedEndpoint(ok))
+        world.remove("e1")
+        times: list[float] = []
+
+        def record(connection: Connection, request: Received) -> None:
+            times.append(time.monotonic())
+            ok(connection, request)
+
+        world.add("e2", ScriptedEndpoint(record))
+        eventually(lambda: not world.gateway.pool.can_route_to("e1"), "e1 is gone")
+        statuses, end = [], time.monotonic() + 6.0
+        while time.monotonic() < end:
+            status, headers, body = world.call("/read/x", f"q{len(statuses)}")
+            statuses.append(status)
+            if status != 200:
+                self.assertEqual((status, body), (503, b"endpoints_limited\n"))
+                self.assertGreaterEqual(float(headers["retry-after"]), 0.5)
+            time.sleep(0.005)
+        self.assertLessEqual(most_in_a_second(times), PERMITTED_PER_S)
+        self.assertGreater(statuses.count(200), 20)
+        self.assertGreater(statuses.count(503), 20)
+
+
 if __name__ == "__main__":
     unittest.main()
