Let the event loop close the connections that are dropped

Cause: a dropped connection was closed at once. A drop now shuts the socket down, which the event loop reports in that or the next iteration and closes; the request that was arriving is released at the drop, so that its memory is free.

--- a/src/sequoiadrum/_front_server.py
+++ b/src/sequoiadrum/_front_server.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import socket
 import time
 from typing import TYPE_CHECKING, Any, Final
@@ -69,6 +70,7 @@
     """One connection that records since when it has made no progress."""
 
     error_task_class = _TypedErrorTask
+    request: Any
     requests: list[Any]
     _buffer_full_since: float | None = None
     """Monotonic seconds at which the output buffer filled up; None while it has space."""
@@ -118,6 +120,22 @@
         self.requests = []
         self.close_when_flushed = True
 
+    def abort(self) -> None:
+        """Ends the connection at once and releases the request that is arriving.
+
+        The event loop closes the socket. If it were closed here, a connection that is accepted in
+        the same iteration could get its descriptor and be closed by an event of this one.
+        """
+        self.will_close = True
+        with self.requests_lock:
+            if self.request is not None:
+                self.request.close()
+                self.request = None
+        # With `will_close` alone, waitress waits until the socket is writable, which the socket of
+        # a stalled reader never is. The peer may have ended the connection already.
+        with contextlib.suppress(OSError):
+            self.socket.shutdown(socket.SHUT_RDWR)
+
     def drop_reason(self, now: float) -> str | None:
         """Returns why the connection must be dropped, or None; `now` is in monotonic seconds."""
         # The time counts from when the buffer was full, not from the last byte sent: otherwise a
@@ -198,10 +216,7 @@
 
     def _drop(self, channel: BoundedChannel, reason: str) -> None:
         self.metrics.count("connections_dropped_total", reason=reason)
-        # With `will_close` alone, waitress waits until the socket is writable, which the socket of
-        # a stalled reader never is.
-        channel.will_close = True
-        channel.handle_close()
+        channel.abort()
 
     def count(self, reason: RefusalReason) -> None:
         """Counts a request that is refused before it reaches the application."""
