Fail an unframed body whose endpoint was replaced before its end arrived

Cause: the check after such a body asked whether some process accepts connections at the address, not whether it is the one that sent the body.

Change: the body also fails (`endpoint_replaced`) if the address refused a connection of this gateway since the connection of the exchange opened (`ClosedPorts`), or if the store shows a later process, under the same id or at the same address (`EndpointTable.is_replaced`).

--- a/src/sequoiadrum/gateway/_sockets.py
+++ b/src/sequoiadrum/gateway/_sockets.py
@@ -81,9 +81,11 @@
     arrive: a peer that sends one byte now and then would otherwise keep an exchange for ever.
     """
 
-    def __init__(self, stream: socket.socket) -> None:
+    def __init__(self, stream: socket.socket, opened_at: float = 0.0) -> None:
         stream.setblocking(False)
         self._stream = stream
+        self.opened_at: Final = opened_at
+        """Monotonic seconds at which the connection was established."""
         self._user_timeout_ms = USER_TIMEOUT_MS
         self._poll = select.poll()
         self._poll.register(stream, select.POLLIN)
--- a/src/sequoiadrum/gateway/endpoints.py
+++ b/src/sequoiadrum/gateway/endpoints.py
@@ -14,6 +14,7 @@
 if TYPE_CHECKING:
     from sequoiadrum.gateway.holds import Hold
     from sequoiadrum.gateway.model import EndpointEntry, EngineLoad
+    from sequoiadrum.messages import Address
 
 REREGISTRATION_PERIOD_S: Final = 2.5
 """Time after a store outage for which endpoints count as listed although their entries expired;
@@ -204,6 +205,7 @@
 
     by_id: dict[str, Endpoint] = field(factory=dict)
     _ids_by_service: dict[str, set[str]] = field(factory=dict)
+    _ids_by_address: dict[Address, set[str]] = field(factory=dict)
     _known_by_id: dict[str, _KnownEntry] = field(factory=dict)
     """Also of removed entries; at most `MAX_KNOWN_ENTRIES`."""
     _holds_by_process: OrderedDict[tuple[str, int | None], Holds] = field(factory=OrderedDict)
@@ -252,6 +254,7 @@
         endpoint.holds = self._holds_by_process.get(_process_key(entry), endpoint.holds)
         self.by_id[entry.instance_id] = endpoint
         self._ids_by_service.setdefault(entry.service, set()).add(entry.instance_id)
+        self._ids_by_address.setdefault(entry.address, set()).add(entry.instance_id)
         return True
 
     def hold(self, endpoint: Endpoint, hold: Hold) -> bool:
@@ -310,6 +313,20 @@
         """Returns the endpoints of a service in the order of their ids."""
         return [self.by_id[i] for i in sorted(self._ids_by_service.get(service, ()))]
 
+    def is_replaced(self, entry: EndpointEntry) -> bool:
+        """Returns whether another process is known at the address of an entry's process.
+
+        It has the same id and another start, or another id and a later start.
+        """
+        known = self.by_id.get(entry.instance_id)
+        if known is not None and not known.entry.is_same_process(entry):
+            return True
+        started_ms = entry.started_ms
+        if started_ms is None:
+            return False
+        others = (self.by_id[i].entry for i in self._ids_by_address.get(entry.address, ()))
+        return any(e.started_ms is not None and e.started_ms > started_ms for e in others)
+
     def _position(self, instance_id: str) -> StorePosition:
         known = self._known_by_id.get(instance_id)
         return known.position if known is not None else _UNKNOWN_POSITION
@@ -337,6 +354,10 @@
     def _delete(self, endpoint: Endpoint) -> None:
         del self.by_id[endpoint.id]
         self._ids_by_service[endpoint.entry.service].discard(endpoint.id)
+        ids_at_address = self._ids_by_address[endpoint.entry.address]
+        ids_at_address.discard(endpoint.id)
+        if not ids_at_address:
+            del self._ids_by_address[endpoint.entry.address]
 
 
 def _process_key(entry: EndpointEntry) -> tuple[str, int | None]:
--- a/src/sequoiadrum/gateway/exchange.py
+++ b/src/sequoiadrum/gateway/exchange.py
@@ -22,6 +22,7 @@
     no_guard,
 )
 from sequoiadrum.gateway.buffered_body import BodyBuffer
+from sequoiadrum.gateway.closed_ports import ClosedPorts
 from sequoiadrum.gateway.memory_budget import Growth
 
 if TYPE_CHECKING:
@@ -95,6 +96,8 @@
     """The endpoint accepts no connections: the kernel ends those of a killed process regularly."""
     ENDPOINT_SILENT = "endpoint_silent"
     """New connections to the endpoint get no reply or are reset, so that it may be gone."""
+    ENDPOINT_REPLACED = "endpoint_replaced"
+    """New connections reach another process than the one that sent the body."""
 
 
 class Presence(Enum):
@@ -105,6 +108,17 @@
     UNKNOWN = "unknown"
 
 
+_UNCLEAR_END_BY_PRESENCE: Final = {
+    Presence.GONE: UnclearEnd.ENDPOINT_GONE,
+    Presence.UNKNOWN: UnclearEnd.ENDPOINT_SILENT,
+}
+
+
+def is_never_replaced() -> bool:
+    """Returns False, for an endpoint of which nothing else is known."""
+    return False
+
+
 class UnclearEndError(Exception):
     """A body without a length or chunks may not be whole, although its connection has ended."""
 
@@ -183,6 +197,8 @@
     _stream: GuardedStream
     _release: Callable[[GuardedStream, float | None], None]
     _probe_endpoint: Callable[[], Presence]
+    _is_replaced: Callable[[], bool]
+    """Whether the process that the connection leads to is known to have ended."""
     _remaining: int | None
     """Bytes of the body still to be read; None for a body without a declared length."""
     _is_closed: bool = False
@@ -295,10 +311,10 @@
             raise UnclearEndError(UnclearEnd.CONNECTION_FAILED)
         presence = self._probe_endpoint()
         if presence is not Presence.THERE:
-            is_gone = presence is Presence.GONE
-            raise UnclearEndError(
-                UnclearEnd.ENDPOINT_GONE if is_gone else UnclearEnd.ENDPOINT_SILENT
-            )
+            raise UnclearEndError(_UNCLEAR_END_BY_PRESENCE[presence])
+        # The network may hold up the end of a connection until another process has the address.
+        if self._is_replaced():
+            raise UnclearEndError(UnclearEnd.ENDPOINT_REPLACED)
 
     def _finish(self) -> None:
         if self._is_closed:
@@ -326,6 +342,7 @@
         self._codec = codec
         self._lock = threading.Lock()
         self._idle_by_endpoint: dict[str, list[_IdleConnection]] = {}
+        self._closed_ports = ClosedPorts()
         self.opened = 0
         """Number of connections opened so far."""
 
@@ -340,6 +357,7 @@
         is_retryable: bool,
         connect_timeout_s: float = CONNECT_TIMEOUT_S,
         unsent_guard: Callable[[], None] = no_guard,
+        is_replaced: Callable[[], bool] = is_never_replaced,
     ) -> Exchange | NotSent | ExchangeFailure:
         """Sends a request and waits for the head of its response.
 
@@ -357,6 +375,8 @@
             connect_timeout_s: Longest wait for a new connection; at most `CONNECT_TIMEOUT_S`.
             unsent_guard: Called instead of `guard` while the request waits for a connection, and
                 before it is sent.
+            is_replaced: Called at the end of a body that ends with its connection; returns whether
+                another process than the one that got the request is known to have the address.
 
         Returns:
             The exchange, ready to read the body, or why there is no response. A request that ended
@@ -368,7 +388,7 @@
         try:
             if stream is None:
                 connected = connect_stream(address, connect_timeout_s, unsent_guard)
-                stream = GuardedStream(connected)
+                stream = GuardedStream(connected, clock.now())
                 self.opened += 1
             unsent_guard()
         except InterruptedWaitError as error:
@@ -378,6 +398,8 @@
             has_waited = clock.now() - started_at >= PROBE_TIMEOUT_S
             return NotSent(error.interrupt.value, error.interrupt, has_waited and not is_connected)
         except OSError as error:
+            if isinstance(error, ConnectionRefusedError):
+                self._closed_ports.record(address, started_at)
             return NotSent(f"no connection: {error!r}"[:200])
         stream.begin(guard, is_retryable)
         try:
@@ -393,7 +415,7 @@
         except (ValueError, http.client.HTTPException) as error:
             stream.close()
             return NotSent(f"cannot be written: {error!r}"[:200])
-        return self._receive(endpoint_id, address, stream, call)
+        return self._receive(endpoint_id, address, stream, call, is_replaced)
 
     def probe(
         self,
@@ -417,12 +439,14 @@
         """
         silent = 0
         for _ in range(_PROBES):
+            tried_at = clock.now()
             try:
                 with connect_stream(address, PROBE_TIMEOUT_S, guard) as probe:
                     self.opened += 1
                     if not ends_within(probe, settle_s):
                         return Presence.THERE
             except ConnectionRefusedError:
+                self._closed_ports.record(address, tried_at)
                 return Presence.GONE
             except ConnectionError:
                 pass  # It was reset while it opened.
@@ -455,7 +479,12 @@
             entry.stream.close()
 
     def _receive(
-        self, endpoint_id: str, address: Address, stream: GuardedStream, call: RequestHead
+        self,
+        endpoint_id: str,
+        address: Address,
+        stream: GuardedStream,
+        call: RequestHead,
+        is_replaced: Callable[[], bool],
     ) -> Exchange | ExchangeFailure:
         try:
             for _ in range(_MAX_MISMATCHED_RESPONSES):
@@ -492,6 +521,9 @@
             stream,
             lambda kept, idle_timeout_s: self._keep_idle(endpoint_id, kept, idle_timeout_s),
             lambda: self.probe(address, END_SETTLE_S, _PROBES, stream.guard),
+            lambda: (
+                self._closed_ports.has_closed_since(address, stream.opened_at) or is_replaced()
+            ),
             remaining,
         )
 
--- a/src/sequoiadrum/gateway/pool.py
+++ b/src/sequoiadrum/gateway/pool.py
@@ -329,6 +329,11 @@
                 return Listing.RESTARTED
             return Listing.LISTED if endpoint.can_serve(now) else Listing.LEAVING
 
+    def is_replaced(self, entry: EndpointEntry) -> bool:
+        """Returns whether another process is at an entry's address; see `EndpointTable`."""
+        with self._lock:
+            return self._table.is_replaced(entry)
+
     def set_bounds(self, bounds: Bounds) -> None:
         """Applies new bounds; retries that were already spent still count."""
         with self._lock:
--- a/src/sequoiadrum/gateway/relay.py
+++ b/src/sequoiadrum/gateway/relay.py
@@ -286,6 +286,7 @@
             run.kind.is_retryable,
             _connect_timeout_s(run),
             unsent_guard(run),
+            lambda: self._pool.is_replaced(entry),
         )
         self._metrics.record_seconds("endpoint_first_byte_seconds", clock.now() - run.sent_at)
         if not isinstance(result, NotSent):
--- a/tests/gateway/scripted_endpoint.py
+++ b/tests/gateway/scripted_endpoint.py
@@ -87,7 +87,7 @@
 class ScriptedEndpoint:
     """Runs a script for each request and records the requests."""
 
-    def __init__(self, script: Script) -> None:
+    def __init__(self, script: Script, port: int = 0) -> None:
         self.script = script
         self.received: list[Received] = []
         self.connections = 0
@@ -96,7 +96,7 @@
         self.ignore_new_connections = False
         """Whether new connections wait in the backlog."""
         self._fillers: list[socket.socket] = []
-        self._listener = socket.create_server(("127.0.0.1", 0))
+        self._listener = socket.create_server(("127.0.0.1", port))
         self.address = Address("127.0.0.1", self._listener.getsockname()[1])
         threading.Thread(target=self._accept, daemon=True).start()
 
--- a/tests/gateway/test_endpoints.py
+++ b/tests/gateway/test_endpoints.py
@@ -60,6 +60,23 @@
         table.apply(an_entry(revision=4, started_ms=2), 0.0)
         self.assertFalse(table.by_id["e1"].is_failing(1.0))
 
+    def test_later_process_at_the_address_replaces_the_one_before(self) -> None:
+        """Guards against a sign of life of one process that counts for another one."""
+        table = EndpointTable()
+        entry = an_entry(revision=3, started_ms=5)
+        table.apply(entry, 0.0)
+        table.apply(an_entry("e1-model", revision=4, started_ms=5), 0.0)
+        self.assertFalse(table.is_replaced(entry))
+        table.apply(an_entry("e2", revision=5, started_ms=4), 0.0)
+        self.assertFalse(table.is_replaced(entry))
+        table.apply(an_entry("e3", revision=6, started_ms=6), 0.0)
+        self.assertTrue(table.is_replaced(entry))
+        table.remove("e3", StorePosition(0, 7), 1.0, NO_OUTAGE)
+        table.expire(10.0)
+        self.assertFalse(table.is_replaced(entry))
+        table.apply(an_entry(revision=8, started_ms=7), 0.0)
+        self.assertTrue(table.is_replaced(entry))
+
     def test_failures_fade(self) -> None:
         """Guards against an endpoint that is avoided forever after a few failures."""
         table = EndpointTable()
--- a/tests/gateway/test_unframed_responses.py
+++ b/tests/gateway/test_unframed_responses.py
@@ -129,6 +129,36 @@
         self.world.add("e1", endpoint)
         self.assertEqual(self.world.call("/order/x")[0], 502)
 
+    def test_response_of_an_endpoint_whose_port_was_closed_meanwhile_is_not_whole(self) -> None:
+        """Guards against a part of an answer from an endpoint that was down in between."""
+
+        def end_and_come_back(connection: Connection, request: Received) -> None:
+            if request.request_id != "q1":
+                return
+            connection.send(unframed_head(request) + b"do")
+            endpoint.stop()
+            self.assertEqual(self.world.call("/order/x", "q2")[0], 503)
+            address = (endpoint.address.host, endpoint.address.port)
+            self.addCleanup(socket.create_server(address).close)
+            connection.sock.shutdown(socket.SHUT_RDWR)
+
+        endpoint = ScriptedEndpoint(end_and_come_back)
+        self.world.add("e1", endpoint)
+        self.assertEqual(self.world.call("/order/x")[0], 502)
+        metrics = self.world.gateway.metrics
+        self.assertEqual(metrics.value("unclear_ends_total", reason="endpoint_replaced"), 1)
+
+    def test_response_of_an_endpoint_whose_port_was_closed_before_is_whole(self) -> None:
+        """Guards against an endpoint that is refused for good because it was down once."""
+        endpoint = ScriptedEndpoint(unframed(b"do", b"ne"))
+        endpoint.stop()
+        self.world.register("e1", endpoint.address)
+        eventually(lambda: self.world.gateway.pool.can_route_to("e1"), "e1 is known")
+        self.assertEqual(self.world.call("/order/x", "q1")[0], 503)
+        again = ScriptedEndpoint(unframed(b"do", b"ne"), endpoint.address.port)
+        self.addCleanup(again.stop)
+        eventually(lambda: self.world.call("/order/x", "q2")[0] == 200, "e1 answers again")
+
     def test_read_from_an_endpoint_that_is_gone_is_retried(self) -> None:
         """Guards against a failure where another endpoint has the whole answer."""
         self.world.add("e1", ScriptedEndpoint(self._leave_after(b"do")))
--- a/tools/soak/endpoints.py
+++ b/tools/soak/endpoints.py
@@ -56,6 +56,9 @@
         """Whether the endpoint resets the connection in the middle of each response."""
         self.response_fault: ResponseFault | None = None
         self.is_crashed = False
+        self.starts = 1
+        """Number of processes that have served at the address; names the present one."""
+        self._has_ended = False
         self._rng = random.Random(endpoint_id)
         self.says_leaving = False
         """Whether each response says that the endpoint leaves."""
@@ -64,15 +67,18 @@
 
     def crash(self) -> None:
         """Resets all open connections and refuses new ones until `restart`."""
-        self.is_crashed = True
+        self.is_crashed = self._has_ended = True
         self.proxy.set_mode(Mode.REFUSE)
         self.proxy.reset()
 
-    def restart(self) -> None:
-        """Accepts connections again."""
+    def restart(self) -> bool:
+        """Accepts connections again; returns whether another process does, since one has ended."""
+        has_ended, self._has_ended = self._has_ended, False
+        self.starts += has_ended
         self.is_crashed = False
         self.proxy.set_mode(Mode.PASS)
         self.proxy.reopen_listener()
+        return has_ended
 
     def stop(self) -> None:
         """Closes all sockets of the endpoint and its proxy."""
@@ -160,6 +166,7 @@
             connection.reset()
             return
         if fault is ResponseFault.UNFRAMED_DEATH:
+            self._has_ended = True
             self.proxy.close_listener()
         _end(connection)
 
--- a/tools/soak/runner.py
+++ b/tools/soak/runner.py
@@ -68,6 +68,7 @@
         self._store_copy = self._store.copy()
         """Taken before the last change of the configuration; a restore goes back to it."""
         self._config_lock = threading.Lock()
+        self._entries_lock = threading.Lock()
         self._endpoint_numbers = 0
         self._endpoints = [self._new_endpoint() for _ in range(ENDPOINT_COUNT)]
         # Each soak uses a separate loopback network, so that several can run in parallel.
@@ -202,12 +203,20 @@
             time.sleep(action.for_s)
             endpoint.loses_responses = endpoint.truncates_responses = False
             endpoint.response_fault = None
-            endpoint.restart()
+            if endpoint.restart():
+                self._register_again(action.target, endpoint)
+
+    def _register_again(self, target: int, endpoint: SoakEndpoint) -> None:
+        """Registers the process that came after one that ended, unless it is to leave."""
+        with self._entries_lock:
+            if endpoint is self._endpoints[target]:
+                self._register(endpoint, "ready")
 
     def _replace_endpoint(self, target: int, is_stated: bool) -> None:
         """Replaces an endpoint that says that it leaves, either in responses or in its entry."""
-        leaving, joining = self._endpoints[target], self._new_endpoint()
-        self._endpoints[target] = joining
+        joining = self._new_endpoint()
+        with self._entries_lock:
+            leaving, self._endpoints[target] = self._endpoints[target], joining
         self._register(joining, "ready")
         if is_stated:
             leaving.says_leaving = True
@@ -278,7 +287,7 @@
             "state": state,
             "cold_left_ms": 0,
             "seq": 1,
-            "born": 1,
+            "born": endpoint.starts,
         }
         for service, name in zip(("shop", "model"), _entry_names(endpoint), strict=True):
             self._store.put(ENDPOINT_KIND, name, {**entry, "service": service})
