Send no request to evacuated failure domains

Nothing read the operator's evacuations, so that requests reached engines that operators wanted to be idle. Each router now keeps them from the store or from peers, ordered by epoch and revision, and placement leaves their endpoints out, also right before a request is sent. A router that starts serves only once it knows them; one that was suspended reads them first. Where the settings name no bound on evacuations, nothing is created and nothing is called.

The users' documents name homes 'allowed_regions' (wire.json of demands and shifted), not 'homes'; the decoder and its test said otherwise.

--- a/src/sequoiadrum/gateway/app.py
+++ b/src/sequoiadrum/gateway/app.py
@@ -24,6 +24,8 @@
 from sequoiadrum.gateway.convictions import ConvictionStore
 from sequoiadrum.gateway.crash_reports import CrashReports
 from sequoiadrum.gateway.crash_watch import CrashWatch
+from sequoiadrum.gateway.evacuation_sync import EvacuationSync
+from sequoiadrum.gateway.evacuations import Evacuations
 from sequoiadrum.gateway.event_log import EventLog
 from sequoiadrum.gateway.exchange import EndpointConnections
 from sequoiadrum.gateway.fleet import (
@@ -59,6 +61,7 @@
 
     from sequoiadrum.gateway.ports import DirectoryCodec, DocumentDecoder, HeaderCodec, Store
     from sequoiadrum.gateway.settings import GatewaySettings
+    from sequoiadrum.gateway.store_sync import KindSync
 
 MAX_FIRST_LISTS_S: Final = 0.3
 """Longest wait for the configuration and the endpoints before callers are served; the store usually
@@ -164,7 +167,10 @@
         self.gossip.subscribe_revisions(self.peer_events)
         self._store_availability.subscribe_restores(self._instances.register_again)
         self._store_availability.subscribe_restores(self.peer_events.store_restored)
-        self.pool: Final = EndpointPool(settings.bounds, self.directory.count)
+        self.evacuations: Final = (
+            Evacuations() if settings.bounds.evacuation_s is not None else None
+        )
+        self.pool: Final = EndpointPool(settings.bounds, self.directory.count, self.evacuations)
         self._load_exchange = LoadExchangeTask(
             self.gossip, self.pool, settings.failure_domain, self.metrics, self._invariant_broken
         )
@@ -200,14 +206,33 @@
             self.metrics,
             self.log,
         )
-        self._syncs: Final = (config_sync, endpoint_sync)
+        evacuation_sync = (
+            EvacuationSync(
+                self._store,
+                adapter.documents,
+                self.evacuations,
+                self.pool,
+                mirror,
+                peer_feed,
+                self._store_availability,
+                self.metrics,
+                self.log,
+            )
+            if self.evacuations is not None
+            else None
+        )
+        refreshed: list[KindSync] = [endpoint_sync]
+        if evacuation_sync is not None:
+            refreshed.append(evacuation_sync)
+        self._syncs: Final[tuple[KindSync, ...]] = (config_sync, *refreshed)
         self.shutdown: Final = Shutdown()
         self.state: Final = ServingState(
             self.configuration,
             pauses,
-            endpoint_sync.refresh,
+            lambda since: all(sync.refresh(since) for sync in refreshed),
             self.shutdown,
             self.threads.can_serve,
+            lambda: evacuation_sync is None or evacuation_sync.has_listed(),
         )
         self._in_flight: Final = RequestsInFlight(self.metrics, self.log)
         memory = ResponseMemory(budget_of(settings.memory_mb).response_bytes)
--- a/src/sequoiadrum/gateway/caller_app.py
+++ b/src/sequoiadrum/gateway/caller_app.py
@@ -71,6 +71,7 @@
         refresh_endpoints: Callable[[float], bool],
         shutdown: Shutdown,
         can_serve: Callable[[], bool],
+        knows_evacuations: Callable[[], bool] = lambda: True,
     ) -> None:
         """Creates the state of a router that serves.
 
@@ -81,7 +82,9 @@
                 returns whether it could.
             shutdown: The shutdown of this process.
             can_serve: Returns whether the threads that serving needs can be kept running.
+            knows_evacuations: Returns whether the evacuated failure domains were received once.
         """
+        self.knows_evacuations: Final = knows_evacuations
         self.shutdown: Final = shutdown
         self._can_serve = can_serve
         self._configuration = configuration
@@ -92,7 +95,9 @@
     def is_ready(self) -> bool:
         """Returns whether callers should send requests to this router."""
         has_configuration = self._configuration.routing() is not None
-        return not self.shutdown.has_begun and has_configuration and self._can_serve()
+        if not (has_configuration and self.knows_evacuations()):
+            return False
+        return not self.shutdown.has_begun and self._can_serve()
 
     def is_known_current(self) -> bool:
         """Returns whether `is_current` needs no read."""
@@ -176,6 +181,8 @@
         guard()
         if not (self._state.is_known_current() or self._lookups.run(self._state.is_current, guard)):
             return self._refuse(call, Refused.RESUMED, "", UNCONFIRMED_RETRY_AFTER_S)
+        if not self._state.knows_evacuations():
+            return self._refuse(call, Refused.EVACUATIONS_UNKNOWN, "", UNCONFIRMED_RETRY_AFTER_S)
         route = self._resolve_route(call, caller, guard)
         if not isinstance(route, Route):
             return route
--- a/src/sequoiadrum/gateway/endpoints.py
+++ b/src/sequoiadrum/gateway/endpoints.py
@@ -49,8 +49,8 @@
     entry: EndpointEntry
     id_hash: int
     joined_at: float = float("-inf")
-    """Monotonic seconds at which the entry appeared; negative infinity for the entries of the first
-    list that this instance read."""
+    """Monotonic seconds at which the entry appeared or its failure domain was readmitted; negative
+    infinity for the entries of the first list that this instance read."""
     in_flight: int = 0
     """Requests of this instance that are running at the endpoint."""
     is_listed: bool = True
--- a/src/sequoiadrum/gateway/exchange.py
+++ b/src/sequoiadrum/gateway/exchange.py
@@ -82,6 +82,8 @@
     """No event of a stream was completed for longer than any pause of a sound stream."""
     MEMORY_SHORT = "memory_short"
     """The responses of all endpoints together take more memory than there is for them."""
+    EVACUATED = "evacuated"
+    """The endpoint's failure domain was evacuated before the request was sent."""
     OVERSIZED = "oversized"
     """The endpoint sent more bytes than a response, or a part of it, may have."""
 
--- a/src/sequoiadrum/gateway/guards.py
+++ b/src/sequoiadrum/gateway/guards.py
@@ -16,6 +16,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from sequoiadrum.gateway.evacuations import Evacuations
     from sequoiadrum.gateway.request_run import Caller, RequestRun
     from sequoiadrum.gateway.stop_plan import Shutdown
 
@@ -95,6 +96,22 @@
     return check
 
 
+def placed_guard(run: RequestRun, evacuations: Evacuations, domain: str) -> Callable[[], None]:
+    """Returns a guard for the wait for a connection to an endpoint of a failure domain.
+
+    The guard raises `InterruptedWaitError` as the guard of `unsent_guard` does, and also when the
+    failure domain is evacuated.
+    """
+    check_run = unsent_guard(run)
+
+    def check() -> None:
+        check_run()
+        if evacuations.is_evacuated(domain):
+            raise InterruptedWaitError(Interrupt.EVACUATED)
+
+    return check
+
+
 def first_byte_guard(run: RequestRun, sent_at: float) -> Callable[[], None]:
     """Returns a guard for the wait for the first byte of a response.
 
--- a/src/sequoiadrum/gateway/placement.py
+++ b/src/sequoiadrum/gateway/placement.py
@@ -78,6 +78,8 @@
     """All endpoints are held back, at least one because it turned this router away for a time."""
     RATE_LIMITED = "rate_limited"
     """The endpoints that are not suspended take no further request now by the rates they named."""
+    EVACUATED = "evacuated"
+    """All endpoints are in failure domains that are evacuated, apart from those already tried."""
 
 
 @frozen
--- a/src/sequoiadrum/gateway/pool.py
+++ b/src/sequoiadrum/gateway/pool.py
@@ -4,7 +4,7 @@
 
 import math
 import threading
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Final
 
 from attrs import define, evolve
 
@@ -32,6 +32,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from sequoiadrum.gateway.evacuations import Evacuations
     from sequoiadrum.gateway.model import EndpointEntry, ResponseHead, StorePosition
     from sequoiadrum.gateway.settings import Bounds
 
@@ -66,7 +67,20 @@
     a lock costs less than a message to an owning task.
     """
 
-    def __init__(self, bounds: Bounds, instances: Callable[[], int]) -> None:
+    def __init__(
+        self,
+        bounds: Bounds,
+        instances: Callable[[], int],
+        evacuations: Evacuations | None = None,
+    ) -> None:
+        """Creates an empty pool.
+
+        Args:
+            bounds: Limits on retries and loads.
+            instances: Returns the number of routers.
+            evacuations: The evacuated failure domains; None if operators do not evacuate any.
+        """
+        self.evacuations: Final = evacuations
         self._bounds = bounds
         self._instances = instances
         self._lock = threading.Lock()
@@ -99,14 +113,19 @@
         """
         now = clock.now()
         with self._lock:
-            endpoints = self._table.of_service(request.service.name)
+            known = endpoints = self._table.of_service(request.service.name)
+            if self.evacuations is not None and self.evacuations.has_any():
+                key = prompt_key(request.call)
+                endpoints = self.evacuations.usable(known, key, request.excluded, now)
             request = self._with_replica_count(request, endpoints, now, is_repeated)
             if self.rate_limits.has_any():
                 withheld = self._withheld(endpoints, now, limited)
                 request = evolve(request, withheld=withheld)
             chosen = choose(endpoints, request, now)
             if isinstance(chosen, PlacementFailure):
-                return chosen
+                is_none_left = chosen is PlacementFailure.UNKNOWN_SERVICE
+                is_narrowed = len(endpoints) < len(known)
+                return PlacementFailure.EVACUATED if is_none_left and is_narrowed else chosen
             chosen.in_flight += 1
             chosen.started_since_load += 1
             limit = self.rate_limits.in_force(endpoint_key(chosen.id_hash), now)
@@ -114,9 +133,7 @@
                 chosen, chosen.in_flight, None, now, chosen.fleet_load(now), limit is not None
             )
             if not placement.needs_quota:
-                placement.context_source = self._find_context_source(
-                    endpoints, chosen, request, now
-                )
+                placement.context_source = self._find_context_source(known, chosen, request, now)
             return placement
 
     def confirm(self, placement: EndpointPlacement, request: PlacementRequest) -> None:
@@ -153,8 +170,7 @@
                 min(
                     (
                         self.rate_limits.refused_until(endpoint_key(e.id_hash), now) - now
-                        for e in self._table.of_service(service)
-                        if e.can_serve(now)
+                        for e in self._serving(service, now)
                     ),
                     default=0.0,
                 ),
@@ -241,7 +257,7 @@
         """Returns the seconds until an endpoint of a service may take a request again."""
         now = clock.now()
         with self._lock:
-            holds = [e.hold(now) for e in self._table.of_service(service) if e.can_serve(now)]
+            holds = [e.hold(now) for e in self._serving(service, now)]
         ends = [now if hold is None else hold.until for hold in holds]
         return max(0.0, min(ends, default=now) - now)
 
@@ -318,6 +334,28 @@
             endpoint = self._table.by_id.get(instance_id)
             return endpoint is not None and endpoint.can_serve(clock.now())
 
+    def domain_load(self, failure_domain: str) -> tuple[int, int]:
+        """Returns the endpoints of a failure domain, and this router's requests at them."""
+        with self._lock:
+            endpoints = [
+                e for e in self._table.by_id.values() if e.entry.failure_domain == failure_domain
+            ]
+            return len(endpoints), sum(e.in_flight for e in endpoints)
+
+    def record_readmission(self, failure_domain: str, at: float) -> None:
+        """Records that the endpoints of a failure domain receive requests again.
+
+        They lack what came meanwhile, as if they had joined then.
+
+        Args:
+            failure_domain: The failure domain that was evacuated before.
+            at: Monotonic seconds.
+        """
+        with self._lock:
+            for endpoint in self._table.by_id.values():
+                if endpoint.entry.failure_domain == failure_domain:
+                    endpoint.joined_at = at
+
     def listing(self, entry: EndpointEntry) -> Listing:
         """Returns what the store shows of the process that an entry described."""
         now = clock.now()
@@ -343,6 +381,14 @@
         with self._lock:
             return self._table.expire(clock.now())
 
+    def _serving(self, service: str, now: float) -> list[Endpoint]:
+        """Returns the endpoints of a service that may get requests, also those held back."""
+        serving = [e for e in self._table.of_service(service) if e.can_serve(now)]
+        evacuations = self.evacuations
+        if evacuations is None or not evacuations.has_any():
+            return serving
+        return [e for e in serving if not evacuations.is_evacuated_at(e.entry.failure_domain, now)]
+
     def _withheld(
         self, endpoints: list[Endpoint], now: float, limited: LimitedEndpoints
     ) -> frozenset[str]:
@@ -391,6 +437,8 @@
         prompt = request.call.prompt
         if request.service.batch_slots is None or len(prompt) < MIN_SHARED_PARTS:
             return None
+        if self.evacuations is not None and self.evacuations.has_any():
+            endpoints = self.evacuations.context_sources(endpoints, now)
         first_part = self._part_memory.record_send(prompt[0].id, chosen, endpoints, now)
         return context_source(endpoints, chosen, request, now) or first_part
 
--- a/src/sequoiadrum/gateway/relay.py
+++ b/src/sequoiadrum/gateway/relay.py
@@ -21,6 +21,7 @@
     REFUSED_BEFORE_SEND,
     body_guard,
     first_byte_guard,
+    placed_guard,
     stream_guard,
     unsent_end_reason,
     unsent_guard,
@@ -68,6 +69,8 @@
 """`Retry-After` sent when no endpoint is known or none can be reached, as during a restart."""
 FULL_RETRY_AFTER_S: Final = 0.2
 """`Retry-After` sent when all endpoints are full: about the time of two requests."""
+EVACUATED_RETRY_AFTER_S: Final = 1.0
+"""`Retry-After` sent when all endpoints are evacuated, which lasts seconds at least."""
 LIMITED_RETRY_AFTER_S: Final = 0.5
 """Shortest `Retry-After` sent when endpoints named rates below the demand; others wait as well."""
 MAX_QUOTA_ASKS: Final = 4
@@ -195,6 +198,9 @@
                 return placement, result
             self._pool.release(placement)
             if isinstance(result, NotSent):
+                if result.interrupt is Interrupt.EVACUATED:
+                    self._record_event("endpoint_evacuated_before_send", run, placement)
+                    continue
                 if result.is_unresponsive:
                     self._handle_not_sent(run, placement, result)
                 if result.interrupt is not None:
@@ -276,6 +282,12 @@
         run.sent_at = clock.now()
         run.endpoint_id = placement.endpoint.id
         run.has_event = False
+        evacuations = self._pool.evacuations
+        send_guard = (
+            unsent_guard(run)
+            if evacuations is None
+            else placed_guard(run, evacuations, entry.failure_domain)
+        )
         result = self._connections.send(
             entry.instance_id,
             entry.address,
@@ -285,7 +297,7 @@
             first_byte_guard(run, run.sent_at),
             run.kind.is_retryable,
             _connect_timeout_s(run),
-            unsent_guard(run),
+            send_guard,
         )
         self._metrics.record_seconds("endpoint_first_byte_seconds", clock.now() - run.sent_at)
         if not isinstance(result, NotSent):
@@ -591,6 +603,7 @@
                 Refused.ENDPOINTS_LIMITED,
                 max(LIMITED_RETRY_AFTER_S, self._pool.quota_wait_s(run.service.name)),
             ),
+            PlacementFailure.EVACUATED: (Refused.ENDPOINTS_EVACUATED, EVACUATED_RETRY_AFTER_S),
         }[why]
         return self._refuse(run, reason, run.last_error, retry_after_s)
 
--- a/src/sequoiadrum/gateway/store_sync.py
+++ b/src/sequoiadrum/gateway/store_sync.py
@@ -203,6 +203,16 @@
         self._stopped = threading.Event()
         self.thread: Final = SupervisedThread(f"sync-{kind}", self._run, metrics)
 
+    @property
+    def watch_wait_s(self) -> float:
+        """Maximum wait of a watch in seconds."""
+        return WATCH_WAIT_S
+
+    @property
+    def peer_wait_s(self) -> float:
+        """How long a peer may wait for a change before it responds, in seconds."""
+        return PEER_WAIT_S
+
     def start(self) -> None:
         """Starts the thread."""
         self._started_at = clock.now()
@@ -305,7 +315,7 @@
         next_list_at = requested_at + FULL_LIST_INTERVAL_S * random.uniform(0.8, 1.2)
         while not self._stopped.is_set() and clock.now() < next_list_at and self._feed.is_watcher():
             requested_at = clock.now()
-            watched = self._store.watch(self._kind, revision, WATCH_WAIT_S)
+            watched = self._store.watch(self._kind, revision, self.watch_wait_s)
             if isinstance(watched, Failure):
                 if watched.failure() is StoreFailure.HISTORY_GONE:
                     self._log.notable("watch_history_gone", kind=self._kind, revision=revision)
@@ -389,7 +399,7 @@
         while not self._stopped.is_set() and not self._feed.is_watcher():
             if clock.now() >= next_list_at:
                 return False
-            failures = 0 if self._request_from_peer(PEER_WAIT_S) else failures + 1
+            failures = 0 if self._request_from_peer(self.peer_wait_s) else failures + 1
             self._have_peers_failed = failures >= MAX_PEER_FAILURES
             if self._have_peers_failed:
                 return False
--- a/src/sequoiadrum/platform/documents.py
+++ b/src/sequoiadrum/platform/documents.py
@@ -136,7 +136,7 @@
 
 
 def _decode_homes(entry: dict[str, Any]) -> tuple[str, ...]:
-    return tuple(values.name(region) for region in _entries(entry.get("homes") or []))
+    return tuple(values.name(region) for region in _entries(entry.get("allowed_regions") or []))
 
 
 def _decode_priority(value: Any) -> int | None:
