--- a/src/sequoiadrum/gateway/pool.py
+++ b/src/sequoiadrum/gateway/pool.py
@@ -4,11 +4,12 @@
 
 import math
 import threading
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Final
 
 from attrs import define, evolve
 
 from sequoiadrum.gateway import clock
+from sequoiadrum.gateway.cold_endpoints import ColdEndpoints, ColdPolicy
 from sequoiadrum.gateway.crash_suspects import Listing
 from sequoiadrum.gateway.endpoints import Endpoint, EndpointTable
 from sequoiadrum.gateway.holds import MAX_RETRY_AFTER_S, Hold, HoldReason
@@ -31,10 +32,18 @@
 from sequoiadrum.gateway.service_rooms import ServiceRooms
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Callable, Mapping
 
     from sequoiadrum.gateway.admission_control import Admission, Demand
-    from sequoiadrum.gateway.model import EndpointEntry, RequestHead, ResponseHead, StorePosition
+    from sequoiadrum.gateway.cold_endpoints import ColdLimit
+    from sequoiadrum.gateway.evacuations import Evacuations
+    from sequoiadrum.gateway.model import (
+        EndpointEntry,
+        RequestHead,
+        ResponseHead,
+        Service,
+        StorePosition,
+    )
     from sequoiadrum.gateway.room import Room
     from sequoiadrum.gateway.service_rooms import ExpectedStay
     from sequoiadrum.gateway.settings import Bounds
@@ -55,12 +64,19 @@
     """Requests of all routers at the endpoint, this one included; None if unknown."""
     needs_quota: bool = False
     """Whether the endpoint named a rate, of which the request needs a unit."""
+    cold_limit: ColdLimit | None = None
+    """The limit of an endpoint that is or was cold, of which the request needs a unit as well."""
     is_released: bool = False
     stay: ExpectedStay | None = None
     """What is expected of the request; None if admission is not controlled."""
     first_s: float | None = None
     """Seconds from the placement to the first event or the response, once it has arrived."""
 
+    @property
+    def is_limited(self) -> bool:
+        """Whether the request needs a unit of a rate before it may be sent."""
+        return self.needs_quota or self.cold_limit is not None
+
     @property
     def endpoint_key(self) -> int:
         """The number that identifies the endpoint to other routers."""
@@ -90,7 +106,20 @@
     a lock costs less than a message to an owning task.
     """
 
-    def __init__(self, bounds: Bounds, instances: Callable[[], int]) -> None:
+    def __init__(
+        self,
+        bounds: Bounds,
+        instances: Callable[[], int],
+        evacuations: Evacuations | None = None,
+    ) -> None:
+        """Creates an empty pool.
+
+        Args:
+            bounds: Limits on retries and loads.
+            instances: Returns the number of routers.
+            evacuations: The evacuated failure domains; None if operators do not evacuate any.
+        """
+        self.evacuations: Final = evacuations
         self._bounds = bounds
         self._instances = instances
         self._lock = threading.Lock()
@@ -103,6 +132,8 @@
         self._rooms = ServiceRooms()
         self.rate_limits = RateLimits()
         """The rates that endpoints named; thread-safe by itself."""
+        self.cold = ColdEndpoints()
+        """The endpoints that are cold; thread-safe by itself."""
 
     def controls_admission(self) -> bool:
         """Returns whether `admit` decides on requests; see `ServiceRooms`."""
@@ -113,6 +144,8 @@
         now = clock.now()
         with self._lock:
             endpoints = self._table.of_service(service)
+            if self.evacuations is not None and self.evacuations.has_any():
+                endpoints = self.evacuations.usable(endpoints, prompt_key(call), (), now)
             return self._rooms.decide(service, call, demand, endpoints, self._instances(), now)
 
     def return_after_s(self, service: str, demand: Demand) -> float:
@@ -156,28 +189,47 @@
         """
         now = clock.now()
         with self._lock:
-            endpoints = self._table.of_service(request.service.name)
+            known = endpoints = self._table.of_service(request.service.name)
+            if self.evacuations is not None and self.evacuations.has_any():
+                part = prompt_key(request.call)
+                endpoints = self.evacuations.usable(known, part, request.excluded, now)
             request = self._with_replica_count(request, endpoints, now, is_repeated)
-            if self.rate_limits.has_any():
-                withheld = self._withheld(endpoints, now, limited)
-                request = evolve(request, withheld=withheld)
-            chosen = choose(endpoints, request, now)
+            cold = self._cold_limits(request.service, endpoints, now)
+            chosen: Endpoint | PlacementFailure = PlacementFailure.RATE_LIMITED
+            if any(limit.is_cold for limit in cold.values()):
+                # Cold endpoints are left alone as long as others have room.
+                avoided = LimitedEndpoints.AVOIDED_WITH_ROOM
+                withheld = self._withheld(endpoints, now, limited, cold, avoided)
+                withheld |= {e.id for e in endpoints if e.is_failing(now)}
+                chosen = choose(endpoints, evolve(request, withheld=withheld), now)
+            if isinstance(chosen, PlacementFailure):
+                if self.rate_limits.has_any() or cold:
+                    withheld = self._withheld(endpoints, now, limited, cold)
+                    request = evolve(request, withheld=withheld)
+                chosen = choose(endpoints, request, now)
             if isinstance(chosen, PlacementFailure):
-                return chosen
+                is_none_left = chosen is PlacementFailure.UNKNOWN_SERVICE
+                is_narrowed = len(endpoints) < len(known)
+                return PlacementFailure.EVACUATED if is_none_left and is_narrowed else chosen
             chosen.in_flight += 1
             chosen.started_since_load += 1
-            limit = self.rate_limits.in_force(endpoint_key(chosen.id_hash), now)
+            key = endpoint_key(chosen.id_hash)
+            limit = self.rate_limits.in_force(key, now)
             placement = EndpointPlacement(
-                chosen, chosen.in_flight, None, now, chosen.fleet_load(now), limit is not None
+                chosen,
+                chosen.in_flight,
+                None,
+                now,
+                chosen.fleet_load(now),
+                limit is not None,
+                cold.get(key),
             )
             if self._rooms.is_active(now):
                 placement.stay = self._rooms.expect(
                     request.service.name, request.call, chosen, self._instances(), now
                 )
-            if not placement.needs_quota:
-                placement.context_source = self._find_context_source(
-                    endpoints, chosen, request, now
-                )
+            if not placement.is_limited:
+                placement.context_source = self._find_context_source(known, chosen, request, now)
             return placement
 
     def confirm(self, placement: EndpointPlacement, request: PlacementRequest) -> None:
@@ -212,11 +264,7 @@
             return max(
                 0.0,
                 min(
-                    (
-                        self.rate_limits.refused_until(endpoint_key(e.id_hash), now) - now
-                        for e in self._table.of_service(service)
-                        if e.can_serve(now)
-                    ),
+                    (self._refused_until(e, now) - now for e in self._serving(service, now)),
                     default=0.0,
                 ),
             )
@@ -252,6 +300,8 @@
                     placement.first_s = now - placement.placed_at
                     service = placement.endpoint.entry.service
                     self._rooms.record_first(service, placement.stay, placement.first_s)
+        if head.cold_left_s is not None and head.instance_id in (None, placement.endpoint.id):
+            self.cold.record_statement(placement.endpoint_key, head.cold_left_s, now)
         if head.rate_limit is None and not head.is_sealed:
             # It may come from something between router and endpoint, and names no limit for that.
             return False
@@ -317,7 +367,7 @@
         """Returns the seconds until an endpoint of a service may take a request again."""
         now = clock.now()
         with self._lock:
-            holds = [e.hold(now) for e in self._table.of_service(service) if e.can_serve(now)]
+            holds = [e.hold(now) for e in self._serving(service, now)]
         ends = [now if hold is None else hold.until for hold in holds]
         return max(0.0, min(ends, default=now) - now)
 
@@ -381,7 +431,11 @@
         """
         now = clock.now()
         with self._lock:
-            return self._table.apply(entry, now, now if is_newly_joined else float("-inf"))
+            if not self._table.apply(entry, now, now if is_newly_joined else float("-inf")):
+                return False
+            endpoint = self._table.by_id[entry.instance_id]
+            self.cold.record_entry(entry, endpoint_key(endpoint.id_hash), is_newly_joined, now)
+            return True
 
     def remove(self, instance_id: str, position: StorePosition, outage_ended: float) -> bool:
         """Applies the removal of an entry at a position; see `EndpointTable.remove`."""
@@ -394,6 +448,29 @@
             endpoint = self._table.by_id.get(instance_id)
             return endpoint is not None and endpoint.can_serve(clock.now())
 
+    def domain_load(self, failure_domain: str) -> tuple[int, int]:
+        """Returns the endpoints of a failure domain, and this router's requests at them."""
+        with self._lock:
+            endpoints = [
+                e for e in self._table.by_id.values() if e.entry.failure_domain == failure_domain
+            ]
+            return len(endpoints), sum(e.in_flight for e in endpoints)
+
+    def record_readmission(self, failure_domain: str, at: float) -> None:
+        """Records that the endpoints of a failure domain receive requests again.
+
+        They lack what came meanwhile, as if they had joined then.
+
+        Args:
+            failure_domain: The failure domain that was evacuated before.
+            at: Monotonic seconds.
+        """
+        with self._lock:
+            for endpoint in self._table.by_id.values():
+                if endpoint.entry.failure_domain == failure_domain:
+                    endpoint.joined_at = at
+        self.cold.record_readmission(failure_domain, at)
+
     def listing(self, entry: EndpointEntry) -> Listing:
         """Returns what the store shows of the process that an entry described."""
         now = clock.now()
@@ -405,6 +482,11 @@
                 return Listing.RESTARTED
             return Listing.LISTED if endpoint.can_serve(now) else Listing.LEAVING
 
+    def is_replaced(self, entry: EndpointEntry) -> bool:
+        """Returns whether another process is at an entry's address; see `EndpointTable`."""
+        with self._lock:
+            return self._table.is_replaced(entry)
+
     def set_bounds(self, bounds: Bounds) -> None:
         """Applies new bounds; retries that were already spent still count."""
         with self._lock:
@@ -419,25 +501,65 @@
         with self._lock:
             return self._table.expire(clock.now())
 
+    def _serving(self, service: str, now: float) -> list[Endpoint]:
+        """Returns the endpoints of a service that may get requests, also those held back."""
+        serving = [e for e in self._table.of_service(service) if e.can_serve(now)]
+        evacuations = self.evacuations
+        if evacuations is None or not evacuations.has_any():
+            return serving
+        return [e for e in serving if not evacuations.is_evacuated_at(e.entry.failure_domain, now)]
+
     def _withheld(
-        self, endpoints: list[Endpoint], now: float, limited: LimitedEndpoints
+        self,
+        endpoints: list[Endpoint],
+        now: float,
+        named: LimitedEndpoints,
+        cold_limits: Mapping[int, ColdLimit],
+        cold: LimitedEndpoints | None = None,
     ) -> frozenset[str]:
-        """Returns the endpoints that take no request now because some of them named rates."""
+        """Returns the endpoints that take no request now because some of them are limited.
+
+        Args:
+            endpoints: All endpoints of a service.
+            now: Monotonic seconds.
+            named: Whether endpoints that named a rate may take the request.
+            cold_limits: Limits by endpoint key of those that are or were cold.
+            cold: Whether endpoints that are still cold may take it; as `named` if None.
+        """
         limits = self.rate_limits
-        named = [e for e in endpoints if limits.in_force(endpoint_key(e.id_hash), now) is not None]
-        if not named:
+        limited: list[Endpoint] = []
+        withheld: set[str] = set()
+        for endpoint in endpoints:
+            key = endpoint_key(endpoint.id_hash)
+            cold_limit = cold_limits.get(key)
+            if cold_limit is None and limits.in_force(key, now) is None:
+                continue
+            limited.append(endpoint)
+            permission = named
+            if cold is not None and cold_limit is not None and cold_limit.is_cold:
+                permission = cold
+            is_permitted = permission is LimitedEndpoints.ALLOWED
+            if not is_permitted or self._refused_until(endpoint, now) > now:
+                withheld.add(endpoint.id)
+        if not limited:
             return frozenset()
-        if limited is LimitedEndpoints.ALLOWED:
-            withheld = {e.id for e in named if self._is_refused(e, now)}
-        else:
-            withheld = {e.id for e in named}
-        has_room_only = limited is LimitedEndpoints.AVOIDED_WITH_ROOM
+        has_room_only = LimitedEndpoints.AVOIDED_WITH_ROOM in (named, cold)
         max_load = 1.0 if has_room_only else MAX_CROWDED_LOAD
-        crowded = {e.id for e in endpoints if e not in named and e.is_above(max_load, now)}
+        crowded = {e.id for e in endpoints if e not in limited and e.is_above(max_load, now)}
         return frozenset(withheld | crowded)
 
-    def _is_refused(self, endpoint: Endpoint, now: float) -> bool:
-        return self.rate_limits.refused_until(endpoint_key(endpoint.id_hash), now) > now
+    def _refused_until(self, endpoint: Endpoint, now: float) -> float:
+        key = endpoint_key(endpoint.id_hash)
+        return max(self.rate_limits.refused_until(key, now), self.cold.refused_until(key))
+
+    def _cold_limits(
+        self, service: Service, endpoints: list[Endpoint], now: float
+    ) -> dict[int, ColdLimit]:
+        policy = ColdPolicy.of(service, self._bounds)
+        if policy is None or not self.cold.may_limit(service.name, policy, now):
+            return {}
+        entry_by_key = {endpoint_key(e.id_hash): e.entry for e in endpoints}
+        return self.cold.limits(service.name, policy, entry_by_key, now)
 
     def _with_replica_count(
         self,
@@ -467,6 +589,8 @@
         prompt = request.call.prompt
         if request.service.batch_slots is None or len(prompt) < MIN_SHARED_PARTS:
             return None
+        if self.evacuations is not None and self.evacuations.has_any():
+            endpoints = self.evacuations.context_sources(endpoints, now)
         first_part = self._part_memory.record_send(prompt[0].id, chosen, endpoints, now)
         return context_source(endpoints, chosen, request, now) or first_part
 
--- a/src/sequoiadrum/gateway/relay.py
+++ b/src/sequoiadrum/gateway/relay.py
@@ -23,6 +23,7 @@
     REFUSED_BEFORE_SEND,
     body_guard,
     first_byte_guard,
+    placed_guard,
     stream_guard,
     unsent_end_reason,
     unsent_guard,
@@ -70,6 +71,8 @@
 """`Retry-After` sent when no endpoint is known or none can be reached, as during a restart."""
 FULL_RETRY_AFTER_S: Final = 0.2
 """`Retry-After` sent when all endpoints are full: about the time of two requests."""
+EVACUATED_RETRY_AFTER_S: Final = 1.0
+"""`Retry-After` sent when all endpoints are evacuated, which lasts seconds at least."""
 LIMITED_RETRY_AFTER_S: Final = 0.5
 """Shortest `Retry-After` sent when endpoints named rates below the demand; others wait as well."""
 MAX_QUOTA_ASKS: Final = 4
@@ -217,6 +220,9 @@
                 return placement, result
             self._pool.release(placement)
             if isinstance(result, NotSent):
+                if result.interrupt is Interrupt.EVACUATED:
+                    self._record_event("endpoint_evacuated_before_send", run, placement)
+                    continue
                 if result.is_unresponsive:
                     self._handle_not_sent(run, placement, result)
                 if result.interrupt is not None:
@@ -239,6 +245,7 @@
         for endpoint_id in self._pool.take_ended_holds():
             self._metrics.count("endpoint_holds_ended_total")
             self._log.notable("endpoint_hold_ended", endpoint=endpoint_id)
+        self._record_cold_changes()
         placement_request = PlacementRequest(
             run.service,
             run.call,
@@ -248,10 +255,10 @@
         )
         placement = self._pool.take(placement_request)
         for asked in range(MAX_QUOTA_ASKS):
-            if isinstance(placement, PlacementFailure) or not placement.needs_quota:
+            if isinstance(placement, PlacementFailure) or not placement.is_limited:
                 return placement
             try:
-                is_granted = self._quotas.acquire(placement.endpoint_key)
+                is_granted = self._acquire(run, placement)
                 guard()
                 if is_granted:
                     self._pool.confirm(placement, placement_request)
@@ -271,13 +278,39 @@
                 if not isinstance(spare, PlacementFailure):
                     return spare
             placement = self._pool.take(placement_request, is_repeated=True)
-        if not isinstance(placement, PlacementFailure) and placement.needs_quota:
+        if not isinstance(placement, PlacementFailure) and placement.is_limited:
             self._pool.cancel(placement)
             return self._pool.take(
                 placement_request, is_repeated=True, limited=LimitedEndpoints.AVOIDED
             )
         return placement
 
+    def _acquire(self, run: RequestRun, placement: EndpointPlacement) -> bool:
+        """Obtains the units that a request needs for its endpoint."""
+        limit = placement.cold_limit
+        is_granted = (
+            limit is None
+            or self._quotas.acquire_cold(placement.endpoint_key, limit.permitted_per_s)
+        ) and (not placement.needs_quota or self._quotas.acquire(placement.endpoint_key))
+        if not is_granted:
+            self._log.routine(
+                "endpoint_unit_refused",
+                request=run.call.request_id,
+                endpoint=placement.endpoint.id,
+                is_cold=limit is not None and limit.is_cold,
+            )
+        return is_granted
+
+    def _record_cold_changes(self) -> None:
+        for change in self._pool.cold.take_changes():
+            is_cold = change.left_s > 0
+            self._metrics.count("endpoint_cold_changes_total", to="cold" if is_cold else "warm")
+            self._log.notable(
+                "endpoint_cold" if is_cold else "endpoint_warm",
+                endpoint=change.endpoint_id,
+                left_ms=int(change.left_s * 1e3) if is_cold else None,
+            )
+
     def _send(
         self, run: RequestRun, placement: EndpointPlacement, last_event_id: str | None
     ) -> Exchange | NotSent | ExchangeFailure:
@@ -298,6 +331,12 @@
         run.sent_at = clock.now()
         run.endpoint_id = placement.endpoint.id
         run.has_event = False
+        evacuations = self._pool.evacuations
+        send_guard = (
+            unsent_guard(run)
+            if evacuations is None
+            else placed_guard(run, evacuations, entry.failure_domain)
+        )
         result = self._connections.send(
             entry.instance_id,
             entry.address,
@@ -307,7 +346,8 @@
             first_byte_guard(run, run.sent_at),
             run.kind.is_retryable,
             _connect_timeout_s(run),
-            unsent_guard(run),
+            send_guard,
+            lambda: self._pool.is_replaced(entry),
         )
         self._metrics.record_seconds("endpoint_first_byte_seconds", clock.now() - run.sent_at)
         if not isinstance(result, NotSent):
@@ -620,8 +660,9 @@
             ),
             PlacementFailure.RATE_LIMITED: (
                 Refused.ENDPOINTS_LIMITED,
-                max(LIMITED_RETRY_AFTER_S, self._pool.quota_wait_s(run.service.name)),
+                self._quota_wait_s(run),
             ),
+            PlacementFailure.EVACUATED: (Refused.ENDPOINTS_EVACUATED, EVACUATED_RETRY_AFTER_S),
         }[why]
         return self._refuse(run, reason, run.last_error, retry_after_s)
 
@@ -630,6 +671,14 @@
         share = (stable_hash("come-back", run.call.request_id) % 1_000) / 1_000
         return come_back_s(self._pool.hold_wait_s(run.service.name), share)
 
+    def _quota_wait_s(self, run: RequestRun) -> float:
+        """Returns the seconds after which a request may find a unit of a rate."""
+        wait_s = max(LIMITED_RETRY_AFTER_S, self._pool.quota_wait_s(run.service.name))
+        if run.service.cold_requests_per_s <= 0:
+            return wait_s
+        share = (stable_hash("quota", run.call.request_id) % 1_000) / 1_000
+        return come_back_s(wait_s, share)
+
     def _refuse(
         self, run: RequestRun, reason: Refused, detail: str = "", retry_after_s: float | None = None
     ) -> CallerResponse:
@@ -693,6 +742,7 @@
             in_flight=placement.in_flight,
             fleet_load=placement.fleet_load,
             rate_limit=head.rate_limit,
+            is_cold=(placement.cold_limit is not None and placement.cold_limit.is_cold) or None,
             context_from=(
                 placement.context_source.id if placement.context_source is not None else None
             ),
