Weigh requests by the time for which their size holds a slot, and tolerate longer queues

Cause: a tag that holds a slot for 0.1 s counted as much as a draft of 1.5 s, and refusals in short bursts cost more callers than the queues of the engines did.

--- a/src/sequoiadrum/gateway/admission_control.py
+++ b/src/sequoiadrum/gateway/admission_control.py
@@ -3,9 +3,9 @@
 Designed for services whose endpoints are short of places for some seconds: a burst of long drafts
 on the engines that answer short questions, an account that sends many times its usual, endpoints
 that crash. A request that cannot be served in time is refused at once; else every request is
-admitted until all places are taken. From then on the router keeps to its part of the places, which
-is what it has admitted, scaled by how far the places of the whole fleet are exceeded. These parts
-add up to the places however many routers there are.
+admitted until so many wait that callers would give up. From then on the router keeps to its part
+of the places: what it has in flight as a share of what all routers have. The parts add up to the
+places however many routers there are.
 """
 
 from __future__ import annotations
@@ -45,6 +45,9 @@
 RETURNING_SHARE: Final = 0.97
 """A request whose caller waits less than this share of the longest wait on its route has used time
 before it arrived: it was refused and came back."""
+LONGEST_WAIT_DECAY: Final = 0.01
+"""Share by which the longest wait of a route approaches that of each further request, so that one
+caller with much patience does not make all others look as if they came back."""
 MAX_WAIT_SHARE: Final = 0.33
 """Callers wait for at most a third of the time that they have left."""
 CAPPED_SPREAD: Final = 0.3
@@ -52,7 +55,7 @@
 MIN_RETURN_S: Final = 0.1
 MAX_RETURN_S: Final = 3.0
 """Bounds on the time after which a refused caller is asked to come back."""
-TOLERATED_WAIT_SHARE: Final = 0.25
+TOLERATED_WAIT_SHARE: Final = 0.4
 """Share of the time after which callers give up that requests may wait for a place on average. A
 shorter wait at an endpoint serves more callers than a refusal does."""
 MIN_CORRECTION: Final = 0.7
@@ -245,8 +248,6 @@
 
     _need_by_priority: dict[int, DecayedSum] = field(factory=dict)
     """Places that the requests needed, admitted or not, in seconds of a slot."""
-    _admitted: DecayedSum = field(factory=lambda: DecayedSum(NEED_HALF_LIFE_S))
-    """The same of the admitted requests."""
     _admitted_requests: DecayedSum = field(factory=lambda: DecayedSum(NEED_HALF_LIFE_S))
     _use_by_account: dict[str, _AccountUse] = field(factory=dict)
     """In the order of their last request."""
@@ -258,7 +259,8 @@
     """What is left of the shares of a priority, or of one account in it; a request takes 1."""
     _share_by_priority: dict[int, float] = field(factory=dict)
     _share_by_account: dict[str, float] = field(factory=dict)
-    _slot_s: float = 0.0
+    _mean_need_s: float = 0.0
+    """Mean time for which a request holds a slot; 0 if unknown."""
     _short_since: float | None = None
     """Monotonic seconds at which the places became too few; None while they suffice."""
     _own_sum: float = 0.0
@@ -278,7 +280,8 @@
         demand: Demand,
         room: Room,
         expected: Expectation | None,
-        slot_s: float,
+        need_s: float,
+        mean_need_s: float,
         queue_s: float,
         routers: int,
         now: float,
@@ -289,22 +292,21 @@
             demand: The request.
             room: Room of its service.
             expected: Time that it takes at the endpoint with the shortest queue; None if unknown.
-            slot_s: Time for which a request holds a slot; 0 if unknown.
+            need_s: Time for which it holds a slot; 0 if unknown.
+            mean_need_s: The same for all requests to the service.
             queue_s: Time until a slot is free at the endpoint with the shortest queue.
             routers: Number of routers; used until the part of this one is known.
             now: Monotonic seconds.
         """
         self._observe(room, now)
-        need = slot_s or 1.0
-        self._slot_s = slot_s
-        self._count(demand, need, now)
+        self._mean_need_s = mean_need_s
+        self._count(demand, need_s or 1.0, now)
         if not room.is_calm:
             if expected is not None and _is_out_of_reach(demand, expected):
                 return self._refuse(demand, Outcome.OUT_OF_REACH, queue_s, now)
             refusal = self._limit(demand, room, queue_s, routers, now)
             if refusal is not None:
                 return refusal
-        self._admitted.add(need, now)
         self._admitted_requests.add(1.0, now)
         return Admission(Outcome.ADMITTED)
 
@@ -355,8 +357,9 @@
         if len(self._use_by_account) > MAX_ACCOUNTS:
             del self._use_by_account[next(iter(self._use_by_account))]
         if math.isfinite(demand.wait_s):
-            longest = self._longest_wait_by_route.get(demand.route, 0.0)
-            self._longest_wait_by_route[demand.route] = max(longest, demand.wait_s)
+            longest_s = self._longest_wait_by_route.get(demand.route, 0.0)
+            longest_s += LONGEST_WAIT_DECAY * min(0.0, demand.wait_s - longest_s)
+            self._longest_wait_by_route[demand.route] = max(longest_s, demand.wait_s)
 
     def _limit(
         self, demand: Demand, room: Room, queue_s: float, routers: int, now: float
@@ -427,7 +430,7 @@
 
     def _tolerated_occupancy(self, demand: Demand) -> float:
         """Returns the requests at the endpoints, as a multiple of the slots, that may be there."""
-        slot_s = self._slot_s or demand.first_left_s
+        slot_s = self._mean_need_s or demand.first_left_s
         return 1 + TOLERATED_WAIT_SHARE * max(0.0, demand.first_left_s) / max(1e-3, slot_s)
 
     def _is_returning(self, demand: Demand) -> bool:
