--- a/src/sequoiadrum/gateway/pool.py
+++ b/src/sequoiadrum/gateway/pool.py
@@ -29,13 +29,23 @@
 )
 from sequoiadrum.gateway.rate_limits import NamedLimit, RateLimits
 from sequoiadrum.gateway.retry_budget import RetryBudget
+from sequoiadrum.gateway.service_rooms import ServiceRooms
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Mapping
 
+    from sequoiadrum.gateway.admission_control import Admission, Demand
     from sequoiadrum.gateway.cold_endpoints import ColdLimit
     from sequoiadrum.gateway.evacuations import Evacuations
-    from sequoiadrum.gateway.model import EndpointEntry, ResponseHead, Service, StorePosition
+    from sequoiadrum.gateway.model import (
+        EndpointEntry,
+        RequestHead,
+        ResponseHead,
+        Service,
+        StorePosition,
+    )
+    from sequoiadrum.gateway.room import Room
+    from sequoiadrum.gateway.service_rooms import ExpectedStay
     from sequoiadrum.gateway.settings import Bounds
 
 
@@ -57,6 +67,10 @@
     cold_limit: ColdLimit | None = None
     """The limit of an endpoint that is or was cold, of which the request needs a unit as well."""
     is_released: bool = False
+    stay: ExpectedStay | None = None
+    """What is expected of the request; None if admission is not controlled."""
+    first_s: float | None = None
+    """Seconds from the placement to the first event or the response, once it has arrived."""
 
     @property
     def is_limited(self) -> bool:
@@ -68,6 +82,22 @@
         """The number that identifies the endpoint to other routers."""
         return endpoint_key(self.endpoint.id_hash)
 
+    def expected_first_ms(self) -> int | None:
+        """Returns the expected milliseconds to the first event; None if nothing was expected."""
+        if self.stay is None or self.stay.expected is None:
+            return None
+        return int(self.stay.expected.first_s * 1e3)
+
+    def estimate_error_s(self) -> float | None:
+        """Returns by how many seconds the first event came later than expected.
+
+        Returns:
+            None if it has not arrived, or nothing was expected.
+        """
+        if self.first_s is None or self.stay is None or self.stay.expected is None:
+            return None
+        return self.first_s - self.stay.expected.first_s
+
 
 class EndpointPool:
     """Places requests on endpoints and records the results; safe to use from any thread.
@@ -99,11 +129,34 @@
         self._budget_by_service: dict[str, RetryBudget] = {}
         self._turned_away: set[Endpoint] = set()
         """Endpoints with a hold whose end was not reported yet."""
+        self._rooms = ServiceRooms()
         self.rate_limits = RateLimits()
         """The rates that endpoints named; thread-safe by itself."""
         self.cold = ColdEndpoints()
         """The endpoints that are cold; thread-safe by itself."""
 
+    def controls_admission(self) -> bool:
+        """Returns whether `admit` decides on requests; see `ServiceRooms`."""
+        return self._rooms.is_active(clock.now())
+
+    def admit(self, service: str, call: RequestHead, demand: Demand) -> Admission:
+        """Decides whether a new request is admitted."""
+        now = clock.now()
+        with self._lock:
+            endpoints = self._usable(service, now)
+            return self._rooms.decide(service, call, demand, endpoints, self._instances(), now)
+
+    def return_after_s(self, service: str, demand: Demand) -> float:
+        """Returns when the caller of a request that all endpoints refused should come back."""
+        now = clock.now()
+        with self._lock:
+            return self._rooms.return_after_s(service, demand, now)
+
+    def room(self, service: str) -> Room:
+        """Returns the room of a service as computed last, for metrics."""
+        with self._lock:
+            return self._rooms.room(service)
+
     def take(
         self,
         request: PlacementRequest,
@@ -159,6 +212,10 @@
                 limit is not None,
                 cold.get(key),
             )
+            if self._rooms.is_active(now):
+                placement.stay = self._rooms.expect(
+                    request.service.name, request.call, chosen, self._instances(), now
+                )
             if not placement.is_limited:
                 placement.context_source = self._find_context_source(known, chosen, request, now)
             return placement
@@ -221,10 +278,16 @@
         with self._lock:
             if head.load is not None:
                 placement.endpoint.record_load(head.load, now)
+                if head.load.slowdown is not None:
+                    self._rooms.record_shared_host(now)
             if head.is_not_executed:
                 placement.endpoint.record_full(now)
             else:
                 placement.endpoint.record_result(failed, now)
+                if placement.stay is not None and not failed:
+                    placement.first_s = now - placement.placed_at
+                    service = placement.endpoint.entry.service
+                    self._rooms.record_first(service, placement.stay, placement.first_s)
         if head.cold_left_s is not None and head.instance_id in (None, placement.endpoint.id):
             self.cold.record_statement(placement.endpoint_key, head.cold_left_s, now)
         if head.rate_limit is None and not head.is_sealed:
@@ -236,6 +299,15 @@
             placement.endpoint_key, NamedLimit(head.rate_limit, observed_at), now
         )
 
+    def record_done(self, placement: EndpointPlacement) -> None:
+        """Records that the response to a placed request is complete."""
+        if placement.stay is None or placement.first_s is None:
+            return
+        whole_s = clock.now() - placement.placed_at
+        with self._lock:
+            service = placement.endpoint.entry.service
+            self._rooms.record_done(service, placement.stay, placement.first_s, whole_s)
+
     def record_notices(
         self, placement: EndpointPlacement, head: ResponseHead
     ) -> list[tuple[str, Hold]]:
@@ -419,11 +491,17 @@
 
     def _serving(self, service: str, now: float) -> list[Endpoint]:
         """Returns the endpoints of a service that may get requests, also those held back."""
-        serving = [e for e in self._table.of_service(service) if e.can_serve(now)]
+        return [e for e in self._usable(service, now) if e.can_serve(now)]
+
+    def _usable(self, service: str, now: float) -> list[Endpoint]:
+        """Returns the endpoints of a service whose failure domains are not evacuated."""
+        endpoints = self._table.of_service(service)
         evacuations = self.evacuations
         if evacuations is None or not evacuations.has_any():
-            return serving
-        return [e for e in serving if not evacuations.is_evacuated_at(e.entry.failure_domain, now)]
+            return endpoints
+        return [
+            e for e in endpoints if not evacuations.is_evacuated_at(e.entry.failure_domain, now)
+        ]
 
     def _withheld(
         self,
