--- a/src/sequoiadrum/gateway/pool.py
+++ b/src/sequoiadrum/gateway/pool.py
@@ -396,11 +396,14 @@
         limits = self.rate_limits
         limited: list[Endpoint] = []
         withheld: set[str] = set()
+        has_named = False
         for endpoint in endpoints:
             key = endpoint_key(endpoint.id_hash)
             cold_limit = cold_limits.get(key)
-            if cold_limit is None and limits.in_force(key, now) is None:
+            is_named = limits.in_force(key, now) is not None
+            if cold_limit is None and not is_named:
                 continue
+            has_named |= is_named
             limited.append(endpoint)
             permission = named
             if cold is not None and cold_limit is not None and cold_limit.is_cold:
@@ -411,6 +414,9 @@
         if not limited:
             return frozenset()
         has_room_only = LimitedEndpoints.AVOIDED_WITH_ROOM in (named, cold)
+        if not has_room_only and not has_named and 2 * len(limited) < len(endpoints):
+            # Most of the service is warm, and takes a queue as usual.
+            return frozenset(withheld)
         max_load = 1.0 if has_room_only else MAX_CROWDED_LOAD
         crowded = {e.id for e in endpoints if e not in limited and e.is_above(max_load, now)}
         return frozenset(withheld | crowded)
--- a/tests/gateway/test_cold_endpoints.py
+++ b/tests/gateway/test_cold_endpoints.py
@@ -503,6 +503,17 @@
         self._fill(other, 5)
         self.assertIs(self._place(), PlacementFailure.RATE_LIMITED)
 
+    def test_few_cold_endpoints_leave_the_queues_of_the_others(self) -> None:
+        """Guards against a crowded service that refuses callers because one endpoint started."""
+        for name in ("e3", "e4", "e5"):
+            self._apply(name, is_newly_joined=False)
+        keys = {e.id: endpoint_key(e.id_hash) for e in self.pool._table.by_id.values()}
+        self.pool.set_fleet_loads(Loads(dict.fromkeys(keys.values(), 6), {}))
+        self._apply("e1", revision=2)
+        self.assertEqual(self._home(), "e1")
+        self.pool.cold.refuse_until(keys["e1"], clock.now() + 60.0)
+        self.assertNotEqual(self._home(), "e1")
+
     def test_all_endpoints_are_cold(self) -> None:
         """Guards against a service that serves nobody while all of it is cold."""
         for name in ("e1", "e2"):
