--- a/src/sequoiadrum/gateway/cold_endpoints.py
+++ b/src/sequoiadrum/gateway/cold_endpoints.py
@@ -17,8 +17,8 @@
 
 from sequoiadrum.gateway.rate_limits import MAX_WAIT_S, MIN_WAIT_S, Grant
 from sequoiadrum.hashing import first_ranked
-from sequoiadrum.limits import TokenBucket
 from sequoiadrum.messages import MemberState
+from sequoiadrum.token_bucket import TokenBucket
 
 if TYPE_CHECKING:
     from collections.abc import Mapping
--- a/tests/gateway/cold_fleet.py
+++ b/tests/gateway/cold_fleet.py
@@ -23,8 +23,8 @@
     SILENT_OWNER_WAIT_S,
 )
 from sequoiadrum.gateway.rate_limits import MIN_WAIT_S, quota_owner
-from sequoiadrum.limits import TokenBucket
 from sequoiadrum.messages import Member, MemberState
+from sequoiadrum.token_bucket import TokenBucket
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Mapping, Sequence
