--- a/src/sequoiadrum/gateway/pool.py
+++ b/src/sequoiadrum/gateway/pool.py
@@ -143,9 +143,7 @@
         """Decides whether a new request is admitted."""
         now = clock.now()
         with self._lock:
-            endpoints = self._table.of_service(service)
-            if self.evacuations is not None and self.evacuations.has_any():
-                endpoints = self.evacuations.usable(endpoints, prompt_key(call), (), now)
+            endpoints = self._usable(service, now)
             return self._rooms.decide(service, call, demand, endpoints, self._instances(), now)
 
     def return_after_s(self, service: str, demand: Demand) -> float:
@@ -503,11 +501,17 @@
 
     def _serving(self, service: str, now: float) -> list[Endpoint]:
         """Returns the endpoints of a service that may get requests, also those held back."""
-        serving = [e for e in self._table.of_service(service) if e.can_serve(now)]
+        return [e for e in self._usable(service, now) if e.can_serve(now)]
+
+    def _usable(self, service: str, now: float) -> list[Endpoint]:
+        """Returns the endpoints of a service whose failure domains are not evacuated."""
+        endpoints = self._table.of_service(service)
         evacuations = self.evacuations
         if evacuations is None or not evacuations.has_any():
-            return serving
-        return [e for e in serving if not evacuations.is_evacuated_at(e.entry.failure_domain, now)]
+            return endpoints
+        return [
+            e for e in endpoints if not evacuations.is_evacuated_at(e.entry.failure_domain, now)
+        ]
 
     def _withheld(
         self,
@@ -529,11 +533,14 @@
         limits = self.rate_limits
         limited: list[Endpoint] = []
         withheld: set[str] = set()
+        has_named = False
         for endpoint in endpoints:
             key = endpoint_key(endpoint.id_hash)
             cold_limit = cold_limits.get(key)
-            if cold_limit is None and limits.in_force(key, now) is None:
+            is_named = limits.in_force(key, now) is not None
+            if cold_limit is None and not is_named:
                 continue
+            has_named |= is_named
             limited.append(endpoint)
             permission = named
             if cold is not None and cold_limit is not None and cold_limit.is_cold:
@@ -544,6 +551,9 @@
         if not limited:
             return frozenset()
         has_room_only = LimitedEndpoints.AVOIDED_WITH_ROOM in (named, cold)
+        if not has_room_only and not has_named and 2 * len(limited) < len(endpoints):
+            # Most of the service is warm, and takes a queue as usual.
+            return frozenset(withheld)
         max_load = 1.0 if has_room_only else MAX_CROWDED_LOAD
         crowded = {e.id for e in endpoints if e not in limited and e.is_above(max_load, now)}
         return frozenset(withheld | crowded)
