Wait briefly for a full endpoint, and refuse the least urgent first while many bytes are held

Cause: a request was refused as soon as all endpoints had refused others as full, also where one takes requests again within a small part of the goal; and what slow readers make a router hold decided nothing but who is cut off.

--- a/src/sequoiadrum/gateway/admission_control.py
+++ b/src/sequoiadrum/gateway/admission_control.py
@@ -72,6 +72,9 @@
 """A router's part is at least this multiple of an equal part of all routers."""
 OWN_WINDOW_S: Final = 1.0
 """Time constant with which the requests of this router in flight are smoothed."""
+BYTES_SHORT_SHARE: Final = 0.5
+"""Share of the memory for responses from which the least urgent requests are refused; responses
+that hold much wait from there on."""
 MAX_ACCOUNTS: Final = 2_000
 """Accounts whose requests are counted; those that were counted longest ago are forgotten."""
 
@@ -86,6 +89,8 @@
     """All places are taken, and its account sends more than its part."""
     URGENT_FIRST = "urgent_first"
     """All places are taken, and more urgent requests need them."""
+    BYTES_HELD = "bytes_held"
+    """This router holds so many bytes for others that it keeps the rest for more urgent ones."""
 
 
 @frozen
@@ -105,6 +110,8 @@
     """Time until the response must be complete."""
     spread: float
     """From 0 to 1, different for each request."""
+    held_share: float = 0.0
+    """What this router holds of responses, as a share of its memory for them."""
 
 
 @frozen
@@ -301,6 +308,8 @@
         self._observe(room, now)
         self._mean_need_s = mean_need_s
         self._count(demand, need_s or 1.0, now)
+        if not self._has_memory_for(demand):
+            return self._refuse(demand, Outcome.BYTES_HELD, queue_s, now)
         if not room.is_calm:
             if expected is not None and _is_out_of_reach(demand, expected):
                 return self._refuse(demand, Outcome.OUT_OF_REACH, queue_s, now)
@@ -361,6 +370,19 @@
             longest_s += LONGEST_WAIT_DECAY * min(0.0, demand.wait_s - longest_s)
             self._longest_wait_by_route[demand.route] = max(longest_s, demand.wait_s)
 
+    def _has_memory_for(self, demand: Demand) -> bool:
+        """Returns whether the bytes that this router holds leave room for a priority.
+
+        From `BYTES_SHORT_SHARE` on, the priorities are refused one after the other, the least
+        urgent first; the most urgent one never is.
+        """
+        if demand.held_share < BYTES_SHORT_SHARE:
+            return True
+        priorities = sorted(self._need_by_priority)
+        left = max(0.0, 1 - demand.held_share) / (1 - BYTES_SHORT_SHARE)
+        admitted = max(1, math.ceil(left * len(priorities)) - 1)
+        return demand.priority in priorities[:admitted]
+
     def _limit(
         self, demand: Demand, room: Room, queue_s: float, routers: int, now: float
     ) -> Admission | None:
--- a/src/sequoiadrum/gateway/demand.py
+++ b/src/sequoiadrum/gateway/demand.py
@@ -16,8 +16,13 @@
 _SPREAD_STEPS = 1_000
 
 
-def demand_of(run: RequestRun) -> Demand:
-    """Returns what a request needs; the times are as of now."""
+def demand_of(run: RequestRun, held_share: float) -> Demand:
+    """Returns what a request needs; the times are as of now.
+
+    Args:
+        run: The request.
+        held_share: What this router holds of responses, as a share of its memory for them.
+    """
     left_s = run.time_left()
     first_left_s = left_s
     if run.kind.is_stream:
@@ -31,4 +36,5 @@
         first_left_s=first_left_s,
         done_left_s=left_s,
         spread=stable_hash("come-back", run.call.request_id) % _SPREAD_STEPS / _SPREAD_STEPS,
+        held_share=held_share,
     )
--- a/src/sequoiadrum/gateway/explain.py
+++ b/src/sequoiadrum/gateway/explain.py
@@ -51,6 +51,7 @@
 _CAUSE_BY_REASON: Final = {
     "account_share": "all places were taken and the account sent more than its part; not run",
     "bad_request": "the request could not be parsed",
+    "bytes_held": "the router held many bytes and kept the rest for urgent requests; not run",
     "caller_gone": "the caller disconnected before the response began",
     "crashes_endpoints": "several endpoints crashed while they ran requests with the same content",
     "deadline": "no endpoint finished before the deadline; the request may have run",
--- a/src/sequoiadrum/gateway/memory_budget.py
+++ b/src/sequoiadrum/gateway/memory_budget.py
@@ -76,6 +76,10 @@
         """Returns the bytes that all responses hold."""
         return self._used
 
+    def used_share(self) -> float:
+        """Returns the bytes that all responses hold as a share of the limit."""
+        return self._used / max(1, 2 * self._short_at)
+
     def open(self) -> Holding:
         """Adds a response that holds nothing yet."""
         holding = Holding(self)
--- a/src/sequoiadrum/gateway/relay.py
+++ b/src/sequoiadrum/gateway/relay.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import time
 from http import HTTPStatus
 from typing import TYPE_CHECKING, Final
 
@@ -75,6 +76,8 @@
 """`Retry-After` sent when all endpoints are evacuated, which lasts seconds at least."""
 LIMITED_RETRY_AFTER_S: Final = 0.5
 """Shortest `Retry-After` sent when endpoints named rates below the demand; others wait as well."""
+MAX_ROOM_WAIT_SHARE: Final = 0.125
+"""Longest wait for an endpoint that is full, as a share of the goal for the first byte."""
 MAX_QUOTA_ASKS: Final = 4
 """Endpoints with a named rate that are asked for; then one without is chosen, if there is any."""
 MAX_UNSENT_ATTEMPTS: Final = 6
@@ -164,7 +167,7 @@
         if not self._pool.controls_admission():
             return None
         service = run.service.name
-        admission = self._pool.admit(service, run.call, demand_of(run))
+        admission = self._pool.admit(service, run.call, demand_of(run, self._memory.used_share()))
         self._metrics.count("admissions_total", outcome=admission.outcome.value)
         if admission.outcome is Outcome.ADMITTED:
             return None
@@ -209,6 +212,8 @@
                 placement = self._place_request(run)
             except InterruptedWaitError as error:
                 return self._refuse_ended(run, error.interrupt)
+            if placement is PlacementFailure.FULL and self._wait_for_room(run):
+                continue
             if isinstance(placement, PlacementFailure):
                 return self._refuse_unplaced(run, placement)
             try:
@@ -234,6 +239,22 @@
             if response is not None:
                 return response
 
+    def _wait_for_room(self, run: RequestRun) -> bool:
+        """Waits once for an endpoint that refused others as full, if that ends soon.
+
+        Returns:
+            Whether it has waited; False if the wait would take too much of the goal.
+        """
+        if run.has_waited or run.was_sent or not self._pool.controls_admission():
+            return False
+        wait_s = self._pool.hold_wait_s(run.service.name)
+        if not 0 < wait_s <= min(MAX_ROOM_WAIT_SHARE * run.route.goal_s, run.time_left()):
+            return False
+        run.has_waited = True
+        self._metrics.count("room_waits_total")
+        time.sleep(wait_s)
+        return unsent_end_reason(run) is None
+
     def _place_request(self, run: RequestRun) -> EndpointPlacement | PlacementFailure:
         """Places a request at an endpoint whose rate, if it named one, permits the request.
 
@@ -536,7 +557,9 @@
     def _full_retry_after_s(self, run: RequestRun) -> float:
         if not self._pool.controls_admission():
             return FULL_RETRY_AFTER_S
-        return self._pool.return_after_s(run.service.name, demand_of(run))
+        return self._pool.return_after_s(
+            run.service.name, demand_of(run, self._memory.used_share())
+        )
 
     def _begin_stream(
         self, run: RequestRun, placement: EndpointPlacement, exchange: Exchange
--- a/tests/gateway/test_admission_control.py
+++ b/tests/gateway/test_admission_control.py
@@ -250,6 +250,33 @@
         self.assertGreater(share[True], 1.3 * share[False])
 
 
+class BytesTest(unittest.TestCase):
+    """What a router holds for callers who read slowly decides who is admitted."""
+
+    def test_least_urgent_are_refused_first(self) -> None:
+        """Guards against slow readers of unimportant responses who use up a router's memory."""
+        control = AdmissionControl()
+        for priority in (0, 1, 2):
+            decide(control, a_demand(priority=priority), a_room(10))
+        admitted = {
+            held: [
+                priority
+                for priority in (0, 1, 2)
+                if decide(control, a_demand(priority=priority, held_share=held), a_room(10))
+                is Outcome.ADMITTED
+            ]
+            for held in (0.0, 0.49, 0.55, 0.8, 1.0)
+        }
+        self.assertEqual(
+            admitted, {0.0: [0, 1, 2], 0.49: [0, 1, 2], 0.55: [0, 1], 0.8: [0], 1.0: [0]}
+        )
+
+    def test_only_kind_is_not_refused(self) -> None:
+        """Guards against a router that refuses all requests because of what it holds."""
+        outcome = decide(AdmissionControl(), a_demand(held_share=1.0), a_room(10))
+        self.assertIs(outcome, Outcome.ADMITTED)
+
+
 class ReturnTest(unittest.TestCase):
     """When refused callers are asked to come back."""
 
--- a/tests/gateway/test_refused_ahead.py
+++ b/tests/gateway/test_refused_ahead.py
@@ -5,10 +5,12 @@
 import unittest
 from unittest import mock
 
+from sequoiadrum.gateway import clock
 from sequoiadrum.gateway.admission_control import Admission, Outcome
+from sequoiadrum.gateway.holds import HoldReason
 from sequoiadrum.gateway.pool import EndpointPool
 from tests.gateway.scripted_endpoint import ScriptedEndpoint, answer
-from tests.gateway.world import World, eventually
+from tests.gateway.world import World, config_document, eventually
 
 SHARED_HOST = "Sequoiadrum-Server-Load: 1,0,6,100\r\n"
 
@@ -64,6 +66,23 @@
         self.assertIn('sequoiadrum_room_places{service="shop"} 6', exposition)
         self.assertIn('sequoiadrum_admissions_total{outcome="admitted"} 1', exposition)
 
+    def test_waits_briefly_for_a_full_endpoint(self) -> None:
+        """Guards against refusals where the next endpoint has room in a moment."""
+        endpoint = self.add(SHARED_HOST)
+        (known,) = self.world.gateway.pool._table.of_service("shop")
+        document = config_document(2)
+        document["routes"][0]["goal_ms"] = 16_000
+        self.world.store.put("config", "main", document)
+        eventually(lambda: self.world.gateway.configuration.version() == 2, "in force")
+        known.holds.add(HoldReason.FULL, clock.now() + 1.5)
+        self.assertEqual(self.world.call("/read/1", "q1")[0], 200)
+        self.assertEqual(self.world.gateway.metrics.value("room_waits_total"), 1)
+        # The goal of this route is too short for the wait.
+        known.holds.add(HoldReason.FULL, clock.now() + 10.0)
+        status, _, body = self.world.call("/order/1", "q2")
+        self.assertEqual((status, body), (503, b"endpoints_full\n"))
+        self.assertEqual(len(endpoint.received), 2)
+
     def test_rejections_of_full_endpoints_spread_their_callers(self) -> None:
         """Guards against callers of full endpoints who come back all at once."""
         endpoint = self.add(SHARED_HOST)
