--- a/src/sequoiadrum/gateway/pool.py
+++ b/src/sequoiadrum/gateway/pool.py
@@ -143,8 +143,9 @@
         """Decides whether a new request is admitted."""
         now = clock.now()
         with self._lock:
-            endpoints = self._usable(service, now)
-            return self._rooms.decide(service, call, demand, endpoints, self._instances(), now)
+            return self._rooms.decide(
+                service, call, demand, lambda: self._usable(service, now), self._instances(), now
+            )
 
     def return_after_s(self, service: str, demand: Demand) -> float:
         """Returns when the caller of a request that all endpoints refused should come back."""
--- a/src/sequoiadrum/gateway/service_rooms.py
+++ b/src/sequoiadrum/gateway/service_rooms.py
@@ -28,6 +28,8 @@
 )
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from sequoiadrum.gateway.endpoints import Endpoint
     from sequoiadrum.gateway.model import RequestHead
 
@@ -92,11 +94,21 @@
         service: str,
         call: RequestHead,
         demand: Demand,
-        endpoints: list[Endpoint],
+        endpoints: Callable[[], list[Endpoint]],
         routers: int,
         now: float,
     ) -> Admission:
-        """Decides whether a request is admitted; see `AdmissionControl.decide`."""
+        """Decides whether a request is admitted; see `AdmissionControl.decide`.
+
+        Args:
+            service: Name of the service.
+            call: The request.
+            demand: What it needs.
+            endpoints: Returns the endpoints of the service that may take requests; called only if
+                the room is computed again.
+            routers: Number of routers.
+            now: Monotonic seconds.
+        """
         state = self._refreshed(service, endpoints, routers, now)
         size = size_of(call)
         occupied = state.room.shortest_queue + 1 if state.room.shortest_queue > 0 else 0.0
@@ -133,11 +145,11 @@
         self._of(service).times.record_done(stay.size, stay.occupied, first_s, whole_s)
 
     def _refreshed(
-        self, service: str, endpoints: list[Endpoint], routers: int, now: float
+        self, service: str, endpoints: Callable[[], list[Endpoint]], routers: int, now: float
     ) -> _ServiceRoom:
         state = self._of(service)
         if now - state.room_at >= ROOM_INTERVAL_S:
-            state.room = room_of(endpoints, routers, now)
+            state.room = room_of(endpoints(), routers, now)
             state.room_at = now
         return state
 
