Choose endpoints evenly where endpoints share their hosts

Cause: what a router knows of an endpoint's load is 0.1 to 0.8 s old, and up to 200 routers choose at once; the choice by own requests in flight does not see what other routers send, and no endpoint has a speed.

The pool switches to the even choice once an endpoint states how long work takes on its host; otherwise the same functions decide as before. No further reports, probes or calls of the store.

Ruled out in tests/gateway/even_load_fleet.py (69 routers, 4 x 6 slots, 400 calls/s): least loaded on old reports, which is worse than random; a mean of the reports over 0.5 s, which shifts load after each spell on a slow host; spilling from engines at 85 % of their slots, which doubles the chats away from their home and does not shorten waits. With fewer than 30 routers the own requests of each are the better knowledge, so plain services keep the present choice there.

Tests: test_endpoint_choice, test_even_load, test_load_estimate, test_endpoint_speed pass.

--- a/src/sequoiadrum/gateway/app.py
+++ b/src/sequoiadrum/gateway/app.py
@@ -165,6 +165,8 @@
         self._store_availability.subscribe_restores(self._instances.register_again)
         self._store_availability.subscribe_restores(self.peer_events.store_restored)
         self.pool: Final = EndpointPool(settings.bounds, self.directory.count)
+        self.metrics.gauge("even_choice_active", lambda: float(self.pool.is_even()))
+        self.metrics.gauge("endpoint_load_highest_multiple", self.pool.highest_load_multiple)
         self._load_exchange = LoadExchangeTask(
             self.gossip, self.pool, settings.failure_domain, self.metrics, self._invariant_broken
         )
--- a/src/sequoiadrum/gateway/placement.py
+++ b/src/sequoiadrum/gateway/placement.py
@@ -17,8 +17,9 @@
 from sequoiadrum.placement import chat_score
 
 if TYPE_CHECKING:
-    from collections.abc import Collection
+    from collections.abc import Collection, Sequence
 
+    from sequoiadrum.gateway.endpoint_choice import EndpointChoice
     from sequoiadrum.gateway.endpoints import Endpoint
     from sequoiadrum.gateway.model import RequestHead, Service
 
@@ -111,7 +112,10 @@
 
 
 def choose(
-    endpoints: list[Endpoint], request: PlacementRequest, now: float
+    endpoints: list[Endpoint],
+    request: PlacementRequest,
+    now: float,
+    choice: EndpointChoice | None = None,
 ) -> Endpoint | PlacementFailure:
     """Chooses the endpoint for a request, and schedules the next probe if it is a failing one.
 
@@ -119,6 +123,7 @@
         endpoints: All endpoints of the service.
         request: The request to place.
         now: Monotonic seconds.
+        choice: Chooses among the endpoints that may take it; by default by requests in flight.
 
     Returns:
         The endpoint, or why no endpoint can take the request.
@@ -139,9 +144,11 @@
                 endpoint.next_probe_at = now + PROBE_INTERVAL_S
                 return endpoint
     candidates = healthy or available
+    if choice is not None:
+        return choice.choose(candidates, request, now)
     if request.service.batch_slots is None:
-        return _choose_least_loaded(candidates, request, now)
-    return _choose_engine(candidates, request, now)
+        return choose_least_loaded(candidates, request, now)
+    return choose_engine(candidates, request, now)
 
 
 def _why_unavailable(
@@ -184,20 +191,29 @@
     return None
 
 
-def _choose_engine(candidates: list[Endpoint], request: PlacementRequest, now: float) -> Endpoint:
+def rank_engines(candidates: Sequence[Endpoint], request: PlacementRequest) -> list[Endpoint]:
+    """Returns engines by preference: the home of a prompt first, or its replicas in any order."""
+    key = stable_hash("prompt", prompt_key(request.call))
+    ranked = sorted(candidates, key=lambda e: chat_score(key, e.id_hash), reverse=True)
+    return _shuffle_replicas(ranked, request)
+
+
+def choose_engine(
+    candidates: Sequence[Endpoint], request: PlacementRequest, now: float
+) -> Endpoint:
     """Returns the highest-ranked engine within the load bound, or else the least loaded one."""
     key = stable_hash("prompt", prompt_key(request.call))
     ranked = sorted(candidates, key=lambda e: chat_score(key, e.id_hash), reverse=True)
     preferred = _shuffle_replicas(ranked, request)
     fleet_loads = _fleet_loads(candidates, now)
     if fleet_loads is not None:
-        bound = _load_bound(fleet_loads.values(), FLEET_SPILL_MULTIPLE, FLEET_SPILL_ALLOWANCE)
+        bound = load_bound(fleet_loads.values(), FLEET_SPILL_MULTIPLE, FLEET_SPILL_ALLOWANCE)
         within = (e for e in preferred if fleet_loads[e.id] + 1 <= bound)
         return next(within, None) or min(ranked, key=lambda e: fleet_loads[e.id])
-    own_bound = _load_bound([e.in_flight for e in candidates])
+    own_bound = load_bound([e.in_flight for e in candidates])
     reported = {e.id: e.reported_load(now) for e in candidates}
     known = [load for load in reported.values() if load is not None]
-    reported_bound = _load_bound(known) if len(known) == len(candidates) else math.inf
+    reported_bound = load_bound(known) if len(known) == len(candidates) else math.inf
     for endpoint in preferred:
         load = reported[endpoint.id]
         if endpoint.in_flight + 1 <= own_bound and (load is None or load + 1 <= reported_bound):
@@ -243,17 +259,22 @@
     return replicas + ranked[request.replicas :]
 
 
-def _load_bound(
-    loads: Collection[int],
+def load_bound(
+    loads: Collection[float],
     multiple: float = SPILL_MULTIPLE,
     allowance: float = SPILL_ALLOWANCE,
 ) -> float:
+    """Returns the load that an engine may reach with one more request, by those of all engines."""
     return multiple * (sum(loads) + 1) / len(loads) + allowance
 
 
-def _choose_least_loaded(
-    candidates: list[Endpoint], request: PlacementRequest, now: float
+def choose_least_loaded(
+    candidates: Sequence[Endpoint], request: PlacementRequest, now: float
 ) -> Endpoint:
+    """Returns the endpoint with the fewest requests of this instance, by its slots.
+
+    One in the own failure domain is preferred while it has few of them.
+    """
     request_hash = stable_hash("spread", request.call.request_id)
 
     def sort_key(endpoint: Endpoint) -> tuple[bool, float, int]:
--- a/src/sequoiadrum/gateway/pool.py
+++ b/src/sequoiadrum/gateway/pool.py
@@ -10,6 +10,7 @@
 
 from sequoiadrum.gateway import clock
 from sequoiadrum.gateway.crash_suspects import Listing
+from sequoiadrum.gateway.endpoint_choice import EndpointKnowledge, EvenChoice
 from sequoiadrum.gateway.endpoints import Endpoint, EndpointTable
 from sequoiadrum.gateway.holds import MAX_RETRY_AFTER_S, Hold, HoldReason
 from sequoiadrum.gateway.hot_parts import HotParts
@@ -32,6 +33,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from sequoiadrum.gateway.endpoint_choice import EndpointChoice
     from sequoiadrum.gateway.model import EndpointEntry, ResponseHead, StorePosition
     from sequoiadrum.gateway.settings import Bounds
 
@@ -51,6 +53,8 @@
     """Requests of all routers at the endpoint, this one included; None if unknown."""
     needs_quota: bool = False
     """Whether the endpoint named a rate, of which the request needs a unit."""
+    is_plain: bool = False
+    """Whether the endpoint is one of a plain service."""
     is_released: bool = False
 
     @property
@@ -66,8 +70,24 @@
     a lock costs less than a message to an owning task.
     """
 
-    def __init__(self, bounds: Bounds, instances: Callable[[], int]) -> None:
+    def __init__(
+        self,
+        bounds: Bounds,
+        instances: Callable[[], int],
+        choice: EndpointChoice | None = None,
+    ) -> None:
+        """Creates an empty pool.
+
+        Args:
+            bounds: The operators' bounds.
+            instances: Returns the number of routers.
+            choice: Chooses among endpoints. By default requests in flight decide, until an endpoint
+                states how long work takes on a host that it shares; from then on `EvenChoice` does.
+        """
         self._bounds = bounds
+        self._choice = choice
+        self._knowledge = EndpointKnowledge()
+        self._even_choice = EvenChoice(self._knowledge, instances)
         self._instances = instances
         self._lock = threading.Lock()
         self._table = EndpointTable()
@@ -104,7 +124,10 @@
             if self.rate_limits.has_any():
                 withheld = self._withheld(endpoints, now, limited)
                 request = evolve(request, withheld=withheld)
-            chosen = choose(endpoints, request, now)
+            choice = self._choice
+            if choice is None and self._knowledge.is_active:
+                choice = self._even_choice
+            chosen = choose(endpoints, request, now, choice)
             if isinstance(chosen, PlacementFailure):
                 return chosen
             chosen.in_flight += 1
@@ -113,6 +136,7 @@
             placement = EndpointPlacement(
                 chosen, chosen.in_flight, None, now, chosen.fleet_load(now), limit is not None
             )
+            placement.is_plain = request.service.batch_slots is None
             if not placement.needs_quota:
                 placement.context_source = self._find_context_source(
                     endpoints, chosen, request, now
@@ -133,7 +157,9 @@
             if not placement.is_released:
                 placement.is_released = True
                 placement.endpoint.in_flight -= 1
-                self._hot_parts.record_duration(clock.now() - placement.placed_at)
+                duration_s = clock.now() - placement.placed_at
+                self._hot_parts.record_duration(duration_s)
+                self._knowledge.record_duration(placement.endpoint, duration_s)
 
     def cancel(self, placement: EndpointPlacement) -> None:
         """Ends a placement whose request is not sent."""
@@ -181,10 +207,15 @@
         with self._lock:
             if head.load is not None:
                 placement.endpoint.record_load(head.load, now)
+                self._knowledge.record_load(placement.endpoint, head.load, now)
             if head.is_not_executed:
                 placement.endpoint.record_full(now)
             else:
                 placement.endpoint.record_result(failed, now)
+                if placement.is_plain and not failed:
+                    self._knowledge.record_completed(
+                        placement.endpoint, now - placement.placed_at, now
+                    )
         if head.rate_limit is None and not head.is_sealed:
             # It may come from something between router and endpoint, and names no limit for that.
             return False
@@ -194,6 +225,19 @@
             placement.endpoint_key, NamedLimit(head.rate_limit, observed_at), now
         )
 
+    def is_even(self) -> bool:
+        """Returns whether endpoints are chosen evenly because some share hosts."""
+        return self._choice is None and self._knowledge.is_active
+
+    def highest_load_multiple(self) -> float:
+        """Returns the highest load of an endpoint as a multiple of the mean of its service.
+
+        Loads are estimated, and services with less than one request at each endpoint left out.
+        """
+        now = clock.now()
+        with self._lock:
+            return self._knowledge.highest_multiple(self._table.by_id.values(), now)
+
     def record_notices(
         self, placement: EndpointPlacement, head: ResponseHead
     ) -> list[tuple[str, Hold]]:
@@ -290,6 +334,7 @@
                 key = endpoint_key(endpoint.id_hash)
                 endpoint.in_flight_elsewhere = loads.in_flight_by_endpoint.get(key, 0)
                 endpoint.elsewhere_reported_at = now
+            self._knowledge.record_elsewhere(self._table.by_id.values(), now)
 
     def has_endpoints(self) -> bool:
         """Returns whether any endpoint is known."""
--- a/tools/bench_shared_loads.py
+++ b/tools/bench_shared_loads.py
@@ -97,7 +97,7 @@
     shares, highest, datagrams = [], 0.0, 0.0
     for seed in range(1, seeds + 1):
         fleet = SimulatedFleet(seed, size, shares_loads)
-        with mock.patch.object(placement, "_choose_engine", choose or placement._choose_engine):
+        with mock.patch.object(placement, "choose_engine", choose or placement.choose_engine):
             shares.append(100 * fleet.run())
         highest = max(highest, fleet.highest_share)
         datagrams = max(datagrams, fleet.datagrams / size.instances / size.simulated_s)
