--- a/src/sequoiadrum/gateway/placement.py
+++ b/src/sequoiadrum/gateway/placement.py
@@ -13,8 +13,7 @@
 from attrs import frozen
 
 from sequoiadrum.gateway.holds import HoldReason
-from sequoiadrum.hashing import stable_hash
-from sequoiadrum.placement import chat_score
+from sequoiadrum.hashing import chat_score, stable_hash
 
 if TYPE_CHECKING:
     from collections.abc import Collection, Sequence
@@ -79,6 +78,8 @@
     """All endpoints are held back, at least one because it turned this router away for a time."""
     RATE_LIMITED = "rate_limited"
     """The endpoints that are not suspended take no further request now by the rates they named."""
+    EVACUATED = "evacuated"
+    """All endpoints are in failure domains that are evacuated, apart from those already tried."""
 
 
 @frozen
