--- a/src/sequoiadrum/gateway/app.py
+++ b/src/sequoiadrum/gateway/app.py
@@ -179,6 +179,8 @@
             self._invariant_broken,
             may_have_peers=bool(settings.seed_hosts),
         )
+        self.metrics.gauge("even_choice_active", lambda: float(self.pool.is_even()))
+        self.metrics.gauge("endpoint_load_highest_multiple", self.pool.highest_load_multiple)
         self.metrics.gauge("cold_endpoints", lambda: float(self.pool.cold.count(clock.now())))
         self.connections: Final = EndpointConnections(adapter.header_codec)
         self._crash_watch: Final = CrashWatch(
--- a/src/sequoiadrum/gateway/pool.py
+++ b/src/sequoiadrum/gateway/pool.py
@@ -11,6 +11,7 @@
 from sequoiadrum.gateway import clock
 from sequoiadrum.gateway.cold_endpoints import ColdEndpoints, ColdPolicy
 from sequoiadrum.gateway.crash_suspects import Listing
+from sequoiadrum.gateway.endpoint_choice import EndpointKnowledge, EvenChoice
 from sequoiadrum.gateway.endpoints import Endpoint, EndpointTable
 from sequoiadrum.gateway.holds import MAX_RETRY_AFTER_S, Hold, HoldReason
 from sequoiadrum.gateway.hot_parts import HotParts
@@ -36,6 +37,7 @@
 
     from sequoiadrum.gateway.admission_control import Admission, Demand
     from sequoiadrum.gateway.cold_endpoints import ColdLimit
+    from sequoiadrum.gateway.endpoint_choice import EndpointChoice
     from sequoiadrum.gateway.evacuations import Evacuations
     from sequoiadrum.gateway.model import (
         EndpointEntry,
@@ -66,6 +68,8 @@
     """Whether the endpoint named a rate, of which the request needs a unit."""
     cold_limit: ColdLimit | None = None
     """The limit of an endpoint that is or was cold, of which the request needs a unit as well."""
+    is_plain: bool = False
+    """Whether the endpoint is one of a plain service."""
     is_released: bool = False
     stay: ExpectedStay | None = None
     """What is expected of the request; None if admission is not controlled."""
@@ -111,6 +115,7 @@
         bounds: Bounds,
         instances: Callable[[], int],
         evacuations: Evacuations | None = None,
+        choice: EndpointChoice | None = None,
     ) -> None:
         """Creates an empty pool.
 
@@ -118,9 +123,14 @@
             bounds: Limits on retries and loads.
             instances: Returns the number of routers.
             evacuations: The evacuated failure domains; None if operators do not evacuate any.
+            choice: Chooses among endpoints. By default requests in flight decide, until an endpoint
+                states how long work takes on a host that it shares; from then on `EvenChoice` does.
         """
         self.evacuations: Final = evacuations
         self._bounds = bounds
+        self._choice = choice
+        self._knowledge = EndpointKnowledge()
+        self._even_choice = EvenChoice(self._knowledge, instances)
         self._instances = instances
         self._lock = threading.Lock()
         self._table = EndpointTable()
@@ -182,6 +192,9 @@
                 part = prompt_key(request.call)
                 endpoints = self.evacuations.usable(known, part, request.excluded, now)
             request = self._with_replica_count(request, endpoints, now, is_repeated)
+            choice = self._choice
+            if choice is None and self._knowledge.is_active:
+                choice = self._even_choice
             cold = self._cold_limits(request.service, endpoints, now)
             chosen: Endpoint | PlacementFailure = PlacementFailure.RATE_LIMITED
             if any(limit.is_cold for limit in cold.values()):
@@ -189,12 +202,12 @@
                 avoided = LimitedEndpoints.AVOIDED_WITH_ROOM
                 withheld = self._withheld(endpoints, now, limited, cold, avoided)
                 withheld |= {e.id for e in endpoints if e.is_failing(now)}
-                chosen = choose(endpoints, evolve(request, withheld=withheld), now)
+                chosen = choose(endpoints, evolve(request, withheld=withheld), now, choice)
             if isinstance(chosen, PlacementFailure):
                 if self.rate_limits.has_any() or cold:
                     withheld = self._withheld(endpoints, now, limited, cold)
                     request = evolve(request, withheld=withheld)
-                chosen = choose(endpoints, request, now)
+                chosen = choose(endpoints, request, now, choice)
             if isinstance(chosen, PlacementFailure):
                 is_none_left = chosen is PlacementFailure.UNKNOWN_SERVICE
                 is_narrowed = len(endpoints) < len(known)
@@ -216,6 +229,7 @@
                 placement.stay = self._rooms.expect(
                     request.service.name, request.call, chosen, self._instances(), now
                 )
+            placement.is_plain = request.service.batch_slots is None
             if not placement.is_limited:
                 placement.context_source = self._find_context_source(known, chosen, request, now)
             return placement
@@ -234,7 +248,9 @@
             if not placement.is_released:
                 placement.is_released = True
                 placement.endpoint.in_flight -= 1
-                self._hot_parts.record_duration(clock.now() - placement.placed_at)
+                duration_s = clock.now() - placement.placed_at
+                self._hot_parts.record_duration(duration_s)
+                self._knowledge.record_duration(placement.endpoint, duration_s)
 
     def cancel(self, placement: EndpointPlacement) -> None:
         """Ends a placement whose request is not sent."""
@@ -280,6 +296,7 @@
                 placement.endpoint.record_load(head.load, now)
                 if head.load.slowdown is not None:
                     self._rooms.record_shared_host(now)
+                self._knowledge.record_load(placement.endpoint, head.load, now)
             if head.is_not_executed:
                 placement.endpoint.record_full(now)
             else:
@@ -288,6 +305,10 @@
                     placement.first_s = now - placement.placed_at
                     service = placement.endpoint.entry.service
                     self._rooms.record_first(service, placement.stay, placement.first_s)
+                if placement.is_plain and not failed:
+                    self._knowledge.record_completed(
+                        placement.endpoint, now - placement.placed_at, now
+                    )
         if head.cold_left_s is not None and head.instance_id in (None, placement.endpoint.id):
             self.cold.record_statement(placement.endpoint_key, head.cold_left_s, now)
         if head.rate_limit is None and not head.is_sealed:
@@ -308,6 +329,19 @@
             service = placement.endpoint.entry.service
             self._rooms.record_done(service, placement.stay, placement.first_s, whole_s)
 
+    def is_even(self) -> bool:
+        """Returns whether endpoints are chosen evenly because some share hosts."""
+        return self._choice is None and self._knowledge.is_active
+
+    def highest_load_multiple(self) -> float:
+        """Returns the highest load of an endpoint as a multiple of the mean of its service.
+
+        Loads are estimated, and services with less than one request at each endpoint left out.
+        """
+        now = clock.now()
+        with self._lock:
+            return self._knowledge.highest_multiple(self._table.by_id.values(), now)
+
     def record_notices(
         self, placement: EndpointPlacement, head: ResponseHead
     ) -> list[tuple[str, Hold]]:
@@ -404,6 +438,7 @@
                 key = endpoint_key(endpoint.id_hash)
                 endpoint.in_flight_elsewhere = loads.in_flight_by_endpoint.get(key, 0)
                 endpoint.elsewhere_reported_at = now
+            self._knowledge.record_elsewhere(self._table.by_id.values(), now)
 
     def has_endpoints(self) -> bool:
         """Returns whether any endpoint is known."""
