--- a/src/sequoiadrum/gateway/pool.py
+++ b/src/sequoiadrum/gateway/pool.py
@@ -129,9 +129,9 @@
                 part = prompt_key(request.call)
                 endpoints = self.evacuations.usable(known, part, request.excluded, now)
             request = self._with_replica_count(request, endpoints, now, is_repeated)
-            cold = self._cold_limits(request.service, endpoints, now)
+            cold = self._cold_limits(request.service, known, now)
             chosen: Endpoint | PlacementFailure = PlacementFailure.RATE_LIMITED
-            if any(limit.is_cold for limit in cold.values()):
+            if cold and self._has_cold(endpoints, cold):
                 # Cold endpoints are left alone as long as others have room.
                 avoided = LimitedEndpoints.AVOIDED_WITH_ROOM
                 withheld = self._withheld(endpoints, now, limited, cold, avoided)
@@ -470,6 +470,11 @@
         crowded = {e.id for e in endpoints if e not in limited and e.is_above(max_load, now)}
         return frozenset(withheld | crowded)
 
+    @staticmethod
+    def _has_cold(endpoints: list[Endpoint], cold_limits: Mapping[int, ColdLimit]) -> bool:
+        limits = (cold_limits.get(endpoint_key(e.id_hash)) for e in endpoints)
+        return any(limit is not None and limit.is_cold for limit in limits)
+
     def _refused_until(self, endpoint: Endpoint, now: float) -> float:
         key = endpoint_key(endpoint.id_hash)
         return max(self.rate_limits.refused_until(key, now), self.cold.refused_until(key))
--- a/tests/gateway/test_cold_endpoints.py
+++ b/tests/gateway/test_cold_endpoints.py
@@ -503,6 +503,18 @@
         self._fill(other, 5)
         self.assertIs(self._place(), PlacementFailure.RATE_LIMITED)
 
+    def test_readmitted_failure_domain_is_left_alone(self) -> None:
+        """Guards against endpoints that became cold during an evacuation and get all chats back."""
+        home = self._home()
+        self.pool.record_readmission("z1", clock.now())
+        self._apply("e3", is_newly_joined=False)
+        entry = an_entry("e4", service="model", slots=4, failure_domain="z2")
+        self.assertTrue(self.pool.apply(entry, is_newly_joined=False))
+        self.assertEqual(self._home(), "e4")
+        with mock.patch.object(clock, "now", return_value=clock.now() + 60.0 + RAMP_S):
+            self.assertIn(self._home(), (home, "e3", "e4"))
+            self.assertEqual(self.pool.cold.count(clock.now()), 0)
+
     def test_few_cold_endpoints_leave_the_queues_of_the_others(self) -> None:
         """Guards against a crowded service that refuses callers because one endpoint started."""
         for name in ("e3", "e4", "e5"):
