--- a/src/sequoiadrum/gateway/store_sync.py
+++ b/src/sequoiadrum/gateway/store_sync.py
@@ -538,6 +538,7 @@
             state=state,
             service=entry.service if entry is not None else None,
             address=f"{entry.address.host}:{entry.address.port}" if entry is not None else None,
+            cold_ms=int(entry.warm_up_s * 1e3) if entry is not None and entry.warm_up_s else None,
             revision=revision,
             source=source,
         )
