Simulate whole pools while a failure domain returns cold

Each of its engines gets over half of its bound while the others are full, nothing while they have room, and more from second to second once it is warm.

--- a/tests/gateway/test_cold_endpoints.py
+++ b/tests/gateway/test_cold_endpoints.py
@@ -38,6 +38,7 @@
 )
 from sequoiadrum.gateway.pool import EndpointPool
 from sequoiadrum.gateway.rate_limits import quota_owner
+from sequoiadrum.hashing import stable_hash
 from sequoiadrum.messages import Address, Member, MemberState, SideDatagram
 from tests.gateway.builders import a_call, a_service, an_entry, bounds, response_head
 from tests.gateway.cold_fleet import (
@@ -581,6 +582,102 @@
         self.assertEqual(self._home(), placement.endpoint.id)
 
 
+class ColdDomainTest(unittest.TestCase):
+    """Whole pools of a fleet while a failure domain returns cold, on virtual time."""
+
+    ROUTERS = 14
+    COLD_S = 6.0
+
+    def setUp(self) -> None:
+        self.now = 1_000.0
+        self.enterContext(mock.patch.object(clock, "now", self._clock))
+        self.service = a_service("model", 4, cold_start_s=self.COLD_S, cold_requests_per_s=9.3)
+        names = [f"r{n}" for n in range(self.ROUTERS)]
+        self.members = {n: Member(n, "h", 1, 2, "z", "r", 1, 0, MemberState.ALIVE) for n in names}
+        self.pool_by_router = {name: self._pool() for name in names}
+        self.sent_by_engine: dict[str, list[float]] = {}
+
+    def _clock(self) -> float:
+        return self.now
+
+    @staticmethod
+    def _pool() -> EndpointPool:
+        pool = EndpointPool(bounds(cold_excess=1.5, cold_slack=5.0), lambda: 14)
+        for n in range(8):
+            entry = an_entry(f"e{n}", service="model", slots=4, failure_domain=f"z{n % 2}")
+            pool.apply(entry, is_newly_joined=False)
+        return pool
+
+    def _request(self, number: int, router: str) -> None:
+        pool = self.pool_by_router[router]
+        call = a_call(f"q{number}", prompt=(("sys", 500), (f"chat{number % 200}", 900), ("o", 30)))
+        request = PlacementRequest(self.service, call, "z0", False)
+        for _ in range(4):
+            placement = pool.take(request, is_repeated=True)
+            if isinstance(placement, PlacementFailure):
+                return
+            limit = placement.cold_limit
+            key = placement.endpoint_key
+            if limit is not None:
+                owner = quota_owner(cold_key(key), self.members)
+                assert owner is not None
+                quotas = self.pool_by_router[owner].cold.quotas
+                grant = quotas.decide(cold_key(key), limit.permitted_per_s, self.now)
+                if not grant.is_granted:
+                    pool.cancel(placement)
+                    pool.cold.refuse_until(key, self.now + grant.wait_s)
+                    continue
+            self.sent_by_engine.setdefault(placement.endpoint.id, []).append(self.now)
+            pool.release(placement)
+            return
+
+    def _run(self, duration_s: float, per_s: int, load_of_warm: int) -> None:
+        """Sends constant demand over all routers while the warm engines have a load."""
+        keys = [endpoint_key(stable_hash("engine", f"e{n}")) for n in range(0, 8, 2)]
+        loads = Loads(dict.fromkeys(keys, load_of_warm), {})
+        names = list(self.pool_by_router)
+        for number in range(int(duration_s * per_s)):
+            self.now += 1 / per_s
+            if number % (per_s // 4) == 0:
+                for name, pool in self.pool_by_router.items():
+                    pool.set_fleet_loads(loads)
+                    pool.cold.quotas.observe(name, self.members, 0.0, True, self.now)
+            self._request(number, names[number * 5 % len(names)])
+
+    def _readmit(self) -> None:
+        for pool in self.pool_by_router.values():
+            pool.record_readmission("z1", self.now)
+
+    def _cold_sent(self) -> dict[str, list[float]]:
+        return {f"e{n}": self.sent_by_engine.get(f"e{n}", []) for n in range(1, 8, 2)}
+
+    def test_domain_that_returns_under_load_takes_over_half_of_what_it_may(self) -> None:
+        """Guards against callers that are refused while a whole failure domain lies idle."""
+        self._run(3.0, 400, load_of_warm=0)
+        self.sent_by_engine.clear()
+        started_at = self.now
+        self._readmit()
+        self._run(self.COLD_S, 400, load_of_warm=6)
+        for sent in self._cold_sent().values():
+            self.assertLessEqual(most_in_a_second(sent), PERMITTED_PER_S)
+            self.assertGreater(busy_share(sent, started_at, started_at + self.COLD_S), 0.5)
+
+    def test_domain_that_returns_in_calm_is_spared_and_ramps_up(self) -> None:
+        """Guards against all chats that return in the second in which their engines are warm."""
+        self._run(3.0, 400, load_of_warm=0)
+        self.sent_by_engine.clear()
+        self._readmit()
+        self._run(self.COLD_S, 400, load_of_warm=1)
+        self.assertEqual(sum(map(len, self._cold_sent().values())), 0)
+        warm_at = self.now
+        self._run(RAMP_S + 4.0, 400, load_of_warm=1)
+        for sent in self._cold_sent().values():
+            in_second = [sum(warm_at + n <= at < warm_at + n + 1 for at in sent) for n in range(8)]
+            self.assertLess(in_second[0], 2 * PERMITTED_PER_S)
+            self.assertLess(in_second[0], in_second[2])
+            self.assertGreater(in_second[6], 25)
+
+
 class ColdExchangeTest(unittest.TestCase):
     """The task of one router asks for units, decides as an owner and passes on what it knows."""
 
