--- a/src/sequoiadrum/_membership_types.py
+++ b/src/sequoiadrum/_membership_types.py
@@ -18,6 +18,16 @@
 
     It is well above the round-trip time between regions.
     """
+    further_probes: int = 6
+    """Number of other members that are probed once a member is suspected.
+
+    Many may have failed at once, and one probe in each interval would take long to find them all.
+    """
+    max_pending_probes: int = 16
+    """Further probes are sent up to this number of probes without an acknowledgement.
+
+    It bounds the datagrams of a member that only receives acknowledgements late.
+    """
     min_check_interval_s: float = 0.2
     """Minimum time between two probes on a hint, so that hints cannot flood the network."""
     suspicion_s: float = 2.0
--- a/src/sequoiadrum/gateway/app.py
+++ b/src/sequoiadrum/gateway/app.py
@@ -35,6 +35,7 @@
     create_member_server,
 )
 from sequoiadrum.gateway.front import ServerGroup
+from sequoiadrum.gateway.homes import HomeRegions
 from sequoiadrum.gateway.load_exchange import LoadExchangeTask
 from sequoiadrum.gateway.memory_budget import ResponseMemory, budget_of
 from sequoiadrum.gateway.mirror import Mirror
@@ -245,6 +246,7 @@
             self._crash_watch,
             self._load_exchange,
             settings.failure_domain,
+            HomeRegions(settings.region_by_domain),
             self._in_flight,
             memory,
             self.shutdown,
--- a/src/sequoiadrum/gateway/caller_app.py
+++ b/src/sequoiadrum/gateway/caller_app.py
@@ -99,6 +99,11 @@
             return False
         return not self.shutdown.has_begun and self._can_serve()
 
+    def homes(self, host: str) -> frozenset[str]:
+        """Returns the regions whose routers callers of a host should use; empty if all."""
+        routing = self._configuration.routing()
+        return routing.homes(host) if routing is not None else frozenset()
+
     def is_known_current(self) -> bool:
         """Returns whether `is_current` needs no read."""
         return self._pauses.observe(clock.now()) <= self._current_since
@@ -319,7 +324,8 @@
 
     def _respond_with_addresses(self, query: str, start_response: StartResponse) -> Iterable[bytes]:
         address_query = self._codec.decode_query(query)
-        addresses = self._directory.answer(address_query, self._state.is_ready())
+        homes = self._state.homes(address_query.host)
+        addresses = self._directory.answer(address_query, self._state.is_ready(), homes)
         if not addresses:
             return _respond(start_response, HTTPStatus.SERVICE_UNAVAILABLE, b"no router\n")
         body = self._codec.encode_response(addresses, DIRECTORY_LIFETIME_S)
--- a/src/sequoiadrum/gateway/fleet.py
+++ b/src/sequoiadrum/gateway/fleet.py
@@ -309,7 +309,9 @@
         self._settings = settings
         self._rng = random.Random()
 
-    def answer(self, query: AddressQuery, is_serving: bool) -> list[Address]:
+    def answer(
+        self, query: AddressQuery, is_serving: bool, homes: frozenset[str] = frozenset()
+    ) -> list[Address]:
         """Returns the addresses of usable routers, of the caller's failure domain if possible.
 
         Routers of other failure domains are included only if the caller's own has fewer than
@@ -318,6 +320,8 @@
         Args:
             query: Location of the caller.
             is_serving: Whether this router itself may be returned.
+            homes: Regions to which callers should send their requests, besides their own one;
+                empty if there is no such region. Others are returned only if these have no router.
         """
         own_id = self._settings.instance_id
         usable = [
@@ -328,6 +332,9 @@
         if not usable:
             # Suspected routers are better than an empty response.
             usable = [m for m in self._gossip.members().values() if m.is_usable and m.id != own_id]
+        if homes:
+            permitted = homes | {query.region}
+            usable = [m for m in usable if m.region in permitted] or usable
         local = [m for m in usable if m.failure_domain == query.failure_domain]
         selected = local if len(local) >= MIN_LOCAL_ROUTERS else usable
         return [member.http_address for member in self._sample(selected)]
--- a/src/sequoiadrum/gateway/placement.py
+++ b/src/sequoiadrum/gateway/placement.py
@@ -79,6 +79,8 @@
     """The endpoints that are not suspended take no further request now by the rates they named."""
     EVACUATED = "evacuated"
     """All endpoints are in failure domains that are evacuated, apart from those already tried."""
+    OUTSIDE_HOMES = "outside_homes"
+    """All endpoints are outside of the home regions, apart from those already tried."""
 
 
 @frozen
@@ -95,6 +97,8 @@
     """Ids of endpoints that the request has already failed on."""
     withheld: Collection[str] = ()
     """Ids of endpoints that take no further request now by the rates they named."""
+    domains: frozenset[str] | None = None
+    """Failure domains that the homes of the request permit; None if it may run in all."""
     replicas: int = 1
     """Number of engines among which requests for the longest shared prompt part are divided."""
 
--- a/src/sequoiadrum/gateway/pool.py
+++ b/src/sequoiadrum/gateway/pool.py
@@ -113,7 +113,7 @@
         """
         now = clock.now()
         with self._lock:
-            known = endpoints = self._table.of_service(request.service.name)
+            known = endpoints = self._endpoints_at_home(request)
             if self.evacuations is not None and self.evacuations.has_any():
                 key = prompt_key(request.call)
                 endpoints = self.evacuations.usable(known, key, request.excluded, now)
@@ -123,9 +123,12 @@
                 request = evolve(request, withheld=withheld)
             chosen = choose(endpoints, request, now)
             if isinstance(chosen, PlacementFailure):
-                is_none_left = chosen is PlacementFailure.UNKNOWN_SERVICE
-                is_narrowed = len(endpoints) < len(known)
-                return PlacementFailure.EVACUATED if is_none_left and is_narrowed else chosen
+                if chosen is not PlacementFailure.UNKNOWN_SERVICE:
+                    return chosen
+                if len(endpoints) < len(known):
+                    return PlacementFailure.EVACUATED
+                is_narrowed = request.domains is not None and not known
+                return PlacementFailure.OUTSIDE_HOMES if is_narrowed else chosen
             chosen.in_flight += 1
             chosen.started_since_load += 1
             limit = self.rate_limits.in_force(endpoint_key(chosen.id_hash), now)
@@ -139,7 +142,7 @@
     def confirm(self, placement: EndpointPlacement, request: PlacementRequest) -> None:
         """Completes a placement whose quota was obtained."""
         with self._lock:
-            endpoints = self._table.of_service(request.service.name)
+            endpoints = self._endpoints_at_home(request)
             placement.context_source = self._find_context_source(
                 endpoints, placement.endpoint, request, clock.now()
             )
@@ -381,6 +384,13 @@
         with self._lock:
             return self._table.expire(clock.now())
 
+    def _endpoints_at_home(self, request: PlacementRequest) -> list[Endpoint]:
+        """Returns the endpoints on which a request may run and from which it may copy."""
+        endpoints = self._table.of_service(request.service.name)
+        if request.domains is None:
+            return endpoints
+        return [e for e in endpoints if e.entry.failure_domain in request.domains]
+
     def _serving(self, service: str, now: float) -> list[Endpoint]:
         """Returns the endpoints of a service that may get requests, also those held back."""
         serving = [e for e in self._table.of_service(service) if e.can_serve(now)]
--- a/src/sequoiadrum/gateway/relay.py
+++ b/src/sequoiadrum/gateway/relay.py
@@ -54,6 +54,7 @@
     from sequoiadrum.gateway.crash_watch import CrashWatch
     from sequoiadrum.gateway.event_log import EventLog
     from sequoiadrum.gateway.exchange import EndpointConnections, Transfer
+    from sequoiadrum.gateway.homes import HomeRegions
     from sequoiadrum.gateway.memory_budget import ResponseMemory
     from sequoiadrum.gateway.model import Account, RequestHead, ResponseHead, Route, Service
     from sequoiadrum.gateway.pool import EndpointPlacement, EndpointPool
@@ -70,7 +71,8 @@
 FULL_RETRY_AFTER_S: Final = 0.2
 """`Retry-After` sent when all endpoints are full: about the time of two requests."""
 EVACUATED_RETRY_AFTER_S: Final = 1.0
-"""`Retry-After` sent when all endpoints are evacuated, which lasts seconds at least."""
+"""`Retry-After` sent when all endpoints are evacuated or outside of the home regions, which lasts
+seconds at least."""
 LIMITED_RETRY_AFTER_S: Final = 0.5
 """Shortest `Retry-After` sent when endpoints named rates below the demand; others wait as well."""
 MAX_QUOTA_ASKS: Final = 4
@@ -93,6 +95,7 @@
         crash_watch: CrashWatch,
         quotas: QuotaSource,
         failure_domain: str,
+        homes: HomeRegions,
         in_flight: RequestsInFlight,
         memory: ResponseMemory,
         shutdown: Shutdown,
@@ -109,6 +112,7 @@
         self._crashes = crashes
         self._crash_watch = crash_watch
         self._failure_domain = failure_domain
+        self._homes = homes
         self._metrics = metrics
         self._log = log
 
@@ -229,6 +233,7 @@
             self._failure_domain,
             run.kind.is_retryable and run.attempts + 1 < run.route.max_attempts,
             tuple(run.tried),
+            domains=self._homes.permitted_domains(run.route, run.account),
         )
         placement = self._pool.take(placement_request)
         for asked in range(MAX_QUOTA_ASKS):
@@ -604,6 +609,10 @@
                 max(LIMITED_RETRY_AFTER_S, self._pool.quota_wait_s(run.service.name)),
             ),
             PlacementFailure.EVACUATED: (Refused.ENDPOINTS_EVACUATED, EVACUATED_RETRY_AFTER_S),
+            PlacementFailure.OUTSIDE_HOMES: (
+                Refused.NO_ENDPOINT_AT_HOME,
+                EVACUATED_RETRY_AFTER_S,
+            ),
         }[why]
         return self._refuse(run, reason, run.last_error, retry_after_s)
 
--- a/src/sequoiadrum/gateway/request_run.py
+++ b/src/sequoiadrum/gateway/request_run.py
@@ -49,6 +49,8 @@
     """All endpoints take fewer requests than there are, by the rates that they named."""
     ENDPOINTS_EVACUATED = "endpoints_evacuated"
     """All endpoints are in failure domains that are evacuated."""
+    NO_ENDPOINT_AT_HOME = "no_endpoint_at_home"
+    """All endpoints are outside of the home regions of the route or of the account."""
     EVACUATIONS_UNKNOWN = "evacuations_unknown"
     """This router has started and does not know yet which failure domains are evacuated."""
     CRASHES_ENDPOINTS = "crashes_endpoints"
--- a/src/sequoiadrum/gateway/routing.py
+++ b/src/sequoiadrum/gateway/routing.py
@@ -17,6 +17,13 @@
     return (host.rpartition(":")[0] if ":" in host else host).lower()
 
 
+def _homes(routes: list[Route]) -> frozenset[str]:
+    homes = [frozenset(route.homes) for route in routes if route.homes]
+    if not homes:
+        return frozenset()
+    return frozenset.intersection(*homes) or frozenset.union(*homes)
+
+
 class RoutingTable:
     """One version of the configuration, indexed by host and API key."""
 
@@ -27,6 +34,11 @@
             self._routes_by_host.setdefault(_host_name(route.host), []).append(route)
         for routes in self._routes_by_host.values():
             routes.sort(key=lambda route: len(route.path_prefix), reverse=True)
+        self._homes_by_host = {
+            host: homes
+            for host, routes in self._routes_by_host.items()
+            if (homes := _homes(routes))
+        }
 
     def route(self, host: str, path: str) -> Route | None:
         """Returns the route with the longest matching path prefix, or None if no route matches.
@@ -40,6 +52,13 @@
                 return route
         return None
 
+    def homes(self, host: str) -> frozenset[str]:
+        """Returns the regions that are homes of all routes of a host that have homes.
+
+        Empty if no route of the host has homes. If they have none in common, those of any route.
+        """
+        return self._homes_by_host.get(_host_name(host), frozenset())
+
     def account(self, key: str) -> Account | None:
         """Returns the account that an API key belongs to, or None if the key is unknown."""
         return self.config.account_by_key.get(key)
--- a/src/sequoiadrum/membership.py
+++ b/src/sequoiadrum/membership.py
@@ -272,6 +272,18 @@
         if self._probe_order:
             self._probe_next(now)
 
+    def _probe_further(self, now: float) -> None:
+        pending = {probe.target for probe in self._probes.values()}
+        room = self.policy.max_pending_probes - len(pending)
+        candidates = [
+            m
+            for m in self.members_by_id.values()
+            if m.state is MemberState.ALIVE and m.id != self.me.id and m.id not in pending
+        ]
+        count = max(0, min(room, self.policy.further_probes, len(candidates)))
+        for member in self.rng.sample(candidates, count):
+            self._probe(member, now)
+
     def _probe(self, member: Member, now: float, is_urgent: bool = False) -> None:
         self._sequence += 1
         probe = self._probes[self._sequence] = Probe(member.id, now, is_urgent=is_urgent)
@@ -303,6 +315,8 @@
             elif age >= self._probe_time_limit(probe):
                 del self._probes[sequence]
                 self._suspect(member, now, probe.started)
+                if self._has_received_since(probe):
+                    self._probe_further(now)
             elif age >= self.policy.probe_timeout_s and not probe.indirect:
                 self._probe_indirectly(sequence, probe, member, now)
         for number in [n for n, relay in self._relays.items() if relay.expires <= now]:
@@ -310,10 +324,12 @@
 
     def _probe_time_limit(self, probe: Probe) -> float:
         # An urgent probe uses the direct and indirect paths in parallel, so one timeout covers all.
-        has_received = self.last_received_at is not None and self.last_received_at >= probe.started
-        is_short = probe.is_urgent and has_received
+        is_short = probe.is_urgent and self._has_received_since(probe)
         return self.policy.probe_timeout_s if is_short else self.policy.probe_interval_s
 
+    def _has_received_since(self, probe: Probe) -> bool:
+        return self.last_received_at is not None and self.last_received_at >= probe.started
+
     def _suspect(self, member: Member, now: float, probed: float) -> None:
         if member.id in self._suspect_until:
             return
@@ -474,14 +490,17 @@
     def _push(self, now: float) -> None:
         self._last_push = now
         self._is_push_pending = False
-        for member in self._sample(self.policy.push_fanout):
+        sampled = self._sample(2 * self.policy.push_fanout)
+        responsive = [m for m in sampled if m.state is not MemberState.SUSPECT] or sampled
+        for member in responsive[: self.policy.push_fanout]:
             self._send(ttypes.DatagramKind.NOTICE, 0, member.peer_address, now, member.id)
 
     def _send(self, kind: int, sequence: int, address: Address, now: float, target: str) -> None:
         """Queues a datagram, with as many pending broadcasts as fit into it.
 
         A target that is suspect or dead in the view of this member receives that record first, so
-        that it can refute it.
+        that it can refute it. A suspect receives no broadcasts: each is sent a limited number of
+        times.
         """
         free_bytes = MAX_DATAGRAM_BYTES - _HEADER_BYTES - 2 * _MAX_ID_BYTES
         members: list[ttypes.Member] = []
@@ -489,10 +508,12 @@
         if record is not None and record.state not in (MemberState.ALIVE, MemberState.LEAVING):
             members.append(to_wire(record))
             free_bytes -= wire_size(members[0])
-        updates, rumors = pick_broadcasts(
-            self._broadcasts, self._rumors, free_bytes, self._size(), now
-        )
-        members.extend(updates)
+        rumors: list[ttypes.Rumor] = []
+        if record is None or record.state is not MemberState.SUSPECT:
+            updates, rumors = pick_broadcasts(
+                self._broadcasts, self._rumors, free_bytes, self._size(), now
+            )
+            members.extend(updates)
         datagram = ttypes.Datagram(
             kind=kind,
             sequence=sequence,
