--- a/src/sequoiadrum/gateway/pool.py
+++ b/src/sequoiadrum/gateway/pool.py
@@ -9,6 +9,7 @@
 from attrs import define, evolve
 
 from sequoiadrum.gateway import clock
+from sequoiadrum.gateway.cold_endpoints import ColdEndpoints, ColdPolicy
 from sequoiadrum.gateway.crash_suspects import Listing
 from sequoiadrum.gateway.endpoints import Endpoint, EndpointTable
 from sequoiadrum.gateway.holds import MAX_RETRY_AFTER_S, Hold, HoldReason
@@ -28,12 +29,23 @@
 )
 from sequoiadrum.gateway.rate_limits import NamedLimit, RateLimits
 from sequoiadrum.gateway.retry_budget import RetryBudget
+from sequoiadrum.gateway.service_rooms import ServiceRooms
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Callable, Mapping
 
+    from sequoiadrum.gateway.admission_control import Admission, Demand
+    from sequoiadrum.gateway.cold_endpoints import ColdLimit
     from sequoiadrum.gateway.evacuations import Evacuations
-    from sequoiadrum.gateway.model import EndpointEntry, ResponseHead, StorePosition
+    from sequoiadrum.gateway.model import (
+        EndpointEntry,
+        RequestHead,
+        ResponseHead,
+        Service,
+        StorePosition,
+    )
+    from sequoiadrum.gateway.room import Room
+    from sequoiadrum.gateway.service_rooms import ExpectedStay
     from sequoiadrum.gateway.settings import Bounds
 
 
@@ -52,13 +64,40 @@
     """Requests of all routers at the endpoint, this one included; None if unknown."""
     needs_quota: bool = False
     """Whether the endpoint named a rate, of which the request needs a unit."""
+    cold_limit: ColdLimit | None = None
+    """The limit of an endpoint that is or was cold, of which the request needs a unit as well."""
     is_released: bool = False
+    stay: ExpectedStay | None = None
+    """What is expected of the request; None if admission is not controlled."""
+    first_s: float | None = None
+    """Seconds from the placement to the first event or the response, once it has arrived."""
+
+    @property
+    def is_limited(self) -> bool:
+        """Whether the request needs a unit of a rate before it may be sent."""
+        return self.needs_quota or self.cold_limit is not None
 
     @property
     def endpoint_key(self) -> int:
         """The number that identifies the endpoint to other routers."""
         return endpoint_key(self.endpoint.id_hash)
 
+    def expected_first_ms(self) -> int | None:
+        """Returns the expected milliseconds to the first event; None if nothing was expected."""
+        if self.stay is None or self.stay.expected is None:
+            return None
+        return int(self.stay.expected.first_s * 1e3)
+
+    def estimate_error_s(self) -> float | None:
+        """Returns by how many seconds the first event came later than expected.
+
+        Returns:
+            None if it has not arrived, or nothing was expected.
+        """
+        if self.first_s is None or self.stay is None or self.stay.expected is None:
+            return None
+        return self.first_s - self.stay.expected.first_s
+
 
 class EndpointPool:
     """Places requests on endpoints and records the results; safe to use from any thread.
@@ -90,8 +129,33 @@
         self._budget_by_service: dict[str, RetryBudget] = {}
         self._turned_away: set[Endpoint] = set()
         """Endpoints with a hold whose end was not reported yet."""
+        self._rooms = ServiceRooms()
         self.rate_limits = RateLimits()
         """The rates that endpoints named; thread-safe by itself."""
+        self.cold = ColdEndpoints()
+        """The endpoints that are cold; thread-safe by itself."""
+
+    def controls_admission(self) -> bool:
+        """Returns whether `admit` decides on requests; see `ServiceRooms`."""
+        return self._rooms.is_active(clock.now())
+
+    def admit(self, service: str, call: RequestHead, demand: Demand) -> Admission:
+        """Decides whether a new request is admitted."""
+        now = clock.now()
+        with self._lock:
+            endpoints = self._usable(service, now)
+            return self._rooms.decide(service, call, demand, endpoints, self._instances(), now)
+
+    def return_after_s(self, service: str, demand: Demand) -> float:
+        """Returns when the caller of a request that all endpoints refused should come back."""
+        now = clock.now()
+        with self._lock:
+            return self._rooms.return_after_s(service, demand, now)
+
+    def room(self, service: str) -> Room:
+        """Returns the room of a service as computed last, for metrics."""
+        with self._lock:
+            return self._rooms.room(service)
 
     def take(
         self,
@@ -115,13 +179,22 @@
         with self._lock:
             known = endpoints = self._endpoints_at_home(request)
             if self.evacuations is not None and self.evacuations.has_any():
-                key = prompt_key(request.call)
-                endpoints = self.evacuations.usable(known, key, request.excluded, now)
+                part = prompt_key(request.call)
+                endpoints = self.evacuations.usable(known, part, request.excluded, now)
             request = self._with_replica_count(request, endpoints, now, is_repeated)
-            if self.rate_limits.has_any():
-                withheld = self._withheld(endpoints, now, limited)
-                request = evolve(request, withheld=withheld)
-            chosen = choose(endpoints, request, now)
+            cold = self._cold_limits(request.service, endpoints, now)
+            chosen: Endpoint | PlacementFailure = PlacementFailure.RATE_LIMITED
+            if any(limit.is_cold for limit in cold.values()):
+                # Cold endpoints are left alone as long as others have room.
+                avoided = LimitedEndpoints.AVOIDED_WITH_ROOM
+                withheld = self._withheld(endpoints, now, limited, cold, avoided)
+                withheld |= {e.id for e in endpoints if e.is_failing(now)}
+                chosen = choose(endpoints, evolve(request, withheld=withheld), now)
+            if isinstance(chosen, PlacementFailure):
+                if self.rate_limits.has_any() or cold:
+                    withheld = self._withheld(endpoints, now, limited, cold)
+                    request = evolve(request, withheld=withheld)
+                chosen = choose(endpoints, request, now)
             if isinstance(chosen, PlacementFailure):
                 if chosen is not PlacementFailure.UNKNOWN_SERVICE:
                     return chosen
@@ -131,11 +204,22 @@
                 return PlacementFailure.OUTSIDE_HOMES if is_narrowed else chosen
             chosen.in_flight += 1
             chosen.started_since_load += 1
-            limit = self.rate_limits.in_force(endpoint_key(chosen.id_hash), now)
+            key = endpoint_key(chosen.id_hash)
+            limit = self.rate_limits.in_force(key, now)
             placement = EndpointPlacement(
-                chosen, chosen.in_flight, None, now, chosen.fleet_load(now), limit is not None
+                chosen,
+                chosen.in_flight,
+                None,
+                now,
+                chosen.fleet_load(now),
+                limit is not None,
+                cold.get(key),
             )
-            if not placement.needs_quota:
+            if self._rooms.is_active(now):
+                placement.stay = self._rooms.expect(
+                    request.service.name, request.call, chosen, self._instances(), now
+                )
+            if not placement.is_limited:
                 placement.context_source = self._find_context_source(known, chosen, request, now)
             return placement
 
@@ -171,10 +255,7 @@
             return max(
                 0.0,
                 min(
-                    (
-                        self.rate_limits.refused_until(endpoint_key(e.id_hash), now) - now
-                        for e in self._serving(service, now)
-                    ),
+                    (self._refused_until(e, now) - now for e in self._serving(service, now)),
                     default=0.0,
                 ),
             )
@@ -200,10 +281,18 @@
         with self._lock:
             if head.load is not None:
                 placement.endpoint.record_load(head.load, now)
+                if head.load.slowdown is not None:
+                    self._rooms.record_shared_host(now)
             if head.is_not_executed:
                 placement.endpoint.record_full(now)
             else:
                 placement.endpoint.record_result(failed, now)
+                if placement.stay is not None and not failed:
+                    placement.first_s = now - placement.placed_at
+                    service = placement.endpoint.entry.service
+                    self._rooms.record_first(service, placement.stay, placement.first_s)
+        if head.cold_left_s is not None and head.instance_id in (None, placement.endpoint.id):
+            self.cold.record_statement(placement.endpoint_key, head.cold_left_s, now)
         if head.rate_limit is None and not head.is_sealed:
             # It may come from something between router and endpoint, and names no limit for that.
             return False
@@ -213,6 +302,15 @@
             placement.endpoint_key, NamedLimit(head.rate_limit, observed_at), now
         )
 
+    def record_done(self, placement: EndpointPlacement) -> None:
+        """Records that the response to a placed request is complete."""
+        if placement.stay is None or placement.first_s is None:
+            return
+        whole_s = clock.now() - placement.placed_at
+        with self._lock:
+            service = placement.endpoint.entry.service
+            self._rooms.record_done(service, placement.stay, placement.first_s, whole_s)
+
     def record_notices(
         self, placement: EndpointPlacement, head: ResponseHead
     ) -> list[tuple[str, Hold]]:
@@ -324,7 +422,11 @@
         """
         now = clock.now()
         with self._lock:
-            return self._table.apply(entry, now, now if is_newly_joined else float("-inf"))
+            if not self._table.apply(entry, now, now if is_newly_joined else float("-inf")):
+                return False
+            endpoint = self._table.by_id[entry.instance_id]
+            self.cold.record_entry(entry, endpoint_key(endpoint.id_hash), is_newly_joined, now)
+            return True
 
     def remove(self, instance_id: str, position: StorePosition, outage_ended: float) -> bool:
         """Applies the removal of an entry at a position; see `EndpointTable.remove`."""
@@ -358,6 +460,7 @@
             for endpoint in self._table.by_id.values():
                 if endpoint.entry.failure_domain == failure_domain:
                     endpoint.joined_at = at
+        self.cold.record_readmission(failure_domain, at)
 
     def listing(self, entry: EndpointEntry) -> Listing:
         """Returns what the store shows of the process that an entry described."""
@@ -370,6 +473,11 @@
                 return Listing.RESTARTED
             return Listing.LISTED if endpoint.can_serve(now) else Listing.LEAVING
 
+    def is_replaced(self, entry: EndpointEntry) -> bool:
+        """Returns whether another process is at an entry's address; see `EndpointTable`."""
+        with self._lock:
+            return self._table.is_replaced(entry)
+
     def set_bounds(self, bounds: Bounds) -> None:
         """Applies new bounds; retries that were already spent still count."""
         with self._lock:
@@ -393,31 +501,75 @@
 
     def _serving(self, service: str, now: float) -> list[Endpoint]:
         """Returns the endpoints of a service that may get requests, also those held back."""
-        serving = [e for e in self._table.of_service(service) if e.can_serve(now)]
+        return [e for e in self._usable(service, now) if e.can_serve(now)]
+
+    def _usable(self, service: str, now: float) -> list[Endpoint]:
+        """Returns the endpoints of a service whose failure domains are not evacuated."""
+        endpoints = self._table.of_service(service)
         evacuations = self.evacuations
         if evacuations is None or not evacuations.has_any():
-            return serving
-        return [e for e in serving if not evacuations.is_evacuated_at(e.entry.failure_domain, now)]
+            return endpoints
+        return [
+            e for e in endpoints if not evacuations.is_evacuated_at(e.entry.failure_domain, now)
+        ]
 
     def _withheld(
-        self, endpoints: list[Endpoint], now: float, limited: LimitedEndpoints
+        self,
+        endpoints: list[Endpoint],
+        now: float,
+        named: LimitedEndpoints,
+        cold_limits: Mapping[int, ColdLimit],
+        cold: LimitedEndpoints | None = None,
     ) -> frozenset[str]:
-        """Returns the endpoints that take no request now because some of them named rates."""
+        """Returns the endpoints that take no request now because some of them are limited.
+
+        Args:
+            endpoints: All endpoints of a service.
+            now: Monotonic seconds.
+            named: Whether endpoints that named a rate may take the request.
+            cold_limits: Limits by endpoint key of those that are or were cold.
+            cold: Whether endpoints that are still cold may take it; as `named` if None.
+        """
         limits = self.rate_limits
-        named = [e for e in endpoints if limits.in_force(endpoint_key(e.id_hash), now) is not None]
-        if not named:
+        limited: list[Endpoint] = []
+        withheld: set[str] = set()
+        has_named = False
+        for endpoint in endpoints:
+            key = endpoint_key(endpoint.id_hash)
+            cold_limit = cold_limits.get(key)
+            is_named = limits.in_force(key, now) is not None
+            if cold_limit is None and not is_named:
+                continue
+            has_named |= is_named
+            limited.append(endpoint)
+            permission = named
+            if cold is not None and cold_limit is not None and cold_limit.is_cold:
+                permission = cold
+            is_permitted = permission is LimitedEndpoints.ALLOWED
+            if not is_permitted or self._refused_until(endpoint, now) > now:
+                withheld.add(endpoint.id)
+        if not limited:
             return frozenset()
-        if limited is LimitedEndpoints.ALLOWED:
-            withheld = {e.id for e in named if self._is_refused(e, now)}
-        else:
-            withheld = {e.id for e in named}
-        has_room_only = limited is LimitedEndpoints.AVOIDED_WITH_ROOM
+        has_room_only = LimitedEndpoints.AVOIDED_WITH_ROOM in (named, cold)
+        if not has_room_only and not has_named and 2 * len(limited) < len(endpoints):
+            # Most of the service is warm, and takes a queue as usual.
+            return frozenset(withheld)
         max_load = 1.0 if has_room_only else MAX_CROWDED_LOAD
-        crowded = {e.id for e in endpoints if e not in named and e.is_above(max_load, now)}
+        crowded = {e.id for e in endpoints if e not in limited and e.is_above(max_load, now)}
         return frozenset(withheld | crowded)
 
-    def _is_refused(self, endpoint: Endpoint, now: float) -> bool:
-        return self.rate_limits.refused_until(endpoint_key(endpoint.id_hash), now) > now
+    def _refused_until(self, endpoint: Endpoint, now: float) -> float:
+        key = endpoint_key(endpoint.id_hash)
+        return max(self.rate_limits.refused_until(key, now), self.cold.refused_until(key))
+
+    def _cold_limits(
+        self, service: Service, endpoints: list[Endpoint], now: float
+    ) -> dict[int, ColdLimit]:
+        policy = ColdPolicy.of(service, self._bounds)
+        if policy is None or not self.cold.may_limit(service.name, policy, now):
+            return {}
+        entry_by_key = {endpoint_key(e.id_hash): e.entry for e in endpoints}
+        return self.cold.limits(service.name, policy, entry_by_key, now)
 
     def _with_replica_count(
         self,
--- a/src/sequoiadrum/gateway/relay.py
+++ b/src/sequoiadrum/gateway/relay.py
@@ -6,8 +6,10 @@
 from typing import TYPE_CHECKING, Final
 
 from sequoiadrum.gateway import clock, stop_plan
+from sequoiadrum.gateway.admission_control import Outcome
 from sequoiadrum.gateway.buffered_body import BufferedBody
 from sequoiadrum.gateway.crash_suspects import BrokenExchange
+from sequoiadrum.gateway.demand import demand_of
 from sequoiadrum.gateway.event_log import loggable_parts
 from sequoiadrum.gateway.exchange import (
     CONNECT_TIMEOUT_S,
@@ -155,8 +157,28 @@
         self._pool.record_request(run.service.name)
         if self._crashes.is_refused(run.fingerprint):
             return self._refuse(run, Refused.CRASHES_ENDPOINTS)
+        if run.call.last_event_id is None:
+            refusal = self._admit(run)
+            if refusal is not None:
+                return refusal
         return self._run_attempts(run, run.call.last_event_id)
 
+    def _admit(self, run: RequestRun) -> CallerResponse | None:
+        """Returns the refusal of a request that is not admitted; None if it is."""
+        if not self._pool.controls_admission():
+            return None
+        service = run.service.name
+        admission = self._pool.admit(service, run.call, demand_of(run))
+        self._metrics.count("admissions_total", outcome=admission.outcome.value)
+        if admission.outcome is Outcome.ADMITTED:
+            return None
+        room = self._pool.room(service)
+        detail = (
+            f"{room.taken:.0f} of {room.places} places taken, {room.queued:.0f} requests wait,"
+            f" share {admission.share:.2f}"
+        )
+        return self._refuse(run, Refused(admission.outcome.value), detail, admission.retry_after_s)
+
     def _run_attempts(self, run: RequestRun, last_event_id: str | None) -> CallerResponse:
         while True:
             outcome = self._start_exchange(run, last_event_id)
@@ -227,6 +249,7 @@
         for endpoint_id in self._pool.take_ended_holds():
             self._metrics.count("endpoint_holds_ended_total")
             self._log.notable("endpoint_hold_ended", endpoint=endpoint_id)
+        self._record_cold_changes()
         placement_request = PlacementRequest(
             run.service,
             run.call,
@@ -237,10 +260,10 @@
         )
         placement = self._pool.take(placement_request)
         for asked in range(MAX_QUOTA_ASKS):
-            if isinstance(placement, PlacementFailure) or not placement.needs_quota:
+            if isinstance(placement, PlacementFailure) or not placement.is_limited:
                 return placement
             try:
-                is_granted = self._quotas.acquire(placement.endpoint_key)
+                is_granted = self._acquire(run, placement)
                 guard()
                 if is_granted:
                     self._pool.confirm(placement, placement_request)
@@ -260,13 +283,39 @@
                 if not isinstance(spare, PlacementFailure):
                     return spare
             placement = self._pool.take(placement_request, is_repeated=True)
-        if not isinstance(placement, PlacementFailure) and placement.needs_quota:
+        if not isinstance(placement, PlacementFailure) and placement.is_limited:
             self._pool.cancel(placement)
             return self._pool.take(
                 placement_request, is_repeated=True, limited=LimitedEndpoints.AVOIDED
             )
         return placement
 
+    def _acquire(self, run: RequestRun, placement: EndpointPlacement) -> bool:
+        """Obtains the units that a request needs for its endpoint."""
+        limit = placement.cold_limit
+        is_granted = (
+            limit is None
+            or self._quotas.acquire_cold(placement.endpoint_key, limit.permitted_per_s)
+        ) and (not placement.needs_quota or self._quotas.acquire(placement.endpoint_key))
+        if not is_granted:
+            self._log.routine(
+                "endpoint_unit_refused",
+                request=run.call.request_id,
+                endpoint=placement.endpoint.id,
+                is_cold=limit is not None and limit.is_cold,
+            )
+        return is_granted
+
+    def _record_cold_changes(self) -> None:
+        for change in self._pool.cold.take_changes():
+            is_cold = change.left_s > 0
+            self._metrics.count("endpoint_cold_changes_total", to="cold" if is_cold else "warm")
+            self._log.notable(
+                "endpoint_cold" if is_cold else "endpoint_warm",
+                endpoint=change.endpoint_id,
+                left_ms=int(change.left_s * 1e3) if is_cold else None,
+            )
+
     def _send(
         self, run: RequestRun, placement: EndpointPlacement, last_event_id: str | None
     ) -> Exchange | NotSent | ExchangeFailure:
@@ -303,6 +352,7 @@
             run.kind.is_retryable,
             _connect_timeout_s(run),
             send_guard,
+            lambda: self._pool.is_replaced(entry),
         )
         self._metrics.record_seconds("endpoint_first_byte_seconds", clock.now() - run.sent_at)
         if not isinstance(result, NotSent):
@@ -484,7 +534,14 @@
             return self._refuse(run, Refused.ENDPOINT_FAILED, "a repeat was rejected")
         if self._pool.hold_wait_s(run.service.name) > 0 and head.retry_after_s is not None:
             return self._refuse_unplaced(run, PlacementFailure.TURNED_AWAY)
-        return self._refuse(run, Refused.ENDPOINTS_FULL, retry_after_s=FULL_RETRY_AFTER_S)
+        return self._refuse(
+            run, Refused.ENDPOINTS_FULL, retry_after_s=self._full_retry_after_s(run)
+        )
+
+    def _full_retry_after_s(self, run: RequestRun) -> float:
+        if not self._pool.controls_admission():
+            return FULL_RETRY_AFTER_S
+        return self._pool.return_after_s(run.service.name, demand_of(run))
 
     def _begin_stream(
         self, run: RequestRun, placement: EndpointPlacement, exchange: Exchange
@@ -593,20 +650,22 @@
     def _refuse_unplaced(self, run: RequestRun, why: PlacementFailure) -> CallerResponse:
         if run.was_sent:
             return self._refuse(run, Refused.ENDPOINT_FAILED, run.last_error or why.value)
+        if why is PlacementFailure.FULL:
+            wait_s = self._full_retry_after_s(run)
+            return self._refuse(run, Refused.ENDPOINTS_FULL, run.last_error, wait_s)
         reason, retry_after_s = {
             PlacementFailure.UNKNOWN_SERVICE: (Refused.NO_ENDPOINT, UNREACHABLE_RETRY_AFTER_S),
             PlacementFailure.UNREACHABLE: (
                 Refused.ENDPOINTS_UNREACHABLE,
                 UNREACHABLE_RETRY_AFTER_S,
             ),
-            PlacementFailure.FULL: (Refused.ENDPOINTS_FULL, FULL_RETRY_AFTER_S),
             PlacementFailure.TURNED_AWAY: (
                 Refused.ENDPOINTS_TURNED_AWAY,
                 self._come_back_s(run),
             ),
             PlacementFailure.RATE_LIMITED: (
                 Refused.ENDPOINTS_LIMITED,
-                max(LIMITED_RETRY_AFTER_S, self._pool.quota_wait_s(run.service.name)),
+                self._quota_wait_s(run),
             ),
             PlacementFailure.EVACUATED: (Refused.ENDPOINTS_EVACUATED, EVACUATED_RETRY_AFTER_S),
             PlacementFailure.OUTSIDE_HOMES: (
@@ -621,6 +680,14 @@
         share = (stable_hash("come-back", run.call.request_id) % 1_000) / 1_000
         return come_back_s(self._pool.hold_wait_s(run.service.name), share)
 
+    def _quota_wait_s(self, run: RequestRun) -> float:
+        """Returns the seconds after which a request may find a unit of a rate."""
+        wait_s = max(LIMITED_RETRY_AFTER_S, self._pool.quota_wait_s(run.service.name))
+        if run.service.cold_requests_per_s <= 0:
+            return wait_s
+        share = (stable_hash("quota", run.call.request_id) % 1_000) / 1_000
+        return come_back_s(wait_s, share)
+
     def _refuse(
         self, run: RequestRun, reason: Refused, detail: str = "", retry_after_s: float | None = None
     ) -> CallerResponse:
@@ -646,6 +713,11 @@
     ) -> None:
         if self._pool.record_response(placement, head, failed):
             self._record_event("endpoint_limit_changed", run, placement, rate_limit=head.rate_limit)
+        error_s = placement.estimate_error_s()
+        if error_s is not None:
+            self._metrics.record_seconds("first_event_estimate_error_seconds", abs(error_s))
+            sign = "late" if error_s > 0 else "early"
+            self._metrics.count("first_events_estimated_total", than_expected=sign)
 
     def _count_body(self, transfer: Transfer, outcome: str) -> None:
         self._metrics.count(
@@ -660,7 +732,15 @@
         transfer: Transfer,
     ) -> None:
         self._count_body(transfer, "whole")
-        age_s = clock.now() - run.caller.arrived_at
+        self._pool.record_done(placement)
+        now = clock.now()
+        age_s = now - run.caller.arrived_at
+        if run.first_event_at is None:
+            run.record_event(now)
+        assert run.first_event_at is not None
+        late_by = run.late_by()
+        if late_by is not None:
+            self._metrics.count("late_responses_total", missed=late_by)
         self._metrics.count("requests_total", status=str(head.status))
         self._metrics.record_seconds("request_seconds", age_s)
         self._log.routine(
@@ -671,6 +751,7 @@
             in_flight=placement.in_flight,
             fleet_load=placement.fleet_load,
             rate_limit=head.rate_limit,
+            is_cold=(placement.cold_limit is not None and placement.cold_limit.is_cold) or None,
             context_from=(
                 placement.context_source.id if placement.context_source is not None else None
             ),
@@ -678,6 +759,11 @@
             attempts=run.attempts,
             status=head.status,
             ms=int(age_s * 1e3),
+            sent_ms=int((run.sent_at - run.caller.arrived_at) * 1e3),
+            first_ms=int((run.first_event_at - run.caller.arrived_at) * 1e3),
+            longest_pause_ms=int(run.longest_pause_s * 1e3),
+            expected_first_ms=placement.expected_first_ms(),
+            occupied=round(placement.stay.occupied, 2) if placement.stay is not None else None,
             **transfer.log_fields(),
         )
 
--- a/tests/gateway/builders.py
+++ b/tests/gateway/builders.py
@@ -12,6 +12,7 @@
     PromptPart,
     RequestHead,
     RequestKind,
+    ResponseHead,
     Route,
     Service,
     WeightedService,
@@ -38,9 +39,10 @@
     return Route(**{**fields, **changes})
 
 
-def a_service(name: str = "shop", batch_slots: int | None = None) -> Service:
+def a_service(name: str = "shop", batch_slots: int | None = None, **changes: Any) -> Service:
     """Returns a plain service, or a service of engines if `batch_slots` is given."""
-    return Service(name, "/health", 100, batch_slots, 1_000_000 if batch_slots else None)
+    kv_tokens = 1_000_000 if batch_slots else None
+    return Service(name, "/health", 100, batch_slots, kv_tokens, **changes)
 
 
 def a_config(version: int = 1, routes: tuple[Route, ...] | None = None) -> GatewayConfig:
@@ -88,6 +90,22 @@
     )
 
 
+def response_head(**changes: Any) -> ResponseHead:
+    """Returns the head of a signed response with status 200."""
+    fields: dict[str, Any] = {
+        "status": 200,
+        "reason": "OK",
+        "request_id": "q1",
+        "instance_id": None,
+        "is_not_executed": False,
+        "is_sealed": True,
+        "load": None,
+        "idle_timeout_s": None,
+        "headers": (),
+    }
+    return ResponseHead(**{**fields, **changes})
+
+
 def settings(store: Address, ports: list[int], **changes: Any) -> GatewaySettings:
     """Returns settings of a gateway that listens on the loopback address.
 
