--- a/src/sequoiadrum/gateway/explain.py
+++ b/src/sequoiadrum/gateway/explain.py
@@ -60,7 +60,7 @@
     "deadline_before_send": "the deadline passed before an endpoint could be reached; not run",
     "endpoint_failed": "an endpoint failed or broke the connection; the request may have run",
     "endpoints_evacuated": "all endpoints are in evacuated failure domains; not run",
-    "evacuations_unknown": "this router did not know yet which failure domains are evacuated; not run",
+    "evacuations_unknown": "this router had not read yet which domains are evacuated; not run",
     "endpoints_full": "all endpoints refused new requests; not run",
     "endpoints_limited": "all endpoints named rates below the demand; not run",
     "endpoints_turned_away": "all endpoints were held back, some by a time they named; not run",
