Let the other kinds probe the store for the evacuations

Change: in an outage, the calls of the configuration and the endpoints find out when the store is back, and evacuations come from peers meanwhile; a router that starts waits with its first watch until it knows the fleet; followers read complete lists every two minutes.

--- a/src/sequoiadrum/gateway/app.py
+++ b/src/sequoiadrum/gateway/app.py
@@ -119,7 +119,7 @@
         self._failed = False
         self._is_killed = False
         self._store = adapter.store(self.metrics)
-        self._store_availability = StoreAvailability(self.log, self.metrics)
+        self.store_availability: Final = StoreAvailability(self.log, self.metrics)
         self._instances = StoreInstanceList(self._store, settings, self.metrics, self.log)
         self._peers = ThriftPeerClient(self.metrics)
         self.gossip: Final = GossipTask(
@@ -152,7 +152,7 @@
             self.log,
             self._invariant_broken,
         )
-        self._store_availability.subscribe_restores(self._convictions.store_restored)
+        self.store_availability.subscribe_restores(self._convictions.store_restored)
         pauses = PauseDetector(clock.now())
         self.peer_events: Final = PeerEventTask(
             settings.instance_id,
@@ -166,8 +166,8 @@
         )
         self.gossip.subscribe(self.peer_events)
         self.gossip.subscribe_revisions(self.peer_events)
-        self._store_availability.subscribe_restores(self._instances.register_again)
-        self._store_availability.subscribe_restores(self.peer_events.store_restored)
+        self.store_availability.subscribe_restores(self._instances.register_again)
+        self.store_availability.subscribe_restores(self.peer_events.store_restored)
         self.evacuations: Final = (
             Evacuations() if settings.bounds.evacuation_s is not None else None
         )
@@ -201,7 +201,7 @@
             self.configuration,
             mirror,
             peer_feed,
-            self._store_availability,
+            self.store_availability,
             self.metrics,
             self.log,
         )
@@ -212,7 +212,7 @@
             self.connections,
             mirror,
             peer_feed,
-            self._store_availability,
+            self.store_availability,
             self.metrics,
             self.log,
         )
@@ -224,7 +224,7 @@
                 self.pool,
                 mirror,
                 peer_feed,
-                self._store_availability,
+                self.store_availability,
                 self.metrics,
                 self.log,
             )
--- a/src/sequoiadrum/gateway/evacuation_sync.py
+++ b/src/sequoiadrum/gateway/evacuation_sync.py
@@ -5,7 +5,7 @@
 from typing import TYPE_CHECKING, Final
 
 from sequoiadrum.gateway import clock
-from sequoiadrum.gateway.store_sync import KindSync
+from sequoiadrum.gateway.store_sync import STARTUP_S, KindSync
 
 if TYPE_CHECKING:
     from sequoiadrum.gateway.evacuations import EvacuationChange, Evacuations
@@ -26,6 +26,14 @@
 partitioned delay an evacuation by this time and the slack of the call each."""
 
 
+FIRST_WATCH_DELAY_S: Final = 1.0
+"""Pause after the list of a router that starts. Until it knows the fleet, it takes itself for a
+watcher; by then it knows that others watch for it."""
+FOLLOWER_LIST_INTERVAL_S: Final = 120.0
+"""How often a router that hears of evacuations from peers reads a complete list. The peers answer
+about this kind every other second, and an object that they missed would show in their own lists."""
+
+
 class EvacuationSync(KindSync):
     """Keeps the evacuations up to date."""
 
@@ -56,6 +64,20 @@
         """See `KindSync.peer_wait_s`."""
         return EVACUATION_PEER_WAIT_S
 
+    @property
+    def leaves_probing_to_others(self) -> bool:
+        """See `KindSync.leaves_probing_to_others`."""
+        return True
+
+    @property
+    def follower_list_interval_s(self) -> float:
+        """See `KindSync.follower_list_interval_s`."""
+        return FOLLOWER_LIST_INTERVAL_S
+
+    def first_watch_delay_s(self, age_s: float) -> float:
+        """See `KindSync.first_watch_delay_s`."""
+        return FIRST_WATCH_DELAY_S if age_s < STARTUP_S else 0.0
+
     def apply(self, updates: list[StoreEvent], source: str) -> None:
         """See `KindSync.apply`."""
         for change in self._evacuations.apply(updates, clock.now()):
--- a/src/sequoiadrum/gateway/store_sync.py
+++ b/src/sequoiadrum/gateway/store_sync.py
@@ -48,6 +48,8 @@
 INITIAL_RETRY_DELAY_S: Final = 0.1
 MAX_RETRY_DELAY_S: Final = 0.8
 """Maximum pause between two attempts in an outage, whose end must be detected within a second."""
+OUTAGE_POLL_S: Final = 0.2
+"""How often a kind whose outages others probe checks whether the outage has ended."""
 OUTAGE_PEER_WAIT_S: Final = 0.4
 """Maximum wait for changes from a peer between two attempts to reach the store."""
 FOLLOWER_FULL_LIST_INTERVAL_S: Final = 30.0
@@ -116,6 +118,10 @@
         for on_restore in self._restore_subscribers:
             on_restore()
 
+    def is_lost(self) -> bool:
+        """Returns whether calls of this router have failed since the last response."""
+        return self._lost_at is not None
+
     def record_response(self) -> None:
         """Records a response of the store to this router."""
         with self._lock:
@@ -261,6 +267,24 @@
             source: `list`, `watch`, `peer` or `restart`; reported in log lines and metrics.
         """
 
+    @property
+    def leaves_probing_to_others(self) -> bool:
+        """Whether the calls of the other kinds find out when the store can be reached again."""
+        return False
+
+    @property
+    def follower_list_interval_s(self) -> float:
+        """How often a router that receives changes from peers reads a complete list, in seconds."""
+        return FOLLOWER_FULL_LIST_INTERVAL_S
+
+    def first_watch_delay_s(self, age_s: float) -> float:
+        """Returns the pause between a list and the first watch after it, in seconds.
+
+        Args:
+            age_s: Seconds since the start.
+        """
+        return 0.0
+
     def batch_delay_s(self, age_s: float) -> float:
         """Returns the pause after changes, during which further changes accumulate, in seconds.
 
@@ -283,6 +307,10 @@
         while not self._stopped.is_set():
             if not self._feed.is_watcher() and self._sync_from_peers():
                 continue
+            if self.leaves_probing_to_others and self._availability.is_lost():
+                if not self._request_from_peer(OUTAGE_PEER_WAIT_S):
+                    self._stopped.wait(OUTAGE_POLL_S)
+                continue
             if self._sync_from_store():
                 retry_delay_s = INITIAL_RETRY_DELAY_S
                 continue
@@ -313,6 +341,7 @@
             self.record_full_list(requested_at)
         revision = page.revision
         next_list_at = requested_at + FULL_LIST_INTERVAL_S * random.uniform(0.8, 1.2)
+        self._stopped.wait(self.first_watch_delay_s(clock.now() - self._started_at))
         while not self._stopped.is_set() and clock.now() < next_list_at and self._feed.is_watcher():
             requested_at = clock.now()
             watched = self._store.watch(self._kind, revision, self.watch_wait_s)
@@ -394,7 +423,7 @@
         Returns:
             False if the store must be read: a complete list is due, or the peers failed.
         """
-        next_list_at = clock.now() + FOLLOWER_FULL_LIST_INTERVAL_S * random.uniform(0.8, 1.2)
+        next_list_at = clock.now() + self.follower_list_interval_s * random.uniform(0.8, 1.2)
         failures = 0
         while not self._stopped.is_set() and not self._feed.is_watcher():
             if clock.now() >= next_list_at:
--- a/tests/gateway/test_evacuation_sync.py
+++ b/tests/gateway/test_evacuation_sync.py
@@ -106,6 +106,26 @@
         output = self.world.output.getvalue
         eventually(lambda: "endpoint_evacuated_before_send" in output(), "it is logged")
 
+    def test_outage_is_probed_by_the_other_kinds(self) -> None:
+        """Guards against calls of a store that is away for each kind of objects."""
+        self._start()
+        calls = self.world.store.calls
+        self.world.store.status = 503
+        availability = self.world.gateway.store_availability
+        eventually(availability.is_lost, "the outage is noticed")
+
+        def count(kind: str) -> int:
+            return sum(f"/objects/{kind}" in path for _, path in calls)
+
+        # A call of the kind that was in progress may still fail.
+        eventually(lambda: count("servers") > 0, "the endpoints are read")
+        before, probes = count(KIND) + 1, count("servers")
+        eventually(lambda: count("servers") >= probes + 6, "the endpoints are read again and again")
+        self.assertLessEqual(count(KIND), before)
+        self.world.store.put(KIND, "z1", {})
+        self.world.store.status = None
+        eventually(lambda: self.evacuations.is_evacuated("z1"), "the evacuation is known")
+
     def test_running_request_completes(self) -> None:
         """Guards against a request that an evacuation interrupts."""
         release = threading.Event()
