--- a/src/sequoiadrum/gateway/app.py
+++ b/src/sequoiadrum/gateway/app.py
@@ -35,6 +35,7 @@
     create_member_server,
 )
 from sequoiadrum.gateway.front import ServerGroup
+from sequoiadrum.gateway.homes import HomeRegions
 from sequoiadrum.gateway.load_exchange import LoadExchangeTask
 from sequoiadrum.gateway.memory_budget import ResponseMemory, budget_of
 from sequoiadrum.gateway.mirror import Mirror
@@ -118,7 +119,7 @@
         self._failed = False
         self._is_killed = False
         self._store = adapter.store(self.metrics)
-        self._store_availability = StoreAvailability(self.log, self.metrics)
+        self.store_availability: Final = StoreAvailability(self.log, self.metrics)
         self._instances = StoreInstanceList(self._store, settings, self.metrics, self.log)
         self._peers = ThriftPeerClient(self.metrics)
         self.gossip: Final = GossipTask(
@@ -151,7 +152,7 @@
             self.log,
             self._invariant_broken,
         )
-        self._store_availability.subscribe_restores(self._convictions.store_restored)
+        self.store_availability.subscribe_restores(self._convictions.store_restored)
         pauses = PauseDetector(clock.now())
         self.peer_events: Final = PeerEventTask(
             settings.instance_id,
@@ -165,8 +166,8 @@
         )
         self.gossip.subscribe(self.peer_events)
         self.gossip.subscribe_revisions(self.peer_events)
-        self._store_availability.subscribe_restores(self._instances.register_again)
-        self._store_availability.subscribe_restores(self.peer_events.store_restored)
+        self.store_availability.subscribe_restores(self._instances.register_again)
+        self.store_availability.subscribe_restores(self.peer_events.store_restored)
         self.evacuations: Final = (
             Evacuations() if settings.bounds.evacuation_s is not None else None
         )
@@ -180,6 +181,8 @@
             self._invariant_broken,
             may_have_peers=bool(settings.seed_hosts),
         )
+        self.metrics.gauge("even_choice_active", lambda: float(self.pool.is_even()))
+        self.metrics.gauge("endpoint_load_highest_multiple", self.pool.highest_load_multiple)
         self.metrics.gauge("cold_endpoints", lambda: float(self.pool.cold.count(clock.now())))
         self.connections: Final = EndpointConnections(adapter.header_codec)
         self._crash_watch: Final = CrashWatch(
@@ -198,7 +201,7 @@
             self.configuration,
             mirror,
             peer_feed,
-            self._store_availability,
+            self.store_availability,
             self.metrics,
             self.log,
         )
@@ -209,7 +212,7 @@
             self.connections,
             mirror,
             peer_feed,
-            self._store_availability,
+            self.store_availability,
             self.metrics,
             self.log,
         )
@@ -221,7 +224,7 @@
                 self.pool,
                 mirror,
                 peer_feed,
-                self._store_availability,
+                self.store_availability,
                 self.metrics,
                 self.log,
             )
@@ -252,6 +255,7 @@
             self._crash_watch,
             self._load_exchange,
             settings.failure_domain,
+            HomeRegions(settings.region_by_domain),
             self._in_flight,
             memory,
             self.shutdown,
--- a/src/sequoiadrum/gateway/pool.py
+++ b/src/sequoiadrum/gateway/pool.py
@@ -11,6 +11,7 @@
 from sequoiadrum.gateway import clock
 from sequoiadrum.gateway.cold_endpoints import ColdEndpoints, ColdPolicy
 from sequoiadrum.gateway.crash_suspects import Listing
+from sequoiadrum.gateway.endpoint_choice import EndpointKnowledge, EvenChoice
 from sequoiadrum.gateway.endpoints import Endpoint, EndpointTable
 from sequoiadrum.gateway.holds import MAX_RETRY_AFTER_S, Hold, HoldReason
 from sequoiadrum.gateway.hot_parts import HotParts
@@ -36,6 +37,7 @@
 
     from sequoiadrum.gateway.admission_control import Admission, Demand
     from sequoiadrum.gateway.cold_endpoints import ColdLimit
+    from sequoiadrum.gateway.endpoint_choice import EndpointChoice
     from sequoiadrum.gateway.evacuations import Evacuations
     from sequoiadrum.gateway.model import (
         EndpointEntry,
@@ -66,6 +68,8 @@
     """Whether the endpoint named a rate, of which the request needs a unit."""
     cold_limit: ColdLimit | None = None
     """The limit of an endpoint that is or was cold, of which the request needs a unit as well."""
+    is_plain: bool = False
+    """Whether the endpoint is one of a plain service."""
     is_released: bool = False
     stay: ExpectedStay | None = None
     """What is expected of the request; None if admission is not controlled."""
@@ -111,6 +115,7 @@
         bounds: Bounds,
         instances: Callable[[], int],
         evacuations: Evacuations | None = None,
+        choice: EndpointChoice | None = None,
     ) -> None:
         """Creates an empty pool.
 
@@ -118,9 +123,14 @@
             bounds: Limits on retries and loads.
             instances: Returns the number of routers.
             evacuations: The evacuated failure domains; None if operators do not evacuate any.
+            choice: Chooses among endpoints. By default requests in flight decide, until an endpoint
+                states how long work takes on a host that it shares; from then on `EvenChoice` does.
         """
         self.evacuations: Final = evacuations
         self._bounds = bounds
+        self._choice = choice
+        self._knowledge = EndpointKnowledge()
+        self._even_choice = EvenChoice(self._knowledge, instances)
         self._instances = instances
         self._lock = threading.Lock()
         self._table = EndpointTable()
@@ -188,28 +198,34 @@
         """
         now = clock.now()
         with self._lock:
-            known = endpoints = self._table.of_service(request.service.name)
+            known = endpoints = self._endpoints_at_home(request)
             if self.evacuations is not None and self.evacuations.has_any():
                 part = prompt_key(request.call)
                 endpoints = self.evacuations.usable(known, part, request.excluded, now)
             request = self._with_replica_count(request, endpoints, now, is_repeated)
-            cold = self._cold_limits(request.service, endpoints, now)
+            choice = self._choice
+            if choice is None and self._knowledge.is_active:
+                choice = self._even_choice
+            cold = self._cold_limits(request.service, known, now)
             chosen: Endpoint | PlacementFailure = PlacementFailure.RATE_LIMITED
-            if any(limit.is_cold for limit in cold.values()):
+            if cold and self._has_cold(endpoints, cold):
                 # Cold endpoints are left alone as long as others have room.
                 avoided = LimitedEndpoints.AVOIDED_WITH_ROOM
                 withheld = self._withheld(endpoints, now, limited, cold, avoided)
                 withheld |= {e.id for e in endpoints if e.is_failing(now)}
-                chosen = choose(endpoints, evolve(request, withheld=withheld), now)
+                chosen = choose(endpoints, evolve(request, withheld=withheld), now, choice)
             if isinstance(chosen, PlacementFailure):
                 if self.rate_limits.has_any() or cold:
                     withheld = self._withheld(endpoints, now, limited, cold)
                     request = evolve(request, withheld=withheld)
-                chosen = choose(endpoints, request, now)
+                chosen = choose(endpoints, request, now, choice)
             if isinstance(chosen, PlacementFailure):
-                is_none_left = chosen is PlacementFailure.UNKNOWN_SERVICE
-                is_narrowed = len(endpoints) < len(known)
-                return PlacementFailure.EVACUATED if is_none_left and is_narrowed else chosen
+                if chosen is not PlacementFailure.UNKNOWN_SERVICE:
+                    return chosen
+                if len(endpoints) < len(known):
+                    return PlacementFailure.EVACUATED
+                is_narrowed = request.domains is not None and not known
+                return PlacementFailure.OUTSIDE_HOMES if is_narrowed else chosen
             chosen.in_flight += 1
             chosen.started_since_load += 1
             key = endpoint_key(chosen.id_hash)
@@ -227,6 +243,7 @@
                 placement.stay = self._rooms.expect(
                     request.service.name, request.call, chosen, self._instances(), now
                 )
+            placement.is_plain = request.service.batch_slots is None
             if not placement.is_limited:
                 placement.context_source = self._find_context_source(known, chosen, request, now)
             return placement
@@ -234,7 +251,7 @@
     def confirm(self, placement: EndpointPlacement, request: PlacementRequest) -> None:
         """Completes a placement whose quota was obtained."""
         with self._lock:
-            endpoints = self._table.of_service(request.service.name)
+            endpoints = self._endpoints_at_home(request)
             placement.context_source = self._find_context_source(
                 endpoints, placement.endpoint, request, clock.now()
             )
@@ -245,7 +262,9 @@
             if not placement.is_released:
                 placement.is_released = True
                 placement.endpoint.in_flight -= 1
-                self._hot_parts.record_duration(clock.now() - placement.placed_at)
+                duration_s = clock.now() - placement.placed_at
+                self._hot_parts.record_duration(duration_s)
+                self._knowledge.record_duration(placement.endpoint, duration_s)
 
     def cancel(self, placement: EndpointPlacement) -> None:
         """Ends a placement whose request is not sent."""
@@ -291,6 +310,7 @@
                 placement.endpoint.record_load(head.load, now)
                 if head.load.slowdown is not None:
                     self._rooms.record_shared_host(now)
+                self._knowledge.record_load(placement.endpoint, head.load, now)
             if head.is_not_executed:
                 placement.endpoint.record_full(now)
             else:
@@ -299,6 +319,10 @@
                     placement.first_s = now - placement.placed_at
                     service = placement.endpoint.entry.service
                     self._rooms.record_first(service, placement.stay, placement.first_s)
+                if placement.is_plain and not failed:
+                    self._knowledge.record_completed(
+                        placement.endpoint, now - placement.placed_at, now
+                    )
         if head.cold_left_s is not None and head.instance_id in (None, placement.endpoint.id):
             self.cold.record_statement(placement.endpoint_key, head.cold_left_s, now)
         if head.rate_limit is None and not head.is_sealed:
@@ -319,6 +343,19 @@
             service = placement.endpoint.entry.service
             self._rooms.record_done(service, placement.stay, placement.first_s, whole_s)
 
+    def is_even(self) -> bool:
+        """Returns whether endpoints are chosen evenly because some share hosts."""
+        return self._choice is None and self._knowledge.is_active
+
+    def highest_load_multiple(self) -> float:
+        """Returns the highest load of an endpoint as a multiple of the mean of its service.
+
+        Loads are estimated, and services with less than one request at each endpoint left out.
+        """
+        now = clock.now()
+        with self._lock:
+            return self._knowledge.highest_multiple(self._table.by_id.values(), now)
+
     def record_notices(
         self, placement: EndpointPlacement, head: ResponseHead
     ) -> list[tuple[str, Hold]]:
@@ -415,6 +452,7 @@
                 key = endpoint_key(endpoint.id_hash)
                 endpoint.in_flight_elsewhere = loads.in_flight_by_endpoint.get(key, 0)
                 endpoint.elsewhere_reported_at = now
+            self._knowledge.record_elsewhere(self._table.by_id.values(), now)
 
     def has_endpoints(self) -> bool:
         """Returns whether any endpoint is known."""
@@ -500,6 +538,13 @@
         with self._lock:
             return self._table.expire(clock.now())
 
+    def _endpoints_at_home(self, request: PlacementRequest) -> list[Endpoint]:
+        """Returns the endpoints on which a request may run and from which it may copy."""
+        endpoints = self._table.of_service(request.service.name)
+        if request.domains is None:
+            return endpoints
+        return [e for e in endpoints if e.entry.failure_domain in request.domains]
+
     def _serving(self, service: str, now: float) -> list[Endpoint]:
         """Returns the endpoints of a service that may get requests, also those held back."""
         return [e for e in self._usable(service, now) if e.can_serve(now)]
@@ -559,6 +604,11 @@
         crowded = {e.id for e in endpoints if e not in limited and e.is_above(max_load, now)}
         return frozenset(withheld | crowded)
 
+    @staticmethod
+    def _has_cold(endpoints: list[Endpoint], cold_limits: Mapping[int, ColdLimit]) -> bool:
+        limits = (cold_limits.get(endpoint_key(e.id_hash)) for e in endpoints)
+        return any(limit is not None and limit.is_cold for limit in limits)
+
     def _refused_until(self, endpoint: Endpoint, now: float) -> float:
         key = endpoint_key(endpoint.id_hash)
         return max(self.rate_limits.refused_until(key, now), self.cold.refused_until(key))
