--- a/src/sequoiadrum/gateway/admission_control.py
+++ b/src/sequoiadrum/gateway/admission_control.py
@@ -1,11 +1,11 @@
 """Decides which requests of a service are admitted while its room is short; performs no I/O.
 
-Designed for services whose endpoints are short of places for some seconds: a burst of long drafts
+Designed for services whose endpoints are short of slots for some seconds: a burst of long drafts
 on the engines that answer short questions, an account that sends many times its usual, endpoints
 that crash. A request that cannot be served in time is refused at once; else every request is
 admitted until so many wait that callers would give up. From then on the router keeps to its part
-of the places: what it has in flight as a share of what all routers have. The parts add up to the
-places however many routers there are.
+of the slots: what it has in flight as a share of what all routers have. The parts add up to the
+slots however many routers there are.
 """
 
 from __future__ import annotations
@@ -56,11 +56,11 @@
 MAX_RETURN_S: Final = 3.0
 """Bounds on the time after which a refused caller is asked to come back."""
 TOLERATED_WAIT_SHARE: Final = 0.4
-"""Share of the time after which callers give up that requests may wait for a place on average. A
+"""Share of the time after which callers give up that requests may wait for a slot on average. A
 shorter wait at an endpoint serves more callers than a refusal does."""
 MIN_CORRECTION: Final = 0.7
 MAX_CORRECTION: Final = 1.1
-"""Bounds on the factor by which a router corrects its part of the places."""
+"""Bounds on the factor by which a router corrects its part of the slots."""
 PART_HALF_LIFE_S: Final = 5.0
 """Time after which an observation of this router's part of all requests counts half."""
 PART_PRIOR: Final = 2.0
@@ -83,19 +83,19 @@
     """What was decided about a request; each has a counter."""
 
     ADMITTED = "admitted"
-    OUT_OF_REACH = "out_of_reach"
+    TOO_LATE = "too_late"
     """Its caller would have given up before the response could begin or end."""
     ACCOUNT_SHARE = "account_share"
-    """All places are taken, and its account sends more than its part."""
+    """All slots are taken, and its account sends more than its part."""
     URGENT_FIRST = "urgent_first"
-    """All places are taken, and more urgent requests need them."""
+    """All slots are taken, and more urgent requests need them."""
     BYTES_HELD = "bytes_held"
     """This router holds so many bytes for others that it keeps the rest for more urgent ones."""
 
 
 @frozen
 class Demand:
-    """A request that asks for a place."""
+    """A request that asks for a slot."""
 
     priority: int
     """0 is the most urgent."""
@@ -162,7 +162,7 @@
     Args:
         recent_by_account: Recent requests.
         usual_by_account: Requests over a longer time.
-        shortage: Share of all requests for which there is no place.
+        shortage: Share of all requests for which there is no slot.
 
     Returns:
         The shares of the hot accounts; all others keep 1.
@@ -200,8 +200,8 @@
     would leave them.
 
     Args:
-        need_by_priority: Places that the requests of each priority need.
-        capacity: Places that there are for all of them.
+        need_by_priority: Slots that the requests of each priority need.
+        capacity: Slots that there are for all of them.
     """
     total = sum(need_by_priority.values())
     shortage = total - capacity
@@ -254,7 +254,7 @@
     """Admits the requests for one service."""
 
     _need_by_priority: dict[int, DecayedSum] = field(factory=dict)
-    """Places that the requests needed, admitted or not, in seconds of a slot."""
+    """Slots that the requests needed, admitted or not, in seconds of a slot."""
     _admitted_requests: DecayedSum = field(factory=lambda: DecayedSum(NEED_HALF_LIFE_S))
     _use_by_account: dict[str, _AccountUse] = field(factory=dict)
     """In the order of their last request."""
@@ -269,7 +269,7 @@
     _mean_need_s: float = 0.0
     """Mean time for which a request holds a slot; 0 if unknown."""
     _short_since: float | None = None
-    """Monotonic seconds at which the places became too few; None while they suffice."""
+    """Monotonic seconds at which the slots became too few; None while they suffice."""
     _own_sum: float = 0.0
     """Requests of this router in flight, in request-seconds, with exponential decay."""
     _fleet_sum: float = 0.0
@@ -311,8 +311,8 @@
         if not self._has_memory_for(demand):
             return self._refuse(demand, Outcome.BYTES_HELD, queue_s, now)
         if not room.is_calm:
-            if expected is not None and _is_out_of_reach(demand, expected):
-                return self._refuse(demand, Outcome.OUT_OF_REACH, queue_s, now)
+            if expected is not None and _is_too_late(demand, expected):
+                return self._refuse(demand, Outcome.TOO_LATE, queue_s, now)
             refusal = self._limit(demand, room, queue_s, routers, now)
             if refusal is not None:
                 return refusal
@@ -386,18 +386,18 @@
     def _limit(
         self, demand: Demand, room: Room, queue_s: float, routers: int, now: float
     ) -> Admission | None:
-        """Returns the refusal of a request for which no place is left; None if one is."""
-        tolerated = room.places * self._tolerated_occupancy(demand)
+        """Returns the refusal of a request for which no slot is left; None if one is."""
+        tolerated = room.slots * self._tolerated_occupancy(demand)
         part = self.part(routers)
         taken = room.taken if room.is_fleet_known else self._recent_own / part
         if taken <= tolerated:
-            if taken <= room.places:
+            if taken <= room.slots:
                 self._short_since = None
             return None
         if self._short_since is None:
             self._short_since = now
         if now - self._shares_at >= SHARES_INTERVAL_S:
-            self._compute_shares(part * room.places, taken / max(1.0, tolerated), now)
+            self._compute_shares(part * room.slots, taken / max(1.0, tolerated), now)
         priority_share = self._share_by_priority.get(demand.priority, 1.0)
         account_share = self._share_by_account.get(demand.account, 1.0)
         share = priority_share * account_share
@@ -414,14 +414,14 @@
         outcome = Outcome.ACCOUNT_SHARE if is_account else Outcome.URGENT_FIRST
         return self._refuse(demand, outcome, queue_s, now, share)
 
-    def _compute_shares(self, own_places: float, exceeded: float, now: float) -> None:
+    def _compute_shares(self, own_slots: float, exceeded: float, now: float) -> None:
         self._shares_at = now
         need_by_priority = {p: need.value(now) for p, need in self._need_by_priority.items()}
         total = sum(need_by_priority.values())
         correction = min(MAX_CORRECTION, max(MIN_CORRECTION, 2 - exceeded))
         # Sums of needs count about this many seconds.
         counted_s = NEED_HALF_LIFE_S / math.log(2)
-        capacity = correction * own_places * counted_s
+        capacity = correction * own_slots * counted_s
         shortage = max(0.0, 1 - capacity / total) if total > 0 else 0.0
         recent = {a: use.recent.value(now) for a, use in self._use_by_account.items()}
         usual = {a: use.usual.value(now) for a, use in self._use_by_account.items()}
@@ -465,7 +465,7 @@
         return Admission(outcome, self.return_after_s(demand, queue_s, now), share)
 
 
-def _is_out_of_reach(demand: Demand, expected: Expectation) -> bool:
+def _is_too_late(demand: Demand, expected: Expectation) -> bool:
     return (
         expected.earliest_first_s > demand.first_left_s
         or expected.earliest_done_s > demand.done_left_s
--- a/src/sequoiadrum/gateway/app.py
+++ b/src/sequoiadrum/gateway/app.py
@@ -379,7 +379,7 @@
     def _register_room_gauges(self) -> None:
         rooms = self.pool.rooms
         gauge = self.metrics.labelled_gauge
-        gauge("room_places", "service", lambda: {s: r.places for s, r in rooms().items()})
+        gauge("room_slots", "service", lambda: {s: r.slots for s, r in rooms().items()})
         gauge("room_taken", "service", lambda: {s: r.taken for s, r in rooms().items()})
         gauge("room_queued", "service", lambda: {s: r.queued for s, r in rooms().items()})
         gauge("room_own_part", "service", self.pool.own_parts)
--- a/src/sequoiadrum/gateway/explain.py
+++ b/src/sequoiadrum/gateway/explain.py
@@ -52,7 +52,7 @@
     }
 )
 _CAUSE_BY_REASON: Final = {
-    "account_share": "all places were taken and the account sent more than its part; not run",
+    "account_share": "all slots were taken and the account sent more than its part; not run",
     "bad_request": "the request could not be parsed",
     "bytes_held": "the router held many bytes and kept the rest for urgent requests; not run",
     "caller_gone": "the caller disconnected before the response began",
@@ -72,14 +72,14 @@
     "no_configuration": "this router had not loaded a configuration yet; not run",
     "no_endpoint_at_home": "no endpoint was in a home region of route and account; not run",
     "no_endpoint": "no endpoint of the service was listed as ready; not run",
-    "out_of_reach": "the response would have come after the caller gave up; not run",
+    "too_late": "the response would have come after the caller gave up; not run",
     "resumed": "this router had been suspended and could not read what had changed; not run",
     "route_unknown": "the newest configuration has no such route",
     "stopped": "this router ended before the response began; the request may have run",
     "stopping": "this router was shutting down and could not have completed the request; not run",
     "uncertain_key": "the key is unknown here and the store could not be read; not run",
     "uncertain_route": "the route is unknown here and the store could not be read; not run",
-    "urgent_first": "all places were taken and more urgent requests needed them; not run",
+    "urgent_first": "all slots were taken and more urgent requests needed them; not run",
 }
 
 
--- a/src/sequoiadrum/gateway/relay.py
+++ b/src/sequoiadrum/gateway/relay.py
@@ -177,7 +177,7 @@
             return None
         room = self._pool.room(service)
         detail = (
-            f"{room.taken:.0f} of {room.places} places taken, {room.queued:.0f} requests wait,"
+            f"{room.taken:.0f} of {room.slots} slots taken, {room.queued:.0f} requests wait,"
             f" share {admission.share:.2f}"
         )
         return self._refuse(run, Refused(admission.outcome.value), detail, admission.retry_after_s)
--- a/src/sequoiadrum/gateway/request_run.py
+++ b/src/sequoiadrum/gateway/request_run.py
@@ -53,12 +53,12 @@
     """All endpoints are outside of the home regions of the route or of the account."""
     EVACUATIONS_UNKNOWN = "evacuations_unknown"
     """This router has started and does not know yet which failure domains are evacuated."""
-    OUT_OF_REACH = "out_of_reach"
+    TOO_LATE = "too_late"
     """The response would begin or end after the caller has given up, by all that is known."""
     ACCOUNT_SHARE = "account_share"
-    """All places of the service are taken, and the account sends more than its part."""
+    """All slots of the service are taken, and the account sends more than its part."""
     URGENT_FIRST = "urgent_first"
-    """All places of the service are taken, and more urgent requests need them."""
+    """All slots of the service are taken, and more urgent requests need them."""
     BYTES_HELD = "bytes_held"
     """The router holds many bytes for others and keeps the rest for more urgent requests."""
     CRASHES_ENDPOINTS = "crashes_endpoints"
@@ -136,7 +136,7 @@
     was_sent: bool = False
     """Whether bytes were sent to an endpoint that has not reported the request as not executed."""
     has_waited: bool = False
-    """Whether it has waited for a place at an endpoint."""
+    """Whether it has waited for a slot at an endpoint."""
     last_error: str = ""
     progress_at: float = 0.0
     """Monotonic seconds at which the last event of a stream was complete."""
--- a/src/sequoiadrum/gateway/room.py
+++ b/src/sequoiadrum/gateway/room.py
@@ -88,9 +88,9 @@
 
 @frozen
 class Room:
-    """The places of a service, as this router knows them."""
+    """The slots of a service, as this router knows them."""
 
-    places: int
+    slots: int
     """Slots of all endpoints that may take requests."""
     taken: float
     """Requests of all routers at these endpoints."""
@@ -105,8 +105,8 @@
 
     @property
     def is_calm(self) -> bool:
-        """Whether under half of the places are taken and nothing waits."""
-        return self.queued <= 0 and 2 * self.taken < self.places
+        """Whether under half of the slots are taken and nothing waits."""
+        return self.queued <= 0 and 2 * self.taken < self.slots
 
 
 NO_ROOM_KNOWN: Final = Room(0, 0.0, 0, 0.0, 0.0, is_fleet_known=False)
@@ -117,7 +117,7 @@
 
     Without a recent report of the other routers, it is the higher of what the endpoint reported
     itself and of what all routers have there if each has as many as this one. So a router that is
-    cut off from its peers takes no more than an equal part of the places.
+    cut off from its peers takes no more than an equal part of the slots.
 
     Args:
         endpoint: The endpoint.
@@ -142,17 +142,17 @@
     if not usable:
         return NO_ROOM_KNOWN
     is_fleet_known = any(e.fleet_load(now) is not None for e in usable)
-    places = sum(e.entry.slots for e in usable)
+    slots = sum(e.entry.slots for e in usable)
     if is_fleet_known:
         occupied = [(e.entry.slots, occupancy(e, 1, now)) for e in usable]
     else:
         # A router of a large fleet has less than one request at each endpoint, so that only the
         # sum over all of them says how full they are.
-        mean = sum(e.in_flight for e in usable) * routers / max(1, places)
+        mean = sum(e.in_flight for e in usable) * routers / max(1, slots)
         reported = [(e.entry.slots, e.reported_load(now)) for e in usable]
         occupied = [(slots, max(mean, (load or 0) / max(1, slots))) for slots, load in reported]
     return Room(
-        places,
+        slots,
         sum(slots * share for slots, share in occupied),
         sum(e.in_flight for e in usable),
         sum(slots * max(0.0, share - 1) for slots, share in occupied),
--- a/tests/gateway/simulated_room.py
+++ b/tests/gateway/simulated_room.py
@@ -1,4 +1,4 @@
-"""Plays load on engines with few places through several routers, on virtual time."""
+"""Plays load on engines with few slots through several routers, on virtual time."""
 
 from __future__ import annotations
 
--- a/tests/gateway/test_admission_control.py
+++ b/tests/gateway/test_admission_control.py
@@ -31,13 +31,13 @@
 DRAFT: Final = Kind("draft", 1, 20, 1.5, 0.8, 3.2, 12.0, prompt_tokens=8_000, first_s=0.15)
 TAG: Final = Kind("tag", 2, 60, 0.1, goal_s=0.4, patience_s=2.0, deadline_s=3.0)
 KINDS: Final = (QUESTION, DRAFT, TAG)
-"""They need 51 of the 80 places."""
+"""They need 51 of the 80 slots."""
 CHANCE: Final = 0.05
 """Shares of served requests within this of each other are the same."""
 SEEDS: Final = (1, 2, 3, 4, 5, 6)
 """The outcome of a short burst varies with the arrivals by more than the difference that counts."""
 BURST: Final = Load(KINDS, simulated_s=14.0, busy_s=(0.0, 6.0), busy_rate_by_kind={"draft": 2.4})
-"""Drafts alone need nine tenths of the places for some seconds."""
+"""Drafts alone need nine tenths of the slots for some seconds."""
 OVERLOAD: Final = Load(
     KINDS, busy_s=(0.0, 15.0), busy_rate_by_kind=dict.fromkeys(("question", "draft", "tag"), 1.9)
 )
@@ -94,9 +94,9 @@
     return Demand(**{**fields, **changes})
 
 
-def a_room(taken: float, places: int = 100, queue: float = 0.0, own: int = 10) -> Room:
+def a_room(taken: float, slots: int = 100, queue: float = 0.0, own: int = 10) -> Room:
     """Returns a room of which this router has a part."""
-    return Room(places, taken, own, max(0.0, taken - places), queue, is_fleet_known=True)
+    return Room(slots, taken, own, max(0.0, taken - slots), queue, is_fleet_known=True)
 
 
 def decide(
@@ -111,7 +111,7 @@
 
 
 class LoadTest(unittest.TestCase):
-    """What callers get while the places of the engines are short."""
+    """What callers get while the slots of the engines are short."""
 
     def _check_no_kind_is_worse(self, load: Load) -> None:
         before, after = results(load, False), results(load, True)
@@ -142,14 +142,14 @@
         self.assertGreater(after.served(), before.served())
 
     def test_urgent_kind_is_not_served_less_often(self) -> None:
-        """Guards against refused questions while less urgent requests hold the places."""
+        """Guards against refused questions while less urgent requests hold the slots."""
         for load in (BURST, OVERLOAD):
             after = results(load, True)
             self.assertGreater(after.served("question"), after.served("draft") - CHANCE)
             self.assertGreater(after.served("draft"), after.served("tag") - CHANCE)
 
     def test_hot_account_pays_before_the_others(self) -> None:
-        """Guards against one account that takes the places of all others."""
+        """Guards against one account that takes the slots of all others."""
         self._check_no_kind_is_worse(HOT_ACCOUNT)
         before, after = results(HOT_ACCOUNT, False), results(HOT_ACCOUNT, True)
         self.assertGreater(after.served_to_others(), before.served_to_others() + CHANCE / 2)
@@ -166,7 +166,7 @@
                 self.assertGreater(after.served(account=f"a{account}"), after.served() / 2)
 
     def test_refuses_nothing_with_room(self) -> None:
-        """Guards against refusals while there are places, also where some engines are slow."""
+        """Guards against refusals while there are slots, also where some engines are slow."""
         calm = Load(KINDS)
         uneven = Load(KINDS, speed_by_engine={0: 0.5, 1: 0.5})
         for load in (calm, uneven):
@@ -174,7 +174,7 @@
 
 
 class FailureTest(unittest.TestCase):
-    """Routers that know less than they should keep to a safe part of the places."""
+    """Routers that know less than they should keep to a safe part of the slots."""
 
     def _check(self, **changes: Any) -> None:
         load = evolve(OVERLOAD, **changes)
@@ -201,7 +201,7 @@
     """Single decisions."""
 
     def test_admits_all_in_calm(self) -> None:
-        """Guards against refusals by an estimate while half of the places are free."""
+        """Guards against refusals by an estimate while half of the slots are free."""
         late = Expectation(60.0, 50.0, 50.0)
         outcome = decide(AdmissionControl(), a_demand(), a_room(49), expected=late)
         self.assertIs(outcome, Outcome.ADMITTED)
@@ -212,8 +212,8 @@
         late_end = Expectation(2.0, 1.0, 11.0)
         in_time = Expectation(4.0, 2.0, 5.0)
         for expected, outcome in (
-            (late_first, Outcome.OUT_OF_REACH),
-            (late_end, Outcome.OUT_OF_REACH),
+            (late_first, Outcome.TOO_LATE),
+            (late_end, Outcome.TOO_LATE),
             (in_time, Outcome.ADMITTED),
             (None, Outcome.ADMITTED),
         ):
@@ -229,20 +229,20 @@
             self.assertIs(outcome, Outcome.ADMITTED)
 
     def test_router_keeps_to_its_part(self) -> None:
-        """Guards against a router that admits more than its part of the places."""
+        """Guards against a router that admits more than its part of the slots."""
         control = AdmissionControl()
         admitted = [
             n
             for n in range(2_000)
             if decide(control, a_demand(), a_room(300, own=30), n / 100) is Outcome.ADMITTED
         ]
-        # It has a tenth of all requests, and so of the 100 places; each is held for 1 s.
+        # It has a tenth of all requests, and so of the 100 slots; each is held for 1 s.
         last_10_s = sum(n >= 1_000 for n in admitted)
         self.assertLessEqual(last_10_s, 110)
         self.assertGreaterEqual(last_10_s, 50)
 
     def test_caller_that_was_refused_is_preferred(self) -> None:
-        """Guards against callers that return and are refused again while others get a place."""
+        """Guards against callers that return and are refused again while others get a slot."""
         control = AdmissionControl()
         outcomes: dict[bool, list[Outcome]] = {True: [], False: []}
         for n in range(2_000):
@@ -315,7 +315,7 @@
         self.assertGreaterEqual(shares[2], KEPT_SHARE * 90 / 120 - 1e-9)
 
     def test_shares_add_up_to_the_capacity(self) -> None:
-        """Guards against shares that admit more than there are places, however short they are."""
+        """Guards against shares that admit more than there are slots, however short they are."""
         needs = {0: 50.0, 1: 50.0, 2: 20.0}
         for capacity in (120.0, 90.0, 40.0, 5.0, 0.0):
             with self.subTest(capacity):
--- a/tests/gateway/test_refused_ahead.py
+++ b/tests/gateway/test_refused_ahead.py
@@ -56,14 +56,14 @@
         self.add("Sequoiadrum-Server-Load: 6,40,6\r\n")
         with mock.patch.object(EndpointPool, "admit", side_effect=AssertionError("asked")):
             self.assertEqual(self.world.call("/read/1", "q1")[0], 200)
-        self.assertNotIn(b"room_places{", self.world.ask_control(3, "/metrics")[1])
+        self.assertNotIn(b"room_slots{", self.world.ask_control(3, "/metrics")[1])
 
     def test_operator_sees_the_room(self) -> None:
         """Guards against decisions that an operator cannot follow."""
         self.add(SHARED_HOST)
         self.assertEqual(self.world.call("/read/1", "q1")[0], 200)
         exposition = self.world.ask_control(3, "/metrics")[1].decode()
-        self.assertIn('sequoiadrum_room_places{service="shop"} 6', exposition)
+        self.assertIn('sequoiadrum_room_slots{service="shop"} 6', exposition)
         self.assertIn('sequoiadrum_admissions_total{outcome="admitted"} 1', exposition)
 
     def test_waits_briefly_for_a_full_endpoint(self) -> None:
--- a/tests/gateway/test_room.py
+++ b/tests/gateway/test_room.py
@@ -35,12 +35,12 @@
 
 
 class RoomTest(unittest.TestCase):
-    """What is known of the places of a service."""
+    """What is known of the slots of a service."""
 
     def test_requests_beyond_the_slots_of_one_endpoint_wait(self) -> None:
         """Guards against a mean that hides a queue at one endpoint."""
         room = room_of(_endpoints([14, 3]), 5, 0.0)
-        self.assertEqual(room.places, 20)
+        self.assertEqual(room.slots, 20)
         self.assertAlmostEqual(room.taken, 17)
         self.assertAlmostEqual(room.queued, 4)
         self.assertEqual(room.shortest_queue, 0)
@@ -59,14 +59,14 @@
         self.assertFalse(room.is_fleet_known)
         self.assertEqual(room.taken, 4)
 
-    def test_endpoints_that_are_held_back_have_no_places(self) -> None:
-        """Guards against places of endpoints that no request may be sent to."""
+    def test_endpoints_that_are_held_back_have_no_slots(self) -> None:
+        """Guards against slots of endpoints that no request may be sent to."""
         endpoints = _endpoints([5, 5])
         endpoints[0].record_unreachable(0.0)
-        self.assertEqual(room_of(endpoints, 1, 0.0).places, 10)
+        self.assertEqual(room_of(endpoints, 1, 0.0).slots, 10)
 
     def test_router_alone_assumes_an_equal_part(self) -> None:
-        """Guards against a router without peers that takes all places of an endpoint."""
+        """Guards against a router without peers that takes all slots of an endpoint."""
         endpoint = _endpoints([0], reported_at=float("-inf"))[0]
         endpoint.in_flight = 2
         self.assertEqual(occupancy(endpoint, 5, 0.0), 1.0)
