Make the platform's epoch a part of the versions of the own interface

What callers saw: nothing yet; after the platform was restored from a copy, a router that takes a shard over could write the version that the former owner expects, whose next conditional write then succeeded: two owners.

Cause: versions are given out again after a restore, and the platform's protocol had nothing that tells.

Change: the platform names its epoch in each response (`Platform-Epoch`), and a write that expects a version names the epoch in which it was read (`If-Platform-Epoch`). The client makes one number of both (`version_in`), so that all readers and writers order and compare versions as before. A watch from a former epoch returns at once. The stand-in and the platforms of the tests do the same; a platform without the header is one of epoch 0.

Left: the revisions of changes, and calls that only a lost owner knew.

--- a/src/sequoiadrum/platform_client.py
+++ b/src/sequoiadrum/platform_client.py
@@ -4,7 +4,7 @@
 
 from abc import ABC, abstractmethod
 from enum import Enum
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Final
 
 from attrs import frozen
 
@@ -14,6 +14,29 @@
     from returns.result import Result
 
 
+REVISIONS_PER_EPOCH: Final = 2**40
+"""Versions of one epoch of the platform; at 300 writes a second they last a century."""
+
+
+def version_in(epoch: int, revision: int) -> int:
+    """Returns the version of an object that the platform shows in an epoch.
+
+    A platform that is restored from an older copy begins a new epoch, in which revisions that the
+    copy lacks are given out again. The epoch is a part of the version, so that versions always
+    increase and a version of a former epoch is never the expected one.
+
+    Args:
+        epoch: Number of restores of the platform.
+        revision: Revision that the platform names; 0 if the object does not exist.
+    """
+    return epoch * REVISIONS_PER_EPOCH + revision if revision else 0
+
+
+def epoch_and_revision(version: int) -> tuple[int, int]:
+    """Returns the arguments of `version_in` that give a version."""
+    return divmod(version, REVISIONS_PER_EPOCH)
+
+
 class PlatformFailure(Enum):
     """Reason for which a platform call failed."""
 
@@ -35,7 +58,10 @@
 
     name: str
     version: int
-    """Increases with each write of any object; 0 means that the object does not exist."""
+    """Increases with each write of any object; 0 means that the object does not exist.
+
+    It increases as well if the platform is restored from a copy; see `version_in`.
+    """
     value: bytes
 
 
--- a/src/sequoiadrum/standin_platform.py
+++ b/src/sequoiadrum/standin_platform.py
@@ -18,6 +18,7 @@
 
 from attrs import Factory, define
 
+from sequoiadrum._platform_http import EPOCH_HEADER, EXPECTED_EPOCH_HEADER
 from sequoiadrum._standin_server import StandInHandler, StandInServer
 
 if TYPE_CHECKING:
@@ -70,6 +71,8 @@
         self.changed = threading.Condition()
         self.faults = Faults()
         self.calls_by_kind: dict[str, int] = {}
+        self.epoch = 0
+        """Number of restores from a copy."""
         self._objects_by_name: dict[str, tuple[int, bytes]] = {}
         self._version = 0
         self._rate_limits_by_kind = {
@@ -96,7 +99,25 @@
         with self.changed:
             return self._objects_by_name.get(name)
 
-    def put(self, name: str, value: bytes | None, expected_version: int | None) -> int | None:
+    def copy(self) -> tuple[int, dict[str, tuple[int, bytes]]]:
+        """Returns a copy of the objects, to which `restore` goes back."""
+        with self.changed:
+            return self._version, dict(self._objects_by_name)
+
+    def restore(self, copy: tuple[int, dict[str, tuple[int, bytes]]]) -> None:
+        """Goes back to a copy: what was written since is lost, and its versions are reused."""
+        with self.changed:
+            self._version, self._objects_by_name = copy[0], dict(copy[1])
+            self.epoch += 1
+            self.changed.notify_all()
+
+    def put(
+        self,
+        name: str,
+        value: bytes | None,
+        expected_version: int | None,
+        expected_epoch: int | None = None,
+    ) -> int | None:
         """Writes an object, or deletes it if `value` is None.
 
         Args:
@@ -104,11 +125,15 @@
             value: The new value, or None.
             expected_version: The version to replace, 0 if the object must not exist, or None for
                 an unconditional write.
+            expected_epoch: The epoch in which that version was read, or None if it may be any.
 
         Returns:
-            The new version, or None if the object has another version than the expected one.
+            The new version, or None if the object has another version than the expected one, or
+            the version is of another epoch.
         """
         with self.changed:
+            if expected_epoch not in (None, self.epoch):
+                return None
             version = self._objects_by_name.get(name, (0, b""))[0]
             if expected_version is not None and expected_version != version:
                 return None
@@ -129,21 +154,29 @@
                 if name.startswith(prefix)
             ]
 
-    def watch(self, name: str, known_version: int, timeout_s: float) -> tuple[int, bytes] | None:
+    def watch(
+        self, name: str, known_version: int, known_epoch: int, timeout_s: float
+    ) -> tuple[int, int, bytes] | None:
         """Waits until an object has another version than the known one, or an outage begins.
 
+        A version that does not exist yet, 0, is of no epoch.
+
         Returns:
-            The new version and value, version 0 for a deleted object, or None if nothing changed
-            in time.
+            The epoch, the new version and the value, version 0 for a deleted object, or None if
+            nothing changed in time.
         """
         with self.changed:
             self.changed.wait_for(
-                lambda: self.faults.outage
-                or self._objects_by_name.get(name, (0, b""))[0] != known_version,
+                lambda: self.faults.outage or self._differs(name, known_version, known_epoch),
                 timeout_s,
             )
-            found = self._objects_by_name.get(name, (0, b""))
-            return found if found[0] != known_version else None
+            if not self._differs(name, known_version, known_epoch):
+                return None
+            return self.epoch, *self._objects_by_name.get(name, (0, b""))
+
+    def _differs(self, name: str, known_version: int, known_epoch: int) -> bool:
+        version = self._objects_by_name.get(name, (0, b""))[0]
+        return version != known_version or (version != 0 and self.epoch != known_epoch)
 
     def publish_instances(self, instances: list[dict[str, Any]]) -> None:
         """Publishes an instance list, which becomes visible after `Faults.list_lag_s`."""
@@ -173,6 +206,9 @@
 
 class _Handler(StandInHandler):
     state: PlatformStore
+    _epoch = 0
+    """Epoch in which the response was read. If the platform is restored meanwhile, it is the former
+    one, and a write that expects the version of the response has no effect."""
 
     def do_GET(self) -> None:
         """Handles reads, lists, watches and call counts."""
@@ -215,11 +251,15 @@
         elif path.startswith("/watch/"):
             name = unquote(path.removeprefix("/watch/"))
             timeout_s = int(query["timeout_ms"]) / 1e3
-            found = self.state.watch(name, int(query["version"]), timeout_s)
+            epoch = int(query.get("epoch", "0"))
+            changed = self.state.watch(name, int(query["version"]), epoch, timeout_s)
             if self.state.faults.outage:
                 self._send(503)
+            elif changed is None:
+                self._send(204)
             else:
-                self._send_object(found, missing=204)
+                self._epoch, version, value = changed
+                self._send_object((version, value), missing=204)
         elif path == "/list":
             self._send_json(self.state.list_objects(query.get("prefix", "")))
         elif path == "/instances":
@@ -230,7 +270,13 @@
     def _write(self, value: bytes | None) -> None:
         name = unquote(self.path.removeprefix("/objects/"))
         etag = self.headers.get("If-Match")
-        version = self.state.put(name, value, None if etag is None else int(etag.strip('"')))
+        epoch = self.headers.get(EXPECTED_EPOCH_HEADER)
+        version = self.state.put(
+            name,
+            value,
+            None if etag is None else int(etag.strip('"')),
+            None if epoch is None else int(epoch),
+        )
         with self.state.changed:
             drop_response = self.state.faults.lose_answers > 0 and version is not None
             self.state.faults.lose_answers -= drop_response
@@ -248,6 +294,7 @@
             Whether the call goes on; otherwise, the refusal is sent.
         """
         faults = self.state.faults
+        self._epoch = self.state.epoch
         self.state.count(kind)
         if faults.slow_ms:
             time.sleep(faults.slow_ms / 1e3)
@@ -274,6 +321,7 @@
             self.send_header("Content-Length", str(len(body)))
         if version is not None:
             self.send_header("ETag", f'"{version}"')
+        self.send_header(EPOCH_HEADER, str(self._epoch))
         self.end_headers()
         if status != 204:
             self.wfile.write(body)
--- a/tests/fake_platform.py
+++ b/tests/fake_platform.py
@@ -5,10 +5,15 @@
 import random
 from typing import TYPE_CHECKING
 
-from attrs import define, field
+from attrs import define, evolve, field
 from returns.result import Failure, Result, Success
 
-from sequoiadrum.platform_client import PlatformClient, PlatformFailure, StoredObject
+from sequoiadrum.platform_client import (
+    PlatformClient,
+    PlatformFailure,
+    StoredObject,
+    version_in,
+)
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Sequence
@@ -30,6 +35,8 @@
     """Called once, before the next write; None: no call."""
     objects: dict[str, StoredObject] = field(factory=dict)
     reads: int = 0
+    epoch: int = 0
+    """Number of restores from a copy."""
     _delayed_writes: list[tuple[str, bytes, int]] = field(factory=list)
     _version: int = 0
 
@@ -38,7 +45,7 @@
             return Failure(PlatformFailure.UNREACHABLE)
         self.reads += 1
         found = self.objects.get(name)
-        return Failure(PlatformFailure.NOT_FOUND) if found is None else Success(found)
+        return Failure(PlatformFailure.NOT_FOUND) if found is None else Success(self._shown(found))
 
     def put(
         self, name: str, value: bytes, expected_version: int
@@ -64,21 +71,26 @@
         return self._version, dict(self.objects)
 
     def restore(self, copy: tuple[int, dict[str, StoredObject]]) -> None:
-        """Goes back to a copy; what was written since is lost, and its versions are reused."""
+        """Goes back to a copy; what was written since is lost, and its revisions are reused."""
+        self.epoch += 1
         self._version, objects = copy
         self.objects = dict(objects)
 
     def version_of(self, name: str) -> int:
         """Returns the version of an object, 0 if it does not exist."""
         found = self.objects.get(name)
-        return found.version if found else 0
+        return self._shown(found).version if found else 0
+
+    def _shown(self, found: StoredObject) -> StoredObject:
+        return evolve(found, version=version_in(self.epoch, found.version))
 
     def delete(self, name: str, expected_version: int) -> Result[None, PlatformFailure]:
         self.objects.pop(name, None)
         return Success(None)
 
     def list_names(self, prefix: str) -> Result[Sequence[tuple[str, int]], PlatformFailure]:
-        return Success([(n, o.version) for n, o in self.objects.items() if n.startswith(prefix)])
+        names = [name for name in self.objects if name.startswith(prefix)]
+        return Success([(name, self.version_of(name)) for name in names])
 
     def watch(
         self, name: str, known_version: int, timeout_s: float
@@ -93,4 +105,4 @@
             return None
         self._version += 1
         self.objects[name] = StoredObject(name, self._version, value)
-        return self.objects[name]
+        return self._shown(self.objects[name])
--- a/tests/test_ledger.py
+++ b/tests/test_ledger.py
@@ -25,7 +25,7 @@
 from sequoiadrum.errors import RefusalReason
 from sequoiadrum.interfaces import KeyedOutcome, KeyedState
 from sequoiadrum.ledger import LedgerShard
-from sequoiadrum.platform_client import PlatformFailure, StoredObject
+from sequoiadrum.platform_client import PlatformFailure, StoredObject, version_in
 
 _HEAD = "ledger/0/head"
 _DONE = KeyedOutcome(KeyedState.DONE, 201, "text/plain", b"ok")
@@ -37,6 +37,8 @@
     def __init__(self) -> None:
         self.objects: dict[str, tuple[int, bytes]] = {}
         self.version = 0
+        self.epoch = 0
+        """Number of restores from a copy."""
         self.writes = 0
 
     def copy(self) -> tuple[int, dict[str, tuple[int, bytes]]]:
@@ -44,12 +46,14 @@
         return self.version, dict(self.objects)
 
     def restore(self, copy: tuple[int, dict[str, tuple[int, bytes]]]) -> None:
-        """Goes back to a copy; what was written since is lost, and its versions are reused."""
+        """Goes back to a copy; what was written since is lost, and its revisions are reused."""
+        self.epoch += 1
         self.version, self.objects = copy[0], dict(copy[1])
 
     def execute(self, io: ReadObject | WriteObject) -> Result[StoredObject, PlatformFailure]:
         """Performs one read or write and returns its result."""
-        version, value = self.objects.get(io.name, (0, b""))
+        revision, value = self.objects.get(io.name, (0, b""))
+        version = version_in(self.epoch, revision)
         if isinstance(io, ReadObject):
             if not version:
                 return Failure(PlatformFailure.NOT_FOUND)
@@ -59,7 +63,7 @@
             return Failure(PlatformFailure.CONFLICT)
         self.version += 1
         self.objects[io.name] = (self.version, io.value)
-        return Success(StoredObject(io.name, self.version, io.value))
+        return Success(StoredObject(io.name, version_in(self.epoch, self.version), io.value))
 
 
 class Router:
--- a/tests/test_platform_http.py
+++ b/tests/test_platform_http.py
@@ -62,6 +62,30 @@
         self.assertEqual(self.client.watch("a", 0, 5.0).unwrap(), written)
         self.assertIsNone(self.client.watch("a", written.version, 0.05).unwrap())
 
+    def test_version_of_a_former_epoch_is_not_the_expected_one(self) -> None:
+        """Guards against a write that replaces another router's after the platform was restored."""
+        self.client.put("a", b"1", 0)
+        copy = self.server.store.copy()
+        lost = self.client.put("a", b"2", self.client.get("a").unwrap().version).unwrap()
+        self.server.store.restore(copy)
+        found = self.client.get("a").unwrap()
+        again = self.client.put("a", b"3", found.version).unwrap()
+        self.assertEqual(self.server.store.get("a"), (lost.version, b"3"))
+        self.assertGreater(again.version, lost.version)
+        conflict = Failure(PlatformFailure.CONFLICT)
+        self.assertEqual(self.client.put("a", b"4", lost.version), conflict)
+        self.assertEqual(self.client.delete("a", lost.version), conflict)
+        self.assertEqual(self.client.list_names("a").unwrap(), [("a", again.version)])
+
+    def test_watch_from_a_former_epoch_returns_at_once(self) -> None:
+        """Guards against a watch that waits for the next change although others were lost."""
+        written = self.client.put("a", b"1", 0).unwrap()
+        self.server.store.restore(self.server.store.copy())
+        found = self.client.watch("a", written.version, 5.0).unwrap()
+        assert found is not None
+        self.assertGreater(found.version, written.version)
+        self.assertIsNone(self.client.watch("a", found.version, 0.05).unwrap())
+
     def test_counts_calls_and_failures(self) -> None:
         """Guards against platform calls that are missing from the metrics of the call budget."""
         self.client.get("missing")
