Find the crashing part beside a chat that met the same crashes

"Sent between two crashes" asked for a later time than that of the first one, so this router counted two crashes as one, while the others, to whom times come truncated, counted two.

Change: a request that was sent at the time of a crash counts as sent after it; among parts that are equal so far, the one comes first whose last requests were most alike in age at the crashes.

--- a/src/sequoiadrum/gateway/crashing_parts.py
+++ b/src/sequoiadrum/gateway/crashing_parts.py
@@ -26,6 +26,8 @@
 MIN_SEPARATION_S: Final = 0.2
 """Crashes of several engines within this time count as one unless a request was sent between them:
 they are more likely to have a common cause, such as a loss of power."""
+AGE_RESOLUTION_S: Final = 0.1
+"""Differences of the ages of requests that count as equal; routers notice a crash within it."""
 MAX_CRASHES: Final = 256
 """Crashes that are kept; the first recorded one is evicted."""
 MAX_PARTS_PER_CRASH: Final = 200
@@ -95,6 +97,22 @@
         return max((each.sent_at for each in self.suspicion_by_part.values()), default=NEVER)
 
 
+@define(eq=False)
+class _Case:
+    """What speaks against one part."""
+
+    times: list[float] = field(factory=list)
+    """Times of the separate crashes."""
+    depth: int = 0
+    """Largest position in a prompt."""
+    ages: list[float] = field(factory=list)
+    """For each crash, seconds since the last request with the part was sent to the engine."""
+
+    def age_spread(self) -> int:
+        """Returns by how much the ages differ, in steps of `AGE_RESOLUTION_S`."""
+        return round((max(self.ages) - min(self.ages)) / AGE_RESOLUTION_S)
+
+
 @define(eq=False)
 class CrashingParts:
     """Convicts a part of crashes that no complete response since and no other part explains.
@@ -226,22 +244,24 @@
         A convicted part explains its crashes: they no longer count against the parts beside it in
         the prompt, nor against those of other requests that were broken at the same time. The part
         that is furthest above its limit comes first. Of several, the one that was not completed
-        for longest does, and then the one nearest to the end of the prompt, because the fewest
-        healthy requests share it.
+        for longest does, then the one whose requests were most alike in age when the engines
+        crashed, because engines crash at the same point of a response, and then the one nearest to
+        the end of the prompt, because the fewest healthy requests share it.
         """
         crashes = sorted(self._crash_by_process.values(), key=lambda crash: crash.at)
         convicted: set[str] = set()
         while True:
-            times_by_part, depth_by_part = self._count(crashes)
-            guilty = [part for part, at in times_by_part.items() if len(at) >= self._limit(part)]
+            case_by_part = self._count(crashes)
+            guilty = [p for p, case in case_by_part.items() if len(case.times) >= self._limit(p)]
             if not guilty:
                 return frozenset(convicted)
             worst = max(
                 guilty,
                 key=lambda part: (
-                    len(times_by_part[part]) - self._limit(part),
+                    len(case_by_part[part].times) - self._limit(part),
                     -self.completed_at(part),
-                    depth_by_part[part],
+                    -case_by_part[part].age_spread(),
+                    case_by_part[part].depth,
                     part,
                 ),
             )
@@ -251,24 +271,25 @@
     def _limit(self, part: str) -> int:
         return CRASH_LIMIT if self.completed_at(part) == NEVER else COMPLETED_PART_CRASH_LIMIT
 
-    def _count(self, crashes: Sequence[_Crash]) -> tuple[dict[str, list[float]], dict[str, int]]:
-        """Returns the times of the separate crashes, and the depth in prompts, by part."""
-        times_by_part: dict[str, list[float]] = {}
-        depth_by_part: dict[str, int] = {}
+    def _count(self, crashes: Sequence[_Crash]) -> dict[str, _Case]:
+        """Returns what speaks against each part."""
+        case_by_part: dict[str, _Case] = {}
         for crash in crashes:
             last_sent_at = crash.last_sent_at()
             for part, suspicion in crash.suspicion_by_part.items():
                 if not _counts(part, crash, self):
                     continue
-                depth_by_part[part] = max(suspicion.depth, depth_by_part.get(part, 0))
-                times = times_by_part.setdefault(part, [])
+                case = case_by_part.setdefault(part, _Case())
+                case.depth = max(suspicion.depth, case.depth)
+                case.ages.append(crash.at - suspicion.sent_at)
+                times = case.times
                 if (
                     not times
                     or crash.at - times[-1] >= MIN_SEPARATION_S
-                    or last_sent_at > times[-1]
+                    or last_sent_at >= times[-1]
                 ):
                     times.append(crash.at)
-        return times_by_part, depth_by_part
+        return case_by_part
 
 
 def merge_suspicions(one: Suspicion, other: Suspicion) -> Suspicion:
--- a/tests/gateway/test_crashing_fleet.py
+++ b/tests/gateway/test_crashing_fleet.py
@@ -9,6 +9,7 @@
 
 DAYS = 120
 LATE_SEEDS = (399, 668)
+FURTHER_LATE_SEEDS = (927, 1851, 1997)
 
 
 class CrashingFleetTest(unittest.TestCase):
@@ -33,6 +34,12 @@
             with self.subTest(seed=seed):
                 self.assertLessEqual(_simulate(seed)[0].late_arrivals(), ALLOWED_LATE)
 
+    def test_part_is_found_although_healthy_parts_met_nearly_as_many_crashes(self) -> None:
+        """Guards against a healthy part that is refused while the other one crashes engines."""
+        for seed in FURTHER_LATE_SEEDS:
+            with self.subTest(seed=seed):
+                self.assertLessEqual(_simulate(seed)[0].late_arrivals(), ALLOWED_LATE)
+
 
 def _simulate(seed: int) -> tuple[CrashingFleet, Day]:
     rng = random.Random(seed)
--- a/tests/gateway/test_crashing_parts.py
+++ b/tests/gateway/test_crashing_parts.py
@@ -111,6 +111,27 @@
             self.records.record_crash(run, at)
         self.assertEqual(self._convicted(), {DEADLY})
 
+    def test_request_that_was_sent_again_at_once_proves_separate_crashes(self) -> None:
+        """Guards against crashes that count once since a clock shows one time for crash and repeat.
+
+        The router that sent the request again would not refuse the part when the others do.
+        """
+        sent_at = 100.0
+        for number in range(CRASH_LIMIT):
+            at = sent_at + MIN_SEPARATION_S / 50
+            self.records.record_crash(SuspectRun(f"e{number}", sent_at, at, (SYSTEM, DEADLY)), at)
+            sent_at = at
+        self.assertIn(DEADLY, self._convicted())
+
+    def test_part_whose_requests_are_alike_in_age_is_chosen_among_equals(self) -> None:
+        """Guards against a healthy new chat that is refused in place of the part beside it."""
+        for number, chat_age_s in enumerate((0.1, 0.6, 1.0)):
+            at = 100.0 + number
+            for parts, age_s in (((SYSTEM, DEADLY), 0.1), (("x", "y", CHAT), chat_age_s)):
+                self.records.record_crash(SuspectRun(f"e{number}", at - age_s, at, parts), at)
+        self.records.record_completion([SYSTEM, "x", "y"], 150.0)
+        self.assertEqual(self._convicted(), {DEADLY})
+
     def test_one_crash_that_many_routers_report_counts_once(self) -> None:
         """Guards against a conviction by one crash, also if clocks of routers differ."""
         for number in range(10):
