Answer calls unknown whose records a lost owner had written before a restore

What callers could see: after the platform was restored from a copy, and the owner of a shard died before it wrote its head again, the next owner ran a repeated call once more.

Cause: the next owner took a key without a record for one that had never been used, although the copy is older than the lost records.

Change: a head names the platform's epoch in which the head before it was read. A router that takes over a head of a former epoch keeps in its own head when that was; calls issued until then without a record, or with one that says that nothing ran, are unknown, for a run, a status and a cancel, also for all later owners.

Conclusion: at most once is kept at the price of unknown outcomes for calls from before the takeover. Open: a shard whose head the copy lacks, since an object that does not exist has no version.

--- a/src/sequoiadrum/_ledger_codec.py
+++ b/src/sequoiadrum/_ledger_codec.py
@@ -115,6 +115,11 @@
     """Ids of the last writes, from which a router learns whether its write took effect."""
     entries_by_key: Mapping[str, Entry] = field(factory=dict)
     segments: tuple[SegmentRef, ...] = ()
+    platform_epoch: int = 0
+    """Epoch of the platform in which the replaced head was read; see `version_in`."""
+    unknown_before_ms: int = 0
+    """Records of calls that were issued up to this Unix time may have been lost in a restore of the
+    platform, so that a key without a record may have run."""
 
     def encode(self) -> bytes:
         """Returns the stored form: compressed JSON."""
@@ -131,6 +136,8 @@
                 "recent_write_ids": self.recent_write_ids,
                 "segments": [[s.name, s.low_ms, s.high_ms, s.count] for s in self.segments],
                 "entries": [_entry_row(e) for e in self.entries_by_key.values()],
+                "platform_epoch": self.platform_epoch,
+                "unknown_before_ms": self.unknown_before_ms,
             }
         )
 
@@ -150,6 +157,9 @@
         tuple(document["recent_write_ids"]),
         {row[0]: _entry_from_row(row) for row in document["entries"]},
         tuple(SegmentRef(*row) for row in document["segments"]),
+        # Earlier versions stored neither.
+        document.get("platform_epoch", 0),
+        document.get("unknown_before_ms", 0),
     )
 
 
--- a/src/sequoiadrum/_ledger_commit.py
+++ b/src/sequoiadrum/_ledger_commit.py
@@ -17,6 +17,7 @@
 )
 from sequoiadrum._ledger_index import SegmentIndex
 from sequoiadrum._ledger_types import LedgerPolicy, PendingWrite, Segment, WriteObject
+from sequoiadrum.platform_client import epoch_and_revision
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Collection
@@ -118,6 +119,7 @@
             recent_write_ids=(*self.head.recent_write_ids, write_id)[-_RECENT_WRITE_IDS:],
             entries_by_key=entries,
             segments=tuple(segments),
+            platform_epoch=epoch_and_revision(self.version)[0],
         )
         dumped = head.dump()
         entry_bytes = len(dumped) - _REF_BYTES * len(segments)
--- a/src/sequoiadrum/_ledger_storage.py
+++ b/src/sequoiadrum/_ledger_storage.py
@@ -63,6 +63,8 @@
         self._is_releasing = False
         self._earliest_io_at = 0.0
         self._last_write_at = -policy.window_s
+        self._clock_offset_ms = 0.0
+        """Unix time less monotonic time, in milliseconds."""
         self._backoff_s = policy.first_backoff_s
 
     @abstractmethod
@@ -114,6 +116,7 @@
         due = self.next_due()
         if due is None or due > now:
             return None
+        self._clock_offset_ms = now_ms - now * 1e3
         self._io = self._choose_io(now_ms)
         if isinstance(self._io, WriteObject):
             self._last_write_at = now
--- a/src/sequoiadrum/ledger.py
+++ b/src/sequoiadrum/ledger.py
@@ -36,6 +36,7 @@
 )
 from sequoiadrum.errors import RefusalReason
 from sequoiadrum.interfaces import KeyedOutcome, KeyedState
+from sequoiadrum.platform_client import epoch_and_revision
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -152,9 +153,15 @@
             return
         self._is_taking_over = True
         self._buffer.version = version
+        unknown_before_ms = head.unknown_before_ms
+        if epoch_and_revision(version)[0] > head.platform_epoch:
+            # Its owner has written nothing since the platform was restored: what it had written
+            # after the copy was made is lost.
+            unknown_before_ms = round(now * 1e3 + self._clock_offset_ms)
         self._buffer.head = evolve(
             head,
             epoch=head.epoch + 1,
+            unknown_before_ms=unknown_before_ms,
             entries_by_key={
                 k: self._resolve_orphaned_claim(e) for k, e in head.entries_by_key.items()
             },
@@ -253,7 +260,11 @@
             self._answer(call, entry.outcome())
             return
         cancelled = entry.cancelled if entry is not None else ()
-        if call.kind is CallKind.STATUS:
+        is_lost = call.issued_at_ms <= self._buffer.head.unknown_before_ms
+        if is_lost and call.attempt not in cancelled:
+            detail = "the records of calls from before a restore of the platform may be lost"
+            self._answer(call, unknown(RefusalReason.LEDGER_UNAVAILABLE, detail))
+        elif call.kind is CallKind.STATUS:
             detail = "no call with this key has run"
             self._buffer.unconfirmed.append((call, not_run(RefusalReason.NOT_FOUND, detail)))
         elif call.attempt in cancelled:
