Report wrong values of all commands in the form of the settings

Cause: only the settings of `serve` had rules for their values.

Change: number options of all commands pass on what is no number, and one table of rules reports it as the settings are reported: one line with the flag, the value and what is expected, status 2.

--- a/src/sequoiadrum/_cli_base.py
+++ b/src/sequoiadrum/_cli_base.py
@@ -11,6 +11,7 @@
 from attrs import define
 from returns.result import Failure, Result
 
+from sequoiadrum._cli_values import number_option, report_wrong_values
 from sequoiadrum._tables import to_json
 from sequoiadrum.addressing import parse_address
 from sequoiadrum.operator_client import (
@@ -64,16 +65,24 @@
     ] = ""
     json: Annotated[bool, cappa.Arg(long="--json", help="Print JSON")] = False
     timeout_s: Annotated[
-        float, cappa.Arg(long="--timeout-s", help="Time limit for connecting and for the response")
+        float,
+        number_option("timeout_s", "Time limit for connecting and for the response (s)", 10.0),
     ] = 10.0
     confirm_s: Annotated[
-        float, cappa.Arg(long="--confirm-s", help="Time to look for a change after a lost response")
+        float,
+        number_option(
+            "confirm_s",
+            "Time to look for a change after a lost response (s)",
+            DEFAULT_CONFIRM_TIMEOUT_S,
+        ),
     ] = DEFAULT_CONFIRM_TIMEOUT_S
 
     def __call__(self) -> int:
         """Runs the command and prints its outcome."""
         # The thrift library logs failed connections; the printed outcome already reports them.
         logging.getLogger("thrift").setLevel(logging.CRITICAL)
+        if report_wrong_values(self):
+            return ExitCode.USAGE
         try:
             client = OperatorClient(self._router_addresses(), self.timeout_s, self.confirm_s)
             return self.execute(client)
--- a/src/sequoiadrum/cli.py
+++ b/src/sequoiadrum/cli.py
@@ -13,6 +13,7 @@
 
 from sequoiadrum import __version__, standin_engine, standin_platform, standin_service
 from sequoiadrum._cli_base import ROUTER_VARIABLE
+from sequoiadrum._cli_values import number_option, report_wrong_values
 from sequoiadrum.app import Router
 from sequoiadrum.cli_operator import OperatorCommands  # noqa: TC001 (cappa evaluates it)
 from sequoiadrum.gateway.explain import explain
@@ -20,7 +21,7 @@
 from sequoiadrum.settings import Settings, unknown_variables
 
 if TYPE_CHECKING:
-    from collections.abc import Sequence
+    from collections.abc import Callable, Sequence
 
 EXIT_OK: Final = 0
 EXIT_NOT_FOUND: Final = 1
@@ -64,12 +65,13 @@
     """Runs the platform stand-in."""
 
     host: Annotated[str, cappa.Arg(long=True, help="IP address")] = "127.0.0.1"
-    port: Annotated[int, cappa.Arg(long=True, default=0, help="TCP port, 0 for any")] = 0
+    port: Annotated[int, number_option("port", "TCP port, 0 for any", 0)] = 0
 
     def __call__(self) -> int:
         """Serves until the process is stopped."""
-        standin_platform.serve(self.host, self.port, _print_line)
-        return EXIT_OK
+        return _serve_stand_in(
+            self, lambda: standin_platform.serve(self.host, self.port, _print_line)
+        )
 
 
 @cappa.command(name="engine", help="Run a model engine stand-in.")
@@ -78,12 +80,14 @@
     """Runs an engine stand-in."""
 
     host: Annotated[str, cappa.Arg(long=True, help="IP address")] = "127.0.0.1"
-    port: Annotated[int, cappa.Arg(long=True, default=0, help="TCP port, 0 for any")] = 0
-    token_ms: Annotated[float, cappa.Arg(long=True, help="Time between tokens (ms)")] = 5.0
+    port: Annotated[int, number_option("port", "TCP port, 0 for any", 0)] = 0
+    token_ms: Annotated[float, number_option("token_ms", "Time between tokens (ms)", 5.0)] = 5.0
     prefill_ms: Annotated[
-        float, cappa.Arg(long=True, help="Time to first token, uncached (ms)")
-    ] = 20
-    cache_chats: Annotated[int, cappa.Arg(long=True, help="Chats that fit in the cache")] = 1000
+        float, number_option("prefill_ms", "Time to first token, uncached (ms)", 20.0)
+    ] = 20.0
+    cache_chats: Annotated[
+        int, number_option("cache_chats", "Chats that fit in the cache", 1_000)
+    ] = 1_000
     ignore_fencing: Annotated[
         bool, cappa.Arg(long=True, help="Accept orders with outdated fencing numbers")
     ] = False
@@ -96,8 +100,9 @@
             cache_chats=self.cache_chats,
             checks_fencing=not self.ignore_fencing,
         )
-        standin_engine.serve(self.host, self.port, options, _print_line)
-        return EXIT_OK
+        return _serve_stand_in(
+            self, lambda: standin_engine.serve(self.host, self.port, options, _print_line)
+        )
 
 
 @cappa.command(name="service", help="Run a plain service stand-in.")
@@ -106,12 +111,13 @@
     """Runs a plain service stand-in."""
 
     host: Annotated[str, cappa.Arg(long=True, help="IP address")] = "127.0.0.1"
-    port: Annotated[int, cappa.Arg(long=True, default=0, help="TCP port, 0 for any")] = 0
+    port: Annotated[int, number_option("port", "TCP port, 0 for any", 0)] = 0
 
     def __call__(self) -> int:
         """Serves until the process is stopped."""
-        standin_service.serve(self.host, self.port, _print_line)
-        return EXIT_OK
+        return _serve_stand_in(
+            self, lambda: standin_service.serve(self.host, self.port, _print_line)
+        )
 
 
 @cappa.command(name="stand-in", help="Run a stand-in for an external system, for trials and tests.")
@@ -189,6 +195,21 @@
     logging.getLogger("waitress").setLevel(logging.ERROR)
 
 
+def _serve_stand_in(
+    command: StandInPlatform | StandInEngine | StandInService, serve: Callable[[], None]
+) -> int:
+    """Serves if the values of a command are allowed; returns the exit status."""
+    if report_wrong_values(command):
+        return EXIT_USAGE
+    try:
+        serve()
+    except OSError as error:
+        address = f"{command.host}:{command.port}"
+        sys.stderr.write(f"sequoiadrum: cannot listen on {address}: {error.strerror}\n")
+        return EXIT_USAGE
+    return EXIT_OK
+
+
 def _print_line(text: str) -> None:
     sys.stdout.write(text + "\n")
     sys.stdout.flush()
--- a/src/sequoiadrum/cli_objects.py
+++ b/src/sequoiadrum/cli_objects.py
@@ -10,10 +10,11 @@
 from attrs import define
 
 from sequoiadrum._cli_base import OperatorCommand, UsageError
+from sequoiadrum._cli_values import number_option
 from sequoiadrum._operator_codec import WIRE_BY_KIND
 from sequoiadrum._tables import format_table
 from sequoiadrum.configuration import ObjectKind
-from sequoiadrum.operator_server import ANY_VERSION, MAX_LISTED_OBJECTS
+from sequoiadrum.operator_server import ANY_VERSION
 
 if TYPE_CHECKING:
     from sequoiadrum._gen.operator import ttypes
@@ -35,17 +36,16 @@
     ] = ""
     expected_version: Annotated[
         int,
-        cappa.Arg(
-            long="--expected-version",
-            help="Change only this version; 0: must not exist; -1: any version",
+        number_option(
+            "expected_version",
+            "Change only this version; 0: must not exist; -1: any version",
+            ANY_VERSION,
         ),
     ] = ANY_VERSION
     change_id: Annotated[
         str, cappa.Arg(long="--change-id", default="", help="Makes the change idempotent")
     ] = ""
-    limit: Annotated[int, cappa.Arg(long="--limit", help="Maximum number of listed objects")] = (
-        1_000
-    )
+    limit: Annotated[int, number_option("limit", "Maximum number of listed objects", 1_000)] = 1_000
 
     def execute(self, client: OperatorClient) -> int:
         """See `OperatorCommand.execute`."""
@@ -67,8 +67,6 @@
         if self.action == "get":
             found = client.read(lambda c: c.get_object(wire, self.name))
             return self.print_result(found, lambda entry: _format_objects([entry]))
-        if not 1 <= self.limit <= MAX_LISTED_OBJECTS:
-            raise UsageError(f"--limit: expected a number from 1 to {MAX_LISTED_OBJECTS}")
         listed = client.read(lambda c: c.list_objects(wire, self.name, self.limit))
         return self.print_result(listed, _format_objects)
 
--- a/src/sequoiadrum/cli_operator.py
+++ b/src/sequoiadrum/cli_operator.py
@@ -9,6 +9,7 @@
 from attrs import define
 
 from sequoiadrum._cli_base import STATUS_POLL_INTERVAL_S, OperatorCommand
+from sequoiadrum._cli_values import number_option
 from sequoiadrum._tables import format_table, to_plain
 from sequoiadrum.cli_objects import AccountCommand, EndpointCommand, RouteCommand, SettingCommand
 from sequoiadrum.cli_plans import PlanCommand
@@ -24,11 +25,9 @@
 class ConfigCommand(OperatorCommand):
     """Shows the configuration status; with `--wait-s`, waits until all routers have it in force."""
 
-    revision: Annotated[
-        int, cappa.Arg(long="--revision", default=0, help="Configuration revision; 0: newest")
-    ] = 0
+    revision: Annotated[int, number_option("revision", "Configuration revision; 0: newest", 0)] = 0
     wait_s: Annotated[
-        float, cappa.Arg(long="--wait-s", default=0.0, help="Longest wait until it is in force")
+        float, number_option("wait_s", "Longest wait until it is in force (s)", 0.0)
     ] = 0.0
 
     def execute(self, client: OperatorClient) -> int:
--- a/src/sequoiadrum/cli_plans.py
+++ b/src/sequoiadrum/cli_plans.py
@@ -11,6 +11,7 @@
 from returns.result import Failure
 
 from sequoiadrum._cli_base import STATUS_POLL_INTERVAL_S, ExitCode, OperatorCommand
+from sequoiadrum._cli_values import number_option
 from sequoiadrum._tables import format_table
 from sequoiadrum.operator_client import CallRefused, CallUnavailable
 
@@ -81,7 +82,7 @@
     """Waits until a plan ends; the exit code is `REFUSED` if it was aborted or has failed."""
 
     id: Annotated[str, cappa.Arg(help="Name of the plan")]
-    wait_s: Annotated[float, cappa.Arg(long="--wait-s", help="Longest wait in seconds")] = 600.0
+    wait_s: Annotated[float, number_option("wait_s", "Longest wait in seconds", 600.0)] = 600.0
 
     def execute(self, client: OperatorClient) -> int:
         """See `OperatorCommand.execute`."""
--- a/src/sequoiadrum/settings.py
+++ b/src/sequoiadrum/settings.py
@@ -23,7 +23,12 @@
 """Variables with this ending name files of other programs, such as the adapters of platforms."""
 
 
-def _flag(name: str) -> str:
+ValueRule = tuple["Callable[[Any], bool]", str]
+"""Returns whether a value is allowed; and what is, in words."""
+
+
+def flag_of(name: str) -> str:
+    """Returns the flag of a field."""
     return "--" + name.replace("_", "-")
 
 
@@ -32,19 +37,23 @@
 
 
 def _setting(name: str, help_text: str, default: Any = cappa.Empty) -> cappa.Arg[Any]:
-    flag, variable = _flag(name), _variable(name)
+    flag, variable = flag_of(name), _variable(name)
     number_type = type(default) if isinstance(default, int | float) else None
     return cappa.Arg(
         long=flag,
         default=cappa.Env(variable, default=default),
         help=f"{help_text} [env: {variable}]",
-        parse=None if number_type is None else partial(_parse_number, number_type),
+        parse=None if number_type is None else number_parser(number_type),
         parse_inference=number_type is None,
     )
 
 
+def number_parser(number_type: type[int] | type[float]) -> Callable[[str], Any]:
+    """Returns a parser that passes on a text that is no number, for the rules to report it."""
+    return partial(_parse_number, number_type)
+
+
 def _parse_number(number_type: type[int] | type[float], text: str) -> Any:
-    """Returns a number, or the text itself, which the validation rules then report."""
     try:
         return number_type(text)
     except ValueError:
@@ -113,7 +122,7 @@
         unit = f" {self.unit}" if self.unit else ""
         default = "required" if self.default is None else f"default {self.default!r}"
         origin = f"{self.source.value}; {default}; {_variable(self.name)}"
-        return f"{_flag(self.name)} = {self.value!r}{unit} ({origin})"
+        return f"{flag_of(self.name)} = {self.value!r}{unit} ({origin})"
 
 
 class MemberSettings(Protocol):
@@ -265,14 +274,14 @@
     def problems(self) -> list[SettingProblem]:
         """Returns a problem for each value that is missing or not allowed."""
         missing: list[SettingProblem] = [
-            MissingSetting(_flag(name), _variable(name))
+            MissingSetting(flag_of(name), _variable(name))
             for name in _VALIDATION_RULES
             if getattr(self, name) is None
         ]
         if missing:
             return missing
         wrong: list[SettingProblem] = [
-            SettingError(_flag(name), str(getattr(self, name)), allowed)
+            SettingError(flag_of(name), str(getattr(self, name)), allowed)
             for name, (is_allowed, allowed) in _VALIDATION_RULES.items()
             if not is_allowed(getattr(self, name))
         ]
@@ -326,47 +335,50 @@
     return 0 < len(text) <= 64 and all(c.isalnum() or c in "-_" for c in text)
 
 
-def _number_between(low: float, high: float) -> tuple[Callable[[Any], bool], str]:
+def number_between(low: float, high: float) -> ValueRule:
+    """Returns the rule of a number; texts and NaN are not allowed."""
     return (
         lambda value: not isinstance(value, str) and low <= value <= high,
         f"a number from {low:g} to {high:g}",
     )
 
 
-def _whole_number_between(low: int, high: int) -> tuple[Callable[[Any], bool], str]:
-    is_allowed, _ = _number_between(low, high)
+def whole_number_between(low: int, high: int) -> ValueRule:
+    """Returns the rule of a number that was parsed as a whole one."""
+    is_allowed, _ = number_between(low, high)
     return is_allowed, f"a whole number from {low} to {high}"
 
 
 _NAME_RULE: Final = (_is_name, "1 to 64 letters, digits, '-' or '_'")
-_PORT_RULE: Final = _whole_number_between(0, 65_535)
+HOST_RULE: Final[ValueRule] = (_is_host, "an IP address")
+PORT_RULE: Final = whole_number_between(0, 65_535)
 
-_VALIDATION_RULES: Final[dict[str, tuple[Callable[[Any], bool], str]]] = {
+_VALIDATION_RULES: Final[dict[str, ValueRule]] = {
     "instance_id": _NAME_RULE,
-    "host": (_is_host, "an IP address"),
+    "host": HOST_RULE,
     "failure_domain": _NAME_RULE,
     "region": _NAME_RULE,
     "platform": (_is_address, "IP:port"),
-    "http_port": _PORT_RULE,
-    "peer_port": _PORT_RULE,
-    "operator_port": _PORT_RULE,
+    "http_port": PORT_RULE,
+    "peer_port": PORT_RULE,
+    "operator_port": PORT_RULE,
     "seeds": (
         lambda text: all(_is_address(seed) for seed in text.split(",") if seed),
         "IP:port,IP:port,...",
     ),
-    "max_streams": _whole_number_between(1, 2_000),
-    "max_body_bytes": _whole_number_between(1_024, 64_000_000),
-    "address_ttl_s": _number_between(0.1, 600),
-    "request_timeout_s": _number_between(0.1, 600),
-    "platform_timeout_s": _number_between(0.05, 60),
-    "bound_multiple": _number_between(1.01, 10),
-    "admit_multiple": _number_between(1.0, 10),
-    "cold_choices": _whole_number_between(0, 64),
-    "engine_slots": _whole_number_between(1, 100_000),
-    "ledger_shards": _whole_number_between(1, 4_096),
-    "plan_lease_s": _number_between(1, 600),
-    "load_interval_s": _number_between(0, 3_600),
-    "ledger_window_s": _number_between(0.0, 5.0),
+    "max_streams": whole_number_between(1, 2_000),
+    "max_body_bytes": whole_number_between(1_024, 64_000_000),
+    "address_ttl_s": number_between(0.1, 600),
+    "request_timeout_s": number_between(0.1, 600),
+    "platform_timeout_s": number_between(0.05, 60),
+    "bound_multiple": number_between(1.01, 10),
+    "admit_multiple": number_between(1.0, 10),
+    "cold_choices": whole_number_between(0, 64),
+    "engine_slots": whole_number_between(1, 100_000),
+    "ledger_shards": whole_number_between(1, 4_096),
+    "plan_lease_s": number_between(1, 600),
+    "load_interval_s": number_between(0, 3_600),
+    "ledger_window_s": number_between(0.0, 5.0),
     "log_format": (lambda text: text in ("json", "console"), "json or console"),
 }
 
@@ -390,7 +402,7 @@
 
 
 def _source(name: str, given: Collection[str], environment: Mapping[str, str]) -> SettingSource:
-    if _flag(name) in given:
+    if flag_of(name) in given:
         return SettingSource.FLAG
     if _variable(name) in environment:
         return SettingSource.ENVIRONMENT
