--- a/tests/test_run_tests_tool.py
+++ b/tests/test_run_tests_tool.py
@@ -10,7 +10,13 @@
 from unittest import mock
 
 from tools.ports import free_ports
-from tools.run_tests import default_jobs, find_missing, find_problems, parse_known_failures
+from tools.run_tests import (
+    default_jobs,
+    find_missing,
+    find_problems,
+    group_by_class,
+    parse_known_failures,
+)
 from tools.test_records import FOLDER_VARIABLE, RecordingResult, TestRecords, read_records
 
 _TEXT = """Tests that fail because of a fault that is not fixed yet.
@@ -126,6 +132,17 @@
         self.assertEqual(records, TestRecords({}, {f"setUpClass ({name})"}))
 
 
+class GroupTest(unittest.TestCase):
+    """Classes that run alone are told from the others."""
+
+    def test_each_class_is_run_once(self) -> None:
+        """Guards against a class that is run neither beside the others nor alone."""
+        inner = unittest.TestSuite([_SomeTests("fails"), _BrokenSetUp("passes")])
+        by_class = group_by_class(unittest.TestSuite([_SomeTests("passes"), inner]))
+        names = [f"{case.__module__}.{case.__qualname__}" for case in (_SomeTests, _BrokenSetUp)]
+        self.assertEqual(sorted(by_class), sorted(names))
+
+
 class PortsTest(unittest.TestCase):
     """Processes that run side by side get different ports."""
 
--- a/tools/run_tests.py
+++ b/tools/run_tests.py
@@ -5,7 +5,8 @@
 passes, so that its entry is removed, unless a line `intermittent: yes` follows the entry.
 
 The test classes run side by side in processes of their own, one for each core; half as many if the
-machine is busy already. The twenty slowest tests are printed.
+machine is busy already. Classes with a true attribute `runs_alone` run one after the other when the
+others have ended. The twenty slowest tests are printed.
 """
 
 from __future__ import annotations
@@ -97,11 +98,15 @@
     options = parser.parse_args(arguments)
     known = parse_known_failures(_KNOWN_RED_PATH.read_text()) if _KNOWN_RED_PATH.exists() else {}
     suite = unittest.defaultTestLoader.discover(str(_ROOT / "tests"), top_level_dir=str(_ROOT))
+    by_class = group_by_class(suite)
+    alone = sorted(name for name, test in by_class.items() if getattr(test, "runs_alone", False))
     tests = {test.id() for test in _iterate_tests(suite)}
     with tempfile.TemporaryDirectory() as folder:
         jobs = 1 if options.serial else options.jobs
-        if not _run(jobs, Path(folder)):
-            print(f"the tests did not end within {MAX_RUN_S} s")
+        beside = sorted(by_class.keys() - set(alone))
+        for names, jobs_at_a_time in ((beside, jobs), (alone, 1)):
+            if names and not _run(names, jobs_at_a_time, Path(folder)):
+                print(f"the tests did not end within {MAX_RUN_S} s")
         records = read_records(Path(folder))
     _print_slowest(records.seconds_by_test)
     failed = records.failed
@@ -118,11 +123,18 @@
     return 1 if problems else 0
 
 
-def _run(jobs: int, folder: Path) -> bool:
-    """Runs all tests in processes that record their outcomes; returns False after a time-out."""
+def group_by_class(suite: unittest.TestSuite) -> dict[str, unittest.TestCase]:
+    """Returns one test of each class by the full dotted name of the class."""
+    return {test.id().rpartition(".")[0]: test for test in _iterate_tests(suite)}
+
+
+def _run(classes: list[str], jobs: int, folder: Path) -> bool:
+    """Runs classes in processes that record their outcomes; returns False after a time-out."""
     runner = [sys.executable, "-m", "unittest_parallel", f"--jobs={jobs}", "--level=class"]
     runner += ["--disable-process-pooling", "--result=tools.test_records.RecordingResult"]
     runner += ["--start-directory=tests", "--top-level-directory=."]
+    # A pattern with an asterisk must match the complete name of a test.
+    runner += [f"-k{name}.*" for name in classes]
     environment = {**os.environ, FOLDER_VARIABLE: str(folder)}
     # The status only repeats what the records show in detail.
     try:
