Bound what callers hold in one account of bytes and connections

Change: ConnectionMemory bounds requests and unread answers of a group of connections (callers; readiness, directory and metrics; peers) and selects who goes: first of the address that holds most, what holds most for longest with least progress. Bytes and header fields are charged before they are parsed. One request of a connection is parsed at a time. Heads and bodies are bounded by the configuration's limits, large requests that run by half of the memory. The server always accepts: the newest idle connection makes room, else the one that is most behind.

--- a/src/sequoiadrum/_front_server.py
+++ b/src/sequoiadrum/_front_server.py
@@ -3,18 +3,27 @@
 from __future__ import annotations
 
 import contextlib
+import errno
 import socket
 import time
 from typing import TYPE_CHECKING, Any, Final
 
 from waitress.adjustments import Adjustments
 from waitress.channel import HTTPChannel
+from waitress.parser import HTTPRequestParser
 from waitress.server import TcpWSGIServer
 from waitress.task import ErrorTask
 
 from sequoiadrum._wsgi import encode_refusal, refusal_headers, refusal_status
+from sequoiadrum.connection_memory import (
+    STALL_GRACE_S,
+    ConnectionMemory,
+    MemoryHolder,
+    Progress,
+    Usage,
+)
 from sequoiadrum.errors import Refusal, RefusalReason
-from sequoiadrum.logs import get_logger
+from sequoiadrum.logs import LineLimit, get_logger
 
 if TYPE_CHECKING:
     from sequoiadrum.metrics import Metrics
@@ -30,15 +39,28 @@
 Its request takes up one of the `max_streams` of the router.
 """
 ARRIVAL_TIMEOUT_S: Final = 30.0
-"""A request that has not arrived completely after this time is dropped with its connection."""
+"""A request that is behind the least rate by this time is dropped with its connection."""
+MAX_ARRIVAL_S: Final = 300.0
+"""A request that has not arrived completely after this time is dropped in any case."""
 MAX_INPUT_BYTES: Final = 64_000_000
-"""Memory of all requests that are arriving, waiting or running, unless a server sets another."""
+"""Memory of all requests and of all unread output, unless a server sets another."""
+REQUEST_BYTES: Final = 4_000
+"""Memory of the objects of a request without its header fields and its body."""
+HEADER_FIELD_BYTES: Final = 500
+"""Memory of the objects made of one header field, beside its own bytes."""
+HEADER_COPIES: Final = 4
+"""How often the bytes of a head are held: received, parsed, in the environment, and to be sent."""
+BODY_COPIES: Final = 1.125
+"""Memory of a body per byte; a buffer that grows reserves an eighth in advance."""
+ACCEPT_PAUSE_S: Final = 0.1
+"""Time without accepting connections when the process has no descriptor left."""
 _IDLE_TIMEOUT_S: Final = 60
 """An idle connection is closed after this time."""
 _OUTPUT_BUFFER_BYTES: Final = 262_144
 """Output that is buffered for a slow reader before its thread blocks."""
 _MAX_HEADER_BYTES: Final = 32_768
 _OVERLOADED: Final = Refusal(RefusalReason.OVERLOADED, "too many requests in flight", 200)
+_OUT_OF_DESCRIPTORS: Final = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM)
 _REASON_BY_CODE: Final = {
     413: RefusalReason.BODY_TOO_LARGE,
     500: RefusalReason.INTERNAL,
@@ -66,10 +88,50 @@
         self.write(body)
 
 
-class BoundedChannel(HTTPChannel):
-    """One connection that records since when it has made no progress."""
+class BoundedParser(HTTPRequestParser):
+    """Parses a request and knows what it holds."""
 
+    error: Any
+    header_fields = 0
+
+    def received(self, data: bytes) -> int:
+        """See `HTTPRequestParser.received`."""
+        is_head = self.body_rcv is None
+        consumed: int = super().received(data)
+        if is_head:
+            # The bytes behind a head are not consumed with it.
+            self.header_fields += data.count(b"\n", 0, consumed)
+        return consumed
+
+    def held_bytes(self) -> int:
+        """Returns the memory that the request takes until it is closed."""
+        body = len(self.body_rcv) if self.body_rcv is not None else 0
+        # Unlike the field, the method is valid for lengths that do not fit a C integer.
+        head = HEADER_COPIES * self.header_bytes_received + HEADER_FIELD_BYTES * self.header_fields
+        return REQUEST_BYTES + head + int(BODY_COPIES * body)
+
+    def missing_share(self) -> float:
+        """Returns the share of the body that has not arrived; 1 if its length is unknown."""
+        if self.body_rcv is None or self.chunked or not self.content_length:
+            return 1.0
+        return 1.0 - len(self.body_rcv) / self.content_length
+
+
+def count_fields(data: bytes) -> int:
+    """Returns how many header fields end in some bytes, up to the end of the head."""
+    end = data.find(b"\r\n\r\n")
+    return data.count(b"\n") if end < 0 else data.count(b"\n", 0, end + 2)
+
+
+class BoundedChannel(HTTPChannel, MemoryHolder):
+    """One connection, which reads on only when its former request is done.
+
+    What it holds is reported to the memory of its server before it is kept.
+    """
+
+    parser_class = BoundedParser
     error_task_class = _TypedErrorTask
+    sent_continue: bool
     request: Any
     requests: list[Any]
     _buffer_full_since: float | None = None
@@ -77,13 +139,90 @@
     _send_progress: tuple[float, float] | None = None
     """`last_activity` of waitress while output is pending, and when that value was first seen."""
     _incoming: tuple[object, float] | None = None
-    """The request that is being received, and when it was first seen."""
+    """The request that is being received, and when it began to arrive."""
+    _unparsed = b""
+    """Bytes that were read behind a request that is in flight; at most those of one read."""
+
+    def __init__(self, server: Any, *args: Any, **options: Any) -> None:
+        """Creates the channel of an accepted connection; see `HTTPChannel`."""
+        self.accepted_at = time.monotonic()
+        self._arrival = Progress(self.accepted_at)
+        super().__init__(server, *args, **options)
 
     def received(self, data: bytes) -> bool:
-        """Receives bytes of a request; see `HTTPChannel.received`."""
-        is_accepted: bool = super().received(data)
-        self.server.record_input(self)
-        return is_accepted
+        """Receives bytes of a request; see `HTTPChannel.received`.
+
+        Unlike there, one request is parsed at a time: thousands of short ones fit into one read.
+        """
+        now = time.monotonic()
+        if not self.server.reserve(self, self._estimate(data), now):
+            return False
+        with self.requests_lock:
+            if self.will_close or self.close_when_flushed:
+                return False
+            if self.requests:
+                self._unparsed += data
+            else:
+                self._parse(data, now)
+        self.server.memory.update(self, self.held_bytes())
+        return True
+
+    def readable(self) -> bool:
+        """Returns whether the event loop may read; first parses what was read before."""
+        if self._unparsed:
+            self._continue()
+        # Written out, since the event loop calls it for each connection in each iteration.
+        return not (
+            self._unparsed
+            or self.will_close
+            or self.close_when_flushed
+            or self.total_outbufs_len
+            or len(self.requests) > 1
+        )
+
+    def _continue(self) -> None:
+        """Parses the bytes that were read behind a former request, if that is done."""
+        if self.requests or self.total_outbufs_len:
+            return
+        data, self._unparsed = self._unparsed, b""
+        try:
+            self.received(data)
+        except Exception as error:
+            _log.error("request_not_parsed", error=repr(error)[:300], exc_info=error)
+            self.abort()
+
+    def _parse(self, data: bytes, now: float) -> None:
+        while data and not (self.requests or self.close_when_flushed):
+            if self.request is None:
+                self.request = self.parser_class(self.server.current_adjustments())
+                self._incoming = (self.request, now)
+                self._arrival = Progress(now)
+            request = self.request
+            consumed = request.received(data)
+            self._arrival.record(consumed, now)
+            if (
+                request.expect_continue
+                and request.headers_finished
+                and not request.error
+                and not self.sent_continue
+            ):
+                self.send_continue()
+            if request.completed:
+                self.sent_continue = False
+                self.request = None
+                if not request.empty:
+                    self.requests.append(request)
+                    self.server.add_task(self)
+            data = data[consumed:]
+        self._unparsed = b"" if self.close_when_flushed else data
+
+    def _estimate(self, data: bytes) -> int:
+        """Returns an upper bound of what is held for some bytes in addition."""
+        request = self.request
+        if request is not None and request.body_rcv is not None:
+            return int(BODY_COPIES * len(data))
+        fields = HEADER_FIELD_BYTES * count_fields(data)
+        return REQUEST_BYTES + HEADER_COPIES * len(data) + fields
 
     def check_client_disconnected(self) -> bool:
         """Returns whether the caller has closed its connection; see `HTTPChannel`.
@@ -100,14 +239,45 @@
         except OSError:
             return True
 
-    def input_bytes(self) -> int:
-        """Returns the bytes of the requests that are arriving, waiting or running."""
-        requests = [*self.requests, *([self.request] if self.request is not None else [])]
-        return sum(r.header_bytes_received + r.body_bytes_received for r in requests)
+    def held_bytes(self) -> int:
+        """Returns the bytes of all requests, and of the output that the caller has not read."""
+        if not self.connected:
+            return self.running_bytes()
+        size = len(self._unparsed) + self.total_outbufs_len
+        if self.request is not None:
+            size += self.request.held_bytes()
+        return size + self.running_bytes()
+
+    def running_bytes(self) -> int:
+        """Returns the bytes of the request that has arrived and waits or runs."""
+        return sum(request.held_bytes() for request in tuple(self.requests))
+
+    def usage(self, now: float) -> Usage:
+        """See `MemoryHolder.usage`."""
+        request = self.request
+        is_arriving = request is not None and not self.requests
+        behind_s = 0.0
+        if is_arriving:
+            behind_s = self._arrival.behind_s(now)
+        elif self._send_progress is not None:
+            behind_s = now - self._send_progress[1]
+        return Usage(
+            size=self.held_bytes(),
+            missing_share=request.missing_share() if request is not None else 1.0,
+            behind_s=behind_s,
+            is_droppable=not self.will_close and (is_arriving or behind_s > STALL_GRACE_S),
+            address=str(self.addr[0]) if self.addr else "",
+        )
 
     def is_idle(self) -> bool:
         """Returns whether no request is arriving or in flight, and no response is being sent."""
-        return not self.requests and self.request is None and not self.total_outbufs_len
+        return not (
+            self.requests
+            or self.request is not None
+            or self._unparsed
+            or self.total_outbufs_len
+            or self.will_close
+        )
 
     def refuse(self, response: bytes) -> None:
         """Sends a complete response from the reading thread, then closes the connection."""
@@ -120,6 +290,12 @@
         self.requests = []
         self.close_when_flushed = True
 
+    def handle_close(self) -> None:
+        """Closes the socket; see `HTTPChannel.handle_close`."""
+        super().handle_close()
+        # A request that runs holds its memory until it ends.
+        self.server.memory.update(self, self.running_bytes())
+
     def abort(self) -> None:
         """Ends the connection at once and releases the request that is arriving.
 
@@ -131,6 +307,7 @@
             if self.request is not None:
                 self.request.close()
                 self.request = None
+            self._unparsed = b""
         # With `will_close` alone, waitress waits until the socket is writable, which the socket of
         # a stalled reader never is. The peer may have ended the connection already.
         with contextlib.suppress(OSError):
@@ -152,72 +329,159 @@
             self._send_progress = (self.last_activity, now)
         elif now - self._send_progress[1] > self.server.stall_timeout_s:
             return "stalled_reader"
-        request = self.request
-        if request is None:
-            self._incoming = None
-        elif self._incoming is None or self._incoming[0] is not request:
-            self._incoming = (request, now)
-        elif now - self._incoming[1] > self.server.arrival_timeout_s:
+        if self.request is None or self._incoming is None:
+            return None
+        if self._arrival.behind_s(now) > self.server.arrival_timeout_s:
             return "slow_request"
-        return None
+        is_head = not self.request.headers_finished
+        longest_s = self.server.head_timeout_s() if is_head else MAX_ARRIVAL_S
+        return "slow_request" if now - self._incoming[1] > longest_s else None
 
 
 class BoundedServer(TcpWSGIServer):
-    """Drops connections that make no progress, and the largest ones that fill the memory.
+    """Bounds the connections of a server, and what all of them hold.
 
     Counts the dropped connections and the requests that are refused before the application.
     """
 
     channel_class = BoundedChannel
     metrics: Metrics
+    memory: ConnectionMemory
+    """Shared by the servers of a group."""
     stall_timeout_s = READER_STALL_TIMEOUT_S
     arrival_timeout_s = ARRIVAL_TIMEOUT_S
-    max_input_bytes = MAX_INPUT_BYTES
-    """Bytes of all requests together; above it, the largest request that is arriving is dropped."""
 
     def __init__(self, *args: Any, **options: Any) -> None:
         """Binds the socket; see `TcpWSGIServer`."""
-        self._input_by_channel: dict[BoundedChannel, int] = {}
-        self._input_bytes = 0
+        self._lines = LineLimit()
+        self._accept_again_at = 0.0
         super().__init__(*args, **options)
 
-    def record_input(self, channel: BoundedChannel) -> None:
-        """Updates the memory that the requests of a channel take; drops a request if necessary."""
-        size = channel.input_bytes()
-        self._input_bytes += size - self._input_by_channel.get(channel, 0)
-        self._input_by_channel[channel] = size
-        if self._input_bytes <= self.max_input_bytes:
+    def current_adjustments(self) -> Any:
+        """Returns the limits for a request that begins to arrive."""
+        return self.adj
+
+    def head_timeout_s(self) -> float:
+        """Returns the longest time in which a head arrives."""
+        return MAX_ARRIVAL_S
+
+    def reserve(self, channel: BoundedChannel, size: int, now: float) -> bool:
+        """Makes room for further bytes of a channel; drops connections if that is necessary.
+
+        Returns:
+            Whether the channel itself is still open.
+        """
+        if not self.memory.fits(size):
+            self.memory.update(channel, channel.held_bytes() + size)
+            for holder, usage in self.memory.make_room(0, now):
+                assert isinstance(holder, BoundedChannel)
+                holder.server.drop(holder, "input_memory", usage.size)
+        return not channel.will_close
+
+    def running_bytes(self) -> int:
+        """Returns what the requests hold that wait or run."""
+        channels = list(self.active_channels.values())
+        return sum(channel.running_bytes() for channel in channels)
+
+    def readable(self) -> bool:
+        """Returns whether connections may be accepted; see `TcpWSGIServer.readable`."""
+        is_readable = bool(super().readable())
+        return is_readable and time.monotonic() >= self._accept_again_at
+
+    def handle_accept(self) -> None:
+        """Accepts a connection; another one makes room when there are too many."""
+        if not self.has_room() and not self._close_one():
+            self._refuse_connection()
             return
-        self._measure_input()
-        while self._input_bytes > self.max_input_bytes:
-            arriving = [c for c in self._input_by_channel if c.request is not None]
-            if not arriving:
-                return
-            largest = max(arriving, key=self._input_by_channel.__getitem__)
-            self._input_bytes -= self._input_by_channel.pop(largest)
-            self._drop(largest, "input_memory")
+        try:
+            accepted = self.accept()
+        except OSError as error:
+            if error.errno in _OUT_OF_DESCRIPTORS:
+                self.metrics.count("connections_refused_total", reason="descriptors")
+                self._close_one()
+                self._accept_again_at = time.monotonic() + ACCEPT_PAUSE_S
+            return
+        if accepted is None:
+            return
+        connection, address = accepted
+        try:
+            self.set_socket_options(connection)
+        except OSError:
+            # The caller has gone already.
+            connection.close()
+            return
+        self.channel_class(self, connection, self.fix_addr(address), self.adj, map=self._map)
 
-    def _measure_input(self) -> None:
-        # Requests that have ended and connections that were closed are found only here.
-        sizes = {channel: channel.input_bytes() for channel in self.active_channels.values()}
-        self._input_by_channel = {channel: size for channel, size in sizes.items() if size}
-        self._input_bytes = sum(self._input_by_channel.values())
+    def has_room(self) -> bool:
+        """Returns whether there may be one more connection."""
+        return True
 
     def maintenance(self, now: float) -> None:
         """Drops idle connections, stalled readers and requests that do not arrive."""
         super().maintenance(now)
         # `now` is the time of day, which may jump.
         monotonic_now = time.monotonic()
-        self._measure_input()
         for channel in list(self.active_channels.values()):
-            reason = channel.drop_reason(monotonic_now)
+            reason = None if channel.will_close else channel.drop_reason(monotonic_now)
             if reason is not None:
-                self._drop(channel, reason)
-
-    def _drop(self, channel: BoundedChannel, reason: str) -> None:
+                self.drop(channel, reason, channel.held_bytes())
+            elif channel.total_outbufs_len:
+                self.memory.update(channel, channel.held_bytes())
+        self.memory.measure(monotonic_now)
+        for holder, usage in self.memory.make_room(0, monotonic_now):
+            assert isinstance(holder, BoundedChannel)
+            holder.server.drop(holder, "input_memory", usage.size)
+
+    def drop(self, channel: BoundedChannel, reason: str, held_bytes: int) -> None:
+        """Ends a connection, counts it and logs what it held."""
         self.metrics.count("connections_dropped_total", reason=reason)
+        self.log_limited("connection_dropped", channel, reason, held_bytes)
         channel.abort()
 
+    def log_limited(
+        self, event: str, channel: BoundedChannel, reason: str, held_bytes: int
+    ) -> None:
+        """Logs what was done to a connection; the number of lines is limited."""
+        if self._lines.allows():
+            _log.warning(
+                event,
+                reason=reason,
+                caller=str(channel.addr[0]) if channel.addr else "",
+                held_bytes=held_bytes,
+                open_s=round(time.monotonic() - channel.accepted_at, 1),
+            )
+
+    def _close_one(self) -> bool:
+        """Closes the newest idle connection, or else the one that is most behind.
+
+        Returns:
+            Whether there was one; connections that make progress are left alone.
+        """
+        channels = [channel for channel in self.active_channels.values() if not channel.will_close]
+        idle = [channel for channel in channels if channel.is_idle()]
+        if idle:
+            self.drop(max(idle, key=lambda channel: channel.accepted_at), "connections", 0)
+            return True
+        now = time.monotonic()
+        usage_by_channel = {channel: channel.usage(now) for channel in channels}
+        behind = [
+            channel
+            for channel, usage in usage_by_channel.items()
+            if usage.is_droppable and usage.behind_s > STALL_GRACE_S
+        ]
+        if not behind:
+            return False
+        slowest = max(behind, key=lambda channel: usage_by_channel[channel].behind_s)
+        self.drop(slowest, "connections", usage_by_channel[slowest].size)
+        return True
+
+    def _refuse_connection(self) -> None:
+        with contextlib.suppress(OSError):
+            accepted = self.accept()
+            if accepted is not None:
+                accepted[0].close()
+        self.metrics.count("connections_refused_total", reason="connections")
+
     def count(self, reason: RefusalReason) -> None:
         """Counts a request that is refused before it reaches the application."""
         self.metrics.count("refusals_total", reason=reason.value)
@@ -235,6 +499,7 @@
         threads = settings.max_streams + SPARE_THREADS
         self._max_connections = 4 * threads
         self.metrics = metrics
+        self.memory = ConnectionMemory(MAX_INPUT_BYTES)
         adjustments = Adjustments(
             host=settings.host,
             port=settings.http_port,
--- a/src/sequoiadrum/gateway/app.py
+++ b/src/sequoiadrum/gateway/app.py
@@ -234,7 +234,7 @@
             self.gossip,
             PeerResponder(mirror, self.configuration),
             self.metrics,
-            Address(settings.host, settings.peer_port),
+            settings,
         )
         self.threads.add(
             self.log.thread,
@@ -345,7 +345,11 @@
     ) -> ServerGroup:
         listeners = self.settings.listeners
         servers = ServerGroup(
-            self.settings.max_descriptors, self.settings.memory_mb, self.metrics, opened
+            self.settings.max_descriptors,
+            self.settings.memory_mb,
+            self.metrics,
+            opened,
+            self.configuration.caller_limits,
         )
         callers = CallerApp(
             adapter.header_codec, self.configuration, relay, self.state, self.metrics, self.log
--- a/src/sequoiadrum/gateway/configuration.py
+++ b/src/sequoiadrum/gateway/configuration.py
@@ -17,7 +17,7 @@
     from collections.abc import Callable
 
     from sequoiadrum.gateway.event_log import EventLog
-    from sequoiadrum.gateway.model import GatewayConfig
+    from sequoiadrum.gateway.model import CallerLimits, GatewayConfig
     from sequoiadrum.gateway.ports import DocumentDecoder, Store
     from sequoiadrum.metrics import Metrics
 
@@ -125,6 +125,11 @@
         routing = self._routing
         return routing.config.version if routing is not None else 0
 
+    def caller_limits(self) -> CallerLimits | None:
+        """Returns the limits on requests of the version in force, or None before the first one."""
+        routing = self._routing
+        return routing.config.limits if routing is not None else None
+
     def age_s(self) -> float:
         """Returns the seconds since the version in force was last confirmed to be the newest."""
         return clock.now() - self._confirmed_at
--- a/src/sequoiadrum/gateway/fleet.py
+++ b/src/sequoiadrum/gateway/fleet.py
@@ -12,12 +12,20 @@
 from sequoiadrum._gen.peer import Peer
 from sequoiadrum._thrift_transport import COMPACT
 from sequoiadrum.addressing import parse_address
+from sequoiadrum.connection_memory import ConnectionMemory
 from sequoiadrum.field_values import name, whole_number
 from sequoiadrum.gateway import clock
 from sequoiadrum.gateway.model import StoreFailure, StorePosition
 from sequoiadrum.gateway.pause_detector import OBSERVATION_INTERVAL_S
+from sequoiadrum.gateway.settings import RESERVED_DESCRIPTORS
 from sequoiadrum.hashing import first_ranked
-from sequoiadrum.messages import MembersChanged, MemberState, RevisionReceived, RumorReceived
+from sequoiadrum.messages import (
+    Address,
+    MembersChanged,
+    MemberState,
+    RevisionReceived,
+    RumorReceived,
+)
 from sequoiadrum.platform_client import InstanceList, ListedInstance, PlatformFailure
 from sequoiadrum.supervised_thread import SupervisedThread
 from sequoiadrum.tasks import Task
@@ -35,7 +43,7 @@
     from sequoiadrum.gateway.ports import AddressQuery, Store
     from sequoiadrum.gateway.settings import GatewaySettings
     from sequoiadrum.gossip_task import GossipTask
-    from sequoiadrum.messages import Address, Member
+    from sequoiadrum.messages import Member
     from sequoiadrum.metrics import Metrics
     from sequoiadrum.timers import TimerService
 
@@ -53,6 +61,13 @@
 PEER_CONNECTIONS: Final = 160
 """Maximum connections from peers. Each follower keeps two to a watcher, and each waiting request
 uses a thread."""
+MIN_PEER_CONNECTIONS: Final = 16
+PEER_DESCRIPTOR_SHARE: Final = 0.25
+"""Largest share of the descriptors for sockets that connections from peers may take."""
+PEER_BYTES: Final = 4_000_000
+"""Memory of the calls of peers that are read, handled or answered."""
+MAX_PEER_CALL_BYTES: Final = 2_000_000
+"""Size of one call; the largest holds the members of the fleet, each in some 150 bytes."""
 REGISTRATION_SPREAD_S: Final = 5.0
 """Time within which the routers of a fleet register again after a restore of the store, each at a
 random moment, so that the store does not refuse them."""
@@ -174,17 +189,20 @@
 
 
 def create_member_server(
-    gossip: GossipTask, responder: PeerResponder, metrics: Metrics, address: Address
+    gossip: GossipTask, responder: PeerResponder, metrics: Metrics, settings: GatewaySettings
 ) -> ThriftServer:
     """Creates the server for peers on the listener that the membership has bound."""
+    share = int(PEER_DESCRIPTOR_SHARE * (settings.max_descriptors - RESERVED_DESCRIPTORS))
     return ThriftServer(
         "peer",
-        address,
+        Address(settings.host, settings.peer_port),
         Peer.Processor(GatewayPeerHandler(gossip, responder)),
         COMPACT,
         metrics,
-        PEER_CONNECTIONS,
+        max(MIN_PEER_CONNECTIONS, min(PEER_CONNECTIONS, share)),
         gossip.listener,
+        memory=ConnectionMemory(PEER_BYTES),
+        max_frame_bytes=MAX_PEER_CALL_BYTES,
     )
 
 
--- a/src/sequoiadrum/gateway/front.py
+++ b/src/sequoiadrum/gateway/front.py
@@ -9,15 +9,19 @@
 from concurrent.futures import ThreadPoolExecutor
 from typing import TYPE_CHECKING, Any, Final
 
+from attrs import frozen
 from waitress import wasyncore
 from waitress.adjustments import Adjustments
-from waitress.parser import HTTPRequestParser, ParsingError
+from waitress.parser import ParsingError
 from waitress.task import WSGITask
-from waitress.utilities import BadRequest
+from waitress.utilities import BadRequest, RequestEntityTooLarge
 
-from sequoiadrum._front_server import BoundedChannel, BoundedServer
+from sequoiadrum._front_server import BoundedChannel, BoundedParser, BoundedServer
+from sequoiadrum.connection_memory import SMALL_REQUEST_BYTES, ConnectionMemory
 from sequoiadrum.gateway import clock
-from sequoiadrum.gateway.memory_budget import budget_of
+from sequoiadrum.gateway.memory_budget import CONTROL_BYTES, MIN_OUTPUT_BUFFER_BYTES, budget_of
+from sequoiadrum.gateway.model import CallerLimits
+from sequoiadrum.gateway.settings import RESERVED_DESCRIPTORS
 from sequoiadrum.supervised_thread import SupervisedThread
 
 if TYPE_CHECKING:
@@ -39,18 +43,26 @@
 IDLE_TIMEOUT_S: Final = 60
 """An idle connection of a caller is closed after this time; callers reuse theirs for 12 s."""
 ARRIVAL_TIMEOUT_S: Final = 20.0
-"""A request that has not arrived completely after this time is dropped with its connection."""
-MAX_HEADER_BYTES: Final = 65_536
+"""A request that is behind the least rate by this time is dropped with its connection."""
+HEAD_TIMEOUT_FACTOR: Final = 3.0
+"""A head is dropped after this multiple of the configured time, which callers keep to."""
+MAX_REQUEST_LINE_BYTES: Final = 8_192
+"""Size of a request line, which is not counted as a part of the header fields."""
 MAX_CHUNK_FRAMING_BYTES: Final = 16_384
 """Size of a chunk's size line or of the trailers; waitress copies them again with each read."""
-MAX_BODY_BYTES: Final = 16_000_000
-"""Far above what callers may send; waitress rejects larger bodies."""
+MAX_CHUNKED_FACTOR: Final = 8
+"""Bytes received for each byte of a chunked body; chunks of one byte take six."""
+UNCONFIGURED_LIMITS: Final = CallerLimits(max_header_bytes=57_344, max_body_bytes=16_000_000)
+"""Limits on requests before the first configuration is read: far above what callers may send."""
+CONTROL_LIMITS: Final = CallerLimits(max_body_bytes=65_536)
+"""Limits on requests to the ports for readiness, directory and metrics, which need no body."""
+CONTROL_CONNECTIONS: Final = 32
+"""Connections to each of these ports."""
 EVENT_LOOP_WAIT_S: Final = 1.0
 """Longest wait of the event loop; idle connections are checked this often."""
 DRAIN_POLL_S: Final = 0.02
 """How often connections are checked while the server closes them."""
-RESERVED_DESCRIPTORS: Final = 200
-"""File descriptors that connections must leave free for files."""
+_UNLIMITED: Final = 1_000_000_000
 _LINGER_RESET: Final = struct.pack("ii", 1, 0)
 _OVERLOAD_RESPONSE: Final = (
     b"HTTP/1.1 503 Service Unavailable\r\nConnection: close\r\nRetry-After: 0.25\r\n"
@@ -58,16 +70,24 @@
 )
 
 
-class _RequestParser(HTTPRequestParser):
+class _RequestParser(BoundedParser):
     """Records when a request began to arrive, and rejects ambiguous framing."""
 
     def __init__(self, adjustments: Adjustments) -> None:
         super().__init__(adjustments)
         self.arrived_at = clock.now()
+        # The configuration may change before the body has arrived.
+        self._max_body_bytes: int = adjustments.max_body_bytes
 
     def received(self, data: bytes) -> int:
-        """See `HTTPRequestParser.received`; rejects endless chunk sizes and trailers."""
+        """See `HTTPRequestParser.received`; rejects long bodies, chunk sizes and trailers."""
         consumed: int = super().received(data)
+        if self.body_rcv is not None and not self.error:
+            size = len(self.body_rcv) if self.chunked else self.content_length
+            if size > self._max_body_bytes:
+                self.error = RequestEntityTooLarge(f"exceeds {self._max_body_bytes} bytes")
+                self.completed = True
+                self.body_rcv.getbuf().close()
         if self.chunked and self.body_rcv is not None:
             framing_bytes = len(self.body_rcv.control_line) + len(self.body_rcv.trailer)
             if framing_bytes > MAX_CHUNK_FRAMING_BYTES:
@@ -156,6 +176,26 @@
                 self._active -= 1
 
 
+@frozen(kw_only=True)
+class ServerBounds:
+    """Limits on the callers of one server."""
+
+    max_connections: int
+    memory: ConnectionMemory
+    """Bounds the requests and the unread output of all servers that share it."""
+    output_buffer_bytes: int
+    """Output that is buffered for one connection."""
+    limits: Callable[[], CallerLimits | None]
+    """Returns the limits on requests; None if they are not known yet."""
+
+
+def _apply_limits(adjustments: Adjustments, limits: CallerLimits) -> None:
+    adjustments.max_body_bytes = limits.max_body_bytes
+    adjustments.max_request_header_size = limits.max_header_bytes + MAX_REQUEST_LINE_BYTES
+    # The parser bounds the body itself; waitress counts the framing of chunks as well.
+    adjustments.max_request_body_size = MAX_CHUNKED_FACTOR * (limits.max_body_bytes + 1)
+
+
 class GatewayServer(BoundedServer):
     """One listening socket; several servers share an event loop and a dispatcher."""
 
@@ -168,9 +208,7 @@
         address: Address,
         loop_map: dict[int, Any],
         dispatcher: PoolDispatcher,
-        max_connections: int,
-        max_input_bytes: int,
-        output_buffer_bytes: int,
+        bounds: ServerBounds,
         metrics: Metrics,
         listener: socket.socket | None,
     ) -> None:
@@ -180,20 +218,20 @@
             OSError: The address is in use or not local.
         """
         self.metrics = metrics
-        self.max_input_bytes = max_input_bytes
+        self.memory = bounds.memory
+        self._bounds = bounds
         self._dispatcher = dispatcher
         adjustments = Adjustments(
             host=address.host,
             port=address.port,
-            connection_limit=max_connections,
+            # At its limit, waitress would only stop accepting; see `handle_accept`.
+            connection_limit=_UNLIMITED,
             backlog=1024,
             channel_request_lookahead=1,
-            max_request_body_size=MAX_BODY_BYTES,
             # Instances have no disk, so bodies and responses must never overflow into files.
-            inbuf_overflow=2 * MAX_BODY_BYTES,
-            outbuf_overflow=64_000_000,
-            max_request_header_size=MAX_HEADER_BYTES,
-            outbuf_high_watermark=output_buffer_bytes,
+            inbuf_overflow=_UNLIMITED,
+            outbuf_overflow=_UNLIMITED,
+            outbuf_high_watermark=bounds.output_buffer_bytes,
             channel_timeout=IDLE_TIMEOUT_S,
             cleanup_interval=2,
             # `select` fails on descriptors above 1023.
@@ -202,6 +240,8 @@
             clear_untrusted_proxy_headers=False,
             ident=None,
         )
+        self._limits = UNCONFIGURED_LIMITS
+        _apply_limits(adjustments, self._limits)
         super().__init__(
             application,
             map=loop_map,
@@ -211,12 +251,36 @@
             bind_socket=listener is None,
         )
 
+    def current_adjustments(self) -> Any:
+        """See `BoundedServer.current_adjustments`."""
+        limits = self._bounds.limits()
+        if limits is not None and limits is not self._limits:
+            self._limits = limits
+            _apply_limits(self.adj, limits)
+        return self.adj
+
+    def head_timeout_s(self) -> float:
+        """See `BoundedServer.head_timeout_s`."""
+        return HEAD_TIMEOUT_FACTOR * self._limits.header_timeout_s
+
+    def has_room(self) -> bool:
+        """See `BoundedServer.has_room`."""
+        return len(self.active_channels) < self._bounds.max_connections
+
     def add_task(self, task: Any) -> None:
-        """Queues a channel's request, or refuses it if too many requests wait for a thread."""
-        if self._dispatcher.waiting() < MAX_WAITING_REQUESTS:
+        """Queues a channel's request, or refuses it if too many wait or memory is short."""
+        if self._dispatcher.waiting() >= MAX_WAITING_REQUESTS:
+            self.metrics.count("refusals_total", reason="overloaded")
+            task.refuse(_OVERLOAD_RESPONSE)
+            return
+        size = task.running_bytes()
+        # The sum is needed only for a large request.
+        is_small = size < SMALL_REQUEST_BYTES
+        if is_small or self.memory.may_run(size, self.running_bytes() - size):
             self._dispatcher.add_task(task)
             return
-        self.metrics.count("refusals_total", reason="overloaded")
+        self.metrics.count("refusals_total", reason="memory_short")
+        self.log_limited("request_refused_unread", task, "memory_short", size)
         task.refuse(_OVERLOAD_RESPONSE)
 
 
@@ -229,6 +293,7 @@
         memory_mb: int,
         metrics: Metrics,
         listeners: Mapping[Address, socket.socket] | None = None,
+        limits: Callable[[], CallerLimits | None] = lambda: None,
     ) -> None:
         """Creates a group without servers.
 
@@ -237,15 +302,27 @@
             memory_mb: Memory of the instance in megabytes.
             metrics: Receives the counters of the servers.
             listeners: Listening sockets that are open already.
+            limits: Returns the limits on the requests of callers; None if they are not known yet.
         """
         self._listeners = listeners or {}
-        self._budget = budget_of(memory_mb)
+        budget = budget_of(memory_mb)
         self._loop_map: dict[int, Any] = {}
         self._metrics = metrics
         # Each request in flight may use one connection to an endpoint.
-        self._max_connections = max(
-            64, (max_descriptors - RESERVED_DESCRIPTORS - CALLER_THREADS) // 2
+        max_connections = max(64, (max_descriptors - RESERVED_DESCRIPTORS - CALLER_THREADS) // 2)
+        self._caller_bounds = ServerBounds(
+            max_connections=max_connections,
+            memory=ConnectionMemory(budget.connection_bytes),
+            output_buffer_bytes=budget.output_buffer_bytes(max_connections),
+            limits=limits,
+        )
+        self._control_bounds = ServerBounds(
+            max_connections=CONTROL_CONNECTIONS,
+            memory=ConnectionMemory(CONTROL_BYTES),
+            output_buffer_bytes=MIN_OUTPUT_BUFFER_BYTES,
+            limits=lambda: CONTROL_LIMITS,
         )
+        metrics.gauge("connection_bytes_held", lambda: float(self._caller_bounds.memory.total()))
         self._callers = PoolDispatcher(CALLER_THREADS, "caller")
         self._control = PoolDispatcher(CONTROL_THREADS, "control")
         self.thread: Final = SupervisedThread("front", self._run, metrics)
@@ -257,11 +334,12 @@
 
     def add_callers(self, application: Callable[..., Any], address: Address) -> None:
         """Adds a server for callers."""
-        self._caller_servers.append(self._add(application, address, self._callers))
+        server = self._add(application, address, self._callers, self._caller_bounds)
+        self._caller_servers.append(server)
 
     def add_control(self, application: Callable[..., Any], address: Address) -> None:
         """Adds a server for readiness, directory or metrics."""
-        self._add(application, address, self._control)
+        self._add(application, address, self._control, self._control_bounds)
 
     def start(self) -> None:
         """Starts the event loop."""
@@ -300,16 +378,18 @@
         self._control.shutdown()
 
     def _add(
-        self, application: Callable[..., Any], address: Address, dispatcher: PoolDispatcher
+        self,
+        application: Callable[..., Any],
+        address: Address,
+        dispatcher: PoolDispatcher,
+        bounds: ServerBounds,
     ) -> GatewayServer:
         server = GatewayServer(
             application,
             address,
             self._loop_map,
             dispatcher,
-            self._max_connections,
-            self._budget.request_bytes,
-            self._budget.output_buffer_bytes(self._max_connections),
+            bounds,
             self._metrics,
             self._listeners.get(address),
         )
--- a/src/sequoiadrum/gateway/memory_budget.py
+++ b/src/sequoiadrum/gateway/memory_budget.py
@@ -9,7 +9,10 @@
 from attrs import frozen
 
 RESERVED_BYTES: Final = 80_000_000
-"""Memory for the program, its state, its threads and the receive buffers of its connections."""
+"""Memory for the program, its state, its threads and the receive buffers of its connections, and
+for what checks of readiness, look-ups, readers of metrics and other routers send."""
+CONTROL_BYTES: Final = 2_000_000
+"""Memory of the requests to the ports for readiness, directory and metrics."""
 MIN_BUDGET_SHARE: Final = 0.25
 """Share of the memory of a small instance that is available nevertheless."""
 REQUEST_SHARE: Final = 0.3
@@ -31,10 +34,15 @@
     request_bytes: int
     """Requests of callers."""
     output_bytes: int
-    """Output that callers have not read."""
+    """Output that callers have not read; both are bounded together (`connection_bytes`)."""
     response_bytes: int
     """Responses that are collected, and incomplete events."""
 
+    @property
+    def connection_bytes(self) -> int:
+        """Requests of callers and output that they have not read."""
+        return self.request_bytes + self.output_bytes
+
     def output_buffer_bytes(self, connections: int) -> int:
         """Returns the output that may be buffered for each of some connections."""
         share = self.output_bytes // max(1, connections)
--- a/src/sequoiadrum/gateway/settings.py
+++ b/src/sequoiadrum/gateway/settings.py
@@ -10,6 +10,8 @@
 
 DEFAULT_METRICS_PORT: Final = 9464
 """Default TCP port for metrics; the port registered for Prometheus exporters of this kind."""
+RESERVED_DESCRIPTORS: Final = 200
+"""File descriptors that connections must leave free for files."""
 _MIN_MEMORY_MB: Final = 64
 _MIN_DESCRIPTORS: Final = 256
 
