Hold bodies in blocks, and make room for connections on the product's own front

Cause: a crowd of 90 bodies of 1 MB at a router of the own interface took 141 MB where 128 are allowed (64 of MAX_INPUT_BYTES, 64 of the node), because buffers that grow are moved again and again and leave gaps. The front refused new connections at its bound, so that a crowd of idle ones locked others out.

Change: a body is collected in blocks of 64 KiB and joined once when it is read.

--- a/src/sequoiadrum/_front_server.py
+++ b/src/sequoiadrum/_front_server.py
@@ -10,10 +10,17 @@
 
 from waitress.adjustments import Adjustments
 from waitress.channel import HTTPChannel
-from waitress.parser import HTTPRequestParser
 from waitress.server import TcpWSGIServer
 from waitress.task import ErrorTask
 
+from sequoiadrum._request_parser import (
+    BODY_COPIES,
+    HEADER_COPIES,
+    HEADER_FIELD_BYTES,
+    REQUEST_BYTES,
+    BoundedParser,
+    count_fields,
+)
 from sequoiadrum._wsgi import encode_refusal, refusal_headers, refusal_status
 from sequoiadrum.connection_memory import (
     STALL_GRACE_S,
@@ -44,14 +51,6 @@
 """A request that has not arrived completely after this time is dropped in any case."""
 MAX_INPUT_BYTES: Final = 64_000_000
 """Memory of all requests and of all unread output, unless a server sets another."""
-REQUEST_BYTES: Final = 4_000
-"""Memory of the objects of a request without its header fields and its body."""
-HEADER_FIELD_BYTES: Final = 500
-"""Memory of the objects made of one header field, beside its own bytes."""
-HEADER_COPIES: Final = 4
-"""How often the bytes of a head are held: received, parsed, in the environment, and to be sent."""
-BODY_COPIES: Final = 1.125
-"""Memory of a body per byte; a buffer that grows reserves an eighth in advance."""
 ACCEPT_PAUSE_S: Final = 0.1
 """Time without accepting connections when the process has no descriptor left."""
 _IDLE_TIMEOUT_S: Final = 60
@@ -88,41 +87,6 @@
         self.write(body)
 
 
-class BoundedParser(HTTPRequestParser):
-    """Parses a request and knows what it holds."""
-
-    error: Any
-    header_fields = 0
-
-    def received(self, data: bytes) -> int:
-        """See `HTTPRequestParser.received`."""
-        is_head = self.body_rcv is None
-        consumed: int = super().received(data)
-        if is_head:
-            # The bytes behind a head are not consumed with it.
-            self.header_fields += data.count(b"\n", 0, consumed)
-        return consumed
-
-    def held_bytes(self) -> int:
-        """Returns the memory that the request takes until it is closed."""
-        body = len(self.body_rcv) if self.body_rcv is not None else 0
-        # Unlike the field, the method is valid for lengths that do not fit a C integer.
-        head = HEADER_COPIES * self.header_bytes_received + HEADER_FIELD_BYTES * self.header_fields
-        return REQUEST_BYTES + head + int(BODY_COPIES * body)
-
-    def missing_share(self) -> float:
-        """Returns the share of the body that has not arrived; 1 if its length is unknown."""
-        if self.body_rcv is None or self.chunked or not self.content_length:
-            return 1.0
-        return 1.0 - len(self.body_rcv) / self.content_length
-
-
-def count_fields(data: bytes) -> int:
-    """Returns how many header fields end in some bytes, up to the end of the head."""
-    end = data.find(b"\r\n\r\n")
-    return data.count(b"\n") if end < 0 else data.count(b"\n", 0, end + 2)
-
-
 class BoundedChannel(HTTPChannel, MemoryHolder):
     """One connection, which reads on only when its former request is done.
 
@@ -140,13 +104,13 @@
     """`last_activity` of waitress while output is pending, and when that value was first seen."""
     _incoming: tuple[object, float] | None = None
     """The request that is being received, and when it began to arrive."""
-    _unparsed = b""
-    """Bytes that were read behind a request that is in flight; at most those of one read."""
 
     def __init__(self, server: Any, *args: Any, **options: Any) -> None:
         """Creates the channel of an accepted connection; see `HTTPChannel`."""
         self.accepted_at = time.monotonic()
         self._arrival = Progress(self.accepted_at)
+        self._unparsed = b""
+        """Bytes that were read behind a request that is in flight; at most those of one read."""
         super().__init__(server, *args, **options)
 
     def received(self, data: bytes) -> bool:
@@ -171,14 +135,10 @@
         """Returns whether the event loop may read; first parses what was read before."""
         if self._unparsed:
             self._continue()
+            if self._unparsed:
+                return False
         # Written out, since the event loop calls it for each connection in each iteration.
-        return not (
-            self._unparsed
-            or self.will_close
-            or self.close_when_flushed
-            or self.total_outbufs_len
-            or len(self.requests) > 1
-        )
+        return not (self.total_outbufs_len or self.will_close or self.close_when_flushed)
 
     def _continue(self) -> None:
         """Parses the bytes that were read behind a former request, if that is done."""
@@ -504,8 +464,8 @@
             host=settings.host,
             port=settings.http_port,
             threads=threads,
-            # `handle_accept` refuses connections before this limit, at which waitress would only
-            # stop accepting them.
+            # `handle_accept` makes room before this limit, at which waitress would only stop
+            # accepting connections.
             connection_limit=self._max_connections + 64,
             backlog=1024,
             channel_request_lookahead=1,
@@ -540,23 +500,20 @@
         self.count(_OVERLOADED.reason)
         task.refuse(encode_refusal(_OVERLOADED))
 
-    def handle_accept(self) -> None:
-        """Accepts a connection, or sends a refusal and closes it if there are too many."""
-        if len(self.active_channels) < self._max_connections:
-            super().handle_accept()
-            return
-        try:
+    def has_room(self) -> bool:
+        """See `BoundedServer.has_room`."""
+        return len(self.active_channels) < self._max_connections
+
+    def _refuse_connection(self) -> None:
+        """Sends a refusal to a new connection and closes it."""
+        with contextlib.suppress(OSError):
             accepted = self.accept()
-            if accepted is None:
-                return
-            connection, _ = accepted
-            connection.setblocking(False)
-            connection.send(encode_refusal(_OVERLOADED))
-            connection.close()
-        except OSError:
-            return
-        finally:
-            self.count(_OVERLOADED.reason)
+            if accepted is not None:
+                connection, _ = accepted
+                connection.setblocking(False)
+                connection.send(encode_refusal(_OVERLOADED))
+                connection.close()
+        self.count(_OVERLOADED.reason)
 
 
 def internal_error(error: BaseException, metrics: Metrics) -> Refusal:
--- a/src/sequoiadrum/gateway/front.py
+++ b/src/sequoiadrum/gateway/front.py
@@ -16,7 +16,8 @@
 from waitress.task import WSGITask
 from waitress.utilities import BadRequest, RequestEntityTooLarge
 
-from sequoiadrum._front_server import BoundedChannel, BoundedParser, BoundedServer
+from sequoiadrum._front_server import BoundedChannel, BoundedServer
+from sequoiadrum._request_parser import BoundedParser
 from sequoiadrum.connection_memory import SMALL_REQUEST_BYTES, ConnectionMemory
 from sequoiadrum.gateway import clock
 from sequoiadrum.gateway.memory_budget import CONTROL_BYTES, MIN_OUTPUT_BUFFER_BYTES, budget_of
--- a/tests/gateway/test_request_fuzz.py
+++ b/tests/gateway/test_request_fuzz.py
@@ -8,7 +8,7 @@
 
 from waitress.adjustments import Adjustments
 
-from sequoiadrum._front_server import (
+from sequoiadrum._request_parser import (
     BODY_COPIES,
     HEADER_COPIES,
     HEADER_FIELD_BYTES,
