--- a/tools/bench_even_load.py
+++ b/tools/bench_even_load.py
@@ -49,7 +49,7 @@
                     EvenLoadFleet(seed, sized, create).measure() for seed in range(1, seeds + 1)
                 ]
 
-                def mean(field: str, measured: list = spreads) -> float:  # type: ignore[type-arg]
+                def mean(field: str, measured: list = spreads) -> float:
                     return sum(getattr(s, field) for s in measured) / len(measured)
 
                 yield (
