Declare the interface of endpoint choices where placement uses it

Cause: placement and endpoint_choice imported each other, which the test of import cycles forbids. Measured: tests.test_architecture fails before and passes after.

--- a/src/sequoiadrum/gateway/endpoint_choice.py
+++ b/src/sequoiadrum/gateway/endpoint_choice.py
@@ -8,7 +8,6 @@
 
 from __future__ import annotations
 
-from abc import ABC, abstractmethod
 from typing import TYPE_CHECKING, Final
 
 from attrs import define, field, frozen
@@ -18,6 +17,7 @@
 from sequoiadrum.gateway.placement import (
     FLEET_SPILL_ALLOWANCE,
     FLEET_SPILL_MULTIPLE,
+    EndpointChoice,
     choose_engine,
     choose_least_loaded,
     load_bound,
@@ -56,16 +56,6 @@
 _HALF: Final = 1 << 32
 
 
-class EndpointChoice(ABC):
-    """Chooses among endpoints that are all able to take a request."""
-
-    @abstractmethod
-    def choose(
-        self, candidates: Sequence[Endpoint], request: PlacementRequest, now: float
-    ) -> Endpoint:
-        """Returns one of the candidates, of which there is at least one; changes no state."""
-
-
 class InFlightChoice(EndpointChoice):
     """Takes the fewest requests in flight, or the highest-ranked engine within a load bound."""
 
--- a/src/sequoiadrum/gateway/placement.py
+++ b/src/sequoiadrum/gateway/placement.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import math
+from abc import ABC, abstractmethod
 from enum import Enum
 from typing import TYPE_CHECKING, Final
 
@@ -18,7 +19,6 @@
 if TYPE_CHECKING:
     from collections.abc import Collection, Sequence
 
-    from sequoiadrum.gateway.endpoint_choice import EndpointChoice
     from sequoiadrum.gateway.endpoints import Endpoint
     from sequoiadrum.gateway.model import RequestHead, Service
 
@@ -104,6 +104,16 @@
     """Number of engines among which requests for the longest shared prompt part are divided."""
 
 
+class EndpointChoice(ABC):
+    """Chooses among endpoints that are all able to take a request."""
+
+    @abstractmethod
+    def choose(
+        self, candidates: Sequence[Endpoint], request: PlacementRequest, now: float
+    ) -> Endpoint:
+        """Returns one of the candidates, of which there is at least one; changes no state."""
+
+
 def prompt_key(call: RequestHead) -> str:
     """Returns the id of the prompt part by which a request is assigned to its home engine.
 
--- a/src/sequoiadrum/gateway/pool.py
+++ b/src/sequoiadrum/gateway/pool.py
@@ -37,7 +37,6 @@
 
     from sequoiadrum.gateway.admission_control import Admission, Demand
     from sequoiadrum.gateway.cold_endpoints import ColdLimit
-    from sequoiadrum.gateway.endpoint_choice import EndpointChoice
     from sequoiadrum.gateway.evacuations import Evacuations
     from sequoiadrum.gateway.model import (
         EndpointEntry,
@@ -46,6 +45,7 @@
         Service,
         StorePosition,
     )
+    from sequoiadrum.gateway.placement import EndpointChoice
     from sequoiadrum.gateway.room import Room
     from sequoiadrum.gateway.service_rooms import ExpectedStay
     from sequoiadrum.gateway.settings import Bounds
