--- a/src/sequoiadrum/gateway/cold_endpoints.py
+++ b/src/sequoiadrum/gateway/cold_endpoints.py
@@ -21,7 +21,7 @@
 from sequoiadrum.token_bucket import TokenBucket
 
 if TYPE_CHECKING:
-    from collections.abc import Mapping
+    from collections.abc import Mapping, Set
 
     from sequoiadrum.gateway.model import EndpointEntry, Service
     from sequoiadrum.gateway.settings import Bounds
@@ -220,7 +220,7 @@
         Args:
             service: Name of the service.
             policy: What its endpoints tolerate.
-            entry_by_endpoint: The endpoints of the service.
+            entry_by_endpoint: The endpoints of the service that a request may use.
             now: Monotonic seconds.
         """
         found: dict[int, ColdLimit] = {}
@@ -235,7 +235,8 @@
                 found[endpoint] = ColdLimit(permitted, now < until)
                 if now < until:
                     cold_until_by_id[entry.instance_id] = until
-            self._record_changes(service, cold_until_by_id, now)
+            asked = {entry.instance_id for entry in entry_by_endpoint.values()}
+            self._record_changes(service, asked, cold_until_by_id, now)
         return found
 
     def take_changes(self) -> list[ColdChange]:
@@ -295,16 +296,26 @@
             until, process.appeared_at + policy.start_s, process.entry_until, process.stated_until
         )
 
-    def _record_changes(self, service: str, cold_until_by_id: dict[str, float], now: float) -> None:
-        known = self._cold_until_by_service.get(service)
+    def _record_changes(
+        self, service: str, asked: Set[str], cold_until_by_id: Mapping[str, float], now: float
+    ) -> None:
+        """Records which endpoints became cold or warm since the last call.
+
+        Args:
+            service: Name of the service.
+            asked: The endpoints of which it is known now; a request may use some of them only.
+            cold_until_by_id: Those of them that are cold.
+            now: Monotonic seconds.
+        """
+        known = self._cold_until_by_service.get(service, {})
         if not known and not cold_until_by_id:
             return
-        before, after = set(known or ()), set(cold_until_by_id)
-        self._cold_until_by_service[service] = cold_until_by_id
+        others = {each: t for each, t in known.items() if each not in asked and now < t}
+        current = self._cold_until_by_service[service] = {**others, **cold_until_by_id}
         self._changes.extend(
-            ColdChange(each, cold_until_by_id[each] - now) for each in sorted(after - before)
+            ColdChange(each, current[each] - now) for each in sorted(set(current) - set(known))
         )
-        self._changes.extend(ColdChange(each, 0.0) for each in sorted(before - after))
+        self._changes.extend(ColdChange(each, 0.0) for each in sorted(set(known) - set(current)))
 
     def _process(self, endpoint: int) -> _Process:
         process = self._process_by_endpoint.get(endpoint)
--- a/tests/gateway/test_cold_endpoints.py
+++ b/tests/gateway/test_cold_endpoints.py
@@ -425,6 +425,20 @@
         self.assertEqual(self.cold.take_changes(), [])
         self.assertEqual(self.cold.count(104.0), 0)
 
+    def test_requests_with_other_homes_change_nothing(self) -> None:
+        """Guards against a log line for each request while requests may use different endpoints."""
+        entries = {1: an_entry("e1", warm_up_s=9.0), 2: an_entry("e2", warm_up_s=9.0)}
+        for key, entry in entries.items():
+            self.cold.record_entry(entry, key, False, 100.0)
+        for n in range(6):
+            key = 1 + n % 2
+            self.cold.limits("model", self.POLICY, {key: entries[key]}, 100.0 + n)
+        changes = self.cold.take_changes()
+        self.assertEqual([c.endpoint_id for c in changes], ["e1", "e2"])
+        self.assertEqual(self.cold.count(105.0), 2)
+        self.cold.limits("model", self.POLICY, {1: entries[1]}, 110.0)
+        self.assertEqual([c.left_s for c in self.cold.take_changes()], [0.0, 0.0])
+
     def test_only_statements_are_shared(self) -> None:
         """Guards against a router that learnt late of an endpoint and lets all avoid it longer."""
         self.cold.record_entry(an_entry(), 1, True, 100.0)
