Do not drop connections that are closed already, and count refusals for memory apart

Cause: a connection whose caller had left while its request ran could be selected to go by its former unread output, and has no socket any more. The reason memory_short of a refusal stood for responses that may have run as well; the refusal before a request runs is input_memory now.

Change: only open connections can be selected.

--- a/src/sequoiadrum/_front_server.py
+++ b/src/sequoiadrum/_front_server.py
@@ -219,13 +219,15 @@
         behind_s = 0.0
         if is_arriving:
             behind_s = self._arrival.behind_s(now)
-        elif self._send_progress is not None:
+        elif self.total_outbufs_len and self._send_progress is not None:
             behind_s = now - self._send_progress[1]
         return Usage(
             size=self.held_bytes(),
             missing_share=request.missing_share() if request is not None else 1.0,
             behind_s=behind_s,
-            is_droppable=not self.will_close and (is_arriving or behind_s > STALL_GRACE_S),
+            is_droppable=self.connected
+            and not self.will_close
+            and (is_arriving or behind_s > STALL_GRACE_S),
             address=str(self.addr[0]) if self.addr else "",
         )
 
--- a/src/sequoiadrum/gateway/front.py
+++ b/src/sequoiadrum/gateway/front.py
@@ -280,8 +280,8 @@
         if is_small or self.memory.may_run(size, self.running_bytes() - size):
             self._dispatcher.add_task(task)
             return
-        self.metrics.count("refusals_total", reason="memory_short")
-        self.log_limited("request_refused_unread", task, "memory_short", size)
+        self.metrics.count("refusals_total", reason="input_memory")
+        self.log_limited("request_refused_unread", task, "input_memory", size)
         task.refuse(_OVERLOAD_RESPONSE)
 
 
--- a/tests/gateway/test_front.py
+++ b/tests/gateway/test_front.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import contextlib
+import errno
 import http.client
 import socket
 import threading
@@ -153,6 +154,87 @@
             self.assertEqual(sound.recv(12), b"HTTP/1.1 200")
 
 
+class PipeliningTest(unittest.TestCase):
+    """Callers send requests before they have read the answers to former ones."""
+
+    REQUESTS = 300
+
+    def setUp(self) -> None:
+        (port,) = free_ports(1)
+        self.paths: list[str] = []
+
+        def application(environ, start_response):  # type: ignore[no-untyped-def]
+            self.paths.append(environ["PATH_INFO"])
+            body = environ["PATH_INFO"].encode()
+            start_response("200 OK", [("Content-Length", str(len(body)))])
+            return [body]
+
+        self.metrics = Metrics()
+        self.group = ServerGroup(2_000, 200, self.metrics)
+        self.group.add_callers(application, Address("127.0.0.1", port))
+        (self.server,) = self.group._caller_servers
+        self.caller = socket.socket()
+        self.addCleanup(self.caller.close)
+        self.port = port
+
+    def _start(self) -> None:
+        self.group.start()
+        self.addCleanup(self.group.stop)
+        self.caller.settimeout(WAIT_S)
+        self.caller.connect(("127.0.0.1", self.port))
+
+    def test_requests_sent_ahead_are_answered_in_order(self) -> None:
+        """Guards against requests that are lost, or parsed long before they are answered."""
+        parsed = []
+        parse = front._RequestParser.received
+
+        def count(parser: front._RequestParser, data: bytes) -> int:
+            consumed = parse(parser, data)
+            if parser.completed:
+                parsed.append(len(self.paths))
+            return consumed
+
+        self.enterContext(mock.patch.object(front._RequestParser, "received", count))
+        self._start()
+        names = [f"/{number}" for number in range(self.REQUESTS)]
+        requests = [f"GET {name} HTTP/1.1\r\nHost: a\r\n\r\n" for name in names]
+        self.caller.sendall("".join(requests).encode())
+        received = b""
+        while received.count(b"HTTP/1.1 200") < self.REQUESTS or not received.endswith(
+            names[-1].encode()
+        ):
+            received += self.caller.recv(65_536)
+        self.assertEqual(self.paths, names)
+        # At most one request was parsed beyond those that the application had seen.
+        self.assertLessEqual(max(n - seen for n, seen in enumerate(parsed)), 1)
+
+    def test_request_behind_half_of_another_is_served(self) -> None:
+        """Guards against a connection that is not read again after a request was sent ahead."""
+        self._start()
+        self.caller.sendall(b"GET /a HTTP/1.1\r\n\r\nGET /b HTTP/1.1\r\nHo")
+        eventually(lambda: self.paths == ["/a"], "the first request is served")
+        time.sleep(0.1)  # Lets the event loop parse the half of the second one.
+        self.caller.sendall(b"st: a\r\n\r\n")
+        eventually(lambda: self.paths == ["/a", "/b"], "the second request is served")
+
+    def test_accepting_goes_on_when_descriptors_ran_out(self) -> None:
+        """Guards against a server that never accepts again, or spins, after EMFILE."""
+        failures = [OSError(errno.EMFILE, "too many open files")] * 3
+        accept = self.server.accept
+
+        def fail_first() -> object:
+            if failures:
+                raise failures.pop()
+            return accept()
+
+        self.enterContext(mock.patch.object(self.server, "accept", fail_first))
+        self._start()
+        self.caller.sendall(b"GET /a HTTP/1.1\r\n\r\n")
+        eventually(lambda: self.paths == ["/a"], "the request is served")
+        name = "connections_refused_total"
+        self.assertEqual(self.metrics.value(name, reason="descriptors"), 3)
+
+
 class DrainTest(unittest.TestCase):
     """The server closes its connections at the end of a graceful shutdown."""
 
