Move the commands on failure domains to the adapter, as a program of their own

Cause: the command line of the product imported the adapter, which a test forbids (BoundaryTest.test_nothing_imports_the_adapter). Change: `sequoiadrum-domain evacuate|readmit|status` lives in `platform/`, with its tests. Measured: the boundary test fails before and passes after.

--- a/src/sequoiadrum/cli.py
+++ b/src/sequoiadrum/cli.py
@@ -15,7 +15,6 @@
 from sequoiadrum._cli_base import ROUTER_VARIABLE
 from sequoiadrum._cli_values import number_option, report_wrong_values
 from sequoiadrum.app import Router
-from sequoiadrum.cli_domains import DomainCommand  # noqa: TC001 (cappa evaluates it)
 from sequoiadrum.cli_operator import OperatorCommands  # noqa: TC001 (cappa evaluates it)
 from sequoiadrum.gateway.explain import explain
 from sequoiadrum.logs import get_logger
@@ -158,7 +157,7 @@
 class Program:
     """The program with all its commands."""
 
-    command: cappa.Subcommands[Serve | Explain | StandIn | DomainCommand | OperatorCommands]
+    command: cappa.Subcommands[Serve | Explain | StandIn | OperatorCommands]
 
 
 def run(arguments: Sequence[str]) -> int:
--- a/src/sequoiadrum/cli_domains.py
+++ b/src/sequoiadrum/platform/domain_command.py
@@ -1,4 +1,4 @@
-"""Commands that evacuate and readmit failure domains of a gateway fleet."""
+"""Program that evacuates and readmits failure domains of a gateway fleet."""
 
 from __future__ import annotations
 
@@ -13,10 +13,12 @@
 from sequoiadrum.addressing import parse_address
 from sequoiadrum.gateway.model import StoreFailure
 from sequoiadrum.metrics import Metrics
-from sequoiadrum.platform.launch import PlatformDocumentDecoder
+from sequoiadrum.platform.documents import EVACUATION_KIND
 from sequoiadrum.platform.store_client import HttpStore
 
 if TYPE_CHECKING:
+    from collections.abc import Sequence
+
     from returns.result import Result
 
     from sequoiadrum.gateway.ports import Store
@@ -25,7 +27,9 @@
 _OUTCOME_UNKNOWN = (StoreFailure.UNREACHABLE, StoreFailure.MALFORMED)
 
 
-@cappa.command(name="domain", help="Evacuate, readmit or list failure domains of a gateway fleet.")
+@cappa.command(
+    name="sequoiadrum-domain", help="Evacuate, readmit or list failure domains of a gateway fleet."
+)
 @define(kw_only=True)
 class DomainCommand:
     """Writes evacuations to the platform's store, whose response acknowledges them.
@@ -53,7 +57,7 @@
         return self._list(store) if self.action == "status" else self._change(store)
 
     def _change(self, store: Store) -> int:
-        kind = PlatformDocumentDecoder.evacuation_kind
+        kind = EVACUATION_KIND
         result: Result[None, StoreFailure]
         if self.action == "evacuate":
             result = store.create(kind, self.name, {})
@@ -70,7 +74,7 @@
         return _fail(code, f"{self.action} {self.name}: {why.value}; repeat the command")
 
     def _list(self, store: Store) -> int:
-        listed = store.list(PlatformDocumentDecoder.evacuation_kind)
+        listed = store.list(EVACUATION_KIND)
         if isinstance(listed, Failure):
             return _fail(ExitCode.UNAVAILABLE, f"status: {listed.failure().value}")
         items = sorted(listed.unwrap().items, key=lambda item: item.name)
@@ -80,6 +84,19 @@
         return ExitCode.OK
 
 
+def run(arguments: Sequence[str]) -> int:
+    """Runs one command; returns the exit status."""
+    try:
+        return int(cappa.invoke(DomainCommand, argv=list(arguments)))
+    except cappa.Exit as error:
+        return int(error.code or 0)
+
+
+def main() -> None:
+    """Runs the program and exits with its status."""
+    sys.exit(run(sys.argv[1:]))
+
+
 def _fail(code: ExitCode, message: str) -> int:
-    sys.stderr.write(f"sequoiadrum: {message}\n")
+    sys.stderr.write(f"sequoiadrum-domain: {message}\n")
     return code
--- a/tests/test_cli_domains.py
+++ b/tests/platform/test_domain_command.py
@@ -1,4 +1,4 @@
-"""Tests of `cli_domains`."""
+"""Tests of `platform.domain_command`."""
 
 from __future__ import annotations
 
@@ -7,7 +7,7 @@
 import unittest
 
 from sequoiadrum._cli_base import ExitCode
-from sequoiadrum.cli import run
+from sequoiadrum.platform.domain_command import run
 from tests.platform.store_stand_in import StoreStandIn
 
 
@@ -22,7 +22,7 @@
         output = io.StringIO()
         address = f"{self.store.address.host}:{self.store.address.port}"
         with contextlib.redirect_stdout(output), contextlib.redirect_stderr(output):
-            status = run(["domain", *arguments, "--store", address])
+            status = run([*arguments, "--store", address])
         return status, output.getvalue()
 
     def test_evacuate_status_and_readmit(self) -> None:
@@ -58,4 +58,4 @@
         self.assertEqual(self._run("evacuate")[0], ExitCode.USAGE)
         self.assertEqual(self._run("status", "z1")[0], ExitCode.USAGE)
         with contextlib.redirect_stderr(io.StringIO()):
-            self.assertEqual(run(["domain", "status", "--store", "nowhere"]), ExitCode.USAGE)
+            self.assertEqual(run(["status", "--store", "nowhere"]), ExitCode.USAGE)
