Take chats from full engines in proportion, and leave full services alone

With the number of slots as a limit, all routers sent the chats of a nearly full service to the few engines that were below it at the last report, so that first events came later.

Change: an engine takes a falling share of the chats whose home it is between 0.9 and 1.3 of its slots, by a hash of request and engine; above 0.8 of all slots the present choice decides.

--- a/src/sequoiadrum/gateway/endpoint_choice.py
+++ b/src/sequoiadrum/gateway/endpoint_choice.py
@@ -24,6 +24,7 @@
     rank_engines,
 )
 from sequoiadrum.hashing import stable_hash
+from sequoiadrum.placement import chat_score
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable, Sequence
@@ -32,8 +33,8 @@
     from sequoiadrum.gateway.model import EngineLoad
     from sequoiadrum.gateway.placement import PlacementRequest
 
-MIN_ROOM: Final = 0.25
-"""Free slots that are assumed at least, so that a full endpoint stays possible where all are."""
+MIN_ROOM: Final = 0.05
+"""Share of free slots that is assumed at least, so that a full endpoint stays possible."""
 NEAR_UNTIL: Final = 0.6
 """Share of slots in use up to which all calls stay with the endpoints of the own failure domain."""
 NEAR_BELOW: Final = 1.0
@@ -41,6 +42,14 @@
 preference falls in proportion, so that routers do not leave and return together."""
 NEAR_UNKNOWN: Final = 0.5
 """Share of calls that stay where the requests of the other routers are not known."""
+ALL_ACCEPTED: Final = 0.9
+"""Share of its slots in use up to which an engine takes all chats whose home it is."""
+NONE_ACCEPTED: Final = 1.3
+"""Share from which it takes none. Between the two the share falls in proportion: a limit would send
+the chats of all routers to the few engines that were below it at the last report."""
+ROOM_UNTIL: Final = 0.8
+"""Share of all slots in use from which a service has no room to even out: leaving a home then only
+moves the wait to another engine."""
 MIN_ROUTERS: Final = 30
 """Fewer routers choose plain endpoints by their own requests in flight. They make up much of the
 load, and are known at once."""
@@ -54,6 +63,7 @@
 MAX_SERVICES: Final = 500
 """Services of which durations are kept."""
 _HALF: Final = 1 << 32
+_HASH_RANGE: Final = 1 << 64
 
 
 class EndpointChoice(ABC):
@@ -99,8 +109,14 @@
 
     @property
     def room(self) -> float:
-        """Free slots, at least `MIN_ROOM`."""
-        return max(MIN_ROOM, self.slots - self.load)
+        """Free slots, at least `MIN_ROOM` of all."""
+        return max(MIN_ROOM * self.slots, self.slots - self.load)
+
+    @property
+    def accepted_share(self) -> float:
+        """Share of the chats that an engine takes whose home it is, or next in rank."""
+        used = (self.load + 1) / self.slots
+        return min(1.0, max(0.0, (NONE_ACCEPTED - used) / (NONE_ACCEPTED - ALL_ACCEPTED)))
 
     @property
     def weight(self) -> float:
@@ -283,7 +299,8 @@
     ) -> Endpoint:
         """Returns the highest-ranked engine that is not above the mean and has room."""
         by_id = {o.endpoint.id: o for o in outlooks}
-        if not any(o.is_fleet_known for o in outlooks):
+        is_full = sum(o.load for o in outlooks) >= ROOM_UNTIL * sum(o.slots for o in outlooks)
+        if is_full or not any(o.is_fleet_known for o in outlooks):
             return choose_engine([o.endpoint for o in outlooks], request, now)
         bound = load_bound([o.load for o in outlooks], FLEET_SPILL_MULTIPLE, FLEET_SPILL_ALLOWANCE)
         work_bound = load_bound(
@@ -294,13 +311,15 @@
             for e in rank_engines([o.endpoint for o in outlooks], request)
             if (o := by_id[e.id]).load + 1 <= bound
         ]
+        request_hash = stable_hash("accept", request.call.request_id)
         for outlook in within:
+            fraction = chat_score(request_hash, outlook.endpoint.id_hash) / _HASH_RANGE
             if (outlook.load + 1) * outlook.slowdown <= work_bound and (
-                outlook.load + 1 <= outlook.slots
+                fraction < outlook.accepted_share
             ):
                 return outlook.endpoint
-        return _draw_better(
-            within or outlooks, stable_hash("draw", request.call.request_id)
+        return _draw(
+            within or outlooks, _fraction(stable_hash("draw", request.call.request_id))
         ).endpoint
 
 
--- a/tools/bench_even_load.py
+++ b/tools/bench_even_load.py
@@ -24,6 +24,8 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
+    from tests.gateway.even_load_fleet import Spread
+
 PLAIN_CASES: Final = (
     ("vbwt plain, usual", evolve(VBWT_PLAIN, requests_per_s=170.0)),
     ("vbwt plain, busy", evolve(VBWT_PLAIN, requests_per_s=400.0)),
@@ -49,7 +51,7 @@
                     EvenLoadFleet(seed, sized, create).measure() for seed in range(1, seeds + 1)
                 ]
 
-                def mean(field: str, measured: list = spreads) -> float:  # type: ignore[type-arg]
+                def mean(field: str, measured: list[Spread] = spreads) -> float:
                     return sum(getattr(s, field) for s in measured) / len(measured)
 
                 yield (
