--- a/src/sequoiadrum/gateway/placement.py
+++ b/src/sequoiadrum/gateway/placement.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import math
+from abc import ABC, abstractmethod
 from enum import Enum
 from typing import TYPE_CHECKING, Final
 
@@ -18,7 +19,6 @@
 if TYPE_CHECKING:
     from collections.abc import Collection, Sequence
 
-    from sequoiadrum.gateway.endpoint_choice import EndpointChoice
     from sequoiadrum.gateway.endpoints import Endpoint
     from sequoiadrum.gateway.model import RequestHead, Service
 
@@ -80,6 +80,8 @@
     """The endpoints that are not suspended take no further request now by the rates they named."""
     EVACUATED = "evacuated"
     """All endpoints are in failure domains that are evacuated, apart from those already tried."""
+    OUTSIDE_HOMES = "outside_homes"
+    """All endpoints are outside of the home regions, apart from those already tried."""
 
 
 @frozen
@@ -96,10 +98,22 @@
     """Ids of endpoints that the request has already failed on."""
     withheld: Collection[str] = ()
     """Ids of endpoints that take no further request now by the rates they named."""
+    domains: frozenset[str] | None = None
+    """Failure domains that the homes of the request permit; None if it may run in all."""
     replicas: int = 1
     """Number of engines among which requests for the longest shared prompt part are divided."""
 
 
+class EndpointChoice(ABC):
+    """Chooses among endpoints that are all able to take a request."""
+
+    @abstractmethod
+    def choose(
+        self, candidates: Sequence[Endpoint], request: PlacementRequest, now: float
+    ) -> Endpoint:
+        """Returns one of the candidates, of which there is at least one; changes no state."""
+
+
 def prompt_key(call: RequestHead) -> str:
     """Returns the id of the prompt part by which a request is assigned to its home engine.
 
--- a/src/sequoiadrum/gateway/pool.py
+++ b/src/sequoiadrum/gateway/pool.py
@@ -37,7 +37,6 @@
 
     from sequoiadrum.gateway.admission_control import Admission, Demand
     from sequoiadrum.gateway.cold_endpoints import ColdLimit
-    from sequoiadrum.gateway.endpoint_choice import EndpointChoice
     from sequoiadrum.gateway.evacuations import Evacuations
     from sequoiadrum.gateway.model import (
         EndpointEntry,
@@ -46,6 +45,7 @@
         Service,
         StorePosition,
     )
+    from sequoiadrum.gateway.placement import EndpointChoice
     from sequoiadrum.gateway.room import Room
     from sequoiadrum.gateway.service_rooms import ExpectedStay
     from sequoiadrum.gateway.settings import Bounds
@@ -153,8 +153,9 @@
         """Decides whether a new request is admitted."""
         now = clock.now()
         with self._lock:
-            endpoints = self._usable(service, now)
-            return self._rooms.decide(service, call, demand, endpoints, self._instances(), now)
+            return self._rooms.decide(
+                service, call, demand, lambda: self._usable(service, now), self._instances(), now
+            )
 
     def return_after_s(self, service: str, demand: Demand) -> float:
         """Returns when the caller of a request that all endpoints refused should come back."""
@@ -167,6 +168,16 @@
         with self._lock:
             return self._rooms.room(service)
 
+    def rooms(self) -> dict[str, Room]:
+        """Returns the rooms by service as computed last, for metrics."""
+        with self._lock:
+            return self._rooms.rooms()
+
+    def own_parts(self) -> dict[str, float]:
+        """Returns this router's part of all requests in flight by service, for metrics."""
+        with self._lock:
+            return self._rooms.own_parts(self._instances())
+
     def take(
         self,
         request: PlacementRequest,
@@ -187,7 +198,7 @@
         """
         now = clock.now()
         with self._lock:
-            known = endpoints = self._table.of_service(request.service.name)
+            known = endpoints = self._endpoints_at_home(request)
             if self.evacuations is not None and self.evacuations.has_any():
                 part = prompt_key(request.call)
                 endpoints = self.evacuations.usable(known, part, request.excluded, now)
@@ -195,9 +206,9 @@
             choice = self._choice
             if choice is None and self._knowledge.is_active:
                 choice = self._even_choice
-            cold = self._cold_limits(request.service, endpoints, now)
+            cold = self._cold_limits(request.service, known, now)
             chosen: Endpoint | PlacementFailure = PlacementFailure.RATE_LIMITED
-            if any(limit.is_cold for limit in cold.values()):
+            if cold and self._has_cold(endpoints, cold):
                 # Cold endpoints are left alone as long as others have room.
                 avoided = LimitedEndpoints.AVOIDED_WITH_ROOM
                 withheld = self._withheld(endpoints, now, limited, cold, avoided)
@@ -209,9 +220,12 @@
                     request = evolve(request, withheld=withheld)
                 chosen = choose(endpoints, request, now, choice)
             if isinstance(chosen, PlacementFailure):
-                is_none_left = chosen is PlacementFailure.UNKNOWN_SERVICE
-                is_narrowed = len(endpoints) < len(known)
-                return PlacementFailure.EVACUATED if is_none_left and is_narrowed else chosen
+                if chosen is not PlacementFailure.UNKNOWN_SERVICE:
+                    return chosen
+                if len(endpoints) < len(known):
+                    return PlacementFailure.EVACUATED
+                is_narrowed = request.domains is not None and not known
+                return PlacementFailure.OUTSIDE_HOMES if is_narrowed else chosen
             chosen.in_flight += 1
             chosen.started_since_load += 1
             key = endpoint_key(chosen.id_hash)
@@ -225,11 +239,11 @@
                 limit is not None,
                 cold.get(key),
             )
-            placement.is_plain = request.service.batch_slots is None
             if self._rooms.is_active(now):
                 placement.stay = self._rooms.expect(
                     request.service.name, request.call, chosen, self._instances(), now
                 )
+            placement.is_plain = request.service.batch_slots is None
             if not placement.is_limited:
                 placement.context_source = self._find_context_source(known, chosen, request, now)
             return placement
@@ -237,7 +251,7 @@
     def confirm(self, placement: EndpointPlacement, request: PlacementRequest) -> None:
         """Completes a placement whose quota was obtained."""
         with self._lock:
-            endpoints = self._table.of_service(request.service.name)
+            endpoints = self._endpoints_at_home(request)
             placement.context_source = self._find_context_source(
                 endpoints, placement.endpoint, request, clock.now()
             )
@@ -294,21 +308,21 @@
         with self._lock:
             if head.load is not None:
                 placement.endpoint.record_load(head.load, now)
-                self._knowledge.record_load(placement.endpoint, head.load, now)
                 if head.load.slowdown is not None:
                     self._rooms.record_shared_host(now)
+                self._knowledge.record_load(placement.endpoint, head.load, now)
             if head.is_not_executed:
                 placement.endpoint.record_full(now)
             else:
                 placement.endpoint.record_result(failed, now)
-                if placement.is_plain and not failed:
-                    self._knowledge.record_completed(
-                        placement.endpoint, now - placement.placed_at, now
-                    )
                 if placement.stay is not None and not failed:
                     placement.first_s = now - placement.placed_at
                     service = placement.endpoint.entry.service
                     self._rooms.record_first(service, placement.stay, placement.first_s)
+                if placement.is_plain and not failed:
+                    self._knowledge.record_completed(
+                        placement.endpoint, now - placement.placed_at, now
+                    )
         if head.cold_left_s is not None and head.instance_id in (None, placement.endpoint.id):
             self.cold.record_statement(placement.endpoint_key, head.cold_left_s, now)
         if head.rate_limit is None and not head.is_sealed:
@@ -320,6 +334,15 @@
             placement.endpoint_key, NamedLimit(head.rate_limit, observed_at), now
         )
 
+    def record_done(self, placement: EndpointPlacement) -> None:
+        """Records that the response to a placed request is complete."""
+        if placement.stay is None or placement.first_s is None:
+            return
+        whole_s = clock.now() - placement.placed_at
+        with self._lock:
+            service = placement.endpoint.entry.service
+            self._rooms.record_done(service, placement.stay, placement.first_s, whole_s)
+
     def is_even(self) -> bool:
         """Returns whether endpoints are chosen evenly because some share hosts."""
         return self._choice is None and self._knowledge.is_active
@@ -333,15 +356,6 @@
         with self._lock:
             return self._knowledge.highest_multiple(self._table.by_id.values(), now)
 
-    def record_done(self, placement: EndpointPlacement) -> None:
-        """Records that the response to a placed request is complete."""
-        if placement.stay is None or placement.first_s is None:
-            return
-        whole_s = clock.now() - placement.placed_at
-        with self._lock:
-            service = placement.endpoint.entry.service
-            self._rooms.record_done(service, placement.stay, placement.first_s, whole_s)
-
     def record_notices(
         self, placement: EndpointPlacement, head: ResponseHead
     ) -> list[tuple[str, Hold]]:
@@ -524,6 +538,13 @@
         with self._lock:
             return self._table.expire(clock.now())
 
+    def _endpoints_at_home(self, request: PlacementRequest) -> list[Endpoint]:
+        """Returns the endpoints on which a request may run and from which it may copy."""
+        endpoints = self._table.of_service(request.service.name)
+        if request.domains is None:
+            return endpoints
+        return [e for e in endpoints if e.entry.failure_domain in request.domains]
+
     def _serving(self, service: str, now: float) -> list[Endpoint]:
         """Returns the endpoints of a service that may get requests, also those held back."""
         return [e for e in self._usable(service, now) if e.can_serve(now)]
@@ -583,6 +604,11 @@
         crowded = {e.id for e in endpoints if e not in limited and e.is_above(max_load, now)}
         return frozenset(withheld | crowded)
 
+    @staticmethod
+    def _has_cold(endpoints: list[Endpoint], cold_limits: Mapping[int, ColdLimit]) -> bool:
+        limits = (cold_limits.get(endpoint_key(e.id_hash)) for e in endpoints)
+        return any(limit is not None and limit.is_cold for limit in limits)
+
     def _refused_until(self, endpoint: Endpoint, now: float) -> float:
         key = endpoint_key(endpoint.id_hash)
         return max(self.rate_limits.refused_until(key, now), self.cold.refused_until(key))
