--- a/tests/gateway/test_evacuation_sync.py
+++ b/tests/gateway/test_evacuation_sync.py
@@ -224,3 +224,20 @@
         starting.gateway.start()
         eventually(starting.gateway.state.is_ready, "the router is ready")
         self.assertTrue(evacuations_of(starting).is_evacuated("z1"))
+
+    def test_router_whose_store_falls_silent_learns_from_a_peer(self) -> None:
+        """Guards against a router that waits for a store that does not respond any more."""
+        reaching, cut = (World(bounds=EVACUATES, instance_id=name) for name in ("g1", "g2"))
+        for world in (reaching, cut):
+            self.addCleanup(world.stop)
+        reaching.start()
+        # The stores count by themselves; the revisions of the other one must be higher.
+        for _ in range(20):
+            reaching.store.put("other", "o", {})
+        cut.join(reaching)
+        cut.start()
+        eventually(lambda: len(cut.gateway.gossip.members()) == 2, "the routers know each other")
+        cut.store.is_unresponsive = True
+        reaching.store.put(KIND, "z1", {})
+        eventually(lambda: evacuations_of(cut).is_evacuated("z1"), "the peer tells it")
+        self.assertFalse(cut.store.has(KIND, "z1"))
