--- a/src/sequoiadrum/gateway/app.py
+++ b/src/sequoiadrum/gateway/app.py
@@ -119,7 +119,7 @@
         self._failed = False
         self._is_killed = False
         self._store = adapter.store(self.metrics)
-        self._store_availability = StoreAvailability(self.log, self.metrics)
+        self.store_availability: Final = StoreAvailability(self.log, self.metrics)
         self._instances = StoreInstanceList(self._store, settings, self.metrics, self.log)
         self._peers = ThriftPeerClient(self.metrics)
         self.gossip: Final = GossipTask(
@@ -152,7 +152,7 @@
             self.log,
             self._invariant_broken,
         )
-        self._store_availability.subscribe_restores(self._convictions.store_restored)
+        self.store_availability.subscribe_restores(self._convictions.store_restored)
         pauses = PauseDetector(clock.now())
         self.peer_events: Final = PeerEventTask(
             settings.instance_id,
@@ -166,12 +166,13 @@
         )
         self.gossip.subscribe(self.peer_events)
         self.gossip.subscribe_revisions(self.peer_events)
-        self._store_availability.subscribe_restores(self._instances.register_again)
-        self._store_availability.subscribe_restores(self.peer_events.store_restored)
+        self.store_availability.subscribe_restores(self._instances.register_again)
+        self.store_availability.subscribe_restores(self.peer_events.store_restored)
         self.evacuations: Final = (
             Evacuations() if settings.bounds.evacuation_s is not None else None
         )
         self.pool: Final = EndpointPool(settings.bounds, self.directory.count, self.evacuations)
+        self._register_room_gauges()
         self._load_exchange = LoadExchangeTask(
             self.gossip,
             self.pool,
@@ -180,6 +181,8 @@
             self._invariant_broken,
             may_have_peers=bool(settings.seed_hosts),
         )
+        self.metrics.gauge("even_choice_active", lambda: float(self.pool.is_even()))
+        self.metrics.gauge("endpoint_load_highest_multiple", self.pool.highest_load_multiple)
         self.metrics.gauge("cold_endpoints", lambda: float(self.pool.cold.count(clock.now())))
         self.connections: Final = EndpointConnections(adapter.header_codec)
         self._crash_watch: Final = CrashWatch(
@@ -198,7 +201,7 @@
             self.configuration,
             mirror,
             peer_feed,
-            self._store_availability,
+            self.store_availability,
             self.metrics,
             self.log,
         )
@@ -209,7 +212,7 @@
             self.connections,
             mirror,
             peer_feed,
-            self._store_availability,
+            self.store_availability,
             self.metrics,
             self.log,
         )
@@ -221,7 +224,7 @@
                 self.pool,
                 mirror,
                 peer_feed,
-                self._store_availability,
+                self.store_availability,
                 self.metrics,
                 self.log,
             )
@@ -267,7 +270,7 @@
             self.gossip,
             PeerResponder(mirror, self.configuration),
             self.metrics,
-            Address(settings.host, settings.peer_port),
+            settings,
         )
         self.threads.add(
             self.log.thread,
@@ -373,12 +376,24 @@
                 return
             time.sleep(_FIRST_LISTS_POLL_S)
 
+    def _register_room_gauges(self) -> None:
+        rooms = self.pool.rooms
+        gauge = self.metrics.labelled_gauge
+        gauge("room_places", "service", lambda: {s: r.places for s, r in rooms().items()})
+        gauge("room_taken", "service", lambda: {s: r.taken for s, r in rooms().items()})
+        gauge("room_queued", "service", lambda: {s: r.queued for s, r in rooms().items()})
+        gauge("room_own_part", "service", self.pool.own_parts)
+
     def _create_servers(
         self, adapter: Adapter, relay: Relay, opened: Mapping[Address, socket.socket]
     ) -> ServerGroup:
         listeners = self.settings.listeners
         servers = ServerGroup(
-            self.settings.max_descriptors, self.settings.memory_mb, self.metrics, opened
+            self.settings.max_descriptors,
+            self.settings.memory_mb,
+            self.metrics,
+            opened,
+            self.configuration.caller_limits,
         )
         callers = CallerApp(
             adapter.header_codec, self.configuration, relay, self.state, self.metrics, self.log
--- a/src/sequoiadrum/gateway/request_run.py
+++ b/src/sequoiadrum/gateway/request_run.py
@@ -59,6 +59,8 @@
     """All places of the service are taken, and the account sends more than its part."""
     URGENT_FIRST = "urgent_first"
     """All places of the service are taken, and more urgent requests need them."""
+    BYTES_HELD = "bytes_held"
+    """The router holds many bytes for others and keeps the rest for more urgent requests."""
     CRASHES_ENDPOINTS = "crashes_endpoints"
     CRASHING_PART = "crashing_part"
     """Other requests with one of its prompt parts crashed engines."""
@@ -133,6 +135,8 @@
     """Ids of the endpoints of all failed attempts."""
     was_sent: bool = False
     """Whether bytes were sent to an endpoint that has not reported the request as not executed."""
+    has_waited: bool = False
+    """Whether it has waited for a place at an endpoint."""
     last_error: str = ""
     progress_at: float = 0.0
     """Monotonic seconds at which the last event of a stream was complete."""
