Write the lines of dropped connections through the event log

Cause: the first line that goes through structlog loads it, which took 8 MB of a gateway's memory when the first connection was dropped. Heads get at least 5 s, however short the configured time: a busy router reads late what has arrived in time.

--- a/src/sequoiadrum/_front_server.py
+++ b/src/sequoiadrum/_front_server.py
@@ -405,7 +405,7 @@
     ) -> None:
         """Logs what was done to a connection; the number of lines is limited."""
         if self._lines.allows():
-            _log.warning(
+            self.write_line(
                 event,
                 reason=reason,
                 caller=str(channel.addr[0]) if channel.addr else "",
@@ -413,6 +413,10 @@
                 open_s=round(time.monotonic() - channel.accepted_at, 1),
             )
 
+    def write_line(self, event: str, **fields: Any) -> None:
+        """Writes a log line."""
+        _log.warning(event, **fields)
+
     def _close_one(self) -> bool:
         """Closes the newest idle connection, or else the one that is most behind.
 
--- a/src/sequoiadrum/gateway/app.py
+++ b/src/sequoiadrum/gateway/app.py
@@ -350,6 +350,7 @@
             self.metrics,
             opened,
             self.configuration.caller_limits,
+            self.log.notable,
         )
         callers = CallerApp(
             adapter.header_codec, self.configuration, relay, self.state, self.metrics, self.log
--- a/src/sequoiadrum/gateway/front.py
+++ b/src/sequoiadrum/gateway/front.py
@@ -47,6 +47,8 @@
 """A request that is behind the least rate by this time is dropped with its connection."""
 HEAD_TIMEOUT_FACTOR: Final = 3.0
 """A head is dropped after this multiple of the configured time, which callers keep to."""
+MIN_HEAD_TIMEOUT_S: Final = 5.0
+"""A head has this time in any case: a busy router reads late what has arrived in time."""
 MAX_REQUEST_LINE_BYTES: Final = 8_192
 """Size of a request line, which is not counted as a part of the header fields."""
 MAX_CHUNK_FRAMING_BYTES: Final = 16_384
@@ -188,6 +190,8 @@
     """Output that is buffered for one connection."""
     limits: Callable[[], CallerLimits | None]
     """Returns the limits on requests; None if they are not known yet."""
+    log: Callable[..., None]
+    """Writes a log line with an event and its fields."""
 
 
 def _apply_limits(adjustments: Adjustments, limits: CallerLimits) -> None:
@@ -262,7 +266,11 @@
 
     def head_timeout_s(self) -> float:
         """See `BoundedServer.head_timeout_s`."""
-        return HEAD_TIMEOUT_FACTOR * self._limits.header_timeout_s
+        return max(MIN_HEAD_TIMEOUT_S, HEAD_TIMEOUT_FACTOR * self._limits.header_timeout_s)
+
+    def write_line(self, event: str, **fields: Any) -> None:
+        """See `BoundedServer.write_line`."""
+        self._bounds.log(event, **fields)
 
     def has_room(self) -> bool:
         """See `BoundedServer.has_room`."""
@@ -295,6 +303,7 @@
         metrics: Metrics,
         listeners: Mapping[Address, socket.socket] | None = None,
         limits: Callable[[], CallerLimits | None] = lambda: None,
+        log: Callable[..., None] = lambda *_, **__: None,
     ) -> None:
         """Creates a group without servers.
 
@@ -304,6 +313,7 @@
             metrics: Receives the counters of the servers.
             listeners: Listening sockets that are open already.
             limits: Returns the limits on the requests of callers; None if they are not known yet.
+            log: Writes a log line with an event and its fields.
         """
         self._listeners = listeners or {}
         budget = budget_of(memory_mb)
@@ -316,12 +326,14 @@
             memory=ConnectionMemory(budget.connection_bytes),
             output_buffer_bytes=budget.output_buffer_bytes(max_connections),
             limits=limits,
+            log=log,
         )
         self._control_bounds = ServerBounds(
             max_connections=CONTROL_CONNECTIONS,
             memory=ConnectionMemory(CONTROL_BYTES),
             output_buffer_bytes=MIN_OUTPUT_BUFFER_BYTES,
             limits=lambda: CONTROL_LIMITS,
+            log=log,
         )
         metrics.gauge("connection_bytes_held", lambda: float(self._caller_bounds.memory.total()))
         self._callers = PoolDispatcher(CALLER_THREADS, "caller")
