Count connections that are being closed apart in the test of idle connections

Cause: a connection that made room stays in the server's table until the event loop closes it, so that the test of the bound saw 73 of 72 once in the whole suite (jobs 3). It counts those that are still in use, whose number is bounded at each moment.

--- a/tests/test_http_front.py
+++ b/tests/test_http_front.py
@@ -267,7 +267,9 @@
         self.open_too_many_connections()
         name = "connections_dropped_total"
         self.wait_for(lambda: self.rig.metrics.value(name, reason="connections") >= 5)
-        self.assertLessEqual(len(self.front.server.active_channels), 4 * 18)
+        # The event loop closes those that make room a moment after it has accepted the others.
+        channels = list(self.front.server.active_channels.values())
+        self.assertLessEqual(sum(not channel.will_close for channel in channels), 4 * 18)
         status, _, _ = self.call("POST", "/v1/chat/completions", a_chat_body())
         self.assertEqual(status, 200)
 
