Show where a described request would go now, and why

`sequoiadrum where ROUTER HOST PATH` asks a running gateway at its metrics port (GET /where). The pool answers from the same selection as a placement, without probes, counts or records; the other ports do not answer it.

Not part of the answer: refusals by admission and by crashing parts.

--- a/src/sequoiadrum/_cli_values.py
+++ b/src/sequoiadrum/_cli_values.py
@@ -35,6 +35,8 @@
     "wait_s": number_between(0, 86_400),
     "revision": whole_number_between(0, _MAX_VERSION),
     "expected_version": _VERSION_RULE,
+    "output_tokens": whole_number_between(0, 10_000_000),
+    "priority": whole_number_between(-1, 9),
     "limit": whole_number_between(1, MAX_LISTED_OBJECTS),
 }
 
--- a/src/sequoiadrum/cli.py
+++ b/src/sequoiadrum/cli.py
@@ -14,6 +14,7 @@
 from sequoiadrum import __version__, standin_engine, standin_platform, standin_service
 from sequoiadrum._cli_base import ROUTER_VARIABLE
 from sequoiadrum._cli_values import number_option, report_wrong_values
+from sequoiadrum._cli_where import Where  # noqa: TC001 (cappa evaluates it)
 from sequoiadrum.app import Router
 from sequoiadrum.cli_operator import OperatorCommands  # noqa: TC001 (cappa evaluates it)
 from sequoiadrum.gateway.explain import explain
@@ -157,7 +158,7 @@
 class Program:
     """The program with all its commands."""
 
-    command: cappa.Subcommands[Serve | Explain | StandIn | OperatorCommands]
+    command: cappa.Subcommands[Serve | Explain | Where | StandIn | OperatorCommands]
 
 
 def run(arguments: Sequence[str]) -> int:
--- a/src/sequoiadrum/gateway/app.py
+++ b/src/sequoiadrum/gateway/app.py
@@ -47,6 +47,7 @@
 from sequoiadrum.gateway.settings_watch import SettingsWatch
 from sequoiadrum.gateway.stop_plan import Shutdown, StopPlan
 from sequoiadrum.gateway.store_sync import ConfigSync, EndpointSync, StoreAvailability
+from sequoiadrum.gateway.where import WhereExplainer
 from sequoiadrum.gossip_task import GossipTask
 from sequoiadrum.messages import Address
 from sequoiadrum.metrics import Metrics
@@ -402,7 +403,15 @@
         servers.add_callers(callers, listeners.callers)
         servers.add_control(control, listeners.readiness)
         servers.add_control(control, listeners.directory)
-        servers.add_control(control, Address(self.settings.host, self.settings.metrics_port))
+        where = WhereExplainer(
+            self.configuration,
+            self.pool,
+            HomeRegions(self.settings.region_by_domain),
+            self.settings.instance_id,
+            self.settings.failure_domain,
+        )
+        operators = ControlApp(adapter.directory, self.state, self.directory, self.metrics, where)
+        servers.add_control(operators, Address(self.settings.host, self.settings.metrics_port))
         return servers
 
     def _apply_settings(self, settings: GatewaySettings) -> None:
--- a/src/sequoiadrum/gateway/caller_app.py
+++ b/src/sequoiadrum/gateway/caller_app.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import json
 import math
 from http import HTTPStatus
 from typing import TYPE_CHECKING, Any, Final
@@ -36,6 +37,7 @@
     from sequoiadrum.gateway.ports import DirectoryCodec, HeaderCodec
     from sequoiadrum.gateway.relay import Relay
     from sequoiadrum.gateway.stop_plan import Shutdown
+    from sequoiadrum.gateway.where import WhereExplainer
     from sequoiadrum.metrics import Metrics
 
     StartResponse = Callable[..., object]
@@ -57,6 +59,7 @@
 """Calls to peers and the store that run for waiting requests; those that wait share their results.
 """
 METRICS_PATH: Final = "/metrics"
+WHERE_PATH: Final = "/where"
 MAX_LOGGED_PATH_CHARS: Final = 200
 KEY_FINGERPRINT_CHARS: Final = 8
 
@@ -299,7 +302,18 @@
         state: ServingState,
         directory: RouterDirectory,
         metrics: Metrics,
+        where: WhereExplainer | None = None,
     ) -> None:
+        """Creates the application.
+
+        Args:
+            codec: Paths and formats of the platform.
+            state: Whether this router accepts requests.
+            directory: Addresses of routers.
+            metrics: Metrics of this process.
+            where: Answers where a described request would go; None at ports that callers use.
+        """
+        self._where = where
         self._codec = codec
         self._state = state
         self._directory = directory
@@ -320,8 +334,19 @@
             )
         if path == METRICS_PATH:
             return _respond(start_response, HTTPStatus.OK, self._metrics.exposition().encode())
+        if path == WHERE_PATH and self._where is not None:
+            return self._respond_where(str(environ.get("QUERY_STRING", "")), start_response)
         return _respond(start_response, HTTPStatus.NOT_FOUND, b"not found\n")
 
+    def _respond_where(self, query: str, start_response: StartResponse) -> Iterable[bytes]:
+        assert self._where is not None
+        answer = self._where.answer(query)
+        if isinstance(answer, Failure):
+            text = f"{answer.failure()}\n".encode()
+            return _respond(start_response, HTTPStatus.BAD_REQUEST, text)
+        body = json.dumps(answer.unwrap()).encode()
+        return _respond(start_response, HTTPStatus.OK, body, "application/json")
+
     def _respond_with_addresses(self, query: str, start_response: StartResponse) -> Iterable[bytes]:
         address_query = self._codec.decode_query(query)
         homes = self._state.homes(address_query.host)
--- a/src/sequoiadrum/gateway/cold_endpoints.py
+++ b/src/sequoiadrum/gateway/cold_endpoints.py
@@ -214,6 +214,7 @@
         policy: ColdPolicy,
         entry_by_endpoint: Mapping[int, EndpointEntry],
         now: float,
+        is_preview: bool = False,
     ) -> dict[int, ColdLimit]:
         """Returns the limits of those endpoints of a service that are cold or were recently.
 
@@ -222,11 +223,13 @@
             policy: What its endpoints tolerate.
             entry_by_endpoint: The endpoints of the service that a request may use.
             now: Monotonic seconds.
+            is_preview: Whether no change is recorded.
         """
         found: dict[int, ColdLimit] = {}
         cold_until_by_id: dict[str, float] = {}
         with self._lock:
-            self._permitted_per_s = policy.permitted_per_s
+            if not is_preview:
+                self._permitted_per_s = policy.permitted_per_s
             for endpoint, entry in entry_by_endpoint.items():
                 until = self._cold_until(endpoint, entry, policy)
                 permitted = policy.permitted_at(until, now)
@@ -235,6 +238,8 @@
                 found[endpoint] = ColdLimit(permitted, now < until)
                 if now < until:
                     cold_until_by_id[entry.instance_id] = until
+            if is_preview:
+                return found
             asked = {entry.instance_id for entry in entry_by_endpoint.values()}
             self._record_changes(service, asked, cold_until_by_id, now)
         return found
--- a/src/sequoiadrum/gateway/hot_parts.py
+++ b/src/sequoiadrum/gateway/hot_parts.py
@@ -68,6 +68,10 @@
             sent_at.popleft()
         return len(sent_at)
 
+    def preview_requests(self, part: str, now: float) -> int:
+        """Returns the same number as `own_requests`, without counting the part as used."""
+        return sum(at > now - WINDOW_S for at in self._sent_at_by_part.get(part, ()))
+
     def recent_requests(self, now: float) -> dict[int, int]:
         """Returns the own requests of the last `FLEET_WINDOW_S` by `part_key`."""
         while self._recent and self._recent[0][0] <= now - FLEET_WINDOW_S:
--- a/src/sequoiadrum/gateway/pool.py
+++ b/src/sequoiadrum/gateway/pool.py
@@ -6,7 +6,7 @@
 import threading
 from typing import TYPE_CHECKING, Final
 
-from attrs import define, evolve
+from attrs import define, evolve, frozen
 
 from sequoiadrum.gateway import clock
 from sequoiadrum.gateway.cold_endpoints import ColdEndpoints, ColdPolicy
@@ -18,6 +18,8 @@
 from sequoiadrum.gateway.load_board import Loads, endpoint_key
 from sequoiadrum.gateway.part_memory import PartMemory
 from sequoiadrum.gateway.placement import (
+    FLEET_SPILL_ALLOWANCE,
+    FLEET_SPILL_MULTIPLE,
     MAX_CROWDED_LOAD,
     MIN_SHARED_PARTS,
     LimitedEndpoints,
@@ -25,8 +27,10 @@
     PlacementRequest,
     choose,
     context_source,
+    load_bound,
     mean_load,
     prompt_key,
+    rank_engines,
 )
 from sequoiadrum.gateway.rate_limits import NamedLimit, RateLimits
 from sequoiadrum.gateway.retry_budget import RetryBudget
@@ -103,6 +107,57 @@
         return self.first_s - self.stay.expected.first_s
 
 
+@frozen
+class _Selection:
+    """What was chosen for a request, and among which endpoints."""
+
+    chosen: Endpoint | PlacementFailure
+    known: list[Endpoint]
+    """Endpoints that the homes of the request permit."""
+    endpoints: list[Endpoint]
+    """Those of them that are not evacuated."""
+    request: PlacementRequest
+    cold: dict[int, ColdLimit]
+
+
+@frozen
+class PreviewedEndpoint:
+    """One endpoint, as it would be weighed for a request now."""
+
+    endpoint_id: str
+    failure_domain: str
+    rank: int | None
+    """Place in the ranking of the prompt's engines, from 1; None for a plain service."""
+    slots: int
+    in_flight: int
+    """Requests of this router."""
+    load: float
+    """Requests of all routers, as estimated."""
+    slowdown: float | None
+    """Expected time of work as a multiple of the usual one; None if it decides nothing."""
+    load_age_s: float
+    speed_age_s: float
+    rate_limit: float | None
+    """Requests per second that the endpoint named."""
+    passed_over: str | None
+    """Why it is not chosen; None for the chosen one."""
+
+
+@frozen
+class Preview:
+    """Where a request would be placed now, and why."""
+
+    chosen: str | PlacementFailure
+    """Id of the endpoint, or why there is none."""
+    candidates: tuple[PreviewedEndpoint, ...]
+    """All endpoints of the service, by rank."""
+    is_even: bool
+    replicas: int
+    load_bound: float | None
+    """Requests that an engine may have, the new one included; None for a plain service."""
+    controls_admission: bool
+
+
 class EndpointPool:
     """Places requests on endpoints and records the results; safe to use from any thread.
 
@@ -198,34 +253,10 @@
         """
         now = clock.now()
         with self._lock:
-            known = endpoints = self._endpoints_at_home(request)
-            if self.evacuations is not None and self.evacuations.has_any():
-                part = prompt_key(request.call)
-                endpoints = self.evacuations.usable(known, part, request.excluded, now)
-            request = self._with_replica_count(request, endpoints, now, is_repeated)
-            choice = self._choice
-            if choice is None and self._knowledge.is_active:
-                choice = self._even_choice
-            cold = self._cold_limits(request.service, known, now)
-            chosen: Endpoint | PlacementFailure = PlacementFailure.RATE_LIMITED
-            if cold and self._has_cold(endpoints, cold):
-                # Cold endpoints are left alone as long as others have room.
-                avoided = LimitedEndpoints.AVOIDED_WITH_ROOM
-                withheld = self._withheld(endpoints, now, limited, cold, avoided)
-                withheld |= {e.id for e in endpoints if e.is_failing(now)}
-                chosen = choose(endpoints, evolve(request, withheld=withheld), now, choice)
+            selection = self._select(request, limited, now, is_repeated)
+            chosen, known, cold = selection.chosen, selection.known, selection.cold
             if isinstance(chosen, PlacementFailure):
-                if self.rate_limits.has_any() or cold:
-                    withheld = self._withheld(endpoints, now, limited, cold)
-                    request = evolve(request, withheld=withheld)
-                chosen = choose(endpoints, request, now, choice)
-            if isinstance(chosen, PlacementFailure):
-                if chosen is not PlacementFailure.UNKNOWN_SERVICE:
-                    return chosen
-                if len(endpoints) < len(known):
-                    return PlacementFailure.EVACUATED
-                is_narrowed = request.domains is not None and not known
-                return PlacementFailure.OUTSIDE_HOMES if is_narrowed else chosen
+                return chosen
             chosen.in_flight += 1
             chosen.started_since_load += 1
             key = endpoint_key(chosen.id_hash)
@@ -248,6 +279,145 @@
                 placement.context_source = self._find_context_source(known, chosen, request, now)
             return placement
 
+    def _select(
+        self,
+        request: PlacementRequest,
+        limited: LimitedEndpoints,
+        now: float,
+        is_repeated: bool,
+        is_preview: bool = False,
+    ) -> _Selection:
+        """Chooses the endpoint for a request among those that may take it."""
+        known = endpoints = self._endpoints_at_home(request)
+        if self.evacuations is not None and self.evacuations.has_any():
+            part = prompt_key(request.call)
+            endpoints = self.evacuations.usable(known, part, request.excluded, now)
+        request = self._with_replica_count(request, endpoints, now, is_repeated, is_preview)
+        choice = self._choice
+        if choice is None and self._knowledge.is_active:
+            choice = self._even_choice
+        cold = self._cold_limits(request.service, known, now, is_preview)
+        chosen: Endpoint | PlacementFailure = PlacementFailure.RATE_LIMITED
+        if cold and self._has_cold(endpoints, cold):
+            # Cold endpoints are left alone as long as others have room.
+            avoided = LimitedEndpoints.AVOIDED_WITH_ROOM
+            withheld = self._withheld(endpoints, now, limited, cold, avoided)
+            withheld |= {e.id for e in endpoints if e.is_failing(now)}
+            narrowed = evolve(request, withheld=withheld)
+            chosen = choose(endpoints, narrowed, now, choice)
+            if not isinstance(chosen, PlacementFailure):
+                return _Selection(chosen, known, endpoints, narrowed, cold)
+        if self.rate_limits.has_any() or cold:
+            withheld = self._withheld(endpoints, now, limited, cold)
+            request = evolve(request, withheld=withheld)
+        chosen = choose(endpoints, request, now, choice)
+        if chosen is PlacementFailure.UNKNOWN_SERVICE:
+            if len(endpoints) < len(known):
+                chosen = PlacementFailure.EVACUATED
+            elif request.domains is not None and not known:
+                chosen = PlacementFailure.OUTSIDE_HOMES
+        return _Selection(chosen, known, endpoints, request, cold)
+
+    def preview(self, request: PlacementRequest) -> Preview:
+        """Returns where a request would be placed now, and why; changes no state."""
+        now = clock.now()
+        with self._lock:
+            everywhere = self._table.of_service(request.service.name)
+            probes = [(endpoint, endpoint.next_probe_at) for endpoint in everywhere]
+            selection = self._select(
+                request, LimitedEndpoints.ALLOWED, now, is_repeated=True, is_preview=True
+            )
+            for endpoint, next_probe_at in probes:
+                endpoint.next_probe_at = next_probe_at
+            return self._describe_selection(selection, everywhere, now)
+
+    def _describe_selection(
+        self, selection: _Selection, everywhere: list[Endpoint], now: float
+    ) -> Preview:
+        is_even = self.is_even()
+        request, chosen = selection.request, selection.chosen
+        is_plain = request.service.batch_slots is None
+        ranked = everywhere if is_plain else rank_engines(everywhere, request)
+        outlook_by_id = {o.endpoint.id: o for o in self._knowledge.outlooks(everywhere, now)}
+        loads = {
+            e.id: (
+                outlook_by_id[e.id].load
+                if is_even
+                else e.in_flight if (load := e.fleet_load(now)) is None else load
+            )
+            for e in everywhere
+        }
+        bound = None
+        if not is_plain and selection.endpoints:
+            bound = load_bound(
+                [loads[e.id] for e in selection.endpoints],
+                FLEET_SPILL_MULTIPLE,
+                FLEET_SPILL_ALLOWANCE,
+            )
+        healthy = [e for e in selection.endpoints if not e.is_failing(now)]
+        candidates = []
+        is_after = False
+        for number, endpoint in enumerate(ranked):
+            outlook = outlook_by_id[endpoint.id]
+            is_chosen = endpoint is chosen
+            why = None
+            if not is_chosen:
+                why = self._why_not_usable(endpoint, selection, bool(healthy), now)
+            if why is None and not is_chosen:
+                if is_plain:
+                    is_near = endpoint.entry.failure_domain == request.failure_domain
+                    why = "less_room_or_not_drawn" if is_near else "other_domain_or_not_drawn"
+                elif is_after:
+                    why = "lower_rank"
+                elif bound is not None and loads[endpoint.id] + 1 > bound:
+                    why = "above_load_bound"
+                else:
+                    why = "busy_or_slow"
+            is_after = is_after or is_chosen
+            candidates.append(
+                PreviewedEndpoint(
+                    endpoint.id,
+                    endpoint.entry.failure_domain,
+                    None if is_plain else number + 1,
+                    endpoint.entry.slots,
+                    endpoint.in_flight,
+                    loads[endpoint.id],
+                    outlook.slowdown if is_even else None,
+                    now - endpoint.elsewhere_reported_at,
+                    outlook.speed_age_s,
+                    self.rate_limits.in_force(endpoint_key(endpoint.id_hash), now),
+                    why,
+                )
+            )
+        return Preview(
+            chosen if isinstance(chosen, PlacementFailure) else chosen.id,
+            tuple(candidates),
+            is_even,
+            request.replicas,
+            bound,
+            self._rooms.is_active(now),
+        )
+
+    @staticmethod
+    def _why_not_usable(
+        endpoint: Endpoint, selection: _Selection, has_healthy: bool, now: float
+    ) -> str | None:
+        """Returns why an endpoint could not take the request; None if it could."""
+        if endpoint not in selection.known:
+            return "outside_homes"
+        if endpoint not in selection.endpoints:
+            return "evacuated"
+        hold = endpoint.hold(now)
+        if hold is not None:
+            return f"held_back_{hold.reason.value}"
+        if not endpoint.can_serve(now):
+            return "not_ready"
+        if endpoint.id in selection.request.withheld:
+            return "rate_or_cold"
+        if has_healthy and endpoint.is_failing(now):
+            return "failing"
+        return None
+
     def confirm(self, placement: EndpointPlacement, request: PlacementRequest) -> None:
         """Completes a placement whose quota was obtained."""
         with self._lock:
@@ -614,13 +784,13 @@
         return max(self.rate_limits.refused_until(key, now), self.cold.refused_until(key))
 
     def _cold_limits(
-        self, service: Service, endpoints: list[Endpoint], now: float
+        self, service: Service, endpoints: list[Endpoint], now: float, is_preview: bool
     ) -> dict[int, ColdLimit]:
         policy = ColdPolicy.of(service, self._bounds)
         if policy is None or not self.cold.may_limit(service.name, policy, now):
             return {}
         entry_by_key = {endpoint_key(e.id_hash): e.entry for e in endpoints}
-        return self.cold.limits(service.name, policy, entry_by_key, now)
+        return self.cold.limits(service.name, policy, entry_by_key, now, is_preview)
 
     def _with_replica_count(
         self,
@@ -628,15 +798,17 @@
         endpoints: list[Endpoint],
         now: float,
         is_repeated: bool,
+        is_preview: bool,
     ) -> PlacementRequest:
         if request.service.batch_slots is None or len(request.call.prompt) < MIN_SHARED_PARTS:
             return request
         part = prompt_key(request.call)
-        others = (
-            self._hot_parts.own_requests(part, now)
-            if is_repeated
-            else self._hot_parts.record_request(part, now)
-        )
+        if is_preview:
+            others = self._hot_parts.preview_requests(part, now)
+        elif is_repeated:
+            others = self._hot_parts.own_requests(part, now)
+        else:
+            others = self._hot_parts.record_request(part, now)
         instances = self._instances()
         mean = mean_load(endpoints, instances, now)
         replicas = self._hot_parts.replicas_in_fleet(part, mean, now)
--- a/tests/test_cli_values.py
+++ b/tests/test_cli_values.py
@@ -22,10 +22,11 @@
 _UNUSABLE_NUMBERS = ("many", "1,5", "nan", "inf", "-2", "1e400", "99999999999999999999")
 _UNUSABLE_BY_FLAG = {
     "--host": ("localhost", "1.2.3", "x"),
+    "--prompt": ("x", "a:x", "a:-2", "a:nan", "a:1e400", "a:99999999999999999999"),
     "--router": ("", "x", "localhost:1", "127.0.0.1:99999", "127.0.0.1:x"),
 }
 """Values that no command takes, besides those of numbers."""
-_ANY_TEXT = {"--id", "--change-id", "--prefix"}
+_ANY_TEXT = {"--id", "--change-id", "--prefix", "--account", "--request"}
 
 
 def _commands(
