Restore the stated bound on an idle endpoint, and list the test

Cause: the bound was raised to two thirds before its first commit because the choice takes 61 %; the target was twice an even share. Measured: 1,223 of 2,000 calls, where 1,000 may be.

--- a/tests/gateway/test_endpoint_choice.py
+++ b/tests/gateway/test_endpoint_choice.py
@@ -69,7 +69,7 @@
         endpoints = _endpoints(4)
         _report(self.knowledge, endpoints, [0, 2, 2, 2])
         share = self._share(endpoints)
-        self.assertLess(share["e0"], 2_000 * 2 / 3)
+        self.assertLess(share["e0"], 2_000 / 2)
         self.assertGreater(share["e0"], 500)
         self.assertGreater(min(share.values()), 200)
 
