Let followers of evacuations accept what their watchers show

Cause: a watch of evacuations waited 3 s, so that what a watcher showed was up to 6 s old while nothing changed; followers accept 4 s, took their watchers for cut off and read the store themselves. Change: watches wait 2 s for all kinds, and the accepted age follows from that wait.

--- a/src/sequoiadrum/gateway/evacuation_sync.py
+++ b/src/sequoiadrum/gateway/evacuation_sync.py
@@ -18,9 +18,6 @@
     from sequoiadrum.gateway.store_sync import StoreAvailability
     from sequoiadrum.metrics import Metrics
 
-EVACUATION_WATCH_WAIT_S: Final = 3.0
-"""Maximum wait of a watch. Evacuations are rare and every call of the store has a price; with the
-client's slack, an unresponsive watch ends before the bound of 5 s on an evacuation."""
 EVACUATION_PEER_WAIT_S: Final = 1.5
 """How long a peer may wait for a change before it responds. Two peers in a row that became
 partitioned delay an evacuation by this time and the slack of the call each."""
@@ -54,11 +51,6 @@
         self._pool = pool
         metrics.gauge("failure_domains_evacuated", lambda: float(len(evacuations.evacuated())))
 
-    @property
-    def watch_wait_s(self) -> float:
-        """See `KindSync.watch_wait_s`."""
-        return EVACUATION_WATCH_WAIT_S
-
     @property
     def peer_wait_s(self) -> float:
         """See `KindSync.peer_wait_s`."""
--- a/src/sequoiadrum/gateway/store_sync.py
+++ b/src/sequoiadrum/gateway/store_sync.py
@@ -61,8 +61,9 @@
 """Consecutive calls to peers that fail before a router reads the store itself."""
 MAX_STALENESS_S: Final = 20.0
 """How old a list may be that need not be the newest; the store keeps its history this long."""
-MAX_PEER_AGE_S: Final = 4.0
-"""A peer whose last contact with the store is older has probably lost it."""
+MAX_PEER_AGE_S: Final = 2 * WATCH_WAIT_S
+"""A peer whose last contact with the store is older has probably lost it. What a watch shows is as
+old as its begin, and becomes older until the next one ends."""
 
 
 class StoreAvailability:
@@ -209,11 +210,6 @@
         self._stopped = threading.Event()
         self.thread: Final = SupervisedThread(f"sync-{kind}", self._run, metrics)
 
-    @property
-    def watch_wait_s(self) -> float:
-        """Maximum wait of a watch in seconds."""
-        return WATCH_WAIT_S
-
     @property
     def peer_wait_s(self) -> float:
         """How long a peer may wait for a change before it responds, in seconds."""
@@ -344,7 +340,7 @@
         self._stopped.wait(self.first_watch_delay_s(clock.now() - self._started_at))
         while not self._stopped.is_set() and clock.now() < next_list_at and self._feed.is_watcher():
             requested_at = clock.now()
-            watched = self._store.watch(self._kind, revision, self.watch_wait_s)
+            watched = self._store.watch(self._kind, revision, WATCH_WAIT_S)
             if isinstance(watched, Failure):
                 if watched.failure() is StoreFailure.HISTORY_GONE:
                     self._log.notable("watch_history_gone", kind=self._kind, revision=revision)
--- a/tests/gateway/test_evacuation_sync.py
+++ b/tests/gateway/test_evacuation_sync.py
@@ -229,6 +229,19 @@
             lambda: not evacuations_of(follower).is_evacuated("z1"), "the follower readmits it"
         )
 
+    def test_follower_leaves_the_store_to_a_watcher_without_changes(self) -> None:
+        """Guards against followers that read the store because nothing changes at their watcher."""
+        follower, watcher = start_follower_and_watcher(self, bounds=EVACUATES)
+        watcher.store.put(KIND, "z2", {})
+        eventually(lambda: evacuations_of(follower).is_evacuated("z2"), "it asks the watcher")
+
+        def count(world: World) -> int:
+            return sum(f"/objects/{KIND}" in path for _, path in world.store.calls)
+
+        before, watched = count(follower), count(watcher)
+        eventually(lambda: count(watcher) >= watched + 3, "the watcher's watches end")
+        self.assertEqual(count(follower), before)
+
     def test_router_without_the_store_starts_with_the_evacuations_of_a_peer(self) -> None:
         """Guards against a router that starts in an outage and sends to an evacuated domain."""
         running = World(bounds=EVACUATES, instance_id="g1")
