--- a/tests/gateway/test_evacuation_sync.py
+++ b/tests/gateway/test_evacuation_sync.py
@@ -7,7 +7,7 @@
 from typing import TYPE_CHECKING
 from unittest import mock
 
-from sequoiadrum.gateway import clock
+from sequoiadrum.gateway import clock, evacuation_sync
 from sequoiadrum.gateway.exchange import EndpointConnections
 from tests.gateway.builders import bounds
 from tests.gateway.scripted_endpoint import ScriptedEndpoint
@@ -231,6 +231,8 @@
 
     def test_follower_leaves_the_store_to_a_watcher_without_changes(self) -> None:
         """Guards against followers that read the store because nothing changes at their watcher."""
+        # Several responses come at each age of what the watcher shows.
+        self.enterContext(mock.patch.object(evacuation_sync, "EVACUATION_PEER_WAIT_S", 0.5))
         follower, watcher = start_follower_and_watcher(self, bounds=EVACUATES)
         watcher.store.put(KIND, "z2", {})
         eventually(lambda: evacuations_of(follower).is_evacuated("z2"), "it asks the watcher")
